--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `curranthollow` binary.
+
+fn main() {}
