Add HTTP/1.1 connections, links between processes and the operator listener

async-h1 passes truncated and unframed responses as complete and accepts ambiguous lengths, so traffic uses its own connections: heads are parsed by httparse and then checked (CRLF only, one length, one Host).

Links are WebSocket over async-std TCP with CBOR frames.

--- /dev/null
+++ b/src/admin.rs
@@ -0,0 +1,146 @@
+//! Operator HTTP: routing by `tide` behind the connection code of this project.
+//!
+//! `tide` would serve its own sockets through `async-h1`, which accepts truncated and ambiguous
+//! requests. Here it only sees requests that were read whole and checked.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures_util::StreamExt;
+use tide::http::{Method, Request, Response, Url};
+
+use crate::http::{
+    CallerConnection, HttpError, HttpLimits, RequestBody, RequestHead, ResponseHead,
+};
+
+/// Largest request body in bytes on the operator port.
+const BODY_BYTES: u64 = 1024 * 1024;
+
+/// Operator connections that may be open at once.
+const OPEN_CONNECTIONS: usize = 256;
+
+/// Serves `app` on `listener` for as long as the process runs.
+pub fn serve<S>(listener: TcpListener, app: tide::Server<S>)
+where
+    S: Clone + Send + Sync + 'static,
+{
+    task::spawn(async move {
+        let open = Arc::new(AtomicUsize::new(0));
+        let mut incoming = listener.incoming();
+        while let Some(stream) = incoming.next().await {
+            let Ok(stream) = stream else {
+                continue;
+            };
+            if open.fetch_add(1, Ordering::Relaxed) >= OPEN_CONNECTIONS {
+                open.fetch_sub(1, Ordering::Relaxed);
+                continue;
+            }
+            let app = app.clone();
+            let open = Arc::clone(&open);
+            task::spawn(async move {
+                if let Err(error) = serve_connection(stream, app).await {
+                    log::debug!(code = error.code(), error:%; "operator connection failed");
+                }
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+}
+
+async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>) -> Result<(), HttpError>
+where
+    S: Clone + Send + Sync + 'static,
+{
+    let mut connection = CallerConnection::new(stream, HttpLimits::default())?;
+    loop {
+        let head = match connection.next_head().await {
+            Ok(Some(head)) => head,
+            Ok(None) => return Ok(()),
+            Err(error) => return refuse(connection, None, error).await,
+        };
+        let mut body = RequestBody::new(&head);
+        let content = match connection.read_whole_body(&mut body, BODY_BYTES).await {
+            Ok(content) => content,
+            Err(error) => return refuse(connection, Some(head), error).await,
+        };
+        let response = match build_request(&head, content) {
+            Some(request) => app.respond(request).await.unwrap_or_else(|error| {
+                let mut response = Response::new(error.status());
+                response.set_body(error.to_string());
+                response
+            }),
+            None => Response::new(400),
+        };
+        let keep_alive = head.keep_alive();
+        send_response(&mut connection, &head, response, keep_alive).await?;
+        if !keep_alive {
+            return Ok(());
+        }
+    }
+}
+
+async fn refuse(
+    mut connection: CallerConnection,
+    head: Option<RequestHead>,
+    error: HttpError,
+) -> Result<(), HttpError> {
+    let Some(status) = error.request_status() else {
+        return Err(error);
+    };
+    let mut output = Vec::new();
+    let mut refusal = ResponseHead::new(status);
+    let text = if head.is_some_and(|head| &*head.method == "HEAD") {
+        String::new()
+    } else {
+        format!("{error}\n")
+    };
+    let _ = refusal.headers.append("connection", b"close");
+    let _ = refusal.headers.append("content-length", text.len().to_string().as_bytes());
+    refusal.write_to(&mut output);
+    output.extend_from_slice(text.as_bytes());
+    connection.write(&output).await?;
+    connection.close_lingering().await;
+    Err(error)
+}
+
+/// Converts a checked request; `None` when `http-types` cannot represent it.
+///
+/// Header values that are not ASCII are refused, because `http-types` panics on them.
+fn build_request(head: &RequestHead, content: Vec<u8>) -> Option<Request> {
+    let method: Method = head.method.parse().ok()?;
+    let url = Url::parse(&format!("http://operator{}", head.target)).ok()?;
+    let mut request = Request::new(method, url);
+    for (name, value) in head.headers.iter() {
+        let text = std::str::from_utf8(value).ok().filter(|text| text.is_ascii())?;
+        if !name.is_ascii() {
+            return None;
+        }
+        request.append_header(name, text);
+    }
+    request.set_body(content);
+    Some(request)
+}
+
+async fn send_response(
+    connection: &mut CallerConnection,
+    request: &RequestHead,
+    mut response: Response,
+    keep_alive: bool,
+) -> Result<(), HttpError> {
+    let mut head = ResponseHead::new(response.status().into());
+    for (name, values) in response.iter() {
+        if matches!(name.as_str(), "content-length" | "transfer-encoding" | "connection") {
+            continue;
+        }
+        for value in values.iter() {
+            let _ = head.headers.append(name.as_str(), value.as_str().as_bytes());
+        }
+    }
+    if !keep_alive {
+        let _ = head.headers.append("connection", b"close");
+    }
+    let body = response.body_bytes().await.unwrap_or_default();
+    connection.respond(request, head, &body).await
+}
--- /dev/null
+++ b/src/http/caller.rs
@@ -0,0 +1,215 @@
+//! Connections from callers.
+
+use std::future::{Future, pending};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+
+use super::stream::limited;
+use super::{
+    BodyDecoder, BodyFraming, BufferedStream, HttpError, HttpLimits, HttpVersion, RequestHead,
+    ResponseHead, encode_chunk, encode_last_chunk,
+};
+
+/// Empty lines that are skipped before a request line (RFC 9112, section 2.2).
+const LEADING_LINES: usize = 4;
+
+/// Connection accepted from a caller or from the platform's balancer.
+#[derive(Debug)]
+pub struct CallerConnection {
+    stream: BufferedStream,
+    limits: HttpLimits,
+    peer: SocketAddr,
+}
+
+/// Body of the request being served.
+#[derive(Clone, Debug)]
+pub struct RequestBody {
+    decoder: BodyDecoder,
+    framing: BodyFraming,
+    awaits_continue: bool,
+}
+
+impl RequestBody {
+    /// Creates the reading state for the body that follows `head`.
+    pub fn new(head: &RequestHead) -> Self {
+        Self {
+            decoder: BodyDecoder::new(head.framing),
+            framing: head.framing,
+            awaits_continue: head.expects_continue() && head.framing != BodyFraming::Empty,
+        }
+    }
+
+    /// How the body is framed.
+    pub fn framing(&self) -> BodyFraming {
+        self.framing
+    }
+
+    /// Reports whether the whole body was read.
+    pub fn is_complete(&self) -> bool {
+        self.decoder.is_complete()
+    }
+}
+
+impl CallerConnection {
+    /// Wraps an accepted stream.
+    pub fn new(stream: TcpStream, limits: HttpLimits) -> Result<Self, HttpError> {
+        let peer = stream.peer_addr()?;
+        Ok(Self { stream: BufferedStream::new(stream)?, limits, peer })
+    }
+
+    /// Address of the peer.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Reads the next request head; `None` when the peer closed or stayed idle between requests.
+    pub async fn next_head(&mut self) -> Result<Option<RequestHead>, HttpError> {
+        if !self.wait_for_input().await? {
+            return Ok(None);
+        }
+        let limit = self.limits.head_timeout;
+        limited(limit, "reading a head", self.read_head()).await?.map(Some)
+    }
+
+    async fn wait_for_input(&mut self) -> Result<bool, HttpError> {
+        if !self.stream.input().is_empty() {
+            return Ok(true);
+        }
+        match limited(self.limits.idle_timeout, "idle", self.stream.fill()).await {
+            Ok(Ok(count)) => Ok(count > 0),
+            Ok(Err(error)) => Err(error.into()),
+            Err(_) => Ok(false),
+        }
+    }
+
+    async fn read_head(&mut self) -> Result<RequestHead, HttpError> {
+        let mut lines = 0;
+        loop {
+            while self.stream.input().starts_with(b"\r\n") && lines < LEADING_LINES {
+                self.stream.consume(2);
+                lines += 1;
+            }
+            let input = self.stream.input();
+            let waits_for_line = input.is_empty() || input == b"\r";
+            if !waits_for_line
+                && let Some((head, length)) = RequestHead::parse(input, &self.limits)?
+            {
+                self.stream.consume(length);
+                return Ok(head);
+            }
+            if self.stream.fill().await? == 0 {
+                return Err(HttpError::Truncated);
+            }
+        }
+    }
+
+    /// Reads the next piece of the body; `None` at its end.
+    pub async fn read_body(
+        &mut self,
+        body: &mut RequestBody,
+    ) -> Result<Option<Vec<u8>>, HttpError> {
+        if body.awaits_continue {
+            body.awaits_continue = false;
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        self.stream.read_body(&mut body.decoder, &self.limits).await
+    }
+
+    /// Reads the whole body, up to `limit` bytes.
+    pub async fn read_whole_body(
+        &mut self,
+        body: &mut RequestBody,
+        limit: u64,
+    ) -> Result<Vec<u8>, HttpError> {
+        if body.framing.declared_size().is_some_and(|size| size > limit) {
+            return Err(HttpError::BodyTooLarge(limit));
+        }
+        let mut whole = Vec::new();
+        while let Some(data) = self.read_body(body).await? {
+            if (whole.len() + data.len()) as u64 > limit {
+                return Err(HttpError::BodyTooLarge(limit));
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole)
+    }
+
+    /// Writes raw bytes.
+    pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        self.stream.write(bytes, self.limits.stall_timeout).await
+    }
+
+    /// Writes a response with a body that is held in memory.
+    ///
+    /// The caller of this method decides about `Connection: close`.
+    pub async fn respond(
+        &mut self,
+        request: &RequestHead,
+        mut head: ResponseHead,
+        body: &[u8],
+    ) -> Result<(), HttpError> {
+        head.headers.remove("content-length");
+        let length = body.len().to_string();
+        let _ = head.headers.append("content-length", length.as_bytes());
+        let mut output = Vec::with_capacity(512 + body.len());
+        head.write_to(&mut output);
+        if request.method.as_ref() != "HEAD" {
+            output.extend_from_slice(body);
+        }
+        self.write(&output).await
+    }
+
+    /// Writes a piece of a streamed response body.
+    pub async fn write_body(&mut self, framing: BodyFraming, data: &[u8]) -> Result<(), HttpError> {
+        if framing != BodyFraming::Chunked {
+            return self.write(data).await;
+        }
+        let mut output = Vec::with_capacity(data.len() + 16);
+        encode_chunk(data, &mut output);
+        self.write(&output).await
+    }
+
+    /// Writes the end of a streamed response body.
+    pub async fn end_body(&mut self, framing: BodyFraming) -> Result<(), HttpError> {
+        if framing != BodyFraming::Chunked {
+            return Ok(());
+        }
+        let mut output = Vec::new();
+        encode_last_chunk(&mut output);
+        self.write(&output).await
+    }
+
+    /// Resolves when the caller has closed its side of the connection.
+    ///
+    /// Never resolves while unread bytes are waiting, because the close lies behind them.
+    pub fn closed(&self) -> impl Future<Output = ()> + use<> {
+        let handle = self.stream.handle();
+        let has_input = !self.stream.input().is_empty();
+        async move {
+            if has_input {
+                return pending().await;
+            }
+            match handle.peek(&mut [0]).await {
+                Ok(0) | Err(_) => (),
+                Ok(_) => pending().await,
+            }
+        }
+    }
+
+    /// Reports whether a response may be sent in chunks to a caller of this version.
+    pub fn supports_chunks(version: HttpVersion) -> bool {
+        version == HttpVersion::Http11
+    }
+
+    /// Time without progress after which a transfer is given up.
+    pub fn stall_timeout(&self) -> Duration {
+        self.limits.stall_timeout
+    }
+
+    /// Closes after a refusal without losing the response on the way.
+    pub async fn close_lingering(self) {
+        self.stream.close_lingering().await;
+    }
+}
--- /dev/null
+++ b/src/http/head.rs
@@ -0,0 +1,300 @@
+//! Request and response heads.
+
+use super::{BodyFraming, HeaderList, HttpError, HttpLimits};
+
+/// Version of a message; other versions are refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HttpVersion {
+    /// HTTP/1.0
+    Http10,
+    /// HTTP/1.1
+    Http11,
+}
+
+/// Parsed and checked head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// Method as received; methods are case-sensitive.
+    pub method: Box<str>,
+    /// Path and query in origin form.
+    pub target: Box<str>,
+    /// Host from the absolute form or the `Host` header, without the port, in lower case.
+    pub host: Box<str>,
+    /// Version of the caller.
+    pub version: HttpVersion,
+    /// Header fields.
+    pub headers: HeaderList,
+    /// How the end of the body is marked.
+    pub framing: BodyFraming,
+}
+
+/// Parsed and checked head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// Status code, 100 to 999.
+    pub status: u16,
+    /// Reason phrase as received.
+    pub reason: Box<str>,
+    /// Version of the server.
+    pub version: HttpVersion,
+    /// Header fields.
+    pub headers: HeaderList,
+}
+
+impl RequestHead {
+    /// Parses a head from the start of `input`.
+    ///
+    /// Returns the head and its length in bytes, or `None` when more input is needed.
+    pub fn parse(
+        input: &[u8],
+        limits: &HttpLimits,
+    ) -> Result<Option<(RequestHead, usize)>, HttpError> {
+        let Some(length) = find_head_end(input, limits)? else {
+            return Ok(None);
+        };
+        let mut fields = vec![httparse::EMPTY_HEADER; limits.header_count];
+        let mut request = httparse::Request::new(&mut fields);
+        let status = request.parse(&input[..length]).map_err(parse_error)?;
+        if status.is_partial() {
+            return Err(HttpError::MalformedHead("incomplete head"));
+        }
+        let version = parse_version(request.version)?;
+        let method = request.method.unwrap_or_default();
+        if matches!(method, "CONNECT" | "TRACE") {
+            return Err(HttpError::UnsupportedMethod);
+        }
+        let headers = collect_headers(request.headers);
+        let (host, target) = split_target(request.path.unwrap_or_default(), version, &headers)?;
+        let framing = BodyFraming::of_request(version, &headers)?;
+        let head = RequestHead { method: method.into(), target, host, version, headers, framing };
+        Ok(Some((head, length)))
+    }
+
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// Reports whether the caller wants the connection kept open.
+    pub fn keep_alive(&self) -> bool {
+        keep_alive(self.version, &self.headers)
+    }
+
+    /// Reports whether the caller waits for `100 Continue` before it sends the body.
+    pub fn expects_continue(&self) -> bool {
+        self.version == HttpVersion::Http11 && self.headers.has_token("expect", "100-continue")
+    }
+
+    /// Writes the head in wire form as an HTTP/1.1 request.
+    pub fn write_to(&self, output: &mut Vec<u8>) {
+        output.extend_from_slice(self.method.as_bytes());
+        output.push(b' ');
+        output.extend_from_slice(self.target.as_bytes());
+        output.extend_from_slice(b" HTTP/1.1\r\n");
+        self.headers.write_to(output);
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+impl ResponseHead {
+    /// Creates a head with an empty header list.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            reason: reason_phrase(status).into(),
+            version: HttpVersion::Http11,
+            headers: HeaderList::new(),
+        }
+    }
+
+    /// Parses a head from the start of `input`.
+    ///
+    /// Returns the head and its length in bytes, or `None` when more input is needed.
+    pub fn parse(
+        input: &[u8],
+        limits: &HttpLimits,
+    ) -> Result<Option<(ResponseHead, usize)>, HttpError> {
+        let Some(length) = find_head_end(input, limits)? else {
+            return Ok(None);
+        };
+        let mut fields = vec![httparse::EMPTY_HEADER; limits.header_count];
+        let mut response = httparse::Response::new(&mut fields);
+        let status = response.parse(&input[..length]).map_err(parse_error)?;
+        if status.is_partial() {
+            return Err(HttpError::MalformedHead("incomplete head"));
+        }
+        let head = ResponseHead {
+            status: response.code.unwrap_or_default(),
+            reason: response.reason.unwrap_or_default().into(),
+            version: parse_version(response.version)?,
+            headers: collect_headers(response.headers),
+        };
+        if head.status < 100 {
+            return Err(HttpError::MalformedHead("status below 100"));
+        }
+        Ok(Some((head, length)))
+    }
+
+    /// Reports whether this is an interim response.
+    pub fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
+    /// Reports whether the server keeps the connection open.
+    pub fn keep_alive(&self) -> bool {
+        keep_alive(self.version, &self.headers)
+    }
+
+    /// Writes the head in wire form as an HTTP/1.1 response.
+    pub fn write_to(&self, output: &mut Vec<u8>) {
+        output.extend_from_slice(format!("HTTP/1.1 {} ", self.status).as_bytes());
+        output.extend_from_slice(self.reason.as_bytes());
+        output.extend_from_slice(b"\r\n");
+        self.headers.write_to(output);
+        output.extend_from_slice(b"\r\n");
+    }
+}
+
+fn keep_alive(version: HttpVersion, headers: &HeaderList) -> bool {
+    if headers.has_token("connection", "close") {
+        return false;
+    }
+    version == HttpVersion::Http11 || headers.has_token("connection", "keep-alive")
+}
+
+/// Finds the end of the head and refuses line ends other than CRLF.
+///
+/// `httparse` accepts a bare LF. Servers differ in that, so a head that contains one is refused.
+fn find_head_end(input: &[u8], limits: &HttpLimits) -> Result<Option<usize>, HttpError> {
+    let window = &input[..input.len().min(limits.head_bytes)];
+    let mut previous = 0;
+    let mut line_start = 0;
+    for (position, byte) in window.iter().copied().enumerate() {
+        if byte == b'\n' {
+            if previous != b'\r' {
+                return Err(HttpError::MalformedHead("line ends without CR"));
+            }
+            if position - line_start == 1 {
+                return Ok(Some(position + 1));
+            }
+            line_start = position + 1;
+        } else if previous == b'\r' {
+            return Err(HttpError::MalformedHead("CR inside a line"));
+        }
+        previous = byte;
+    }
+    if input.len() >= limits.head_bytes {
+        return Err(HttpError::HeadTooLarge);
+    }
+    Ok(None)
+}
+
+fn parse_version(version: Option<u8>) -> Result<HttpVersion, HttpError> {
+    match version {
+        Some(0) => Ok(HttpVersion::Http10),
+        Some(1) => Ok(HttpVersion::Http11),
+        _ => Err(HttpError::UnsupportedVersion),
+    }
+}
+
+fn parse_error(error: httparse::Error) -> HttpError {
+    match error {
+        httparse::Error::TooManyHeaders => HttpError::HeadTooLarge,
+        httparse::Error::Version => HttpError::UnsupportedVersion,
+        httparse::Error::HeaderName => HttpError::MalformedHead("invalid header name"),
+        httparse::Error::HeaderValue => HttpError::MalformedHead("invalid header value"),
+        httparse::Error::NewLine => HttpError::MalformedHead("invalid line end"),
+        httparse::Error::Status => HttpError::MalformedHead("invalid status"),
+        httparse::Error::Token => HttpError::MalformedHead("invalid token"),
+    }
+}
+
+fn collect_headers(fields: &[httparse::Header<'_>]) -> HeaderList {
+    let mut headers = HeaderList::new();
+    for field in fields {
+        headers.push_parsed(field.name, field.value);
+    }
+    headers
+}
+
+/// Returns host and origin-form target of a request.
+fn split_target(
+    raw: &str,
+    version: HttpVersion,
+    headers: &HeaderList,
+) -> Result<(Box<str>, Box<str>), HttpError> {
+    let mut hosts = headers.values("host");
+    let host_header = match hosts.next() {
+        Some(value) => {
+            std::str::from_utf8(value).map_err(|_| HttpError::MalformedHead("Host is not ASCII"))?
+        }
+        None if version == HttpVersion::Http11 => {
+            return Err(HttpError::MalformedHead("Host is missing"));
+        }
+        None => "",
+    };
+    if hosts.next().is_some() {
+        return Err(HttpError::MalformedHead("more than one Host"));
+    }
+    if raw.starts_with('/') || raw == "*" {
+        return Ok((host_name(host_header), raw.into()));
+    }
+    // The absolute form overrides the Host header (RFC 9112, section 3.2.2).
+    let scheme_end = raw.find("://").ok_or(HttpError::MalformedHead("invalid target"))?;
+    if !raw[..scheme_end].eq_ignore_ascii_case("http") {
+        return Err(HttpError::MalformedHead("invalid scheme in target"));
+    }
+    let rest = &raw[scheme_end + 3..];
+    let path_start = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (authority, path) = rest.split_at(path_start);
+    if authority.is_empty() || authority.contains('@') {
+        return Err(HttpError::MalformedHead("invalid authority in target"));
+    }
+    let target = if path.starts_with('/') { path.into() } else { format!("/{path}").into() };
+    Ok((host_name(authority), target))
+}
+
+/// Strips the port and lower-cases a host.
+fn host_name(authority: &str) -> Box<str> {
+    let name = match authority.rfind(':') {
+        Some(colon) if !authority[colon..].contains(']') => &authority[..colon],
+        _ => authority,
+    };
+    name.to_ascii_lowercase().into()
+}
+
+/// Reason phrases of the statuses that this process sends itself.
+const REASON_PHRASES: [(u16, &str); 23] = [
+    (200, "OK"),
+    (201, "Created"),
+    (202, "Accepted"),
+    (204, "No Content"),
+    (400, "Bad Request"),
+    (401, "Unauthorized"),
+    (403, "Forbidden"),
+    (404, "Not Found"),
+    (405, "Method Not Allowed"),
+    (408, "Request Timeout"),
+    (409, "Conflict"),
+    (413, "Content Too Large"),
+    (421, "Misdirected Request"),
+    (422, "Unprocessable Content"),
+    (429, "Too Many Requests"),
+    (431, "Request Header Fields Too Large"),
+    (499, "Client Closed Request"),
+    (500, "Internal Server Error"),
+    (501, "Not Implemented"),
+    (502, "Bad Gateway"),
+    (503, "Service Unavailable"),
+    (504, "Gateway Timeout"),
+    (505, "HTTP Version Not Supported"),
+];
+
+fn reason_phrase(status: u16) -> &'static str {
+    for (known, phrase) in REASON_PHRASES {
+        if known == status {
+            return phrase;
+        }
+    }
+    ""
+}
--- /dev/null
+++ b/src/http/stream.rs
@@ -0,0 +1,135 @@
+//! TCP stream with a bounded read buffer.
+
+use std::future::Future;
+use std::io;
+use std::time::Duration;
+
+use async_std::future::timeout;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::TcpStream;
+
+use super::{BodyDecoder, HttpError, HttpLimits};
+
+/// Bytes requested from the socket in one read.
+const READ_BYTES: usize = 16 * 1024;
+
+/// Bytes that are read and discarded before a refused connection is closed.
+const LINGER_BYTES: usize = 512 * 1024;
+
+/// Longest wait for the peer while bytes are discarded before a close.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+
+/// TCP stream whose unread input is kept in a buffer.
+#[derive(Debug)]
+pub struct BufferedStream {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    start: usize,
+}
+
+impl BufferedStream {
+    /// Wraps a connected stream and turns off Nagle's algorithm.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, buffer: Vec::new(), start: 0 })
+    }
+
+    /// Unread input.
+    pub fn input(&self) -> &[u8] {
+        &self.buffer[self.start..]
+    }
+
+    /// Marks `count` bytes of the input as used.
+    pub fn consume(&mut self, count: usize) {
+        self.start += count;
+        if self.start == self.buffer.len() {
+            self.buffer.clear();
+            self.start = 0;
+        }
+    }
+
+    /// Reads once from the socket and returns the number of bytes; 0 means end of stream.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.start > 0 {
+            self.buffer.drain(..self.start);
+            self.start = 0;
+        }
+        let old = self.buffer.len();
+        self.buffer.resize(old + READ_BYTES, 0);
+        let result = self.stream.read(&mut self.buffer[old..]).await;
+        let count = *result.as_ref().unwrap_or(&0);
+        self.buffer.truncate(old + count);
+        result
+    }
+
+    /// Writes all bytes; gives up after `stall` without progress.
+    pub async fn write(&mut self, mut bytes: &[u8], stall: Duration) -> Result<(), HttpError> {
+        while !bytes.is_empty() {
+            let written = limited(stall, "writing", self.stream.write(bytes)).await??;
+            if written == 0 {
+                return Err(HttpError::Io(io::ErrorKind::WriteZero.into()));
+            }
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Another handle to the socket, for concurrent writing or for watching.
+    pub fn handle(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Reads until the decoder yields data and returns it; `None` at the end of the body.
+    pub async fn read_body(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        limits: &HttpLimits,
+    ) -> Result<Option<Vec<u8>>, HttpError> {
+        while !decoder.is_complete() {
+            let chunk = decoder.decode(self.input())?;
+            let data = self.input()[chunk.data.clone()].to_vec();
+            self.consume(chunk.consumed);
+            if !data.is_empty() {
+                return Ok(Some(data));
+            }
+            if chunk.consumed > 0 {
+                continue;
+            }
+            let count = limited(limits.stall_timeout, "reading a body", self.fill()).await??;
+            if count == 0 {
+                return Err(HttpError::Truncated);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Closes after a refusal: stops sending, then discards input for a bounded time.
+    ///
+    /// Closing at once with unread input would reset the connection, and the peer could lose the
+    /// response that explains the refusal.
+    pub async fn close_lingering(mut self) {
+        if self.stream.shutdown(std::net::Shutdown::Write).is_err() {
+            return;
+        }
+        let discard = async {
+            let mut left = LINGER_BYTES;
+            let mut scratch = vec![0; READ_BYTES];
+            while left > 0 {
+                match self.stream.read(&mut scratch).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(count) => left = left.saturating_sub(count),
+                }
+            }
+        };
+        let _ = timeout(LINGER_TIME, discard).await;
+    }
+}
+
+/// Runs `future` for at most `limit`.
+pub(super) async fn limited<T>(
+    limit: Duration,
+    action: &'static str,
+    future: impl Future<Output = T>,
+) -> Result<T, HttpError> {
+    timeout(limit, future).await.map_err(|_| HttpError::Timeout(action))
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,8 @@
 //! Load balancer for servers whose load shifts in milliseconds.
 
+pub mod admin;
+pub mod http;
 pub mod ids;
+pub mod link;
 pub mod logging;
 pub mod timer;
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,12 @@
+//! WebSocket links between the system's processes.
+//!
+//! Each binary WebSocket message carries one CBOR frame. Entries connect to control processes;
+//! between processes of the same role the one with the lower name connects.
+
+mod frame;
+mod hub;
+mod message;
+
+pub use frame::{FRAME_BYTES, FrameError, WIRE_VERSION, WireFrame};
+pub use hub::{LinkConfig, LinkError, LinkEvent, LinkHub, LinkTarget};
+pub use message::*;
