--- /dev/null
+++ b/src/control/leases.rs
@@ -0,0 +1,373 @@
+//! Settings leases of entries, as seen by the control leader.
+//!
+//! A settings change is in force everywhere once each entry that may still use older settings has
+//! installed it or has lost its lease. The table also yields the list of live entries, whose
+//! revision is the epoch of credit accounts.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::ids::{EpochNumber, ProcessName, SettingsRevision, TermNumber, ZoneName};
+use crate::link::LiveEntry;
+
+/// Clock drift in percent that is added to each lease on the leader's side.
+const DRIFT_PERCENT: u32 = 10;
+
+/// Time after a lost link at which an entry stops being a candidate for credit accounts.
+const SUSPECT_DELAY: Duration = Duration::from_millis(300);
+
+/// Entries that the table holds; requests of further ones are ignored.
+const ENTRY_LIMIT: usize = 4096;
+
+/// Changes that may wait for confirmation at once.
+const CHANGE_LIMIT: usize = 1024;
+
+/// Number that the control process gives to a waiting change.
+pub type ChangeNumber = u64;
+
+/// Number of one leadership confirmation.
+pub type RoundNumber = u64;
+
+/// Leases granted by this process while it leads.
+#[derive(Debug)]
+pub struct LeaseTable {
+    lease: Duration,
+    leadership: Option<Leadership>,
+    entries: BTreeMap<ProcessName, EntryLease>,
+    waiting: BTreeMap<ChangeNumber, SettingsRevision>,
+}
+
+#[derive(Debug)]
+struct Leadership {
+    term: TermNumber,
+    changes: u32,
+    round: RoundNumber,
+    /// Leases of an earlier leader, unknown to this one, have run out by then.
+    unknown_until: Instant,
+    /// Requests that wait for a confirmation, by round.
+    queued: Vec<QueuedRequest>,
+}
+
+#[derive(Clone, Debug)]
+struct QueuedRequest {
+    round: RoundNumber,
+    request: RenewalRequest,
+}
+
+/// Request of an entry for a lease.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RenewalRequest {
+    /// Entry that wants the lease.
+    pub entry: ProcessName,
+    /// Peer through which the request came; equal to `entry` when it came directly.
+    pub via: ProcessName,
+    /// Random id of the entry's process start.
+    pub session: u64,
+    /// Availability zone of the entry.
+    pub availability_zone: ZoneName,
+    /// Revision that the entry has installed.
+    pub installed: SettingsRevision,
+    /// Echoed in the grant.
+    pub nonce: u64,
+}
+
+#[derive(Clone, Debug)]
+struct EntryLease {
+    session: u64,
+    availability_zone: ZoneName,
+    installed: SettingsRevision,
+    expires: Instant,
+    link_lost: Option<Instant>,
+    suspect: bool,
+}
+
+/// Input of the table.
+#[derive(Clone, Debug)]
+pub enum LeaseEvent {
+    /// This process became leader of the settings group.
+    Leading {
+        /// New term.
+        term: TermNumber,
+    },
+    /// This process is no longer leader.
+    Deposed,
+    /// The lease duration in the settings changed.
+    LeaseChanged(Duration),
+    /// An entry asks for a lease.
+    Requested(RenewalRequest),
+    /// A majority confirmed this leader after the round was started.
+    Confirmed(RoundNumber),
+    /// The round could not be confirmed; the entries will ask again.
+    ConfirmFailed(RoundNumber),
+    /// An entry reports that it installed a revision.
+    Installed {
+        /// Name of the entry.
+        entry: ProcessName,
+        /// Its process start.
+        session: u64,
+        /// Revision in force there.
+        revision: SettingsRevision,
+    },
+    /// The link to an entry was lost.
+    LinkLost(ProcessName),
+    /// An entry stops and uses its settings no longer.
+    Left {
+        /// Name of the entry.
+        entry: ProcessName,
+        /// Its process start.
+        session: u64,
+    },
+    /// A change was committed and waits until it is in force.
+    Committed {
+        /// Number given by the control process.
+        change: ChangeNumber,
+        /// Revision of the change.
+        revision: SettingsRevision,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Output of the table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Ask a majority to confirm this leader; answer with [`LeaseEvent::Confirmed`].
+    Confirm(RoundNumber),
+    /// Send a lease. The settings sent along must include everything committed before the round.
+    Grant {
+        /// Request that is granted.
+        request: RenewalRequest,
+        /// Duration from the moment the entry sent its request.
+        lease: Duration,
+        /// Epoch of the list.
+        epoch: EpochNumber,
+        /// Live entries.
+        entries: Vec<LiveEntry>,
+    },
+    /// The change is in force everywhere.
+    InForce(ChangeNumber),
+    /// The change is committed, but this process no longer knows when it is in force.
+    Unconfirmed(ChangeNumber),
+    /// Too many changes wait; the change is committed, but is not tracked.
+    Untracked(ChangeNumber),
+}
+
+impl LeaseTable {
+    /// Creates a table with the given lease duration.
+    pub fn new(lease: Duration) -> Self {
+        Self { lease, leadership: None, entries: BTreeMap::new(), waiting: BTreeMap::new() }
+    }
+
+    /// Processes one event.
+    pub fn handle(&mut self, now: Instant, event: LeaseEvent) -> Vec<LeaseAction> {
+        let mut actions = Vec::new();
+        match event {
+            LeaseEvent::Leading { term } => self.lead(now, term, &mut actions),
+            LeaseEvent::Deposed => self.depose(&mut actions),
+            LeaseEvent::LeaseChanged(lease) => self.lease = lease,
+            LeaseEvent::Requested(request) => self.request(request, &mut actions),
+            LeaseEvent::Confirmed(round) => self.confirmed(now, round, &mut actions),
+            LeaseEvent::ConfirmFailed(_) => {
+                if let Some(leadership) = &mut self.leadership {
+                    leadership.queued.clear();
+                }
+            }
+            LeaseEvent::Installed { entry, session, revision } => {
+                self.installed(&entry, session, revision);
+            }
+            LeaseEvent::LinkLost(entry) => {
+                if let Some(lease) = self.entries.get_mut(&entry) {
+                    lease.link_lost = Some(now);
+                }
+            }
+            LeaseEvent::Left { entry, session } => self.left(&entry, session),
+            LeaseEvent::Committed { change, revision } => {
+                if self.waiting.len() >= CHANGE_LIMIT {
+                    actions.push(LeaseAction::Untracked(change));
+                } else {
+                    self.waiting.insert(change, revision);
+                }
+            }
+            LeaseEvent::Tick => (),
+        }
+        self.expire(now);
+        self.complete(now, &mut actions);
+        actions
+    }
+
+    /// Epoch of the current list; 0 when this process does not lead.
+    pub fn epoch(&self) -> EpochNumber {
+        match &self.leadership {
+            Some(leadership) => (leadership.term << 32) | u64::from(leadership.changes),
+            None => 0,
+        }
+    }
+
+    /// Entries with a live lease.
+    pub fn live_entries(&self) -> Vec<LiveEntry> {
+        let mut live = Vec::with_capacity(self.entries.len());
+        for (name, lease) in &self.entries {
+            live.push(LiveEntry {
+                name: name.clone(),
+                session: lease.session,
+                availability_zone: lease.availability_zone.clone(),
+                suspect: lease.suspect,
+            });
+        }
+        live
+    }
+
+    /// Revision in force on each entry with a live lease.
+    pub fn installed_revisions(&self) -> BTreeMap<ProcessName, SettingsRevision> {
+        self.entries.iter().map(|(name, lease)| (name.clone(), lease.installed)).collect()
+    }
+
+    fn lead(&mut self, now: Instant, term: TermNumber, actions: &mut Vec<LeaseAction>) {
+        self.depose(actions);
+        let unknown_until = now + self.guarded_lease();
+        self.leadership =
+            Some(Leadership { term, changes: 0, round: 0, unknown_until, queued: Vec::new() });
+    }
+
+    fn depose(&mut self, actions: &mut Vec<LeaseAction>) {
+        self.leadership = None;
+        self.entries.clear();
+        for change in std::mem::take(&mut self.waiting).into_keys() {
+            actions.push(LeaseAction::Unconfirmed(change));
+        }
+    }
+
+    fn request(&mut self, request: RenewalRequest, actions: &mut Vec<LeaseAction>) {
+        let known = self.entries.contains_key(&request.entry);
+        let full = self.entries.len() >= ENTRY_LIMIT;
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if full && !known {
+            return;
+        }
+        // Requests that arrive before the round is answered join the next one, because a confirmation
+        // only counts for what was asked before it started.
+        let open = leadership.queued.iter().any(|queued| queued.round == leadership.round);
+        leadership.queued.retain(|queued| queued.request.entry != request.entry);
+        let round = leadership.round + 1;
+        leadership.queued.push(QueuedRequest { round, request });
+        if !open {
+            leadership.round = round;
+            actions.push(LeaseAction::Confirm(round));
+        }
+    }
+
+    fn confirmed(&mut self, now: Instant, round: RoundNumber, actions: &mut Vec<LeaseAction>) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        let mut granted = Vec::new();
+        leadership.queued.retain(|queued| {
+            if queued.round <= round {
+                granted.push(queued.request.clone());
+            }
+            queued.round > round
+        });
+        if !leadership.queued.is_empty() {
+            leadership.round = leadership.round.max(round) + 1;
+            for queued in &mut leadership.queued {
+                queued.round = leadership.round;
+            }
+            actions.push(LeaseAction::Confirm(leadership.round));
+        }
+        for request in &granted {
+            self.record(now, request);
+        }
+        for request in granted {
+            actions.push(LeaseAction::Grant {
+                lease: self.lease,
+                epoch: self.epoch(),
+                entries: self.live_entries(),
+                request,
+            });
+        }
+    }
+
+    fn record(&mut self, now: Instant, request: &RenewalRequest) {
+        let expires = now + self.guarded_lease();
+        let direct = request.via == request.entry;
+        let previous = self.entries.get(&request.entry);
+        let same = previous.is_some_and(|lease| {
+            lease.session == request.session && (!lease.suspect || !direct)
+        });
+        // A relayed renewal keeps the lease alive, but peers may still be unable to reach the entry.
+        let lease = EntryLease {
+            session: request.session,
+            availability_zone: request.availability_zone.clone(),
+            installed: request.installed,
+            expires,
+            link_lost: previous.filter(|_| !direct).and_then(|lease| lease.link_lost),
+            suspect: !direct && previous.is_some_and(|lease| lease.suspect),
+        };
+        self.entries.insert(request.entry.clone(), lease);
+        if !same {
+            self.bump_epoch();
+        }
+    }
+
+    fn installed(&mut self, entry: &str, session: u64, revision: SettingsRevision) {
+        if let Some(lease) = self.entries.get_mut(entry)
+            && lease.session == session
+        {
+            lease.installed = lease.installed.max(revision);
+        }
+    }
+
+    fn left(&mut self, entry: &str, session: u64) {
+        if self.entries.get(entry).is_some_and(|lease| lease.session == session) {
+            self.entries.remove(entry);
+            self.bump_epoch();
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let mut changed = false;
+        self.entries.retain(|_, lease| {
+            changed |= lease.expires <= now;
+            lease.expires > now
+        });
+        for lease in self.entries.values_mut() {
+            let lost = lease.link_lost.is_some_and(|lost| now >= lost + SUSPECT_DELAY);
+            if lost && !lease.suspect {
+                lease.suspect = true;
+                changed = true;
+            }
+        }
+        if changed {
+            self.bump_epoch();
+        }
+    }
+
+    fn complete(&mut self, now: Instant, actions: &mut Vec<LeaseAction>) {
+        let Some(leadership) = &self.leadership else {
+            return;
+        };
+        if now < leadership.unknown_until {
+            return;
+        }
+        let oldest = self.entries.values().map(|lease| lease.installed).min();
+        let oldest = oldest.unwrap_or(SettingsRevision::MAX);
+        self.waiting.retain(|change, revision| {
+            if *revision <= oldest {
+                actions.push(LeaseAction::InForce(*change));
+            }
+            *revision > oldest
+        });
+    }
+
+    fn bump_epoch(&mut self) {
+        if let Some(leadership) = &mut self.leadership {
+            leadership.changes += 1;
+        }
+    }
+
+    fn guarded_lease(&self) -> Duration {
+        self.lease * (100 + DRIFT_PERCENT) / 100
+    }
+}
--- /dev/null
+++ b/src/entry/claimed.rs
@@ -0,0 +1,418 @@
+//! Requests that must run at most once.
+//!
+//! The claim is committed before any byte is offered to a server, and the types of
+//! `claim::guard` allow one send for each grant.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::task;
+use serde_bytes::ByteBuf;
+
+use super::answer::FailureReason;
+use super::context::EntryContext;
+use super::exchange::{AttemptFailure, OpenResponse, RequestPayload, exchange};
+use super::relay::{RelayOutcome, collect_body, prepare_head, relay_response};
+use super::request::{
+    RequestEnd, RequestPlan, acquire, caller_failure, connect_server, describe, finish_connection,
+    forward_head,
+};
+use super::runtime::SlotPermit;
+use crate::claim::digest::request_digest;
+use crate::claim::guard::{ClaimResolution, GrantedClaim, OfferedClaim, UnclaimedRequest};
+use crate::claim::waiter::{DuplicateAnswer, DuplicateWaiter, WaitAction, WaitEvent};
+use crate::claim::{
+    ClaimKey, OpenClaim, OpenOutcome, SettleClaim, SettleOutcome, StoredAnswer,
+};
+use crate::credit::ServerKey;
+use crate::http::{
+    BodyFraming, CallerConnection, RequestBody, RequestHead, ResponseHead, ServerConnection,
+};
+
+/// Longest idempotency key in bytes.
+const KEY_BYTES: usize = 200;
+
+/// Time after the deadline within which a settlement is still awaited.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// One request that needs a claim.
+struct ClaimedRequest<'a> {
+    context: &'a Arc<EntryContext>,
+    head: &'a RequestHead,
+    plan: &'a RequestPlan,
+    request_id: &'a str,
+    keep_alive: bool,
+    content: Vec<u8>,
+}
+
+/// Serves a request that must run at most once.
+pub async fn serve_claimed(
+    context: &Arc<EntryContext>,
+    caller: &mut CallerConnection,
+    head: &RequestHead,
+    body: &mut RequestBody,
+    plan: &RequestPlan,
+    request_id: &str,
+    keep_alive: bool,
+) -> RequestEnd {
+    let key = match idempotency_key(head) {
+        Ok(key) => key,
+        Err(reason) => {
+            let text = "a non-idempotent request needs one printable Idempotency-Key header";
+            return RequestEnd::Failed(reason, text.into());
+        }
+    };
+    let limit = plan.settings().claims.body_limit;
+    let content = match caller.read_whole_body(body, limit).await {
+        Ok(content) => content,
+        Err(crate::http::HttpError::BodyTooLarge(_)) => {
+            let text = format!("requests that need a claim are limited to {limit} bytes");
+            return RequestEnd::Failed(FailureReason::BodyTooLarge, text.into());
+        }
+        Err(error) => return caller_failure(error),
+    };
+    let request = ClaimedRequest { context, head, plan, request_id, keep_alive, content };
+    request.run(caller, key).await
+}
+
+fn idempotency_key(head: &RequestHead) -> Result<Box<str>, FailureReason> {
+    let mut values = head.headers.values("idempotency-key");
+    let value = values.next().ok_or(FailureReason::KeyMissing)?;
+    let key = std::str::from_utf8(value).map_err(|_| FailureReason::KeyInvalid)?;
+    let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+    if values.next().is_some() || key.is_empty() || key.len() > KEY_BYTES || !printable {
+        return Err(FailureReason::KeyInvalid);
+    }
+    Ok(key.into())
+}
+
+impl ClaimedRequest<'_> {
+    async fn run(&self, caller: &mut CallerConnection, key: Box<str>) -> RequestEnd {
+        let mut open = self.open_command(key);
+        loop {
+            let request = UnclaimedRequest::new(open, self.context.dropped_claims());
+            let outcome =
+                match self.context.claims.open(request.command(), self.plan.deadline).await {
+                    Ok(outcome) => outcome,
+                    Err(error) => {
+                        return RequestEnd::Failed(
+                            FailureReason::ClaimUnknown,
+                            error.to_string().into(),
+                        );
+                    }
+                };
+            let request = match request.resolve(outcome) {
+                ClaimResolution::Granted(claim) => return self.run_granted(caller, claim).await,
+                ClaimResolution::Duplicate { request, .. } => request,
+                ClaimResolution::Done(Some(answer)) => return self.replay(caller, &answer).await,
+                ClaimResolution::Done(None) => return already_run(),
+                ClaimResolution::Unknown => return outcome_unknown(),
+                ClaimResolution::Mismatch => return mismatch(),
+                ClaimResolution::Refused(outcome) => return refused(&outcome),
+            };
+            match self.wait_for_first(request.command()).await {
+                Some(DuplicateAnswer::Done(answer)) => return self.replay(caller, &answer).await,
+                Some(DuplicateAnswer::AlreadyRun) => return already_run(),
+                Some(DuplicateAnswer::OutcomeUnknown) => return outcome_unknown(),
+                Some(DuplicateAnswer::Mismatch) => return mismatch(),
+                None => {
+                    let mut next = request.command().clone();
+                    next.attempt = self.context.random();
+                    open = next;
+                }
+            }
+        }
+    }
+
+    fn open_command(&self, key: Box<str>) -> OpenClaim {
+        let rule = &self.plan.settings().claims;
+        OpenClaim {
+            key: ClaimKey {
+                team: self.plan.service.team.as_ref().into(),
+                service: self.plan.service.service.as_ref().into(),
+                key,
+            },
+            digest: request_digest(&self.head.method, &self.head.target, &self.content),
+            holder: self.context.holder_session(),
+            attempt: self.context.random(),
+            retention_ms: u64::try_from(rule.retention.as_millis()).unwrap_or(u64::MAX),
+            capacity: rule.capacity,
+        }
+    }
+
+    /// Waits until the first request has ended; `None` when its claim was released.
+    async fn wait_for_first(&self, open: &OpenClaim) -> Option<DuplicateAnswer> {
+        let mut waiter = DuplicateWaiter::new(self.plan.deadline);
+        let mut event = WaitEvent::Wake;
+        loop {
+            match waiter.handle(Instant::now(), event) {
+                WaitAction::Look { until } => {
+                    let claims = &self.context.claims;
+                    event = match claims.look_up(&open.key, open.digest, until).await {
+                        Ok(view) => WaitEvent::Viewed(view),
+                        Err(_) => WaitEvent::LookFailed,
+                    };
+                }
+                WaitAction::Sleep { until } => {
+                    task::sleep(until.saturating_duration_since(Instant::now())).await;
+                    event = WaitEvent::Wake;
+                }
+                WaitAction::OpenAgain => return None,
+                WaitAction::Respond(answer) => return Some(answer),
+            }
+        }
+    }
+
+    /// Looks for a server that takes a connection, then sends once.
+    async fn run_granted(&self, caller: &mut CallerConnection, claim: GrantedClaim) -> RequestEnd {
+        let mut tried: Vec<ServerKey> = Vec::new();
+        let mut last = (FailureReason::NoServer, "no server may receive work".into());
+        while tried.len() < self.plan.attempts.max(1) as usize {
+            let permit = match acquire(self.context, caller, self.plan, &tried).await {
+                Ok(permit) => permit,
+                Err(RequestEnd::Failed(reason, message)) if tried.is_empty() => {
+                    last = (reason, message);
+                    break;
+                }
+                Err(RequestEnd::Failed(..)) => break,
+                Err(end) => {
+                    self.release(claim).await;
+                    return end;
+                }
+            };
+            tried.push(permit.server());
+            match connect_server(self.context, self.plan, &permit).await {
+                Ok(connection) => return self.send(caller, claim, permit, connection).await,
+                Err(failure) => {
+                    let result: Result<OpenResponse, _> = Err(failure);
+                    let runtime = &self.plan.runtime;
+                    runtime.observe_attempt(
+                        permit.server(),
+                        self.plan.class,
+                        &result,
+                        Duration::ZERO,
+                    );
+                    if let Err(failure) = &result {
+                        last = describe(failure);
+                    }
+                }
+            }
+        }
+        if self.release(claim).await {
+            return RequestEnd::Failed(last.0, last.1);
+        }
+        let text = "the request was not sent, but its claim could not be released";
+        RequestEnd::Failed(FailureReason::ClaimUnknown, text.into())
+    }
+
+    async fn send(
+        &self,
+        caller: &mut CallerConnection,
+        claim: GrantedClaim,
+        permit: SlotPermit,
+        connection: ServerConnection,
+    ) -> RequestEnd {
+        let started = Instant::now();
+        let framing = match self.content.len() {
+            0 => BodyFraming::Empty,
+            length => BodyFraming::Length(length as u64),
+        };
+        let deadline = self.plan.deadline;
+        let forward =
+            forward_head(self.head, framing, self.plan.peer, self.request_id, deadline);
+        let (claim, send_permit) = claim.offer();
+        // From here the request may run. It is not cancelled when the caller goes away, so that a
+        // resend finds the response.
+        drop(send_permit);
+        let payload = RequestPayload::Buffered(&self.content);
+        let result = exchange(connection, &forward, payload, deadline).await;
+        let runtime = &self.plan.runtime;
+        runtime.observe_attempt(permit.server(), self.plan.class, &result, started.elapsed());
+        match result {
+            Ok(response) => self.finish(caller, claim, permit, response).await,
+            Err(failure) => {
+                drop(permit);
+                self.settle_offered(claim.unknown()).await;
+                let (reason, message) = describe(&failure);
+                let reason = match failure {
+                    // The claim stays, so a resend would not run either.
+                    AttemptFailure::NotOffered(_) => FailureReason::OutcomeUnknown,
+                    _ => reason,
+                };
+                RequestEnd::Failed(reason, message)
+            }
+        }
+    }
+
+    async fn finish(
+        &self,
+        caller: &mut CallerConnection,
+        claim: OfferedClaim,
+        permit: SlotPermit,
+        mut response: OpenResponse,
+    ) -> RequestEnd {
+        let rule = &self.plan.settings().retry;
+        let status = response.head.status;
+        let claim = match claim.refused(status, &rule.not_run_statuses) {
+            Ok(settle) => return self.finish_refused(settle, permit, response).await,
+            Err(claim) => claim,
+        };
+        let limit = usize::try_from(self.plan.settings().claims.answer_limit).unwrap_or(usize::MAX);
+        let fits = response.body.framing().declared_size().is_none_or(|size| size <= limit as u64);
+        if !fits {
+            return self.finish_large(caller, claim, permit, response).await;
+        }
+        match collect_body(&mut response, limit, self.plan.deadline).await {
+            Ok(Ok(content)) => {
+                let head = response.head.clone();
+                finish_connection(response);
+                drop(permit);
+                let answer = stored_answer(&head, &content);
+                self.settle_offered(claim.done(Some(answer.clone()))).await;
+                self.replay(caller, &answer).await
+            }
+            Ok(Err(_)) => {
+                drop(permit);
+                self.settle_offered(claim.done(None)).await;
+                already_run()
+            }
+            Err(error) => {
+                drop(permit);
+                self.settle_offered(claim.unknown()).await;
+                RequestEnd::Failed(FailureReason::ServerFailed, error.to_string().into())
+            }
+        }
+    }
+
+    /// Passes on a response that is too large to be stored.
+    async fn finish_large(
+        &self,
+        caller: &mut CallerConnection,
+        claim: OfferedClaim,
+        permit: SlotPermit,
+        mut response: OpenResponse,
+    ) -> RequestEnd {
+        let deadline = self.plan.deadline;
+        let relayed = relay_response(
+            caller,
+            self.head,
+            &mut response,
+            self.request_id,
+            self.keep_alive,
+            deadline,
+        )
+        .await;
+        drop(permit);
+        // The head of a final response says that the request ran, however its body ends.
+        self.settle_offered(claim.done(None)).await;
+        match relayed {
+            RelayOutcome::Complete => {
+                finish_connection(response);
+                RequestEnd::Complete
+            }
+            RelayOutcome::BrokenBeforeHead(error) => {
+                RequestEnd::Failed(FailureReason::ServerFailed, error.to_string().into())
+            }
+            RelayOutcome::ServerBroken(error) => RequestEnd::Broken(error),
+            RelayOutcome::Unsendable => already_run(),
+            RelayOutcome::CallerGone(_) => RequestEnd::CallerGone,
+        }
+    }
+
+    async fn finish_refused(
+        &self,
+        settle: Option<SettleClaim>,
+        permit: SlotPermit,
+        response: OpenResponse,
+    ) -> RequestEnd {
+        drop(response);
+        drop(permit);
+        if self.confirm_released(settle).await {
+            let text = "the server refused the request before execution";
+            return RequestEnd::Failed(FailureReason::ServersUnavailable, text.into());
+        }
+        let text = "the server refused the request, but its claim could not be released";
+        RequestEnd::Failed(FailureReason::ClaimUnknown, text.into())
+    }
+
+    async fn release(&self, claim: GrantedClaim) -> bool {
+        self.confirm_released(claim.release()).await
+    }
+
+    /// "Not run" may be told only after the group has released the claim.
+    async fn confirm_released(&self, settle: Option<SettleClaim>) -> bool {
+        let Some(settle) = settle else {
+            return false;
+        };
+        let until = self.settle_deadline();
+        matches!(self.context.claims.settle(&settle, until).await, Ok(SettleOutcome::Released))
+    }
+
+    /// Settles before the caller is answered, so that a resend finds the response; goes on in the
+    /// background when the claim group is slow.
+    async fn settle_offered(&self, settle: Option<SettleClaim>) {
+        let Some(settle) = settle else {
+            return;
+        };
+        let until = self.settle_deadline().min(Instant::now() + SETTLE_TIME);
+        if self.context.claims.settle(&settle, until).await.is_err() {
+            self.context.settle_later(settle);
+        }
+    }
+
+    fn settle_deadline(&self) -> Instant {
+        self.plan.deadline.max(Instant::now()) + SETTLE_TIME
+    }
+
+    /// Sends a stored response; every caller of one key gets the same bytes.
+    async fn replay(&self, caller: &mut CallerConnection, answer: &StoredAnswer) -> RequestEnd {
+        let limits = crate::http::HttpLimits { head_bytes: usize::MAX, ..Default::default() };
+        let head = match ResponseHead::parse(&answer.head, &limits) {
+            Ok(Some((head, _))) => head,
+            _ => return outcome_unknown(),
+        };
+        let mut head = head;
+        let length = answer.body.len() as u64;
+        prepare_head(&mut head, BodyFraming::Length(length), self.request_id, self.keep_alive);
+        match caller.respond(self.head, head, &answer.body).await {
+            Ok(()) => RequestEnd::Complete,
+            Err(_) => RequestEnd::CallerGone,
+        }
+    }
+}
+
+fn stored_answer(head: &ResponseHead, content: &[u8]) -> StoredAnswer {
+    let mut kept = head.clone();
+    kept.headers.remove_hop_by_hop();
+    let mut bytes = Vec::new();
+    kept.write_to(&mut bytes);
+    StoredAnswer {
+        status: head.status,
+        head: ByteBuf::from(bytes),
+        body: ByteBuf::from(content.to_vec()),
+    }
+}
+
+fn already_run() -> RequestEnd {
+    let text = "the request ran once; its response is not stored";
+    RequestEnd::Failed(FailureReason::AlreadyRun, text.into())
+}
+
+fn outcome_unknown() -> RequestEnd {
+    let text = "the request may have run; it will not be run again under this key";
+    RequestEnd::Failed(FailureReason::OutcomeUnknown, text.into())
+}
+
+fn mismatch() -> RequestEnd {
+    let text = "the idempotency key was used with another request";
+    RequestEnd::Failed(FailureReason::KeyMismatch, text.into())
+}
+
+fn refused(outcome: &OpenOutcome) -> RequestEnd {
+    let text = match outcome {
+        OpenOutcome::Full => "the claim store is full",
+        OpenOutcome::Invalid => "the idempotency key is not accepted",
+        _ => "the entry's session has ended; send the request again",
+    };
+    RequestEnd::Failed(FailureReason::ClaimUnavailable, text.into())
+}
--- /dev/null
+++ b/src/entry/lease.rs
@@ -0,0 +1,188 @@
+//! The entry's side of its settings lease.
+//!
+//! A lease runs from the moment the entry sent its request, so that a delayed grant never extends
+//! it beyond what the control leader assumes.
+
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use crate::ids::ProcessName;
+
+/// Interval of renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time without an answer after which another path is tried.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Requests whose send time is remembered.
+const OPEN_REQUESTS: usize = 16;
+
+/// Keeps the lease and chooses the path of renewals.
+#[derive(Debug)]
+pub struct LeaseClient {
+    controls: Vec<ProcessName>,
+    linked: BTreeSet<ProcessName>,
+    peers: BTreeSet<ProcessName>,
+    leader: Option<ProcessName>,
+    expires: Option<Instant>,
+    next_nonce: u64,
+    open: Vec<OpenRequest>,
+    send_due: Instant,
+    attempt: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct OpenRequest {
+    nonce: u64,
+    sent: Instant,
+}
+
+/// Input of the client.
+#[derive(Clone, Debug)]
+pub enum LeaseInput {
+    /// A link to a control process is usable.
+    ControlUp(ProcessName),
+    /// A link to another entry is usable.
+    PeerUp(ProcessName),
+    /// A link is gone.
+    Down(ProcessName),
+    /// A control process named the leader.
+    Redirected(Option<ProcessName>),
+    /// A grant arrived, and the settings that came with it are installed.
+    Granted {
+        /// Control process that granted.
+        leader: ProcessName,
+        /// Nonce of the request.
+        nonce: u64,
+        /// Duration from the moment of the request.
+        lease: Duration,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// Renewal request that has to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RenewalAction {
+    /// Control process, or a peer entry that passes the request on.
+    pub to: ProcessName,
+    /// Nonce of the request.
+    pub nonce: u64,
+}
+
+impl LeaseClient {
+    /// Creates a client; `seed` sets the first nonce and the control process that is tried first.
+    pub fn new(controls: Vec<ProcessName>, seed: u64, now: Instant) -> Self {
+        Self {
+            attempt: usize::try_from(seed % 1024).unwrap_or_default(),
+            controls,
+            linked: BTreeSet::new(),
+            peers: BTreeSet::new(),
+            leader: None,
+            expires: None,
+            next_nonce: seed,
+            open: Vec::new(),
+            send_due: now,
+        }
+    }
+
+    /// Processes one input.
+    pub fn handle(&mut self, now: Instant, input: LeaseInput) -> Option<RenewalAction> {
+        match input {
+            LeaseInput::ControlUp(name) => {
+                self.linked.insert(name);
+                if !self.is_valid(now) {
+                    self.send_due = now;
+                }
+            }
+            LeaseInput::PeerUp(name) => {
+                self.peers.insert(name);
+            }
+            LeaseInput::Down(name) => {
+                self.linked.remove(&name);
+                self.peers.remove(&name);
+                if self.leader.as_ref() == Some(&name) {
+                    self.leader = None;
+                    self.send_due = now;
+                }
+            }
+            LeaseInput::Redirected(leader) => {
+                let known = leader.filter(|name| self.linked.contains(name));
+                if known.is_some() && known != self.leader {
+                    self.send_due = now;
+                }
+                self.leader = known;
+            }
+            LeaseInput::Granted { leader, nonce, lease } => self.granted(leader, nonce, lease),
+            LeaseInput::Tick => (),
+        }
+        if now < self.send_due {
+            return None;
+        }
+        self.renew(now)
+    }
+
+    /// Reports whether the settings may be used.
+    pub fn is_valid(&self, now: Instant) -> bool {
+        self.expires.is_some_and(|expires| now < expires)
+    }
+
+    /// End of the current lease.
+    pub fn expires(&self) -> Option<Instant> {
+        self.expires
+    }
+
+    /// Control process that granted or was named last.
+    pub fn leader(&self) -> Option<&ProcessName> {
+        self.leader.as_ref()
+    }
+
+    fn granted(&mut self, leader: ProcessName, nonce: u64, lease: Duration) {
+        let Some(request) = self.open.iter().find(|request| request.nonce == nonce).copied() else {
+            return;
+        };
+        self.open.retain(|other| other.sent > request.sent);
+        let expires = request.sent + lease;
+        if self.expires.is_none_or(|current| current < expires) {
+            self.expires = Some(expires);
+        }
+        if self.linked.contains(&leader) {
+            self.leader = Some(leader);
+        }
+        self.send_due = request.sent + RENEW_INTERVAL;
+    }
+
+    fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
+        if !self.open.is_empty() {
+            // The last path did not answer in time.
+            self.leader = None;
+        }
+        self.send_due = now + ANSWER_TIMEOUT;
+        let to = self.choose_path()?;
+        let nonce = self.next_nonce;
+        self.next_nonce = self.next_nonce.wrapping_add(1);
+        if self.open.len() == OPEN_REQUESTS {
+            self.open.remove(0);
+        }
+        self.open.push(OpenRequest { nonce, sent: now });
+        Some(RenewalAction { to, nonce })
+    }
+
+    /// Prefers the leader, then tries control processes and, every other time, a peer entry.
+    fn choose_path(&mut self) -> Option<ProcessName> {
+        if let Some(leader) = &self.leader {
+            return Some(leader.clone());
+        }
+        self.attempt = self.attempt.wrapping_add(1);
+        let linked: Vec<&ProcessName> =
+            self.controls.iter().filter(|name| self.linked.contains(*name)).collect();
+        let prefer_peer = linked.is_empty() || (self.open.len() >= 2 && self.attempt % 2 == 0);
+        if prefer_peer && !self.peers.is_empty() {
+            return self.peers.iter().nth(self.attempt / 2 % self.peers.len()).cloned();
+        }
+        if linked.is_empty() {
+            return None;
+        }
+        Some(linked[self.attempt % linked.len()].clone())
+    }
+}
--- /dev/null
+++ b/src/entry/request.rs
@@ -0,0 +1,467 @@
+//! One request from head to response.
+
+use std::future::Future;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::task;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
+use super::answer::{FailureReason, failure_response, keeps_connection};
+use super::claimed;
+use super::context::EntryContext;
+use super::exchange::{
+    AttemptFailure, AttemptTarget, OpenResponse, RequestPayload, connect, exchange,
+};
+use super::relay::{RelayOutcome, relay_response};
+use super::runtime::{ServiceRuntime, SlotPermit};
+use crate::credit::{ServerKey, WorkClass};
+use crate::http::{
+    BodyFraming, CallerConnection, CheckoutError, HttpError, RequestBody, RequestHead,
+    ServerConnection,
+};
+use crate::metrics::ServiceLabels;
+use crate::settings::{RequestLength, ServiceRef, ServiceSettings};
+
+/// Largest body in bytes that is held in memory so that another attempt can send it again.
+const REPLAY_BYTES: u64 = 64 * 1024;
+
+/// Longest request id in bytes that is taken over from a caller.
+const REQUEST_ID_BYTES: usize = 128;
+
+/// Header with the time left until the deadline, in milliseconds.
+const TIMEOUT_HEADER: &str = "x-request-timeout-ms";
+
+/// Header by which an outer layer says that this is a retry.
+const RETRY_HEADER: &str = "x-retry-attempt";
+
+/// What the settings say about one request.
+pub struct RequestPlan {
+    /// Service that receives it.
+    pub service: ServiceRef,
+    /// Running state of the service.
+    pub runtime: Arc<ServiceRuntime>,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Class for slots and queues.
+    pub class: WorkClass,
+    /// End of the request.
+    pub deadline: Instant,
+    /// Start of the request.
+    pub started: Instant,
+    /// Attempts allowed, the first included.
+    pub attempts: u32,
+    /// Address of the caller or of the platform's balancer.
+    pub peer: IpAddr,
+    /// Labels of the service's metrics.
+    pub labels: ServiceLabels,
+}
+
+impl RequestPlan {
+    /// Settings of the service.
+    pub fn settings(&self) -> &ServiceSettings {
+        &self.service.settings
+    }
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum RequestEnd {
+    /// The caller has a whole response of a server.
+    Complete,
+    /// The entry answers with an error.
+    Failed(FailureReason, Box<str>),
+    /// The response was cut short; the caller's connection must be closed.
+    Broken(HttpError),
+    /// The caller went away.
+    CallerGone,
+}
+
+/// Serves one request; returns whether the connection may be used for another one.
+pub async fn serve_request(
+    context: &Arc<EntryContext>,
+    caller: &mut CallerConnection,
+    head: RequestHead,
+) -> Result<bool, HttpError> {
+    let started = Instant::now();
+    let request_id = request_id(context, &head);
+    let mut body = RequestBody::new(&head);
+    let keep_alive = keeps_connection(&head, context.is_stopping());
+    let plan = match plan_request(context, &head, caller.peer().ip(), started) {
+        Ok(plan) => plan,
+        Err((reason, message)) => {
+            context.metrics.count_event(reason.code());
+            let failure = (reason, message);
+            return fail(caller, &head, &mut body, failure, &request_id, keep_alive).await;
+        }
+    };
+    context.metrics.in_flight.get_or_create(&plan.labels).inc();
+    let end = if plan.idempotent {
+        serve_plain(context, caller, &head, &mut body, &plan, &request_id, keep_alive).await
+    } else {
+        claimed::serve_claimed(context, caller, &head, &mut body, &plan, &request_id, keep_alive)
+            .await
+    };
+    context.metrics.in_flight.get_or_create(&plan.labels).dec();
+    let outcome = match &end {
+        RequestEnd::Complete => "complete",
+        RequestEnd::Failed(reason, _) => reason.code(),
+        RequestEnd::Broken(_) => "broken",
+        RequestEnd::CallerGone => "caller_gone",
+    };
+    context.metrics.record_request(&plan.labels, outcome, started.elapsed());
+    log::debug!(
+        request_id:%, team:% = plan.service.team, service:% = plan.service.service, outcome,
+        micros = started.elapsed().as_micros() as u64; "request"
+    );
+    match end {
+        RequestEnd::Complete => Ok(keep_alive && body.is_complete()),
+        RequestEnd::Failed(reason, message) => {
+            log::info!(request_id:%, code = reason.code(), message:%; "request failed");
+            fail(caller, &head, &mut body, (reason, message), &request_id, keep_alive).await
+        }
+        RequestEnd::Broken(error) => {
+            log::warn!(request_id:%, error:%; "response cut short");
+            Ok(false)
+        }
+        RequestEnd::CallerGone => Ok(false),
+    }
+}
+
+/// Answers with an error; the connection is closed when part of the body is unread.
+async fn fail(
+    caller: &mut CallerConnection,
+    head: &RequestHead,
+    body: &mut RequestBody,
+    (reason, message): (FailureReason, Box<str>),
+    request_id: &str,
+    keep_alive: bool,
+) -> Result<bool, HttpError> {
+    let keep_alive = keep_alive && body.is_complete();
+    let (mut response, content) = failure_response(reason, &message, request_id);
+    if !keep_alive {
+        let _ = response.headers.append("connection", b"close");
+    }
+    caller.respond(head, response, &content).await?;
+    Ok(keep_alive)
+}
+
+fn plan_request(
+    context: &Arc<EntryContext>,
+    head: &RequestHead,
+    peer: IpAddr,
+    started: Instant,
+) -> Result<RequestPlan, (FailureReason, Box<str>)> {
+    if !context.may_serve(started) {
+        let text = "the settings lease of this entry has run out";
+        return Err((FailureReason::SettingsStale, text.into()));
+    }
+    let table = context.table();
+    let found = table.tree.as_ref().and_then(|tree| tree.find(&head.host, head.path()));
+    let no_service = || (FailureReason::NoService, "no service matches host and path".into());
+    let service = found.ok_or_else(no_service)?.clone();
+    let runtime = table.runtime(&service.team, &service.service).ok_or_else(no_service)?;
+    let settings = &service.settings;
+    let path = head.path();
+    let size = head.framing.declared_size().unwrap_or(u64::MAX);
+    let class = match settings.request_length(&head.method, path, size) {
+        RequestLength::Short => WorkClass::Short,
+        RequestLength::Long => WorkClass::Long,
+    };
+    let limit = settings.request_deadline(&head.method, path);
+    let limit = limit.min(caller_timeout(head).unwrap_or(limit));
+    let retried = head.headers.get(RETRY_HEADER).is_some();
+    Ok(RequestPlan {
+        idempotent: settings.is_idempotent(&head.method, path),
+        class,
+        deadline: started + limit,
+        started,
+        peer,
+        attempts: if retried { 1 } else { settings.retry.attempts },
+        labels: ServiceLabels {
+            team: service.team.to_string(),
+            service: service.service.to_string(),
+        },
+        runtime,
+        service,
+    })
+}
+
+/// Time limit that the caller states, in addition to the settings.
+fn caller_timeout(head: &RequestHead) -> Option<Duration> {
+    let millis = head.headers.get_str(TIMEOUT_HEADER)?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
+/// Takes over a plausible request id from the caller or makes one.
+fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
+    match head.headers.get_str("x-request-id") {
+        Some(id)
+            if !id.is_empty()
+                && id.len() <= REQUEST_ID_BYTES
+                && id.bytes().all(|byte| byte.is_ascii_graphic()) =>
+        {
+            id.into()
+        }
+        _ => context.next_request_id(),
+    }
+}
+
+/// Prepares the head for a server.
+pub fn forward_head(
+    head: &RequestHead,
+    framing: BodyFraming,
+    peer: IpAddr,
+    request_id: &str,
+    deadline: Instant,
+) -> RequestHead {
+    let mut forward = head.clone();
+    let headers = &mut forward.headers;
+    headers.remove_hop_by_hop();
+    headers.remove("expect");
+    headers.remove("content-length");
+    let _ = headers.set("host", head.host.as_bytes());
+    match framing {
+        BodyFraming::Empty => {
+            if !matches!(&*head.method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+                let _ = headers.append("content-length", b"0");
+            }
+        }
+        BodyFraming::Length(length) => {
+            let _ = headers.append("content-length", length.to_string().as_bytes());
+        }
+        BodyFraming::Chunked => {
+            let _ = headers.append("transfer-encoding", b"chunked");
+        }
+    }
+    let left = deadline.saturating_duration_since(Instant::now()).as_millis();
+    let _ = headers.set(TIMEOUT_HEADER, left.to_string().as_bytes());
+    let _ = headers.set("x-request-id", request_id.as_bytes());
+    let _ = headers.append("x-forwarded-for", peer.to_string().as_bytes());
+    let _ = headers.append("via", b"1.1 curranthollow");
+    forward
+}
+
+/// Serves a request that may run more than once.
+async fn serve_plain(
+    context: &Arc<EntryContext>,
+    caller: &mut CallerConnection,
+    head: &RequestHead,
+    body: &mut RequestBody,
+    plan: &RequestPlan,
+    request_id: &str,
+    keep_alive: bool,
+) -> RequestEnd {
+    let replay = match read_replay(caller, head, body, plan.deadline).await {
+        Ok(replay) => replay,
+        Err(end) => return end,
+    };
+    let mut tried: Vec<ServerKey> = Vec::new();
+    let mut last = (FailureReason::NoServer, "no server may receive work".into());
+    for attempt in 0..plan.attempts {
+        if attempt > 0 {
+            if !plan.runtime.retry_allowed() {
+                break;
+            }
+            context.metrics.retries.get_or_create(&plan.labels).inc();
+            pause(plan, attempt).await;
+        }
+        let permit = match acquire(context, caller, plan, &tried).await {
+            Ok(permit) => permit,
+            Err(RequestEnd::Failed(reason, message)) if attempt == 0 => {
+                return RequestEnd::Failed(reason, message);
+            }
+            // The earlier attempt says more than a missing slot for another one.
+            Err(RequestEnd::Failed(..)) => break,
+            Err(end) => return end,
+        };
+        tried.push(permit.server());
+        let closed = caller.closed();
+        let payload = match &replay {
+            Some(content) => RequestPayload::Buffered(content),
+            None => RequestPayload::Streamed { caller: &mut *caller, body: &mut *body },
+        };
+        let result =
+            attempt_once(context, head, payload, closed, plan, request_id, &permit).await;
+        let replayable = replay.is_some();
+        let mut response = match result {
+            Ok(response) => response,
+            Err(AttemptFailure::CallerFailed(error)) => return caller_failure(error),
+            Err(failure) => {
+                let repeat = replayable || matches!(failure, AttemptFailure::NotOffered(_));
+                last = describe(&failure);
+                if repeat && !matches!(failure, AttemptFailure::DeadlineExceeded) {
+                    continue;
+                }
+                break;
+            }
+        };
+        let status = response.head.status;
+        if plan.settings().retry.not_run_statuses.contains(&status)
+            && replayable
+            && attempt + 1 < plan.attempts
+        {
+            last = (FailureReason::ServersUnavailable, "servers refused the request".into());
+            continue;
+        }
+        let relayed =
+            relay_response(caller, head, &mut response, request_id, keep_alive, plan.deadline)
+                .await;
+        match relayed {
+            RelayOutcome::Complete => {
+                finish_connection(response);
+                return RequestEnd::Complete;
+            }
+            RelayOutcome::BrokenBeforeHead(error) => {
+                last = (FailureReason::ServerFailed, error.to_string().into());
+                if !replayable {
+                    break;
+                }
+            }
+            RelayOutcome::ServerBroken(error) => return RequestEnd::Broken(error),
+            RelayOutcome::Unsendable => {
+                let text = "the response has no length and is too large for HTTP/1.0";
+                return RequestEnd::Failed(FailureReason::ServerInvalid, text.into());
+            }
+            RelayOutcome::CallerGone(_) => return RequestEnd::CallerGone,
+        }
+    }
+    RequestEnd::Failed(last.0, last.1)
+}
+
+/// Returns a connection to its pool when nothing of the request is left on it.
+pub fn finish_connection(response: OpenResponse) {
+    if response.request_complete {
+        response.connection.release(&response.body);
+    }
+}
+
+/// Reads a small body into memory; `None` when the body has to be streamed.
+async fn read_replay(
+    caller: &mut CallerConnection,
+    head: &RequestHead,
+    body: &mut RequestBody,
+    deadline: Instant,
+) -> Result<Option<Vec<u8>>, RequestEnd> {
+    match head.framing.declared_size() {
+        Some(size) if size <= REPLAY_BYTES => (),
+        _ => return Ok(None),
+    }
+    let left = deadline.saturating_duration_since(Instant::now());
+    match timeout(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
+        Ok(Ok(content)) => Ok(Some(content)),
+        Ok(Err(error)) => Err(caller_failure(error)),
+        Err(_) => {
+            let text = "the body did not arrive before the deadline";
+            Err(RequestEnd::Failed(FailureReason::DeadlineBeforeStart, text.into()))
+        }
+    }
+}
+
+/// Decides how a request ends whose caller failed to send its body.
+pub fn caller_failure(error: HttpError) -> RequestEnd {
+    match error {
+        HttpError::InvalidFraming(_) | HttpError::Timeout(_) => {
+            RequestEnd::Failed(FailureReason::Malformed, error.to_string().into())
+        }
+        _ => RequestEnd::CallerGone,
+    }
+}
+
+/// Waits for a slot; gives up when the caller goes away.
+pub async fn acquire(
+    context: &Arc<EntryContext>,
+    caller: &CallerConnection,
+    plan: &RequestPlan,
+    tried: &[ServerKey],
+) -> Result<SlotPermit, RequestEnd> {
+    let queued = context.metrics.queued.get_or_create(&plan.labels).clone();
+    queued.inc();
+    let slot = plan.runtime.acquire(plan.class, tried, plan.deadline);
+    let closed = caller.closed();
+    pin_mut!(slot, closed);
+    let result = match select(slot, closed).await {
+        Either::Left((Ok(permit), _)) => Ok(permit),
+        Either::Left((Err(reason), _)) => {
+            Err(RequestEnd::Failed(reason, "the request was not started".into()))
+        }
+        Either::Right(_) => Err(RequestEnd::CallerGone),
+    };
+    queued.dec();
+    result
+}
+
+/// Sends the request to the server of `permit`; gives up when the caller goes away.
+async fn attempt_once(
+    context: &Arc<EntryContext>,
+    head: &RequestHead,
+    payload: RequestPayload<'_>,
+    closed: impl Future<Output = ()>,
+    plan: &RequestPlan,
+    request_id: &str,
+    permit: &SlotPermit,
+) -> Result<OpenResponse, AttemptFailure> {
+    let started = Instant::now();
+    let attempt = async {
+        let connection = connect_server(context, plan, permit).await?;
+        let framing = match &payload {
+            RequestPayload::Buffered([]) => BodyFraming::Empty,
+            RequestPayload::Buffered(content) => BodyFraming::Length(content.len() as u64),
+            RequestPayload::Streamed { body, .. } => body.framing(),
+        };
+        let forward = forward_head(head, framing, plan.peer, request_id, plan.deadline);
+        exchange(connection, &forward, payload, plan.deadline).await
+    };
+    pin_mut!(attempt, closed);
+    let result = match select(attempt, closed).await {
+        Either::Left((result, _)) => result,
+        Either::Right(_) => Err(AttemptFailure::CallerFailed(HttpError::Truncated)),
+    };
+    plan.runtime.observe_attempt(permit.server(), plan.class, &result, started.elapsed());
+    result
+}
+
+/// Takes a connection to the server of `permit`; no byte of the request is sent.
+pub async fn connect_server(
+    context: &Arc<EntryContext>,
+    plan: &RequestPlan,
+    permit: &SlotPermit,
+) -> Result<ServerConnection, AttemptFailure> {
+    let Some((view, connections)) = plan.runtime.target(permit.server()) else {
+        return Err(AttemptFailure::NotOffered(CheckoutError::ServerGone));
+    };
+    let target = AttemptTarget { address: view.address, connections };
+    connect(&context.pool, &target).await
+}
+
+/// Failure that the caller is told when no further attempt follows.
+pub fn describe(failure: &AttemptFailure) -> (FailureReason, Box<str>) {
+    match failure {
+        AttemptFailure::NotOffered(error) => {
+            (FailureReason::ServersUnavailable, error.to_string().into())
+        }
+        AttemptFailure::ServerFailed(error) => {
+            (FailureReason::ServerFailed, error.to_string().into())
+        }
+        AttemptFailure::ServerInvalid(error) => {
+            (FailureReason::ServerInvalid, error.to_string().into())
+        }
+        AttemptFailure::DeadlineExceeded => {
+            (FailureReason::DeadlineExceeded, "no response before the deadline".into())
+        }
+        AttemptFailure::CallerFailed(error) => {
+            (FailureReason::Malformed, error.to_string().into())
+        }
+    }
+}
+
+/// Waits before a retry: exponential backoff with full jitter.
+async fn pause(plan: &RequestPlan, attempt: u32) {
+    let rule = &plan.settings().retry;
+    let ceiling = rule.backoff_min.saturating_mul(1 << attempt.min(16)).min(rule.backoff_max);
+    let wait = ceiling.mul_f64(fastrand::f64());
+    task::sleep(wait.min(plan.deadline.saturating_duration_since(Instant::now()))).await;
+}
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -57,6 +57,9 @@
     /// All connections that the limit allows are in use.
     #[error("connection limit of the server is reached")]
     LimitReached,
+    /// The server left between the choice and the connection.
+    #[error("server has left")]
+    ServerGone,
     /// The connection could not be made.
     #[error("connect failed: {0}")]
     Connect(HttpError),
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -2,7 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ProcessName, ZoneName};
+use crate::claim::{ClaimKey, ClaimOutcome, ClaimView, OpenClaim, SettleClaim};
+use crate::credit::{EntryMessage, HolderMessage};
+use crate::directory::{RelayedAnnouncement, ServiceKey};
+use crate::ids::{EpochNumber, GroupId, ProcessName, SettingsRevision, ZoneName};
+use crate::settings::SettingsDelta;
 
 /// Role of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -35,6 +39,99 @@
     pub availability_zone: ZoneName,
 }
 
+/// Entry with a live settings lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LiveEntry {
+    /// Name of the process.
+    pub name: ProcessName,
+    /// Random id of its process start.
+    pub session: u64,
+    /// Availability zone of the process.
+    pub availability_zone: ZoneName,
+    /// The control leader lost the link to it, so it must not become account holder.
+    pub suspect: bool,
+}
+
+/// Request for a settings lease; a peer entry passes it on unchanged.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RenewLease {
+    /// Entry that wants the lease.
+    pub entry: ProcessName,
+    /// Random id of its process start.
+    pub session: u64,
+    /// Availability zone of the entry.
+    pub availability_zone: ZoneName,
+    /// Revision that it has installed.
+    pub installed: SettingsRevision,
+    /// Echoed in the grant.
+    pub nonce: u64,
+}
+
+/// Grant of a settings lease.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct GrantLease {
+    /// Entry that receives the lease.
+    pub entry: ProcessName,
+    /// Control process that grants.
+    pub leader: ProcessName,
+    /// Nonce of the request.
+    pub nonce: u64,
+    /// Duration in milliseconds from the moment the entry sent the request.
+    pub lease_ms: u64,
+    /// Epoch of the list of live entries.
+    pub epoch: EpochNumber,
+    /// Live entries.
+    pub entries: Vec<LiveEntry>,
+    /// Settings that the entry lacks.
+    pub update: Option<SettingsDelta>,
+}
+
+/// Request of an entry to a claim group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ClaimCall {
+    /// Commit a claim.
+    Open(Box<OpenClaim>),
+    /// Commit the end of a claim.
+    Settle(Box<SettleClaim>),
+    /// Read the state of a claim.
+    Look {
+        /// Key of the claim.
+        key: ClaimKey,
+        /// Digest of the request.
+        #[serde(with = "serde_bytes")]
+        digest: [u8; 32],
+    },
+}
+
+/// Answer to a claim request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// Number of the request.
+    pub call: u64,
+    /// Answer, or why there is none.
+    pub result: Result<ClaimResult, ClaimFailure>,
+}
+
+/// Answer to a claim request that was carried out.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ClaimResult {
+    /// Outcome of a committed command.
+    Outcome(ClaimOutcome),
+    /// State of a claim.
+    View(ClaimView),
+}
+
+/// Why a claim request was not carried out by the process asked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimFailure {
+    /// Another process may lead the group; nothing was done.
+    NotLeader(Option<ProcessName>),
+    /// Too many commands wait; nothing was done.
+    Busy,
+    /// The command may or may not be committed.
+    Lost,
+}
+
 /// All messages on links.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WireMessage {
@@ -44,4 +141,53 @@
     Ping,
     /// Answers a ping.
     Pong,
+    /// Entry to the control leader, directly or through a peer entry.
+    RenewLease(RenewLease),
+    /// Control leader to an entry, on the path of the request.
+    GrantLease(Box<GrantLease>),
+    /// Control process that is not leader, to an entry.
+    NotLeader(Option<ProcessName>),
+    /// Control leader to entries: settings that were just committed.
+    Settings(Box<SettingsDelta>),
+    /// Entry to the control leader: a revision is in force.
+    Installed {
+        /// Random id of the entry's process start.
+        session: u64,
+        /// Revision in force.
+        revision: SettingsRevision,
+    },
+    /// Servers as announced to the sending entry.
+    Announce(Vec<RelayedAnnouncement>),
+    /// Entry to the account holder of a service.
+    CreditRequest {
+        /// Service of the account.
+        service: ServiceKey,
+        /// Demand, returns and reports.
+        message: EntryMessage,
+    },
+    /// Account holder to an entry.
+    CreditGrant {
+        /// Service of the account.
+        service: ServiceKey,
+        /// Grants and recalls.
+        message: HolderMessage,
+    },
+    /// Entry to a control process.
+    ClaimCall {
+        /// Number for the reply.
+        call: u64,
+        /// Claim group.
+        group: GroupId,
+        /// Request.
+        body: ClaimCall,
+    },
+    /// Control process to an entry.
+    ClaimReply(ClaimReply),
+    /// Settings leader to control processes: sessions of entries with a live lease.
+    LiveSessions(Vec<(ProcessName, u64)>),
+    /// Entry to the control leader: it stops.
+    Leaving {
+        /// Random id of the entry's process start.
+        session: u64,
+    },
 }
