Add the settings tree and its replicated state machine

Inheritance merges JSON documents before they are read into typed settings, because an optional list of a generated type cannot tell an empty list from a missing one.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,12 @@
 //! Load balancer for servers whose load shifts in milliseconds.
 
+pub mod check;
+pub mod config;
 pub mod generated;
 pub mod ids;
+pub mod life_cycle;
 pub mod logging;
 pub mod schema;
+pub mod settings;
 pub mod timer;
 pub mod units;
--- a/src/schema/document.rs
+++ b/src/schema/document.rs
@@ -1,6 +1,6 @@
 //! A checked document and the errors found in one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
 use serde::de::DeserializeOwned;
@@ -27,6 +27,14 @@
     }
 }
 
+/// Outermost keys of a document, from which its kind is recognized.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DocumentOutline {
+    pub keys: BTreeSet<Box<str>>,
+    /// Value of the key `team` when it is a valid name.
+    pub team: Option<Box<str>>,
+}
+
 /// A document that matches its schema, with the position of each value.
 #[derive(Clone, Debug)]
 pub struct CheckedDocument {
@@ -62,7 +70,10 @@
             }
             match known.rfind(['.', '[']) {
                 Some(cut) => known = &known[..cut],
-                None => return self.index.error(0, full, message.into()),
+                None => {
+                    let start = self.positions.get(&self.prefix).copied().unwrap_or(0);
+                    return self.index.error(start, full, message.into());
+                }
             }
         }
     }
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-pub use document::{CheckedDocument, SchemaError};
+pub use document::{CheckedDocument, DocumentOutline, SchemaError};
 pub use format::{TextFormat, parse_quantile};
 
 /// Largest text that is read, in bytes; bounds the cost of a hostile document.
@@ -32,6 +32,8 @@
     LazyLock::new(|| load(include_str!("../../schema/settings.schema.json")));
 static ANNOUNCEMENT: LazyLock<Value> =
     LazyLock::new(|| load(include_str!("../../schema/announcement.schema.json")));
+static CHART: LazyLock<Value> =
+    LazyLock::new(|| load(include_str!("../../schema/chart.schema.json")));
 static OPERATOR: LazyLock<Value> =
     LazyLock::new(|| load(include_str!("../../schema/operator.schema.json")));
 
@@ -82,6 +84,22 @@
         Self::definition(&OPERATOR, "StatusReply")
     }
 
+    /// Schema of a state chart.
+    pub fn state_chart() -> Self {
+        Self { file: &CHART, root: &CHART }
+    }
+
+    /// Reads the outermost keys of a text of any kind.
+    pub fn outline(text: &str) -> Result<DocumentOutline, Vec<SchemaError>> {
+        validator::outline(text)
+    }
+
+    /// Counts the outermost keys of a document that this schema knows.
+    pub fn known_keys(self, outline: &DocumentOutline) -> usize {
+        let known = &self.root["properties"];
+        outline.keys.iter().filter(|key| known.get(key.as_ref()).is_some()).count()
+    }
+
     fn definition(file: &'static Value, name: &str) -> Self {
         let root = &file["$defs"][name];
         assert!(root.is_object(), "schema definition {name} exists");
--- a/src/schema/validator.rs
+++ b/src/schema/validator.rs
@@ -7,7 +7,7 @@
 use jsonc_parser::{CollectOptions, CommentCollectionStrategy, ParseOptions, parse_to_ast};
 use serde_json::{Map, Number, Value};
 
-use super::document::{CheckedDocument, LineIndex, SchemaError, join_path};
+use super::document::{CheckedDocument, DocumentOutline, LineIndex, SchemaError, join_path};
 use super::format::TextFormat;
 use super::{DEPTH_LIMIT, DOCUMENT_LIMIT, ERROR_LIMIT};
 
@@ -37,6 +37,44 @@
     text: &str,
     prefix: &str,
 ) -> Result<CheckedDocument, Vec<SchemaError>> {
+    with_root(text, prefix, |index, node| {
+        let mut walk = SchemaWalk { file, index, errors: Vec::new(), positions: BTreeMap::new() };
+        let value = walk.check(root, node, prefix);
+        if !walk.errors.is_empty() {
+            walk.errors.sort_by_key(|error| (error.line, error.column));
+            return Err(walk.errors);
+        }
+        let SchemaWalk { index, positions, .. } = walk;
+        Ok(CheckedDocument { value, positions, index, prefix: prefix.into() })
+    })
+}
+
+/// Returns the keys of the outermost object and the name of its team, without any schema.
+pub(super) fn outline(text: &str) -> Result<DocumentOutline, Vec<SchemaError>> {
+    with_root(text, "", |_, node| {
+        let mut outline = DocumentOutline::default();
+        let Node::Object(object) = node else {
+            return Ok(outline);
+        };
+        for property in &object.properties {
+            outline.keys.insert(property.name.as_str().into());
+            let Node::StringLit(value) = &property.value else {
+                continue;
+            };
+            if property.name.as_str() == "team" && TextFormat::Name.allows(&value.value) {
+                outline.team = Some(value.value.as_ref().into());
+            }
+        }
+        Ok(outline)
+    })
+}
+
+/// Parses a text within the limits and passes its outermost value on.
+fn with_root<T>(
+    text: &str,
+    prefix: &str,
+    read: impl FnOnce(LineIndex, &Node<'_>) -> Result<T, Vec<SchemaError>>,
+) -> Result<T, Vec<SchemaError>> {
     if text.len() > DOCUMENT_LIMIT {
         let message =
             format!("document has {} bytes, at most {DOCUMENT_LIMIT} are allowed", text.len());
@@ -58,14 +96,7 @@
     let Some(node) = parsed.value else {
         return Err(vec![index.error(0, prefix.into(), "document is empty".into())]);
     };
-    let mut walk = SchemaWalk { file, index, errors: Vec::new(), positions: BTreeMap::new() };
-    let value = walk.check(root, &node, prefix);
-    if !walk.errors.is_empty() {
-        walk.errors.sort_by_key(|error| (error.line, error.column));
-        return Err(walk.errors);
-    }
-    let SchemaWalk { index, positions, .. } = walk;
-    Ok(CheckedDocument { value, positions, index, prefix: prefix.into() })
+    read(index, &node)
 }
 
 fn single(prefix: &str, message: String) -> SchemaError {
@@ -173,7 +204,7 @@
         for name in schema["required"].as_array().into_iter().flatten().filter_map(Value::as_str) {
             if !map.contains_key(name) {
                 let expected = describe(self.resolve(&schema["properties"][name]));
-                let message = format!("missing key `{name}`: {expected}");
+                let message = format!("missing key `{name}`, expected {expected}");
                 self.report(start, path, message);
             }
         }
@@ -200,12 +231,12 @@
             self.report(offset, path, message);
             return None;
         }
-        if let Some(format) = format_of(&schema["propertyNames"]) {
-            if !format.allows(name) {
-                let message = format!("expected {} as key", format.description());
-                self.report(offset, path, message);
-                return None;
-            }
+        if let Some(format) = format_of(&schema["propertyNames"])
+            && !format.allows(name)
+        {
+            let message = format!("expected {} as key", format.description());
+            self.report(offset, path, message);
+            return None;
         }
         Some(other)
     }
@@ -217,12 +248,12 @@
         for (position, node) in array.elements.iter().enumerate() {
             let inner = format!("{path}[{position}]");
             let value = self.check(&schema["items"], node, &inner);
-            if let Some(text) = unique.and_then(|key| value.get(key)).and_then(Value::as_str) {
-                if !seen.insert(text.to_owned()) {
-                    let key = unique.unwrap_or_default();
-                    let message = format!("{key} `{}` is given twice", quote(text));
-                    self.report(node.range().start, &format!("{inner}.{key}"), message);
-                }
+            if let Some(text) = unique.and_then(|key| value.get(key)).and_then(Value::as_str)
+                && !seen.insert(text.to_owned())
+            {
+                let key = unique.unwrap_or_default();
+                let message = format!("{key} `{}` is given twice", quote(text));
+                self.report(node.range().start, &format!("{inner}.{key}"), message);
             }
             list.push(value);
         }
--- /dev/null
+++ b/src/settings/document.rs
@@ -0,0 +1,153 @@
+//! Parsed documents of the root branch and of a team's branch.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, LazyLock};
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+
+use super::effective::ServiceSettings;
+use super::inheritance::merge;
+use super::{ROOT_BRANCH, StalePolicy};
+use crate::generated::settings::{RootDocument, TeamDocument};
+use crate::ids::ServiceName;
+use crate::schema::{CheckedDocument, SchemaCheck, SchemaError};
+use crate::units::parse_duration;
+
+/// Settings lease when the root document states none.
+const DEFAULT_LEASE: Duration = Duration::from_secs(3);
+
+/// Values that apply when no branch states them.
+pub(super) static BUILT_IN: LazyLock<Value> = LazyLock::new(|| {
+    serde_json::from_str(include_str!("built_in.json")).expect("built-in settings are valid JSON")
+});
+
+/// Settings of the root branch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RootSettings {
+    pub version: u64,
+    /// Time an entry may use its settings without a renewal.
+    pub settings_lease: Duration,
+    pub stale_policy: StalePolicy,
+    /// Built-in defaults with the root defaults applied.
+    pub(super) defaults: Value,
+}
+
+/// Settings of one team's branch.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamSettings {
+    pub name: Arc<str>,
+    pub version: u64,
+    /// SHA-256 of the team's token in hex.
+    pub token_sha256: Box<str>,
+    pub services: BTreeMap<ServiceName, Arc<ServiceSettings>>,
+}
+
+impl RootSettings {
+    /// Reads a root document.
+    pub fn parse(text: &str, version: u64) -> Result<Self, Vec<SchemaError>> {
+        let document = SchemaCheck::root_settings().validate(text, "")?;
+        let typed: RootDocument = document.read().map_err(|error| vec![error])?;
+        let mut defaults = BUILT_IN.clone();
+        merge(&mut defaults, &document.value()["defaults"]);
+        let sample = read_service(&document, "defaults", &with_sample_match(&defaults))?;
+        if let Some((path, message)) = sample.contradiction() {
+            return Err(vec![document.error_at(&format!("defaults.{path}"), message)]);
+        }
+        let stated = typed.settings_lease.as_deref().and_then(parse_duration);
+        Ok(Self {
+            version,
+            settings_lease: stated.unwrap_or(DEFAULT_LEASE),
+            stale_policy: typed.stale_policy.unwrap_or(StalePolicy::Refuse),
+            defaults,
+        })
+    }
+}
+
+impl TeamSettings {
+    /// Reads a team's document and applies the root defaults; contradicting values are errors.
+    pub fn parse(name: &str, text: &str, root: &RootSettings) -> Result<Self, Vec<SchemaError>> {
+        let document = SchemaCheck::team_settings().validate(text, &format!("teams.{name}"))?;
+        let typed: TeamDocument = document.read().map_err(|error| vec![error])?;
+        let mut errors = Vec::new();
+        if typed.team != name || name == ROOT_BRANCH {
+            let message = format!("expected the name of the branch ({name}), found {}", typed.team);
+            errors.push(document.error_at("team", message));
+        }
+        let team = Self::inherit(name, &document, root)?;
+        for (service, settings) in &team.services {
+            if let Some((path, message)) = settings.contradiction() {
+                errors.push(document.error_at(&format!("services.{service}.{path}"), message));
+            }
+        }
+        errors.extend(team.inner_clashes(&document));
+        if errors.is_empty() { Ok(team) } else { Err(errors) }
+    }
+
+    /// Reads an accepted document; contradictions that the root defaults brought are resolved.
+    pub(super) fn load(
+        name: &str,
+        text: &str,
+        root: &RootSettings,
+    ) -> Result<Self, Vec<SchemaError>> {
+        let document = SchemaCheck::team_settings().validate(text, &format!("teams.{name}"))?;
+        let mut team = Self::inherit(name, &document, root)?;
+        for settings in team.services.values_mut() {
+            Arc::make_mut(settings).resolve_contradictions();
+        }
+        Ok(team)
+    }
+
+    fn inherit(
+        name: &str,
+        document: &CheckedDocument,
+        root: &RootSettings,
+    ) -> Result<Self, Vec<SchemaError>> {
+        let value = document.value();
+        let mut defaults = root.defaults.clone();
+        merge(&mut defaults, &value["defaults"]);
+        let mut services = BTreeMap::new();
+        for (service, stated) in value["services"].as_object().unwrap_or(&Map::new()) {
+            let mut merged = defaults.clone();
+            merge(&mut merged, stated);
+            let settings = read_service(document, &format!("services.{service}"), &merged)?;
+            services.insert(service.as_str().into(), Arc::new(settings));
+        }
+        Ok(Self { name: name.into(), version: 0, token_sha256: "".into(), services })
+    }
+
+    /// Finds services of the team that match the same host and prefix.
+    fn inner_clashes(&self, document: &CheckedDocument) -> Vec<SchemaError> {
+        let mut owners = BTreeMap::new();
+        let mut errors = Vec::new();
+        for (service, settings) in &self.services {
+            let matching = &settings.matching;
+            let key = (matching.host.as_deref(), matching.path_prefix.as_ref());
+            let Some(owner) = owners.get(&key) else {
+                owners.insert(key, service);
+                continue;
+            };
+            let message = format!("service `{owner}` matches the same host and path prefix");
+            errors
+                .push(document.error_at(&format!("services.{service}.match.path_prefix"), message));
+        }
+        errors
+    }
+}
+
+fn read_service(
+    document: &CheckedDocument,
+    path: &str,
+    merged: &Value,
+) -> Result<ServiceSettings, Vec<SchemaError>> {
+    ServiceSettings::deserialize(merged)
+        .map_err(|error| vec![document.error_at(path, error.to_string())])
+}
+
+/// Completes defaults with a match, so that they can be checked like the settings of a service.
+fn with_sample_match(defaults: &Value) -> Value {
+    let mut sample = defaults.clone();
+    sample["match"] = serde_json::json!({ "path_prefix": "/" });
+    sample
+}
