--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,15 @@
 //! Load balancer for servers whose load shifts in milliseconds.
 
 pub mod admin;
+pub mod check;
+pub mod config;
+pub mod generated;
 pub mod http;
 pub mod ids;
+pub mod life_cycle;
 pub mod link;
 pub mod logging;
+pub mod schema;
+pub mod settings;
 pub mod timer;
+pub mod units;
