Add at-most-once claims

Cause: a request that isn't idempotent must run at most once, also when commands are resent, repeated or reordered and when its entry freezes.

Ruled out: storing key texts, because a hash of team, service and key bounds the size of a claim. Refusing a settlement when answers fill the store, because the fact of completion must be kept; only the answer is left out. Granting an Open of a session that has ended, because nobody would settle it. Matching a send permit by claim number alone, because numbers repeat between claim groups.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load balancer for servers whose load shifts in milliseconds.
 
+pub mod claim;
 pub mod directory;
 pub mod ids;
 pub mod logging;
