--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub mod admin;
 pub mod check;
+pub mod claim;
 pub mod config;
+pub mod directory;
 pub mod generated;
 pub mod http;
 pub mod ids;
