Compare fairness of credits within one class

Cause: the oldest waiting work of any class was compared, so an entry whose short work got a slot was at once asked to give it back for older long work that could not use it. Random sequences ended with a slot in this cycle and work waiting beside it. Ruled out: lost returns; book and wallets agreed. Change: recall credits in use only for older work of the same class, and apply recalls before grants of the same message.

--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -7,6 +7,8 @@
 use super::{CreditLine, RecallLine, ServerKey, WorkClass};
 use crate::ids::ProcessName;
 
+const SHORT: WorkClass = WorkClass::Short;
+
 impl AccountBook {
     /// Grants free slots to waiting work, oldest first, until no grant is possible.
     pub(super) fn grant_demand(&mut self, now: Instant) {
@@ -147,39 +149,18 @@
 
     /// Recalls idle credits for waiting work of others, then credits in use by younger work.
     pub(super) fn recall_for_waiting(&mut self, now: Instant) {
-        let mut wanted = 0;
-        let mut oldest: Option<Instant> = None;
-        let mut pending = 0;
-        let percent = self.settings.long_percent;
-        let has_long_room = self.servers.values().any(|account| account.has_long_room(percent));
-        for entry in self.entries.values_mut() {
-            if now >= entry.recalled_at + self.settings.recall_repeat {
-                entry.recalled = 0;
-            }
-            pending += entry.recalled;
-            for class in WorkClass::ALL {
-                let Some(since) = entry.waiting_since(now, class) else {
-                    continue;
-                };
-                if class == WorkClass::Long && !has_long_room {
-                    continue;
-                }
-                wanted += entry.demand[class.index()].map_or(0, |demand| demand.waiting);
-                oldest = Some(oldest.map_or(since, |first| first.min(since)));
-            }
-        }
-        let Some(oldest) = oldest else {
-            return;
-        };
-        let mut missing = wanted.saturating_sub(pending);
+        let mut missing = self.missing_credits(now);
+        let oldest =
+            self.entries.values().filter_map(|entry| entry.waiting_since(now, SHORT)).min();
         for entry in self.entries.values_mut() {
             if entry.standing != EntryStanding::Reported || missing == 0 {
                 continue;
             }
             let mut count = entry.idle_estimate().saturating_sub(entry.recalled).min(missing);
-            if entry.is_waiting() {
-                let youngest = entry.waiting_since_any(now).unwrap_or(now);
-                let is_younger = youngest > oldest + self.settings.fairness_gap;
+            if let Some(own) = entry.waiting_since(now, SHORT) {
+                // Only the same class is compared: a credit for short work cannot carry long work.
+                let gap = self.settings.fairness_gap;
+                let is_younger = oldest.is_some_and(|oldest| own > oldest + gap);
                 count = u32::from(is_younger && entry.recalled == 0 && entry.total_held() > 1);
             }
             if count == 0 {
@@ -191,4 +172,25 @@
             entry.message(self.epoch).recalls.push(RecallLine { server: None, count });
         }
     }
+
+    /// Credits for which work waits, less what was recalled and has not come back yet.
+    fn missing_credits(&mut self, now: Instant) -> u32 {
+        let percent = self.settings.long_percent;
+        let has_long_room = self.servers.values().any(|account| account.has_long_room(percent));
+        let mut wanted = 0;
+        let mut pending = 0;
+        for entry in self.entries.values_mut() {
+            if now >= entry.recalled_at + self.settings.recall_repeat {
+                entry.recalled = 0;
+            }
+            pending += entry.recalled;
+            for class in WorkClass::ALL {
+                let is_possible = class == SHORT || has_long_room;
+                if is_possible && entry.waiting_since(now, class).is_some() {
+                    wanted += entry.demand[class.index()].map_or(0, |demand| demand.waiting);
+                }
+            }
+        }
+        wanted.saturating_sub(pending)
+    }
 }
--- a/src/credit/account_state.rs
+++ b/src/credit/account_state.rs
@@ -110,10 +110,6 @@
         self.held.values().sum()
     }
 
-    pub(super) fn is_waiting(&self) -> bool {
-        self.demand.iter().flatten().any(|demand| demand.waiting > 0)
-    }
-
     /// Estimated arrival of the oldest work not yet granted: arrivals count as evenly spread.
     pub(super) fn waiting_since(&self, now: Instant, class: WorkClass) -> Option<Instant> {
         let demand = self.demand[class.index()]?;
@@ -126,10 +122,6 @@
         Some(demand.since + age * granted / demand.reported)
     }
 
-    pub(super) fn waiting_since_any(&self, now: Instant) -> Option<Instant> {
-        WorkClass::ALL.iter().filter_map(|class| self.waiting_since(now, *class)).min()
-    }
-
     pub(super) fn empty_message(&self, epoch: EpochNumber) -> HolderMessage {
         HolderMessage {
             epoch,
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -3,10 +3,10 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use super::wallet_state::{ServerCredits, WalletMode, demand_lines};
+use super::wallet_state::{ServerCredits, WalletMode};
 use super::{
-    CREDIT_LEASE, CreditLine, EntryMessage, HeldLine, HolderMessage, RecallLine, ServerKey,
-    WorkClass, fallback_share,
+    CREDIT_LEASE, CreditLine, EntryMessage, HolderMessage, RecallLine, ServerKey, WorkClass,
+    fallback_share,
 };
 use crate::ids::{EpochNumber, ProcessName, ZoneName};
 
@@ -380,12 +380,13 @@
             return Some(self.report(now));
         }
         self.keep = message.keep;
-        for line in &message.grants {
-            self.accept(*line);
-        }
+        // Recalls first: credits of the same message are meant for this entry's own work.
         for line in &message.recalls {
             self.give_back(now, *line);
         }
+        for line in &message.grants {
+            self.accept(*line);
+        }
         None
     }
 
