--- /dev/null
+++ b/examples/policy_bench.rs
@@ -0,0 +1,554 @@
+//! Compares the policies with an ideal shared queue over the same arrivals and service times.
+//!
+//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME]`.
+//! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
+//! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::{Duration, Instant};
+
+use curranthollow::credit::{
+    AccountBook, AccountEvent, AccountSettings, CreditWallet, EntryMessage, HolderMessage,
+    LiveEntry, ServerKey, ServerLimit, WalletEvent, WalletSettings, WorkClass, server_key,
+};
+use curranthollow::ids::ProcessName;
+use curranthollow::route::{
+    AdmissionQueue, AdmissionSettings, HealthSettings, PickOutcome, PickedServer, PoolServer,
+    PoolSettings, RoutePolicy, ServerPool,
+};
+
+const ENTRIES: usize = 13;
+const SERVERS: usize = 15;
+const SLOTS: u32 = 6;
+const MEAN_SERVICE: f64 = 0.020;
+const CAPACITY: f64 = SERVERS as f64 * SLOTS as f64 / MEAN_SERVICE;
+const MESSAGE_DELAY: u64 = 500_000;
+const TICK: u64 = 1_000_000;
+const REPORT: u64 = 1_000_000_000;
+const RUN: f64 = 12.0;
+/// Time before which nothing is measured.
+const WARM_UP: f64 = 2.0;
+const DEADLINE: Duration = Duration::from_millis(500);
+const SHORT: WorkClass = WorkClass::Short;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Scenario {
+    Steady,
+    Swing,
+    Straggler,
+    FailFast,
+}
+
+const SCENARIOS: [(&str, Scenario); 4] = [
+    ("steady", Scenario::Steady),
+    ("swing", Scenario::Swing),
+    ("straggler", Scenario::Straggler),
+    ("fail_fast", Scenario::FailFast),
+];
+
+/// `None` is the ideal shared queue.
+const POLICIES: [(&str, Option<RoutePolicy>); 6] = [
+    ("ideal", None),
+    ("credits", Some(RoutePolicy::Credits)),
+    ("two_choices", Some(RoutePolicy::TwoChoices)),
+    ("least_in_flight", Some(RoutePolicy::LeastInFlight)),
+    ("round_robin", Some(RoutePolicy::RoundRobin)),
+    ("random", Some(RoutePolicy::Random)),
+];
+
+struct Arrival {
+    at: f64,
+    entry: usize,
+    service: f64,
+}
+
+impl Scenario {
+    /// Demand as a part of capacity. The swing is from 0.3 to 3 within 20 ms, for one second of
+    /// every three.
+    fn load(self, at: f64) -> f64 {
+        if self != Self::Swing {
+            return 0.85;
+        }
+        let phase = (at - WARM_UP).rem_euclid(3.0);
+        match phase {
+            ..1.0 => 0.3,
+            1.0..1.02 => 0.3 + 2.7 * (phase - 1.0) / 0.02,
+            1.02..2.0 => 3.0,
+            _ => 0.3,
+        }
+    }
+
+    /// Whether `at` is in the part of the run over which goodput is measured.
+    fn is_measured(self, at: f64) -> bool {
+        let phase = (at - WARM_UP).rem_euclid(3.0);
+        at >= WARM_UP && (self != Self::Swing || (1.05..2.0).contains(&phase))
+    }
+
+    fn measured_seconds(self) -> f64 {
+        let steps = (RUN * 1000.0) as u32;
+        let count = (0..steps).filter(|step| self.is_measured(f64::from(*step) / 1000.0)).count();
+        count as f64 / 1000.0
+    }
+
+    fn record(self, seed: u64, sigma: f64) -> Vec<Arrival> {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut arrivals = Vec::new();
+        let mut at = 0.0;
+        let highest = CAPACITY * 3.0;
+        while at < RUN {
+            at -= (1.0 - random.f64()).ln() / highest;
+            if random.f64() * 3.0 >= self.load(at) {
+                continue;
+            }
+            let (first, second) = (1.0 - random.f64(), random.f64());
+            let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
+            let service = MEAN_SERVICE * (sigma * normal - sigma * sigma / 2.0).exp();
+            arrivals.push(Arrival { at, entry: random.usize(..ENTRIES), service });
+        }
+        arrivals
+    }
+}
+
+enum Event {
+    Arrive(usize),
+    /// Request `work` ends on `server`.
+    Finish {
+        server: usize,
+        work: usize,
+    },
+    ToHolder(usize, EntryMessage),
+    ToEntry(usize, HolderMessage),
+    Tick(usize),
+    HolderTick,
+    Report,
+}
+
+struct Server {
+    key: ServerKey,
+    running: u32,
+    queue: VecDeque<usize>,
+    most: u32,
+}
+
+struct Entry {
+    name: ProcessName,
+    pool: ServerPool,
+    wallet: CreditWallet,
+    queue: AdmissionQueue<usize>,
+}
+
+#[derive(Default, Clone)]
+struct Outcome {
+    latencies: Vec<f64>,
+    good: u64,
+    refused: u64,
+    failed: u64,
+    late: u64,
+    messages: u64,
+    requests: u64,
+    over_slots: u32,
+    decisions: u64,
+    decision_time: Duration,
+    holder_events: u64,
+    holder_time: Duration,
+}
+
+struct Run<'a> {
+    scenario: Scenario,
+    policy: Option<RoutePolicy>,
+    arrivals: &'a [Arrival],
+    base: Instant,
+    now: u64,
+    sequence: u64,
+    heap: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    servers: Vec<Server>,
+    entries: Vec<Entry>,
+    book: AccountBook,
+    picked: BTreeMap<usize, PickedServer>,
+    shared: AdmissionQueue<usize>,
+    outcome: Outcome,
+}
+
+impl<'a> Run<'a> {
+    fn new(
+        scenario: Scenario,
+        policy: Option<RoutePolicy>,
+        arrivals: &'a [Arrival],
+        seed: u64,
+    ) -> Self {
+        let base = Instant::now();
+        let mut servers = Vec::new();
+        for index in 0..SERVERS {
+            let key = server_key(&format!("server-{index}"));
+            servers.push(Server { key, running: 0, queue: VecDeque::new(), most: 0 });
+        }
+        let mut entries = Vec::new();
+        for index in 0..ENTRIES {
+            entries.push(Entry::new(index, policy, &servers, base, seed));
+        }
+        let book = AccountBook::new(base, AccountSettings::default());
+        let limits = AdmissionSettings::default().limits.map(|limit| limit * ENTRIES);
+        let shared = AdmissionQueue::new(AdmissionSettings { limits, ..Default::default() });
+        Self {
+            scenario,
+            policy,
+            arrivals,
+            base,
+            now: 0,
+            sequence: 0,
+            heap: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            servers,
+            entries,
+            book,
+            picked: BTreeMap::new(),
+            shared,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + Duration::from_nanos(self.now)
+    }
+
+    fn at(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.heap.push(Reverse((self.now + delay, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn run(mut self) -> Outcome {
+        self.start();
+        let end = (RUN * 1e9) as u64;
+        while let Some(Reverse((at, sequence))) = self.heap.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            let event = self.events.remove(&sequence).expect("every queued number has an event");
+            self.handle(event);
+        }
+        self.outcome.over_slots =
+            self.servers.iter().map(|server| server.most.saturating_sub(SLOTS)).max().unwrap_or(0);
+        self.outcome
+    }
+
+    fn start(&mut self) {
+        self.at((self.arrivals[0].at * 1e9) as u64, Event::Arrive(0));
+        let is_credits = self.policy == Some(RoutePolicy::Credits);
+        for index in 0..ENTRIES {
+            // Entries tick at different instants, as separate processes do.
+            self.at(TICK * index as u64 / ENTRIES as u64, Event::Tick(index));
+        }
+        self.at(REPORT, Event::Report);
+        if !is_credits {
+            return;
+        }
+        self.at(TICK, Event::HolderTick);
+        let mut limits = Vec::new();
+        for (index, server) in self.servers.iter().enumerate() {
+            let (server, zone) = (server.key, zone(index));
+            limits.push(ServerLimit { server, zone, slots: SLOTS, draining: false });
+        }
+        self.feed(AccountEvent::ServersChanged(limits));
+        let mut live = Vec::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            live.push(LiveEntry { name: entry.name.clone(), zone: zone(index) });
+        }
+        self.feed(AccountEvent::EpochChanged { epoch: 1, entries: live });
+        let names: Vec<_> = self.entries.iter().map(|entry| entry.name.clone()).collect();
+        for index in 0..ENTRIES {
+            let event = WalletEvent::HolderChanged { epoch: 1, live: names.clone() };
+            self.feed_wallet(index, event);
+        }
+    }
+
+    fn feed(&mut self, event: AccountEvent) {
+        let started = Instant::now();
+        let actions = self.book.handle(self.instant(), event);
+        self.outcome.holder_time += started.elapsed();
+        self.outcome.holder_events += 1;
+        for action in actions {
+            let index = self.entries.iter().position(|entry| entry.name == action.entry);
+            let index = index.expect("actions name known entries");
+            self.outcome.messages += 1;
+            self.at(MESSAGE_DELAY, Event::ToEntry(index, action.message));
+        }
+    }
+
+    fn feed_wallet(&mut self, index: usize, event: WalletEvent) {
+        let now = self.instant();
+        if let Some(message) = self.entries[index].wallet.handle(now, event) {
+            self.outcome.messages += 1;
+            self.at(MESSAGE_DELAY, Event::ToHolder(index, message));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(work) => self.arrive(work),
+            Event::Finish { server, work } => self.finish(server, work),
+            Event::ToHolder(index, message) => {
+                let entry = self.entries[index].name.clone();
+                self.feed(AccountEvent::Message { entry, message });
+            }
+            Event::ToEntry(index, message) => {
+                self.feed_wallet(index, WalletEvent::Message(message));
+                self.start_waiting(index);
+            }
+            Event::Tick(index) => self.tick(index),
+            Event::HolderTick => {
+                self.feed(AccountEvent::Tick);
+                self.at(TICK, Event::HolderTick);
+            }
+            Event::Report => self.report(),
+        }
+    }
+
+    fn arrive(&mut self, work: usize) {
+        let arrival = &self.arrivals[work];
+        if let Some(next) = self.arrivals.get(work + 1) {
+            let delay = ((next.at * 1e9) as u64).saturating_sub(self.now);
+            self.at(delay, Event::Arrive(work + 1));
+        }
+        self.outcome.requests += 1;
+        let now = self.instant();
+        let index = arrival.entry;
+        let queue = match self.policy {
+            Some(_) => &mut self.entries[index].queue,
+            None => &mut self.shared,
+        };
+        let is_queued = queue.offer(now, SHORT, work, Some(now + DEADLINE)).is_ok();
+        self.outcome.refused += u64::from(!is_queued);
+        self.start_waiting(index);
+    }
+
+    fn start_waiting(&mut self, index: usize) {
+        let now = self.instant();
+        let mut expired = Vec::new();
+        if self.policy.is_none() {
+            while let Some(server) = self.servers.iter().position(|server| server.running < SLOTS) {
+                let Some(work) = self.shared.take(now, SHORT, &mut expired) else {
+                    break;
+                };
+                self.send(server, work);
+            }
+            self.outcome.refused += expired.len() as u64;
+            return;
+        }
+        while self.entries[index].queue.len(SHORT) > 0 {
+            let entry = &mut self.entries[index];
+            let started = Instant::now();
+            let outcome = entry.pool.pick(now, SHORT, &[], &mut entry.wallet);
+            self.outcome.decision_time += started.elapsed();
+            self.outcome.decisions += 1;
+            let PickOutcome::Start(picked) = outcome else {
+                break;
+            };
+            let Some(work) = entry.queue.take(now, SHORT, &mut expired) else {
+                entry.pool.cancel(now, picked, &mut entry.wallet);
+                break;
+            };
+            let server = self.servers.iter().position(|server| server.key == picked.server);
+            self.picked.insert(work, picked);
+            self.send(server.expect("picks name known servers"), work);
+        }
+        self.outcome.refused += expired.len() as u64;
+    }
+
+    fn send(&mut self, server: usize, work: usize) {
+        let state = &mut self.servers[server];
+        state.most = state.most.max(state.running + state.queue.len() as u32 + 1);
+        if state.running >= SLOTS {
+            state.queue.push_back(work);
+            return;
+        }
+        state.running += 1;
+        let mut seconds = self.arrivals[work].service;
+        if server == 0 && self.scenario == Scenario::Straggler {
+            seconds *= 5.0;
+        }
+        if self.is_failing(server) {
+            seconds = 0.001;
+        }
+        self.at((seconds * 1e9) as u64, Event::Finish { server, work });
+    }
+
+    fn is_failing(&self, server: usize) -> bool {
+        server == 0 && self.scenario == Scenario::FailFast
+    }
+
+    fn finish(&mut self, server: usize, work: usize) {
+        let failed = self.is_failing(server);
+        self.servers[server].running -= 1;
+        if let Some(next) = self.servers[server].queue.pop_front() {
+            self.send(server, next);
+        }
+        let arrival = &self.arrivals[work];
+        let (at, index) = (self.now as f64 / 1e9, arrival.entry);
+        let latency = at - arrival.at;
+        self.note(at, latency, failed);
+        let now = self.instant();
+        if let Some(picked) = self.picked.remove(&work) {
+            let entry = &mut self.entries[index];
+            entry.queue.note_service(SHORT, now.saturating_duration_since(picked.sent));
+            let started = Instant::now();
+            entry.pool.finish(now, picked, failed, &mut entry.wallet);
+            self.outcome.decision_time += started.elapsed();
+            self.outcome.decisions += 1;
+        } else {
+            self.shared.note_service(SHORT, Duration::from_secs_f64(arrival.service));
+        }
+        self.start_waiting(index);
+    }
+
+    fn note(&mut self, at: f64, latency: f64, failed: bool) {
+        if failed {
+            self.outcome.failed += 1;
+            return;
+        }
+        let is_late = latency > DEADLINE.as_secs_f64();
+        self.outcome.late += u64::from(is_late);
+        if self.scenario.is_measured(at) {
+            self.outcome.latencies.push(latency);
+            self.outcome.good += u64::from(!is_late);
+        }
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.at(TICK, Event::Tick(index));
+        let now = self.instant();
+        let mut expired = Vec::new();
+        if self.policy.is_none() {
+            self.shared.expire(now, &mut expired);
+            self.outcome.refused += expired.len() as u64;
+            return;
+        }
+        let entry = &mut self.entries[index];
+        entry.queue.expire(now, &mut expired);
+        self.outcome.refused += expired.len() as u64;
+        let avoided = entry.pool.tick(now).map(<[ServerKey]>::to_vec);
+        let waiting = entry.queue.waiting();
+        if let Some(avoided) = avoided {
+            self.feed_wallet(index, WalletEvent::AvoidedChanged(avoided));
+        }
+        if self.policy == Some(RoutePolicy::Credits) {
+            self.feed_wallet(index, WalletEvent::Tick(waiting));
+        }
+        self.start_waiting(index);
+    }
+
+    fn report(&mut self) {
+        self.at(REPORT, Event::Report);
+        for server in &self.servers {
+            let load = server.running + server.queue.len() as u32;
+            for entry in &mut self.entries {
+                entry.pool.note_report(server.key, load);
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn new(
+        index: usize,
+        policy: Option<RoutePolicy>,
+        servers: &[Server],
+        now: Instant,
+        seed: u64,
+    ) -> Self {
+        let name: ProcessName = format!("entry-{index}").into();
+        let settings = PoolSettings {
+            policy: policy.unwrap_or(RoutePolicy::Random),
+            slow_start: Duration::from_secs(2),
+            health: HealthSettings::default(),
+        };
+        let mut pool = ServerPool::new(zone(index), settings, seed * 100 + index as u64);
+        let mut list = Vec::new();
+        for (position, server) in servers.iter().enumerate() {
+            let (server, zone) = (server.key, zone(position));
+            let (slots, connections, draining) = (SLOTS, 220, false);
+            let ready_since = None;
+            list.push(PoolServer { server, zone, slots, connections, ready_since, draining });
+        }
+        pool.set_servers(list, ENTRIES as u32);
+        let settings = WalletSettings::default();
+        let mut wallet = CreditWallet::new(now, name.clone(), zone(index), settings);
+        wallet.handle(now, WalletEvent::ServersChanged(pool.wallet_servers(now)));
+        Self { name, pool, wallet, queue: AdmissionQueue::new(AdmissionSettings::default()) }
+    }
+}
+
+fn zone(index: usize) -> Box<str> {
+    format!("zone-{}", index % 3).into()
+}
+
+/// Value of a measure over the seeds as minimum/median/maximum.
+fn spread(outcomes: &[Outcome], measure: impl Fn(&Outcome) -> f64) -> String {
+    let mut values: Vec<f64> = outcomes.iter().map(measure).collect();
+    values.sort_by(f64::total_cmp);
+    let (first, last) = (values[0], values[values.len() - 1]);
+    format!("{first:.2}/{:.2}/{last:.2}", values[values.len() / 2])
+}
+
+fn quantile(outcome: &Outcome, part: f64) -> f64 {
+    let position = (outcome.latencies.len() as f64 * part) as usize;
+    outcome.latencies.get(position).map_or(f64::NAN, |latency| latency * 1000.0)
+}
+
+fn per(time: Duration, count: u64) -> f64 {
+    time.as_nanos() as f64 / count.max(1) as f64
+}
+
+fn option(name: &str) -> Option<String> {
+    let mut arguments = std::env::args().skip_while(|argument| argument != name);
+    arguments.nth(1)
+}
+
+fn main() {
+    let sigma = option("--sigma").map_or(1.0, |text| text.parse().expect("sigma is a number"));
+    let seeds = option("--seeds").unwrap_or_else(|| "1,2,3".to_owned());
+    let (only_scenario, only_policy) = (option("--scenario"), option("--policy"));
+    println!("lognormal sigma {sigma}, seeds {seeds}; each value is minimum/median/maximum");
+    for (scenario_name, scenario) in SCENARIOS {
+        if only_scenario.as_ref().is_some_and(|only| only != scenario_name) {
+            continue;
+        }
+        for (name, policy) in POLICIES {
+            if only_policy.as_ref().is_some_and(|only| only != name) {
+                continue;
+            }
+            let mut outcomes = Vec::new();
+            for seed in seeds.split(',') {
+                let seed = seed.parse().expect("seeds are numbers");
+                let arrivals = scenario.record(seed, sigma);
+                let mut outcome = Run::new(scenario, policy, &arrivals, seed).run();
+                outcome.latencies.sort_by(f64::total_cmp);
+                outcomes.push(outcome);
+            }
+            print_row(scenario_name, name, scenario, &outcomes);
+        }
+    }
+}
+
+fn print_row(scenario_name: &str, name: &str, scenario: Scenario, outcomes: &[Outcome]) {
+    let capacity = CAPACITY * scenario.measured_seconds();
+    let show = |label: &str, measure: &dyn Fn(&Outcome) -> f64| {
+        print!(" {label}={}", spread(outcomes, measure));
+    };
+    print!("{scenario_name:9} {name:15}");
+    show("p50_ms", &|outcome| quantile(outcome, 0.5));
+    show("p99_ms", &|outcome| quantile(outcome, 0.99));
+    show("p999_ms", &|outcome| quantile(outcome, 0.999));
+    show("goodput", &|outcome| outcome.good as f64 / capacity);
+    show("over_slots", &|outcome| f64::from(outcome.over_slots));
+    show("refused", &|outcome| outcome.refused as f64);
+    show("late", &|outcome| outcome.late as f64);
+    show("failed", &|outcome| outcome.failed as f64);
+    show("messages", &|outcome| outcome.messages as f64 / outcome.requests as f64);
+    show("decision_ns", &|outcome| per(outcome.decision_time, outcome.decisions));
+    show("holder_ns", &|outcome| per(outcome.holder_time, outcome.holder_events));
+    println!();
+}
