Add the stand-in server

Tests, measurements and `try` need servers whose overload, runs and faults can be observed. The stand-in announces itself, runs requests in a fixed number of slots with a FIFO queue, records each run by run id and idempotency key, and echoes what it received.

A run is recorded when the request gets its slot, before the body is read: this is the strictest count for requests that must run at most once. A slot is freed just before the last byte of the response, because an entry may reuse its credit at once and would otherwise appear to exceed the slots.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod ids;
 pub mod link;
 pub mod logging;
+pub mod stand_in;
 pub mod timer;
