--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod route;
 pub mod schema;
 pub mod settings;
+pub mod stand_in;
 pub mod timer;
 pub mod units;
