--- a/src/admin.rs
+++ b/src/admin.rs
@@ -144,3 +144,13 @@
     let body = response.body_bytes().await.unwrap_or_default();
     connection.respond(request, head, &body).await
 }
+
+/// Builds a response with a JSON body.
+pub fn json_response<T: serde::Serialize>(status: u16, value: &T) -> tide::Response {
+    let mut response = tide::Response::new(status);
+    let mut text = serde_json::to_string_pretty(value).unwrap_or_default();
+    text.push('\n');
+    response.set_body(text);
+    response.insert_header("content-type", "application/json");
+    response
+}
--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -42,7 +42,7 @@
 }
 
 /// A server as the directory has it. `slots` is the number in effect now (slow start included).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerLimit {
     pub server: ServerKey,
     pub zone: ZoneName,
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::ids::{EpochNumber, ProcessName};
 
 pub use account::{
@@ -29,7 +31,7 @@
 pub const LEASE_WITH_DRIFT: Duration = Duration::from_millis(2200);
 
 /// Class of work. Part of each server's slots is reserved for short work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum WorkClass {
     Short,
     Long,
@@ -45,7 +47,7 @@
 }
 
 /// Work of one class that waits in an entry, as sent to the account holder.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandLine {
     pub class: WorkClass,
     pub waiting: u32,
@@ -55,7 +57,7 @@
 }
 
 /// A number of credits of one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CreditLine {
     pub server: ServerKey,
     pub class: WorkClass,
@@ -63,7 +65,7 @@
 }
 
 /// Credits of one server and class that an entry holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldLine {
     pub server: ServerKey,
     pub class: WorkClass,
@@ -72,14 +74,14 @@
 }
 
 /// Credits the holder wants back: of one server, or of any server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecallLine {
     pub server: Option<ServerKey>,
     pub count: u32,
 }
 
 /// Message of an entry to the account holder; carries demand, returns and reports in one batch.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryMessage {
     pub epoch: EpochNumber,
     /// Counts up with every full report; older grants are void then.
@@ -101,7 +103,7 @@
 }
 
 /// Message of the account holder to one entry. Without lines it only renews the lease.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderMessage {
     pub epoch: EpochNumber,
     pub session: u64,
@@ -114,6 +116,27 @@
     pub recalls: Vec<RecallLine>,
 }
 
+impl EntryMessage {
+    /// Size on the wire in bytes, estimated from the encoded size of each part.
+    pub fn wire_bytes(&self) -> u32 {
+        const MESSAGE_BYTES: usize = 200;
+        const LINE_BYTES: usize = 60;
+        let report = self.report.as_ref().map_or(0, Vec::len);
+        let lines = self.demand.len() + self.returns.len() + report + self.avoided.len();
+        u32::try_from(MESSAGE_BYTES + lines * LINE_BYTES).unwrap_or(u32::MAX)
+    }
+}
+
+impl HolderMessage {
+    /// Size on the wire in bytes, estimated from the encoded size of each part.
+    pub fn wire_bytes(&self) -> u32 {
+        const MESSAGE_BYTES: usize = 180;
+        const LINE_BYTES: usize = 50;
+        let lines = self.grants.len() + self.recalls.len();
+        u32::try_from(MESSAGE_BYTES + lines * LINE_BYTES).unwrap_or(u32::MAX)
+    }
+}
+
 /// Hashes a server's id (FNV-1a, 64 bits). Two ids of one service with equal hashes would share
 /// one server's slots, which loses capacity but exceeds no limit.
 pub fn server_key(id: &str) -> ServerKey {
--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -19,11 +19,11 @@
 };
 use super::runtime::SlotPermit;
 use crate::claim::digest::request_digest;
-use crate::claim::guard::{ClaimResolution, GrantedClaim, OfferedClaim, UnclaimedRequest};
-use crate::claim::waiter::{DuplicateAnswer, DuplicateWaiter, WaitAction, WaitEvent};
-use crate::claim::{
-    ClaimKey, OpenClaim, OpenOutcome, SettleClaim, SettleOutcome, StoredAnswer,
+use crate::claim::guard::{
+    ClaimResolution, GrantedClaim, OfferedClaim, SendPermit, UnclaimedRequest,
 };
+use crate::claim::waiter::{DuplicateAnswer, DuplicateWaiter, WaitAction, WaitEvent};
+use crate::claim::{ClaimKey, OpenClaim, OpenOutcome, SettleClaim, SettleOutcome, StoredAnswer};
 use crate::credit::ServerKey;
 use crate::http::{
     BodyFraming, CallerConnection, RequestBody, RequestHead, ResponseHead, ServerConnection,
@@ -184,17 +184,8 @@
             match connect_server(self.context, self.plan, &permit).await {
                 Ok(connection) => return self.send(caller, claim, permit, connection).await,
                 Err(failure) => {
-                    let result: Result<OpenResponse, _> = Err(failure);
-                    let runtime = &self.plan.runtime;
-                    runtime.observe_attempt(
-                        permit.server(),
-                        self.plan.class,
-                        &result,
-                        Duration::ZERO,
-                    );
-                    if let Err(failure) = &result {
-                        last = describe(failure);
-                    }
+                    last = describe(&failure);
+                    permit.finish_failed(&failure);
                 }
             }
         }
@@ -212,26 +203,19 @@
         permit: SlotPermit,
         connection: ServerConnection,
     ) -> RequestEnd {
-        let started = Instant::now();
         let framing = match self.content.len() {
             0 => BodyFraming::Empty,
             length => BodyFraming::Length(length as u64),
         };
         let deadline = self.plan.deadline;
-        let forward =
-            forward_head(self.head, framing, self.plan.peer, self.request_id, deadline);
+        let forward = forward_head(self.head, framing, self.plan.peer, self.request_id, deadline);
         let (claim, send_permit) = claim.offer();
         // From here the request may run. It is not cancelled when the caller goes away, so that a
         // resend finds the response.
-        drop(send_permit);
-        let payload = RequestPayload::Buffered(&self.content);
-        let result = exchange(connection, &forward, payload, deadline).await;
-        let runtime = &self.plan.runtime;
-        runtime.observe_attempt(permit.server(), self.plan.class, &result, started.elapsed());
-        match result {
+        match send_once(send_permit, connection, &forward, &self.content, deadline).await {
             Ok(response) => self.finish(caller, claim, permit, response).await,
             Err(failure) => {
-                drop(permit);
+                permit.finish_failed(&failure);
                 self.settle_offered(claim.unknown()).await;
                 let (reason, message) = describe(&failure);
                 let reason = match failure {
@@ -266,7 +250,7 @@
             Ok(Ok(content)) => {
                 let head = response.head.clone();
                 finish_connection(response);
-                drop(permit);
+                permit.finish(status >= 500);
                 let answer = stored_answer(&head, &content);
                 self.settle_offered(claim.done(Some(answer.clone()))).await;
                 self.replay(caller, &answer).await
@@ -277,7 +261,7 @@
                 already_run()
             }
             Err(error) => {
-                drop(permit);
+                permit.finish(true);
                 self.settle_offered(claim.unknown()).await;
                 RequestEnd::Failed(FailureReason::ServerFailed, error.to_string().into())
             }
@@ -302,7 +286,10 @@
             deadline,
         )
         .await;
-        drop(permit);
+        permit.finish(matches!(
+            relayed,
+            RelayOutcome::BrokenBeforeHead(_) | RelayOutcome::ServerBroken(_)
+        ));
         // The head of a final response says that the request ran, however its body ends.
         self.settle_offered(claim.done(None)).await;
         match relayed {
@@ -315,7 +302,7 @@
             }
             RelayOutcome::ServerBroken(error) => RequestEnd::Broken(error),
             RelayOutcome::Unsendable => already_run(),
-            RelayOutcome::CallerGone(_) => RequestEnd::CallerGone,
+            RelayOutcome::CallerGone => RequestEnd::CallerGone,
         }
     }
 
@@ -326,7 +313,7 @@
         response: OpenResponse,
     ) -> RequestEnd {
         drop(response);
-        drop(permit);
+        permit.finish(true);
         if self.confirm_released(settle).await {
             let text = "the server refused the request before execution";
             return RequestEnd::Failed(FailureReason::ServersUnavailable, text.into());
@@ -381,6 +368,17 @@
     }
 }
 
+/// Sends a request to a server; consumes the permit, so that it cannot be sent twice.
+async fn send_once(
+    _permit: SendPermit,
+    connection: ServerConnection,
+    forward: &RequestHead,
+    content: &[u8],
+    deadline: Instant,
+) -> Result<OpenResponse, AttemptFailure> {
+    exchange(connection, forward, RequestPayload::Buffered(content), deadline).await
+}
+
 fn stored_answer(head: &ResponseHead, content: &[u8]) -> StoredAnswer {
     let mut kept = head.clone();
     kept.headers.remove_hop_by_hop();
--- /dev/null
+++ b/src/entry/control.rs
@@ -0,0 +1,538 @@
+//! Control thread of an entry: settings, lease, directory, credit accounts and links.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_channel::{Receiver, Sender};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
+use super::accounts::{AccountSet, holder_of};
+use super::context::{EntryContext, ServiceTable};
+use super::lease::{LeaseClient, LeaseInput, RenewalAction};
+use super::runtime::{RuntimeIdentity, ServiceRuntime};
+use crate::credit::EntryMessage;
+use crate::directory::{
+    DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement,
+    ServerDirectory, ServiceKey, ServiceSummary,
+};
+use crate::ids::{EpochNumber, ProcessName};
+use crate::link::{
+    GrantLease, HelloMessage, LinkEvent, LinkHub, LiveEntry, ProcessRole, RenewLease, WireMessage,
+};
+use crate::settings::{InstalledSettings, SettingsDelta, SettingsTree};
+
+/// Interval of all periodic work of the control thread.
+pub const TICK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Interval at which the directory looks for late heartbeats when nothing waits to be relayed.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Interval at which slow start and metrics are brought up to date.
+const SLOW_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Input of the control thread.
+pub enum ControlInput {
+    /// Something happened on a link.
+    Link(LinkEvent),
+    /// A server announced itself here.
+    Announced(ServerAnnouncement),
+    /// A wallet of this process has a message for the account holder.
+    Credit(ServiceKey, EntryMessage),
+    /// Asks for the state as JSON.
+    Dump(Sender<serde_json::Value>),
+    /// The process stops; answers when the control leader was told.
+    Leave(Sender<()>),
+}
+
+/// State of the control thread.
+pub struct EntryControl {
+    context: Arc<EntryContext>,
+    hub: LinkHub,
+    lease: LeaseClient,
+    installed: InstalledSettings,
+    directory: ServerDirectory,
+    accounts: AccountSet,
+    epoch: EpochNumber,
+    live: Vec<LiveEntry>,
+    peers: BTreeSet<ProcessName>,
+    controls: BTreeSet<ProcessName>,
+    /// Peer entries whose lease requests were passed on, with the nonce of the last one.
+    relayed: BTreeMap<ProcessName, u64>,
+    directory_due: Instant,
+    slow_due: Instant,
+    is_leaving: bool,
+}
+
+impl EntryControl {
+    /// Creates the state of a starting entry.
+    pub fn new(
+        context: Arc<EntryContext>,
+        hub: LinkHub,
+        controls: Vec<ProcessName>,
+        now: Instant,
+    ) -> Self {
+        let seed = context.random();
+        Self {
+            accounts: AccountSet::new(),
+            context,
+            hub,
+            lease: LeaseClient::new(controls, seed, now),
+            installed: InstalledSettings::new(),
+            directory: ServerDirectory::new(DirectoryLimits::default()),
+            epoch: 0,
+            live: Vec::new(),
+            peers: BTreeSet::new(),
+            controls: BTreeSet::new(),
+            relayed: BTreeMap::new(),
+            directory_due: now,
+            slow_due: now,
+            is_leaving: false,
+        }
+    }
+
+    /// Processes inputs and ticks until the input channel closes.
+    pub async fn run(mut self, inputs: Receiver<ControlInput>, ticks: Receiver<Instant>) {
+        loop {
+            let input = inputs.recv();
+            let tick = ticks.recv();
+            pin_mut!(input, tick);
+            match select(input, tick).await {
+                Either::Left((Ok(input), _)) => self.process(input),
+                Either::Right((Ok(_), _)) => self.tick(Instant::now()),
+                Either::Left((Err(_), _)) | Either::Right((Err(_), _)) => return,
+            }
+        }
+    }
+
+    fn process(&mut self, input: ControlInput) {
+        let now = Instant::now();
+        match input {
+            ControlInput::Link(event) => self.process_link(now, event),
+            ControlInput::Announced(announcement) => {
+                self.directory_event(now, DirectoryEvent::Announced(announcement));
+            }
+            ControlInput::Credit(service, message) => self.route_credit(now, &service, message),
+            ControlInput::Dump(reply) => {
+                let _ = reply.try_send(self.dump(now));
+            }
+            ControlInput::Leave(reply) => {
+                self.is_leaving = true;
+                if let Some(leader) = self.lease.leader() {
+                    let session = self.context.session();
+                    self.hub.send(leader, WireMessage::Leaving { session });
+                }
+                let _ = reply.try_send(());
+            }
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        self.renew(now, LeaseInput::Tick);
+        let relay_due = self.directory.relay_due().is_some_and(|due| now >= due);
+        if relay_due || now >= self.directory_due {
+            self.directory_due = now + DIRECTORY_INTERVAL;
+            self.directory_event(now, DirectoryEvent::Tick);
+        }
+        let table = self.context.table();
+        for runtime in table.all() {
+            runtime.tick(now);
+        }
+        self.accounts.tick(now);
+        self.deliver_grants();
+        if now >= self.slow_due {
+            self.slow_due = now + SLOW_INTERVAL;
+            self.refresh(now, &table);
+        }
+    }
+
+    /// Brings slow start, idle connections and gauges up to date.
+    fn refresh(&mut self, now: Instant, table: &ServiceTable) {
+        for runtime in table.all() {
+            runtime.refresh_slots(now);
+            self.accounts.change_servers(now, runtime.key(), || runtime.server_limits(now));
+        }
+        self.context.pool.close_expired(now);
+        let metrics = &self.context.metrics;
+        metrics.settings_revision.set(i64::try_from(self.installed.revision()).unwrap_or(i64::MAX));
+        let left = match self.lease.expires() {
+            Some(expires) if expires >= now => (expires - now).as_secs_f64(),
+            Some(expires) => -(now - expires).as_secs_f64(),
+            None => f64::NEG_INFINITY,
+        };
+        metrics.lease_seconds.set(left);
+        self.deliver_grants();
+    }
+
+    fn process_link(&mut self, now: Instant, event: LinkEvent) {
+        match event {
+            LinkEvent::Up(hello) => self.link_up(now, hello),
+            LinkEvent::Down(name) => self.link_down(now, name),
+            LinkEvent::Message(from, message) => self.receive(now, &from, *message),
+        }
+    }
+
+    fn link_up(&mut self, now: Instant, hello: HelloMessage) {
+        match hello.role {
+            ProcessRole::Control => {
+                self.controls.insert(hello.name.clone());
+                self.send_directory(now, &hello.name);
+                self.renew(now, LeaseInput::ControlUp(hello.name));
+            }
+            ProcessRole::Entry => {
+                self.peers.insert(hello.name.clone());
+                // A new peer learns every server at once; later ones reach it as they announce.
+                self.send_directory(now, &hello.name);
+                self.accounts.entry_connected(now, &hello.name);
+                self.renew(now, LeaseInput::PeerUp(hello.name));
+            }
+        }
+        self.change_holders();
+    }
+
+    fn send_directory(&self, now: Instant, peer: &str) {
+        for (service, _) in self.directory.service_digests() {
+            let nothing = ServiceSummary { service, servers: Vec::new() };
+            let batch = self.directory.missing_from(now, &nothing);
+            if !batch.is_empty() {
+                self.hub.send(peer, WireMessage::Announce(batch));
+            }
+        }
+    }
+
+    fn link_down(&mut self, now: Instant, name: ProcessName) {
+        self.controls.remove(&name);
+        if self.peers.remove(&name) {
+            self.accounts.entry_lost(now, &name);
+            for runtime in self.context.table().all() {
+                if holder_of(runtime.key(), &self.live).as_ref() == Some(&name) {
+                    runtime.lose_holder();
+                }
+            }
+        }
+        self.renew(now, LeaseInput::Down(name));
+    }
+
+    fn receive(&mut self, now: Instant, from: &ProcessName, message: WireMessage) {
+        match message {
+            WireMessage::GrantLease(grant) => self.receive_grant(now, *grant),
+            WireMessage::NotLeader(leader) => self.renew(now, LeaseInput::Redirected(leader)),
+            WireMessage::RenewLease(request) => self.relay_renewal(from, request),
+            WireMessage::Settings(delta) => {
+                if self.install(&delta) {
+                    self.report_installed(from);
+                }
+            }
+            WireMessage::Announce(batch) => {
+                self.directory_event(now, DirectoryEvent::Relayed(batch));
+            }
+            WireMessage::CreditRequest { service, message } => {
+                self.accounts.receive(now, &service, from, message);
+                self.deliver_grants();
+            }
+            WireMessage::CreditGrant { service, message } => {
+                let table = self.context.table();
+                if let Some(runtime) = table.runtime(&service.team, &service.service) {
+                    runtime.receive(message);
+                }
+            }
+            WireMessage::ClaimReply(reply) => self.context.claims.receive(reply),
+            _ => log::warn!(peer:% = from; "unexpected message"),
+        }
+    }
+
+    /// Passes a peer's renewal on to the control leader, or the leader's grant back to the peer.
+    fn relay_renewal(&mut self, from: &ProcessName, request: RenewLease) {
+        // Only the peer's own request is passed on, so that requests cannot circulate.
+        if request.entry != *from {
+            return;
+        }
+        if let Some(leader) = self.lease.leader() {
+            self.relayed.insert(request.entry.clone(), request.nonce);
+            self.hub.send(leader, WireMessage::RenewLease(request));
+        }
+    }
+
+    fn receive_grant(&mut self, now: Instant, grant: GrantLease) {
+        if grant.entry != self.context.name {
+            if self.relayed.remove(&grant.entry) == Some(grant.nonce) {
+                let peer = grant.entry.clone();
+                self.hub.send(&peer, WireMessage::GrantLease(Box::new(grant)));
+            }
+            return;
+        }
+        if let Some(delta) = &grant.update
+            && !self.install(delta)
+        {
+            return;
+        }
+        if self.is_leaving {
+            return;
+        }
+        let lease = Duration::from_millis(grant.lease_ms);
+        let leader = grant.leader.clone();
+        let had_update = grant.update.is_some();
+        self.renew(now, LeaseInput::Granted { leader, nonce: grant.nonce, lease });
+        self.context.set_lease(self.lease.expires());
+        if had_update {
+            self.report_installed(&grant.leader);
+        }
+        if grant.epoch > self.epoch {
+            self.epoch = grant.epoch;
+            self.live = grant.entries;
+            self.change_holders();
+        }
+        self.context.advance("ready");
+    }
+
+    fn renew(&mut self, now: Instant, input: LeaseInput) {
+        let Some(RenewalAction { to, nonce }) = self.lease.handle(now, input) else {
+            return;
+        };
+        if self.is_leaving {
+            return;
+        }
+        // Claims of a lapsed session may have been marked unknown; a new session opens new ones.
+        let lapsed = self.lease.expires().is_some_and(|expires| expires <= now);
+        let session = if lapsed { self.context.renew_session() } else { self.context.session() };
+        let request = RenewLease {
+            entry: self.context.name.clone(),
+            session,
+            availability_zone: self.context.availability_zone.clone(),
+            installed: self.installed.revision(),
+            nonce,
+        };
+        self.hub.send(&to, WireMessage::RenewLease(request));
+    }
+
+    fn report_installed(&self, leader: &str) {
+        let message = WireMessage::Installed {
+            session: self.context.session(),
+            revision: self.installed.revision(),
+        };
+        self.hub.send(leader, message);
+    }
+
+    fn install(&mut self, delta: &SettingsDelta) -> bool {
+        let previous = self.installed.revision();
+        match self.installed.install(delta) {
+            Ok(tree) => {
+                if previous != self.installed.revision() || self.context.table().tree.is_none() {
+                    log::info!(revision = self.installed.revision(); "settings installed");
+                    self.publish(tree);
+                }
+                true
+            }
+            Err(error) => {
+                log::warn!(error:%; "settings not installed");
+                false
+            }
+        }
+    }
+
+    /// Publishes new settings; services that stay keep their running state.
+    fn publish(&mut self, tree: Arc<SettingsTree>) {
+        let now = Instant::now();
+        let old = self.context.table();
+        let mut table = ServiceTable { tree: Some(Arc::clone(&tree)), ..Default::default() };
+        let mut added = Vec::new();
+        for (team, settings) in &tree.teams {
+            let services = table.runtimes.entry(team.clone()).or_default();
+            for (service, settings) in &settings.services {
+                let runtime = match old.runtime(team, service) {
+                    Some(runtime) => {
+                        runtime.change_settings(Arc::clone(settings));
+                        runtime
+                    }
+                    None => {
+                        let key = ServiceKey { team: team.clone(), service: service.clone() };
+                        let identity = self.runtime_identity();
+                        let runtime = ServiceRuntime::new(key, Arc::clone(settings), identity, now);
+                        added.push(Arc::clone(&runtime));
+                        runtime
+                    }
+                };
+                services.insert(service.clone(), runtime);
+            }
+        }
+        self.context.publish(table);
+        for runtime in added {
+            self.fill(now, &runtime);
+        }
+        let table = self.context.table();
+        self.accounts.retain(|key| table.runtime(&key.team, &key.service).is_some());
+        self.change_holders();
+    }
+
+    /// Gives a new service the servers that the directory knows already.
+    fn fill(&self, now: Instant, runtime: &Arc<ServiceRuntime>) {
+        for record in self.directory.servers(runtime.key()) {
+            runtime.change_server(now, &record.announcement, record.life);
+        }
+    }
+
+    fn runtime_identity(&self) -> RuntimeIdentity {
+        let inbox = self.context.inbox.clone();
+        RuntimeIdentity {
+            name: self.context.name.clone(),
+            availability_zone: self.context.availability_zone.clone(),
+            seed: self.context.random(),
+            // A full queue loses the message; the wallet repeats demand and reports.
+            outbox: Box::new(move |service, message| {
+                let _ = inbox.try_send(ControlInput::Credit(service.clone(), message));
+            }),
+        }
+    }
+
+    fn directory_event(&mut self, now: Instant, event: DirectoryEvent) {
+        let actions = self.directory.handle(now, event);
+        let table = self.context.table();
+        for action in actions {
+            match action {
+                DirectoryAction::Relay(batch) => {
+                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
+                    self.hub.send_all(to, WireMessage::Announce(batch));
+                }
+                DirectoryAction::ServerChanged { from, to, announcement } => {
+                    self.change_server(now, &table, from, to, &announcement);
+                }
+                DirectoryAction::LoadReported { announcement } => {
+                    let runtime = table.runtime(&announcement.team, &announcement.service);
+                    if let Some(runtime) = runtime {
+                        runtime.note_report(&announcement);
+                    }
+                }
+            }
+        }
+        self.deliver_grants();
+    }
+
+    fn change_server(
+        &mut self,
+        now: Instant,
+        table: &ServiceTable,
+        from: Option<LifeState>,
+        to: LifeState,
+        announcement: &ServerAnnouncement,
+    ) {
+        if from != Some(to) {
+            log::info!(
+                team:% = announcement.team, service:% = announcement.service,
+                server:% = announcement.server, from:? = from, to:? = to; "server state"
+            );
+        }
+        let Some(runtime) = table.runtime(&announcement.team, &announcement.service) else {
+            return;
+        };
+        runtime.change_server(now, announcement, to);
+        self.accounts.change_servers(now, runtime.key(), || runtime.server_limits(now));
+    }
+
+    /// Assigns the account of each service to an entry of the current list.
+    fn change_holders(&mut self) {
+        let now = Instant::now();
+        let names: Vec<ProcessName> = self.live.iter().map(|entry| entry.name.clone()).collect();
+        for runtime in self.context.table().all() {
+            let Some(holder) = holder_of(runtime.key(), &self.live) else {
+                continue;
+            };
+            let is_own = holder == self.context.name;
+            if is_own {
+                let servers = runtime.server_limits(now);
+                self.accounts.hold(now, runtime.key(), self.epoch, &self.live, servers);
+            } else {
+                self.accounts.release(runtime.key());
+            }
+            let reachable = is_own || self.peers.contains(&holder);
+            runtime.change_holder(self.epoch, names.clone(), reachable);
+        }
+        self.deliver_grants();
+    }
+
+    /// Sends a wallet's message to the holder of the account, which may be this process.
+    fn route_credit(&mut self, now: Instant, service: &ServiceKey, message: EntryMessage) {
+        let Some(holder) = holder_of(service, &self.live) else {
+            return;
+        };
+        if holder == self.context.name {
+            let name = self.context.name.clone();
+            self.accounts.receive(now, service, &name, message);
+            self.deliver_grants();
+            return;
+        }
+        let message = WireMessage::CreditRequest { service: service.clone(), message };
+        self.hub.send(&holder, message);
+    }
+
+    /// Sends the grants that the accounts have made.
+    fn deliver_grants(&mut self) {
+        for (service, action) in self.accounts.take_actions() {
+            if action.entry == self.context.name {
+                let table = self.context.table();
+                if let Some(runtime) = table.runtime(&service.team, &service.service) {
+                    runtime.receive(action.message);
+                }
+                continue;
+            }
+            let message = WireMessage::CreditGrant { service, message: action.message };
+            self.hub.send(&action.entry, message);
+        }
+    }
+
+    fn dump(&self, now: Instant) -> serde_json::Value {
+        let mut services = serde_json::Map::new();
+        for runtime in self.context.table().all() {
+            let key = runtime.key();
+            let name = format!("{}/{}", key.team, key.service);
+            services.insert(name, self.dump_service(runtime));
+        }
+        serde_json::json!({
+            "name": self.context.name,
+            "role": "entry",
+            "region": self.context.region,
+            "availability_zone": self.context.availability_zone,
+            "state": self.context.phase(),
+            "session": self.context.session(),
+            "settings_revision": self.installed.revision(),
+            "cluster": self.installed.cluster().map(|cluster| format!("{cluster:016x}")),
+            "lease_valid": self.lease.is_valid(now),
+            "leader": self.lease.leader(),
+            "epoch": self.epoch,
+            "live_entries": self.live,
+            "peers": self.peers,
+            "controls": self.controls,
+            "open_requests": self.context.open_requests(),
+            "open_claim_calls": self.context.claims.open_calls(),
+            "directory": format!("{:?}", self.directory.counters()),
+            "services": services,
+        })
+    }
+
+    fn dump_service(&self, runtime: &ServiceRuntime) -> serde_json::Value {
+        let mut servers = Vec::new();
+        for view in runtime.servers() {
+            let counts = self.context.pool.counts(view.address);
+            servers.push(serde_json::json!({
+                "id": view.id,
+                "address": view.address,
+                "availability_zone": view.availability_zone,
+                "state": format!("{:?}", view.life).to_lowercase(),
+                "slots": view.slots,
+                "connections_open": counts.open,
+                "connections_idle": counts.idle,
+            }));
+        }
+        let counters = runtime.measure_counters();
+        serde_json::json!({
+            "holder": holder_of(runtime.key(), &self.live),
+            "own_count": runtime.is_own_count(),
+            "open": runtime.open(),
+            "waiting": runtime.waiting(),
+            "measure_messages": counters.messages_spent,
+            "measure_bytes": counters.bytes_spent,
+            "measure_suppressed": counters.messages_suppressed,
+            "servers": servers,
+        })
+    }
+}
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -31,7 +31,7 @@
     /// Nothing was sent, because the response does not fit the caller's HTTP version.
     Unsendable,
     /// The caller went away.
-    CallerGone(HttpError),
+    CallerGone,
 }
 
 /// Prepares a response head for the caller.
@@ -86,8 +86,8 @@
             append_piece(&mut output, framing, &data);
             caller.write(&output).await
         };
-        if let Err(error) = result {
-            return RelayOutcome::CallerGone(error);
+        if result.is_err() {
+            return RelayOutcome::CallerGone;
         }
         sent_head = true;
     }
@@ -101,7 +101,7 @@
     };
     match end {
         Ok(()) => RelayOutcome::Complete,
-        Err(error) => RelayOutcome::CallerGone(error),
+        Err(_) => RelayOutcome::CallerGone,
     }
 }
 
@@ -157,6 +157,6 @@
     prepare_head(&mut head, BodyFraming::Length(whole.len() as u64), request_id, keep_alive);
     match caller.respond(request, head, &whole).await {
         Ok(()) => RelayOutcome::Complete,
-        Err(error) => RelayOutcome::CallerGone(error),
+        Err(_) => RelayOutcome::CallerGone,
     }
 }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -50,10 +50,10 @@
     pub class: WorkClass,
     /// End of the request.
     pub deadline: Instant,
-    /// Start of the request.
-    pub started: Instant,
     /// Attempts allowed, the first included.
     pub attempts: u32,
+    /// An outer layer retries, so this one must not.
+    pub has_outer_retry: bool,
     /// Address of the caller or of the platform's balancer.
     pub peer: IpAddr,
     /// Labels of the service's metrics.
@@ -173,14 +173,13 @@
     };
     let limit = settings.request_deadline(&head.method, path);
     let limit = limit.min(caller_timeout(head).unwrap_or(limit));
-    let retried = head.headers.get(RETRY_HEADER).is_some();
     Ok(RequestPlan {
         idempotent: settings.is_idempotent(&head.method, path),
         class,
         deadline: started + limit,
-        started,
         peer,
-        attempts: if retried { 1 } else { settings.retry.attempts },
+        attempts: settings.retry.attempts,
+        has_outer_retry: head.headers.get(RETRY_HEADER).is_some(),
         labels: ServiceLabels {
             team: service.team.to_string(),
             service: service.service.to_string(),
@@ -263,11 +262,12 @@
     let mut last = (FailureReason::NoServer, "no server may receive work".into());
     for attempt in 0..plan.attempts {
         if attempt > 0 {
-            if !plan.runtime.retry_allowed() {
+            let Some(wait) = plan.runtime.decide_retry(&tried, plan.deadline, plan.has_outer_retry)
+            else {
                 break;
-            }
+            };
             context.metrics.retries.get_or_create(&plan.labels).inc();
-            pause(plan, attempt).await;
+            task::sleep(wait).await;
         }
         let permit = match acquire(context, caller, plan, &tried).await {
             Ok(permit) => permit,
@@ -284,13 +284,13 @@
             Some(content) => RequestPayload::Buffered(content),
             None => RequestPayload::Streamed { caller: &mut *caller, body: &mut *body },
         };
-        let result =
-            attempt_once(context, head, payload, closed, plan, request_id, &permit).await;
+        let result = attempt_once(context, head, payload, closed, plan, request_id, &permit).await;
         let replayable = replay.is_some();
         let mut response = match result {
             Ok(response) => response,
             Err(AttemptFailure::CallerFailed(error)) => return caller_failure(error),
             Err(failure) => {
+                permit.finish_failed(&failure);
                 let repeat = replayable || matches!(failure, AttemptFailure::NotOffered(_));
                 last = describe(&failure);
                 if repeat && !matches!(failure, AttemptFailure::DeadlineExceeded) {
@@ -304,12 +304,16 @@
             && replayable
             && attempt + 1 < plan.attempts
         {
+            permit.finish(true);
             last = (FailureReason::ServersUnavailable, "servers refused the request".into());
             continue;
         }
         let relayed =
             relay_response(caller, head, &mut response, request_id, keep_alive, plan.deadline)
                 .await;
+        let server_failed =
+            matches!(relayed, RelayOutcome::BrokenBeforeHead(_) | RelayOutcome::ServerBroken(_));
+        permit.finish(server_failed || status >= 500);
         match relayed {
             RelayOutcome::Complete => {
                 finish_connection(response);
@@ -326,7 +330,7 @@
                 let text = "the response has no length and is too large for HTTP/1.0";
                 return RequestEnd::Failed(FailureReason::ServerInvalid, text.into());
             }
-            RelayOutcome::CallerGone(_) => return RequestEnd::CallerGone,
+            RelayOutcome::CallerGone => return RequestEnd::CallerGone,
         }
     }
     RequestEnd::Failed(last.0, last.1)
@@ -404,7 +408,6 @@
     request_id: &str,
     permit: &SlotPermit,
 ) -> Result<OpenResponse, AttemptFailure> {
-    let started = Instant::now();
     let attempt = async {
         let connection = connect_server(context, plan, permit).await?;
         let framing = match &payload {
@@ -416,12 +419,10 @@
         exchange(connection, &forward, payload, plan.deadline).await
     };
     pin_mut!(attempt, closed);
-    let result = match select(attempt, closed).await {
+    match select(attempt, closed).await {
         Either::Left((result, _)) => result,
         Either::Right(_) => Err(AttemptFailure::CallerFailed(HttpError::Truncated)),
-    };
-    plan.runtime.observe_attempt(permit.server(), plan.class, &result, started.elapsed());
-    result
+    }
 }
 
 /// Takes a connection to the server of `permit`; no byte of the request is sent.
@@ -452,16 +453,6 @@
         AttemptFailure::DeadlineExceeded => {
             (FailureReason::DeadlineExceeded, "no response before the deadline".into())
         }
-        AttemptFailure::CallerFailed(error) => {
-            (FailureReason::Malformed, error.to_string().into())
-        }
+        AttemptFailure::CallerFailed(error) => (FailureReason::Malformed, error.to_string().into()),
     }
 }
-
-/// Waits before a retry: exponential backoff with full jitter.
-async fn pause(plan: &RequestPlan, attempt: u32) {
-    let rule = &plan.settings().retry;
-    let ceiling = rule.backoff_min.saturating_mul(1 << attempt.min(16)).min(rule.backoff_max);
-    let wait = ceiling.mul_f64(fastrand::f64());
-    task::sleep(wait.min(plan.deadline.saturating_duration_since(Instant::now()))).await;
-}
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -1,6 +1,6 @@
 //! Running state of one service on one entry: servers, credits and waiting requests.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -9,17 +9,36 @@
 use async_std::future::timeout;
 
 use super::answer::FailureReason;
+use super::exchange::AttemptFailure;
 use crate::credit::{
-    CreditWallet, EntryMessage, HeldCredit, HolderMessage, ServerKey, WaitingWork, WalletEvent,
-    WalletServer, WalletSettings, WorkClass, server_key,
+    CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
+    WorkClass, server_key,
 };
 use crate::directory::{LifeState, ServerAnnouncement, ServiceKey};
+use crate::http::CheckoutError;
 use crate::ids::{EpochNumber, ProcessName, ServerId, ZoneName};
-use crate::settings::ServiceSettings;
+use crate::route::{
+    AdmissionQueue, AdmissionRefusal, AdmissionSettings, FailedAttempt, HealthSettings,
+    MeasureBudget, MeasureCounters, MeasureLimits, PickOutcome, PickedServer, PoolServer,
+    PoolSettings, RetryBudget, RetryDecision, RetrySettings, RoutePolicy, ServerPool,
+};
+use crate::settings::{SelectionPolicy, ServiceSettings};
 
 /// Where messages to the account holder go.
 pub type CreditOutbox = Box<dyn Fn(&ServiceKey, EntryMessage) + Send + Sync>;
 
+/// Who this entry is and where its messages go.
+pub struct RuntimeIdentity {
+    /// Name of the entry.
+    pub name: ProcessName,
+    /// Availability zone of the entry.
+    pub availability_zone: ZoneName,
+    /// Seed of random choices.
+    pub seed: u64,
+    /// Receives messages to the account holder.
+    pub outbox: CreditOutbox,
+}
+
 /// Servers, credits and queues of one service.
 pub struct ServiceRuntime {
     key: ServiceKey,
@@ -30,9 +49,13 @@
 struct RuntimeState {
     settings: Arc<ServiceSettings>,
     servers: BTreeMap<ServerKey, ServerView>,
+    pool: ServerPool,
     wallet: CreditWallet,
-    waiting: [VecDeque<WaitingRequest>; 2],
+    queue: AdmissionQueue<QueueTicket>,
+    retry: RetryBudget,
+    measure: MeasureBudget,
     live_entries: usize,
+    open: usize,
 }
 
 /// A server as this entry uses it.
@@ -44,25 +67,26 @@
     pub address: SocketAddr,
     /// Availability zone of the server.
     pub availability_zone: ZoneName,
-    /// Slots that it announced, capped by the settings.
+    /// Slots that it announced.
     pub slots: u32,
-    /// Connections that it announced, capped by the settings.
+    /// Connections that it announced.
     pub connections: u32,
     /// Life-cycle state.
     pub life: LifeState,
+    /// When this entry saw the server become ready; `None` for one that it met ready.
+    pub ready_since: Option<Instant>,
 }
 
-struct WaitingRequest {
-    since: Instant,
-    deadline: Instant,
+/// Queued request that waits for a permit.
+struct QueueTicket {
     excluded: Vec<ServerKey>,
     grant: Sender<SlotPermit>,
 }
 
-/// Right to occupy one slot of a server; returned when dropped.
+/// Right to occupy one slot of a server; given back when finished or dropped.
 pub struct SlotPermit {
     runtime: Arc<ServiceRuntime>,
-    credit: Option<HeldCredit>,
+    picked: Option<PickedServer>,
     server: ServerKey,
 }
 
@@ -72,15 +96,30 @@
         self.server
     }
 
-    fn take(mut self) -> Option<HeldCredit> {
-        self.credit.take()
+    /// Ends the attempt and tells whether the server failed.
+    pub fn finish(mut self, failed: bool) {
+        if let Some(picked) = self.picked.take() {
+            self.runtime.finish(picked, failed);
+        }
+    }
+
+    /// Ends an attempt that yielded no response head.
+    pub fn finish_failed(self, failure: &AttemptFailure) {
+        match failure {
+            // The caller's failure and a full connection pool say nothing about the server.
+            AttemptFailure::CallerFailed(_)
+            | AttemptFailure::NotOffered(CheckoutError::LimitReached | CheckoutError::ServerGone) => {
+                drop(self)
+            }
+            _ => self.finish(true),
+        }
     }
 }
 
 impl Drop for SlotPermit {
     fn drop(&mut self) {
-        if let Some(credit) = self.credit.take() {
-            self.runtime.release(credit);
+        if let Some(picked) = self.picked.take() {
+            self.runtime.cancel(picked);
         }
     }
 }
@@ -90,18 +129,22 @@
     pub fn new(
         key: ServiceKey,
         settings: Arc<ServiceSettings>,
-        name: ProcessName,
-        availability_zone: ZoneName,
-        outbox: CreditOutbox,
+        identity: RuntimeIdentity,
         now: Instant,
     ) -> Arc<Self> {
+        let RuntimeIdentity { name, availability_zone, seed, outbox } = identity;
+        let zone = availability_zone.clone();
         let wallet = CreditWallet::new(now, name, availability_zone, WalletSettings::default());
         let state = RuntimeState {
+            pool: ServerPool::new(zone, pool_settings(&settings), seed),
+            queue: AdmissionQueue::new(admission_settings(&settings)),
+            retry: RetryBudget::new(now, retry_settings(&settings), seed),
+            measure: MeasureBudget::new(now, measure_limits(&settings)),
             settings,
             servers: BTreeMap::new(),
             wallet,
-            waiting: Default::default(),
             live_entries: 1,
+            open: 0,
         };
         Arc::new(Self { key, outbox, state: Mutex::new(state) })
     }
@@ -119,14 +162,15 @@
         deadline: Instant,
     ) -> Result<SlotPermit, FailureReason> {
         let receiver = match self.start_or_queue(class, excluded, deadline)? {
-            Ok(permit) => return Ok(permit),
-            Err(receiver) => receiver,
+            StartOutcome::Started(permit) => return Ok(permit),
+            StartOutcome::Queued(receiver) => receiver,
         };
         let left = deadline.saturating_duration_since(Instant::now());
         match timeout(left, receiver.recv()).await {
             Ok(Ok(permit)) => Ok(permit),
-            Ok(Err(_)) => Err(FailureReason::NoServer),
-            Err(_) => Err(FailureReason::DeadlineBeforeStart),
+            // The queue dropped the ticket: its deadline can no longer be met, or no server is left.
+            Ok(Err(_)) if self.lock().usable_servers() == 0 => Err(FailureReason::NoServer),
+            Ok(Err(_)) | Err(_) => Err(FailureReason::DeadlineBeforeStart),
         }
     }
 
@@ -135,114 +179,144 @@
         class: WorkClass,
         excluded: &[ServerKey],
         deadline: Instant,
-    ) -> Result<Result<SlotPermit, Receiver<SlotPermit>>, FailureReason> {
+    ) -> Result<StartOutcome, FailureReason> {
         let now = Instant::now();
-        let mut state = self.lock();
+        let mut guard = self.lock();
+        let state = &mut *guard;
         if now >= deadline {
             return Err(FailureReason::DeadlineBeforeStart);
         }
-        if state.usable_servers() == 0 {
-            return Err(FailureReason::NoServer);
-        }
-        let queue_limit = state.settings.servers.queue as usize;
-        if state.waiting[class.index()].is_empty()
-            && let Some(credit) = state.wallet.acquire(now, class, excluded)
-        {
-            return Ok(Ok(self.permit(credit)));
-        }
-        if state.waiting[class.index()].len() >= queue_limit {
-            return Err(FailureReason::QueueFull);
+        if state.queue.len(class) == 0 {
+            match state.pool.pick(now, class, excluded, &mut state.wallet) {
+                PickOutcome::Start(picked) => {
+                    state.open += 1;
+                    return Ok(StartOutcome::Started(self.permit(picked)));
+                }
+                PickOutcome::NoServer => return Err(FailureReason::NoServer),
+                PickOutcome::Wait => (),
+            }
         }
         let (sender, receiver) = async_channel::bounded(1);
-        state.waiting[class.index()].push_back(WaitingRequest {
-            since: now,
-            deadline,
-            excluded: excluded.to_vec(),
-            grant: sender,
-        });
-        let message = state.tick(now);
-        drop(state);
+        let ticket = QueueTicket { excluded: excluded.to_vec(), grant: sender };
+        if let Err((_, refusal)) = state.queue.offer(now, class, ticket, Some(deadline)) {
+            return Err(match refusal {
+                AdmissionRefusal::QueueFull => FailureReason::QueueFull,
+                AdmissionRefusal::DeadlineTooClose => FailureReason::DeadlineBeforeStart,
+            });
+        }
+        let message = state.tick_wallet(now);
+        drop(guard);
         self.send(message);
-        Ok(Err(receiver))
+        Ok(StartOutcome::Queued(receiver))
     }
 
-    fn permit(self: &Arc<Self>, credit: HeldCredit) -> SlotPermit {
-        let server = credit.server;
-        SlotPermit { runtime: Arc::clone(self), credit: Some(credit), server }
+    fn permit(self: &Arc<Self>, picked: PickedServer) -> SlotPermit {
+        let server = picked.server;
+        SlotPermit { runtime: Arc::clone(self), picked: Some(picked), server }
+    }
+
+    fn finish(self: &Arc<Self>, picked: PickedServer, failed: bool) {
+        let now = Instant::now();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        state.open = state.open.saturating_sub(1);
+        let elapsed = now.saturating_duration_since(picked.sent);
+        state.queue.note_service(picked.class, elapsed);
+        if !failed {
+            state.retry.note_success(now, elapsed);
+        }
+        state.pool.finish(now, picked, failed, &mut state.wallet);
+        self.grant_waiting(guard, now);
     }
 
-    fn release(self: &Arc<Self>, credit: HeldCredit) {
+    fn cancel(self: &Arc<Self>, picked: PickedServer) {
         let now = Instant::now();
-        let mut state = self.lock();
-        state.wallet.release(now, credit);
-        self.grant_waiting(&mut state, now);
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        state.open = state.open.saturating_sub(1);
+        state.pool.cancel(now, picked, &mut state.wallet);
+        self.grant_waiting(guard, now);
     }
 
-    /// Gives free slots to waiting requests, short work first, oldest first in each class.
-    fn grant_waiting(self: &Arc<Self>, state: &mut RuntimeState, now: Instant) {
+    /// Gives free slots to waiting requests, short work first.
+    fn grant_waiting(self: &Arc<Self>, mut guard: MutexGuard<'_, RuntimeState>, now: Instant) {
+        let mut expired = Vec::new();
         for class in WorkClass::ALL {
-            while let Some(request) = state.waiting[class.index()].front() {
-                if request.deadline <= now || request.grant.is_closed() {
-                    state.waiting[class.index()].pop_front();
-                    continue;
-                }
-                let excluded = request.excluded.clone();
-                let Some(credit) = state.wallet.acquire(now, class, &excluded) else {
-                    break;
-                };
-                let Some(request) = state.waiting[class.index()].pop_front() else {
+            while guard.queue.len(class) > 0 {
+                if !self.grant_one(&mut guard, class, now, &mut expired) {
                     break;
-                };
-                if let Err(refused) = request.grant.try_send(self.permit(credit)) {
-                    // The request gave up meanwhile. The permit must not be dropped here, because its
-                    // drop locks the state again.
-                    if let Some(credit) = refused.into_inner().take() {
-                        state.wallet.release(now, credit);
-                    }
                 }
             }
         }
+        drop(guard);
+        // Dropping the tickets wakes their requests; this happens outside the lock.
+        drop(expired);
+    }
+
+    fn grant_one(
+        self: &Arc<Self>,
+        state: &mut RuntimeState,
+        class: WorkClass,
+        now: Instant,
+        expired: &mut Vec<QueueTicket>,
+    ) -> bool {
+        let PickOutcome::Start(picked) = state.pool.pick(now, class, &[], &mut state.wallet) else {
+            return false;
+        };
+        let Some(ticket) = state.queue.take(now, class, expired) else {
+            state.pool.cancel(now, picked, &mut state.wallet);
+            return false;
+        };
+        let picked = state.respect_exclusions(now, picked, &ticket.excluded);
+        state.open += 1;
+        if let Err(refused) = ticket.grant.try_send(self.permit(picked)) {
+            // The request gave up meanwhile. The permit must not be dropped here, because its drop
+            // takes the lock again.
+            let mut permit = refused.into_inner();
+            if let Some(picked) = permit.picked.take() {
+                state.open = state.open.saturating_sub(1);
+                state.pool.cancel(now, picked, &mut state.wallet);
+            }
+        }
+        true
     }
 
     /// Takes over new settings.
     pub fn change_settings(self: &Arc<Self>, settings: Arc<ServiceSettings>) {
         let now = Instant::now();
-        let mut state = self.lock();
-        state.settings = settings;
-        let message = state.announce_servers(now);
-        self.grant_waiting(&mut state, now);
-        drop(state);
+        let mut guard = self.lock();
+        if *guard.settings == *settings {
+            return;
+        }
+        guard.replace_settings(now, settings);
+        let message = guard.announce_servers(now);
+        self.grant_waiting(guard, now);
         self.send(message);
     }
 
     /// Takes over a server's announcement or a change of its life-cycle state.
-    pub fn change_server(self: &Arc<Self>, announcement: &ServerAnnouncement, life: LifeState) {
-        let now = Instant::now();
-        let mut state = self.lock();
-        let key = server_key(&announcement.server);
-        if life == LifeState::Gone {
-            state.servers.remove(&key);
-        } else {
-            let view = ServerView {
-                id: announcement.server.clone(),
-                address: announcement.address,
-                availability_zone: announcement.availability_zone.clone(),
-                slots: announcement.slots,
-                connections: announcement.connections,
-                life,
-            };
-            state.servers.insert(key, view);
-        }
-        let message = state.announce_servers(now);
-        if state.usable_servers() == 0 {
-            // Waiting requests learn at once that there is no server left.
-            state.waiting = Default::default();
-        }
-        self.grant_waiting(&mut state, now);
-        drop(state);
+    pub fn change_server(
+        self: &Arc<Self>,
+        now: Instant,
+        announcement: &ServerAnnouncement,
+        life: LifeState,
+    ) {
+        let mut guard = self.lock();
+        guard.change_view(now, announcement, life);
+        let message = guard.announce_servers(now);
+        // Waiting requests learn at once that there is no server left.
+        let unserved = (guard.usable_servers() == 0).then(|| guard.drain_queue());
+        self.grant_waiting(guard, now);
+        drop(unserved);
         self.send(message);
     }
 
+    /// Takes over a server's own load report.
+    pub fn note_report(&self, announcement: &ServerAnnouncement) {
+        let load = announcement.load.saturating_mul(announcement.slots) / 1000;
+        self.lock().pool.note_report(server_key(&announcement.server), load);
+    }
+
     /// Takes over a new list of live entries and the link state of the account holder.
     pub fn change_holder(
         self: &Arc<Self>,
@@ -251,33 +325,62 @@
         reachable: bool,
     ) {
         let now = Instant::now();
-        let mut state = self.lock();
-        state.live_entries = live.len().max(1);
-        let message = state.wallet.handle(now, WalletEvent::HolderChanged { epoch, live });
+        let mut guard = self.lock();
+        guard.live_entries = live.len().max(1);
+        let mut messages = Vec::new();
+        messages.extend(guard.wallet.handle(now, WalletEvent::HolderChanged { epoch, live }));
         if !reachable {
-            state.wallet.handle(now, WalletEvent::HolderUnreachable);
+            guard.wallet.handle(now, WalletEvent::HolderUnreachable);
+            messages.clear();
         }
-        self.grant_waiting(&mut state, now);
-        drop(state);
-        self.send(message);
+        messages.extend(guard.announce_servers(now));
+        self.grant_waiting(guard, now);
+        for message in messages {
+            self.send(Some(message));
+        }
+    }
+
+    /// Notes that grants of the account holder can no longer arrive.
+    pub fn lose_holder(self: &Arc<Self>) {
+        let now = Instant::now();
+        let mut guard = self.lock();
+        guard.wallet.handle(now, WalletEvent::HolderUnreachable);
+        self.grant_waiting(guard, now);
     }
 
     /// Takes over a message of the account holder.
     pub fn receive(self: &Arc<Self>, message: HolderMessage) {
         let now = Instant::now();
-        let mut state = self.lock();
-        let reply = state.wallet.handle(now, WalletEvent::Message(message));
-        self.grant_waiting(&mut state, now);
-        drop(state);
+        let mut guard = self.lock();
+        let reply = guard.wallet.handle(now, WalletEvent::Message(message));
+        self.grant_waiting(guard, now);
         self.send(reply);
     }
 
-    /// Lets time pass.
+    /// Lets time pass; due every few milliseconds.
     pub fn tick(self: &Arc<Self>, now: Instant) {
-        let mut state = self.lock();
-        let message = state.tick(now);
-        self.grant_waiting(&mut state, now);
-        drop(state);
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let mut expired = Vec::new();
+        state.queue.expire(now, &mut expired);
+        if let Some(avoided) = state.pool.tick(now) {
+            let event = WalletEvent::AvoidedChanged(avoided.to_vec());
+            state.wallet.handle(now, event);
+        }
+        let message = state.tick_wallet(now);
+        self.grant_waiting(guard, now);
+        drop(expired);
+        self.send(message);
+    }
+
+    /// Brings the slots in effect up to date while a server is in slow start.
+    pub fn refresh_slots(self: &Arc<Self>, now: Instant) {
+        let mut guard = self.lock();
+        if !guard.servers.values().any(|view| view.ready_since.is_some()) {
+            return;
+        }
+        let message = guard.announce_servers(now);
+        self.grant_waiting(guard, now);
         self.send(message);
     }
 
@@ -290,18 +393,59 @@
         Some((view, share))
     }
 
-    /// Servers with slots in effect, for the account holder.
+    /// Servers with the slots in effect now, for the account holder.
+    pub fn server_limits(&self, now: Instant) -> Vec<ServerLimit> {
+        let mut limits = Vec::new();
+        for server in self.lock().pool.wallet_servers(now) {
+            limits.push(ServerLimit {
+                server: server.server,
+                zone: server.zone,
+                slots: server.slots,
+                draining: server.draining,
+            });
+        }
+        limits
+    }
+
+    /// Servers as announced.
     pub fn servers(&self) -> Vec<ServerView> {
-        let state = self.lock();
-        let limit = state.settings.servers.slots;
-        let capped = |view: &ServerView| ServerView { slots: view.slots.min(limit), ..view.clone() };
-        state.servers.values().map(capped).collect()
+        self.lock().servers.values().cloned().collect()
+    }
+
+    /// Decides on another attempt after a failed one; returns the wait before it.
+    pub fn decide_retry(
+        &self,
+        tried: &[ServerKey],
+        deadline: Instant,
+        has_outer_retry: bool,
+    ) -> Option<Duration> {
+        let attempt = FailedAttempt {
+            idempotent: true,
+            response_started: false,
+            has_outer_retry,
+            tried,
+            deadline: Some(deadline),
+        };
+        match self.lock().retry.decide(Instant::now(), &attempt) {
+            RetryDecision::RetryAfter(wait) => Some(wait),
+            RetryDecision::Refuse(_) => None,
+        }
     }
 
-    /// Number of waiting requests.
-    pub fn waiting(&self) -> usize {
+    /// Number of waiting requests, short and long.
+    pub fn waiting(&self) -> [usize; 2] {
         let state = self.lock();
-        state.waiting.iter().map(VecDeque::len).sum()
+        WorkClass::ALL.map(|class| state.queue.len(class))
+    }
+
+    /// Requests that occupy a slot.
+    pub fn open(&self) -> usize {
+        self.lock().open
+    }
+
+    /// What measuring and credits have cost so far.
+    pub fn measure_counters(&self) -> MeasureCounters {
+        self.lock().measure.counters()
     }
 
     /// Whether slots are chosen by the entry's own count, because there is no credit lease.
@@ -320,39 +464,105 @@
     }
 }
 
+enum StartOutcome {
+    Started(SlotPermit),
+    Queued(Receiver<SlotPermit>),
+}
+
 impl RuntimeState {
     fn usable_servers(&self) -> usize {
         self.servers.values().filter(|view| view.is_usable()).count()
     }
 
-    fn tick(&mut self, now: Instant) -> Option<EntryMessage> {
-        let mut work = [WaitingWork::default(); 2];
-        for (class, queue) in self.waiting.iter_mut().enumerate() {
-            queue.retain(|request| request.deadline > now && !request.grant.is_closed());
-            work[class] = WaitingWork {
-                count: u32::try_from(queue.len()).unwrap_or(u32::MAX),
-                oldest: queue.front().map(|request| request.since),
-                deadline: queue.iter().map(|request| request.deadline).min(),
-            };
+    /// Sends demand, returns and lease renewals unless the measuring budget is spent.
+    fn tick_wallet(&mut self, now: Instant) -> Option<EntryMessage> {
+        if self.settings.policy != SelectionPolicy::Credits || !self.measure.has_room(now) {
+            return None;
         }
-        self.wallet.handle(now, WalletEvent::Tick(work))
+        let message = self.wallet.handle(now, WalletEvent::Tick(self.queue.waiting()))?;
+        self.measure.try_spend(now, message.wire_bytes());
+        Some(message)
     }
 
+    /// Exchanges a server that the request has tried for another one with a free slot.
+    fn respect_exclusions(
+        &mut self,
+        now: Instant,
+        picked: PickedServer,
+        excluded: &[ServerKey],
+    ) -> PickedServer {
+        if !excluded.contains(&picked.server) {
+            return picked;
+        }
+        let class = picked.class;
+        match self.pool.pick(now, class, excluded, &mut self.wallet) {
+            PickOutcome::Start(other) => {
+                self.pool.cancel(now, picked, &mut self.wallet);
+                other
+            }
+            PickOutcome::Wait | PickOutcome::NoServer => picked,
+        }
+    }
+
+    fn replace_settings(&mut self, now: Instant, settings: Arc<ServiceSettings>) {
+        self.measure.change_limits(measure_limits(&settings));
+        self.pool.change_settings(pool_settings(&settings));
+        self.retry.change_settings(now, retry_settings(&settings));
+        self.queue.change_settings(admission_settings(&settings));
+        self.settings = settings;
+    }
+
+    fn change_view(&mut self, now: Instant, announcement: &ServerAnnouncement, life: LifeState) {
+        let key = server_key(&announcement.server);
+        if life == LifeState::Gone {
+            self.servers.remove(&key);
+            return;
+        }
+        let previous = self.servers.get(&key);
+        let was_starting = previous.is_some_and(|view| view.life == LifeState::Starting);
+        let ready_since = match previous {
+            _ if was_starting && life == LifeState::Ready => Some(now),
+            Some(view) => view.ready_since,
+            None => None,
+        };
+        let view = ServerView {
+            id: announcement.server.clone(),
+            address: announcement.address,
+            availability_zone: announcement.availability_zone.clone(),
+            slots: announcement.slots,
+            connections: announcement.connections,
+            life,
+            ready_since,
+        };
+        self.servers.insert(key, view);
+    }
+
+    /// Passes the servers on to pool and wallet.
     fn announce_servers(&mut self, now: Instant) -> Option<EntryMessage> {
-        let limit = self.settings.servers.slots;
+        let limits = &self.settings.servers;
         let mut servers = Vec::with_capacity(self.servers.len());
         for (key, view) in &self.servers {
             if view.life == LifeState::Starting {
                 continue;
             }
-            servers.push(WalletServer {
+            servers.push(PoolServer {
                 server: *key,
                 zone: view.availability_zone.clone(),
-                slots: view.slots.min(limit),
+                slots: view.slots.min(limits.slots),
+                connections: view.connections.min(limits.connections),
+                ready_since: view.ready_since,
                 draining: view.life == LifeState::Draining,
             });
         }
-        self.wallet.handle(now, WalletEvent::ServersChanged(servers))
+        let live = u32::try_from(self.live_entries).unwrap_or(u32::MAX);
+        self.pool.set_servers(servers, live);
+        let event = WalletEvent::ServersChanged(self.pool.wallet_servers(now));
+        self.wallet.handle(now, event)
+    }
+
+    fn drain_queue(&mut self) -> AdmissionQueue<QueueTicket> {
+        let settings = admission_settings(&self.settings);
+        std::mem::replace(&mut self.queue, AdmissionQueue::new(settings))
     }
 }
 
@@ -365,5 +575,40 @@
     }
 }
 
-/// Interval of ticks while a service has waiting requests.
-pub const BUSY_TICK: Duration = Duration::from_millis(1);
+fn pool_settings(settings: &ServiceSettings) -> PoolSettings {
+    PoolSettings {
+        policy: match settings.policy {
+            SelectionPolicy::Random => RoutePolicy::Random,
+            SelectionPolicy::RoundRobin => RoutePolicy::RoundRobin,
+            SelectionPolicy::LeastInFlight => RoutePolicy::LeastInFlight,
+            SelectionPolicy::TwoChoices => RoutePolicy::TwoChoices,
+            SelectionPolicy::Credits => RoutePolicy::Credits,
+        },
+        slow_start: settings.drain.slow_start,
+        health: HealthSettings::default(),
+    }
+}
+
+fn admission_settings(settings: &ServiceSettings) -> AdmissionSettings {
+    let limit = settings.servers.queue as usize;
+    AdmissionSettings { limits: [limit, limit], ..AdmissionSettings::default() }
+}
+
+fn retry_settings(settings: &ServiceSettings) -> RetrySettings {
+    let rule = &settings.retry;
+    RetrySettings {
+        max_attempts: rule.attempts,
+        budget_fraction: f64::from(rule.budget_percent) / 100.0,
+        backoff_base: rule.backoff_min,
+        backoff_limit: rule.backoff_max,
+        hedge_quantile: rule.hedge_quantile.unwrap_or(1.0),
+        ..RetrySettings::default()
+    }
+}
+
+fn measure_limits(settings: &ServiceSettings) -> MeasureLimits {
+    MeasureLimits {
+        messages_per_second: f64::from(settings.measure.messages_per_second),
+        bytes_per_second: settings.measure.bytes_per_second as f64,
+    }
+}
--- /dev/null
+++ b/src/entry/traffic.rs
@@ -0,0 +1,162 @@
+//! Caller connections: listener, health page, announcements and requests.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use futures_util::StreamExt;
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
+
+use super::announce::receive_announcement;
+use super::answer::malformed_response;
+use super::context::EntryContext;
+use super::request::serve_request;
+use crate::http::{CallerConnection, HttpError, RequestBody, RequestHead, ResponseHead};
+
+/// Path of the health page for the platform's balancer.
+pub const HEALTH_PATH: &str = "/.curranthollow/health";
+
+/// Path to which servers announce themselves.
+pub const ANNOUNCE_PATH: &str = "/.curranthollow/announce";
+
+/// Interval at which an idle connection notices that the process finishes.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// Accepts caller connections until the process finishes.
+pub fn listen(context: Arc<EntryContext>, listener: TcpListener) {
+    task::spawn(async move {
+        let open = Arc::new(AtomicUsize::new(0));
+        let mut incoming = listener.incoming();
+        while let Some(stream) = incoming.next().await {
+            if is_finishing(&context) {
+                return;
+            }
+            let Ok(stream) = stream else {
+                // Typically out of file descriptors; a short wait avoids a busy loop.
+                task::sleep(Duration::from_millis(10)).await;
+                continue;
+            };
+            if open.fetch_add(1, Ordering::Relaxed) >= context.open_connections {
+                open.fetch_sub(1, Ordering::Relaxed);
+                context.metrics.count_event("connection_limit");
+                continue;
+            }
+            let context = Arc::clone(&context);
+            let open = Arc::clone(&open);
+            task::spawn(async move {
+                serve_connection(&context, stream).await;
+                open.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    });
+}
+
+fn is_finishing(context: &EntryContext) -> bool {
+    matches!(&*context.phase(), "finishing" | "stopped")
+}
+
+async fn serve_connection(context: &Arc<EntryContext>, stream: TcpStream) {
+    let mut connection = match CallerConnection::new(stream, context.limits.clone()) {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::debug!(error:%; "caller connection failed");
+            return;
+        }
+    };
+    loop {
+        let head = match next_head(context, &mut connection).await {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => return refuse(context, connection, &error).await,
+        };
+        let open = context.open_request();
+        let result = dispatch(context, &mut connection, head).await;
+        drop(open);
+        match result {
+            Ok(true) => (),
+            Ok(false) => return connection.close_lingering().await,
+            Err(error) => {
+                log::debug!(code = error.code(), error:%; "caller connection failed");
+                return;
+            }
+        }
+    }
+}
+
+/// Waits for a request; an idle connection ends when the process finishes.
+async fn next_head(
+    context: &Arc<EntryContext>,
+    connection: &mut CallerConnection,
+) -> Result<Option<RequestHead>, HttpError> {
+    if connection.has_input() {
+        return connection.next_head().await;
+    }
+    let finishing = async {
+        while !is_finishing(context) {
+            task::sleep(STOP_CHECK).await;
+        }
+    };
+    {
+        let arrival = connection.wait_for_input();
+        pin_mut!(arrival, finishing);
+        match select(arrival, finishing).await {
+            Either::Left((Ok(true), _)) => (),
+            Either::Left((Ok(false), _)) | Either::Right(_) => return Ok(None),
+            Either::Left((Err(error), _)) => return Err(error),
+        }
+    }
+    connection.next_head().await
+}
+
+async fn refuse(context: &Arc<EntryContext>, mut connection: CallerConnection, error: &HttpError) {
+    context.metrics.count_event(error.code());
+    let request_id = context.next_request_id();
+    log::info!(request_id:%, peer:% = connection.peer(), code = error.code(), error:%; "request refused");
+    let Some((head, content)) = malformed_response(error, &request_id) else {
+        return;
+    };
+    let mut output = Vec::new();
+    let mut head = head;
+    let _ = head.headers.append("content-length", content.len().to_string().as_bytes());
+    head.write_to(&mut output);
+    output.extend_from_slice(&content);
+    if connection.write(&output).await.is_ok() {
+        connection.close_lingering().await;
+    }
+}
+
+async fn dispatch(
+    context: &Arc<EntryContext>,
+    connection: &mut CallerConnection,
+    head: RequestHead,
+) -> Result<bool, HttpError> {
+    match head.path() {
+        HEALTH_PATH => answer_health(context, connection, &head).await,
+        ANNOUNCE_PATH => receive_announcement(context, connection, &head).await,
+        _ => serve_request(context, connection, head).await,
+    }
+}
+
+async fn answer_health(
+    context: &Arc<EntryContext>,
+    connection: &mut CallerConnection,
+    head: &RequestHead,
+) -> Result<bool, HttpError> {
+    let mut body = RequestBody::new(head);
+    connection.read_whole_body(&mut body, 0).await?;
+    let (status, text) = match context.is_healthy(Instant::now()) {
+        true => (200, "ready\n"),
+        false => (503, "not ready\n"),
+    };
+    let keep_alive = head.keep_alive() && !context.is_stopping();
+    let mut response = ResponseHead::new(status);
+    let _ = response.headers.append("content-type", b"text/plain");
+    if !keep_alive {
+        let _ = response.headers.append("connection", b"close");
+    }
+    connection.respond(head, response, text.as_bytes()).await?;
+    Ok(keep_alive)
+}
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -73,7 +73,13 @@
         limited(limit, "reading a head", self.read_head()).await?.map(Some)
     }
 
-    async fn wait_for_input(&mut self) -> Result<bool, HttpError> {
+    /// Reports whether bytes have arrived that no request has used yet.
+    pub fn has_input(&self) -> bool {
+        !self.stream.input().is_empty()
+    }
+
+    /// Waits for the first byte of a request; `false` when the peer closed or stayed idle.
+    pub async fn wait_for_input(&mut self) -> Result<bool, HttpError> {
         if !self.stream.input().is_empty() {
             return Ok(true);
         }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -57,7 +57,9 @@
     let mut connection = match pool.checkout(address, 1, limit).await {
         Ok(connection) => connection,
         Err(CheckoutError::Connect(error)) => return Err(error),
-        Err(CheckoutError::LimitReached | CheckoutError::ServerGone) => return Err(HttpError::Timeout("connecting")),
+        Err(CheckoutError::LimitReached | CheckoutError::ServerGone) => {
+            return Err(HttpError::Timeout("connecting"));
+        }
     };
     connection.write(request).await?;
     let (head, mut reader) = connection.read_head(method).await?;
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -5,7 +5,7 @@
 use crate::claim::{ClaimKey, ClaimOutcome, ClaimView, OpenClaim, SettleClaim};
 use crate::credit::{EntryMessage, HolderMessage};
 use crate::directory::{RelayedAnnouncement, ServiceKey};
-use crate::ids::{EpochNumber, GroupId, ProcessName, SettingsRevision, ZoneName};
+use crate::ids::{EpochNumber, GroupId, MemberId, ProcessName, SettingsRevision, ZoneName};
 use crate::settings::SettingsDelta;
 
 /// Role of a process.
@@ -37,6 +37,8 @@
     pub role: ProcessRole,
     /// Availability zone of the process.
     pub availability_zone: ZoneName,
+    /// Member id of a control process.
+    pub member: Option<MemberId>,
 }
 
 /// Entry with a live settings lease.
--- a/src/route/admission.rs
+++ b/src/route/admission.rs
@@ -64,6 +64,11 @@
         Self { settings, classes: [ClassQueue::new(), ClassQueue::new()] }
     }
 
+    /// Takes over new rules; queued work beyond new bounds stays.
+    pub fn change_settings(&mut self, settings: AdmissionSettings) {
+        self.settings = settings;
+    }
+
     /// Queues work, or gives it back at once with the reason.
     pub fn offer(
         &mut self,
--- a/src/route/measure.rs
+++ b/src/route/measure.rs
@@ -57,6 +57,14 @@
         true
     }
 
+    /// Whether a further message may be sent now.
+    pub fn has_room(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        self.add(passed);
+        self.messages >= 1.0 && self.bytes >= 1.0
+    }
+
     /// Takes new limits; what is left in the buckets is cut to them.
     pub fn change_limits(&mut self, limits: MeasureLimits) {
         self.limits = limits;
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -77,6 +77,11 @@
         Self { settings, zone, servers, health, state, candidates, seed, avoided }
     }
 
+    /// Takes over new rules; the health of the servers is kept.
+    pub fn change_settings(&mut self, settings: PoolSettings) {
+        self.settings = settings;
+    }
+
     /// Sets all servers of the service. A server left out takes no new work; its requests in
     /// flight stay counted until they finish.
     pub fn set_servers(&mut self, servers: Vec<PoolServer>, live_entries: u32) {
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -90,6 +90,13 @@
         Self { settings, tokens: 1.0, filled_at: now, latency, random }
     }
 
+    /// Takes over new rules; saved tokens are cut to the new bound.
+    pub fn change_settings(&mut self, now: Instant, settings: RetrySettings) {
+        self.fill(now);
+        self.settings = settings;
+        self.earn(0.0);
+    }
+
     /// Notes a successful response, which earns budget.
     pub fn note_success(&mut self, now: Instant, latency: Duration) {
         self.fill(now);
