--- /dev/null
+++ b/src/storage/mod.rs
@@ -0,0 +1,37 @@
+//! Data folder of a control member: write-ahead log, snapshots, identity.
+
+mod checked_file;
+mod frame;
+mod log_storage;
+mod recovery;
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use thiserror::Error;
+
+pub use checked_file::{FormedIdentity, StoredIdentity};
+pub use log_storage::{LogBatch, LogStorage, StorageOptions, SyncFn};
+pub use recovery::RecoveredGroup;
+
+/// Failures of the data folder. Each of them is fatal for the process.
+#[derive(Debug, Error)]
+pub enum StorageError {
+    #[error("the data folder {0} is in use by another process")]
+    Locked(PathBuf),
+    #[error("{path}: damaged at offset {offset}: {reason}")]
+    Damaged { path: PathBuf, offset: u64, reason: &'static str },
+    #[error("{path}: {action} failed: {source}")]
+    Io { path: PathBuf, action: &'static str, source: io::Error },
+    /// After a failed sync the kernel may have dropped the data, so a second sync proves nothing.
+    #[error("the data folder is unusable after an earlier failure; the process must stop")]
+    Failed,
+    #[error("a batch of {0} bytes is over the limit")]
+    TooLarge(usize),
+}
+
+impl StorageError {
+    pub(crate) fn io(path: &Path, action: &'static str) -> impl FnOnce(io::Error) -> Self {
+        move |source| Self::Io { path: path.to_owned(), action, source }
+    }
+}
