Test the Raft state machine and the formation under seeded faults

Cause: the state machine was written without a test.

Ruled out: one test binary per topic. The shared harness then has unused parts in each of them, which the lints refuse.

Change: tests/consensus with an in-memory delivery harness (loss, delay, duplicates, cuts in one direction, freezes, crashes, lost disks, slow syncs), behaviour tests, fault tests and formation tests.

--- /dev/null
+++ b/tests/consensus/behaviour.rs
@@ -0,0 +1,201 @@
+//! Behaviour of the Raft state machine: elections, membership, snapshots, confirmation.
+
+use crate::harness::{Cluster, Faults, name_of};
+use curranthollow::consensus::members::MemberChange;
+use curranthollow::consensus::node::{Proposal, Refusal};
+use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role};
+use yare::parameterized;
+
+/// Guards against a cluster that elects no leader or loses an acknowledged payload on the way to
+/// its followers.
+#[parameterized(one = { 1, 1 }, three = { 3, 2 }, five = { 5, 3 })]
+fn elects_and_replicates(count: u64, seed: u64) {
+    let mut cluster = Cluster::new(count, seed, Faults::default());
+    cluster.await_leader();
+    for _ in 0..100 {
+        cluster.propose();
+        cluster.step();
+    }
+    cluster.run(60);
+    assert_eq!(cluster.acknowledged.len(), 100);
+    for id in cluster.ids() {
+        cluster.check_complete(id);
+    }
+}
+
+/// Guards against a partitioned member that raises its term alone and deposes the leader when it
+/// comes back.
+#[parameterized(first = { 11 }, second = { 12 }, third = { 13 })]
+fn returning_member_does_not_depose_the_leader(seed: u64) {
+    let mut cluster = Cluster::new(3, seed, Faults::default());
+    let leader = cluster.await_leader();
+    let term = cluster.node(leader).term();
+    let other = cluster.ids().into_iter().find(|&id| id != leader).expect("three members");
+    cluster.isolate(other);
+    cluster.run(400);
+    cluster.heal();
+    cluster.run(400);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.node(leader).term(), term);
+    assert_eq!(cluster.node(other).term(), term);
+}
+
+/// Guards against a leader that hears nobody but keeps its followers from electing another.
+#[parameterized(first = { 21 }, second = { 22 })]
+fn deaf_leader_steps_down(seed: u64) {
+    let mut cluster = Cluster::new(3, seed, Faults::default());
+    let leader = cluster.await_leader();
+    for other in cluster.ids() {
+        cluster.cut(other, leader);
+    }
+    cluster.run_until("another leader", |cluster| {
+        cluster.leader().is_some_and(|id| id != leader)
+            && cluster.node(leader).role() != Role::Leader
+    });
+    cluster.commit_one();
+}
+
+/// Guards against a follower that hears nobody and disturbs a leader that the others hear.
+#[test]
+fn deaf_follower_does_not_disturb() {
+    let mut cluster = Cluster::new(3, 31, Faults::default());
+    let leader = cluster.await_leader();
+    let term = cluster.node(leader).term();
+    let deaf = cluster.ids().into_iter().find(|&id| id != leader).expect("three members");
+    for other in cluster.ids() {
+        cluster.cut(other, deaf);
+    }
+    cluster.run(600);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.node(leader).term(), term);
+}
+
+/// Guards against confirmation by a leader that a majority has left.
+#[test]
+fn cut_off_leader_confirms_nothing() {
+    let mut cluster = Cluster::new(3, 41, Faults::default());
+    let old = cluster.await_leader();
+    cluster.event(old, RaftEvent::ConfirmLeadership { request: 1 });
+    cluster.run(10);
+    assert_eq!(cluster.confirmed.len(), 1);
+    cluster.isolate(old);
+    cluster.event(old, RaftEvent::ConfirmLeadership { request: 2 });
+    cluster.run(200);
+    cluster.heal();
+    cluster.run(200);
+    assert!(cluster.confirmed.iter().all(|&(request, _)| request != 2));
+}
+
+/// Guards against a confirmation whose index is behind what was acknowledged before.
+#[test]
+fn confirmed_index_covers_acknowledged_entries() {
+    let mut cluster = Cluster::new(3, 42, Faults::default());
+    cluster.await_leader();
+    cluster.commit_one();
+    let old = cluster.leader().expect("there is a leader");
+    let acknowledged = cluster.node(old).commit();
+    cluster.crash(old);
+    cluster.run_until("a new leader", |cluster| cluster.leader().is_some());
+    let new = cluster.leader().expect("there is a leader");
+    cluster.event(new, RaftEvent::ConfirmLeadership { request: 5 });
+    cluster.run(60);
+    let confirmed = cluster.confirmed.iter().find(|&&(request, _)| request == 5);
+    assert!(confirmed.expect("leadership is confirmed").1 >= acknowledged);
+}
+
+/// Guards against a transfer that loses entries or ends without the chosen leader.
+#[test]
+fn transfer_reaches_the_chosen_member() {
+    let mut cluster = Cluster::new(3, 51, Faults::default());
+    let leader = cluster.await_leader();
+    let target = cluster.ids().into_iter().find(|&id| id != leader).expect("three members");
+    for _ in 0..20 {
+        cluster.propose();
+    }
+    cluster.event(leader, RaftEvent::Transfer { to: Some(target) });
+    cluster.run_until("the chosen leader", |cluster| cluster.leader() == Some(target));
+    cluster.commit_one();
+    cluster.run(60);
+    cluster.check_complete(target);
+    assert_eq!(cluster.acknowledged.len(), 21);
+}
+
+/// Guards against promotion of a learner that does not hold everything committed.
+#[test]
+fn learner_behind_is_not_promoted() {
+    let mut cluster = Cluster::new(3, 61, Faults::default());
+    cluster.await_leader();
+    cluster.commit_one();
+    cluster.change(MemberChange::AddLearner { member: 4, name: name_of(4) });
+    cluster.run(60);
+    cluster.change(MemberChange::Promote { member: 4 });
+    cluster.run(60);
+    let leader = cluster.leader().expect("there is a leader");
+    let members = cluster.node(leader).members();
+    assert!(members.contains(4) && !members.is_voter(4));
+}
+
+/// Guards against a removed leader that stays leader or a removed member that disturbs the rest.
+#[test]
+fn removed_leader_leaves() {
+    let mut cluster = Cluster::new(3, 62, Faults::default());
+    let old = cluster.await_leader();
+    cluster.change(MemberChange::Remove { member: old });
+    cluster.run_until("a new leader", |cluster| cluster.leader().is_some_and(|id| id != old));
+    cluster.commit_one();
+    let leader = cluster.leader().expect("there is a leader");
+    let term = cluster.node(leader).term();
+    cluster.run(400);
+    assert_eq!(cluster.node(leader).term(), term);
+    assert!(!cluster.node(leader).members().contains(old));
+}
+
+/// Guards against a removal that leaves too few voters that hold everything.
+#[test]
+fn removal_that_endangers_data_is_refused() {
+    let mut cluster = Cluster::new(3, 63, Faults::default());
+    let leader = cluster.await_leader();
+    let others: Vec<_> = cluster.ids().into_iter().filter(|&id| id != leader).collect();
+    cluster.crash(others[0]);
+    cluster.run(100);
+    cluster.change(MemberChange::Remove { member: others[1] });
+    cluster.run(60);
+    assert!(cluster.node(leader).members().is_voter(others[1]));
+}
+
+/// Guards against unbounded memory under proposals that cannot commit.
+#[test]
+fn uncommitted_proposals_are_bounded() {
+    let now = std::time::Instant::now();
+    let config = RaftConfig { max_uncommitted_entries: 10, ..RaftConfig::default() };
+    let initial = curranthollow::consensus::members::MemberSet::of_voters([(1, name_of(1))]);
+    let state = curranthollow::consensus::node::RestartState { initial, ..Default::default() };
+    let mut node = RaftNode::new(config, 0, 1, 1, now, state);
+    let later = now + std::time::Duration::from_secs(2);
+    node.handle(later, RaftEvent::Tick);
+    node.handle(later, RaftEvent::Persisted { sequence: 1 });
+    assert_eq!(node.role(), Role::Leader);
+    let proposals = (0..30).map(|request| Proposal { request, payload: vec![0; 8] }).collect();
+    let actions = node.handle(later, RaftEvent::Propose(proposals));
+    let busy = actions
+        .iter()
+        .filter(|action| matches!(action, RaftAction::Refused { refusal: Refusal::Busy, .. }));
+    // One place is taken by the first entry of the term.
+    assert_eq!(busy.count(), 21);
+}
+
+/// Guards against an own entry or vote that counts before it is synced.
+#[test]
+fn nothing_counts_before_it_is_synced() {
+    let now = std::time::Instant::now();
+    let initial = curranthollow::consensus::members::MemberSet::of_voters([(1, name_of(1))]);
+    let state = curranthollow::consensus::node::RestartState { initial, ..Default::default() };
+    let mut node = RaftNode::new(RaftConfig::default(), 0, 1, 1, now, state);
+    let later = now + std::time::Duration::from_secs(2);
+    node.handle(later, RaftEvent::Tick);
+    assert_eq!(node.role(), Role::Candidate);
+    node.handle(later, RaftEvent::Persisted { sequence: 1 });
+    assert_eq!((node.role(), node.commit()), (Role::Leader, 0));
+    node.handle(later, RaftEvent::Persisted { sequence: 2 });
+    assert_eq!(node.commit(), 1);
+}
--- /dev/null
+++ b/tests/consensus/harness.rs
@@ -0,0 +1,433 @@
+//! In-memory delivery of consensus messages with seeded faults, and the safety checks.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use curranthollow::consensus::members::{MemberChange, MemberSet};
+use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, RaftMessage};
+use curranthollow::consensus::node::{Proposal, RestartState};
+use curranthollow::consensus::repair::{JoinRequests, next_change};
+use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role};
+
+/// Simulated time of one step.
+pub(crate) const STEP: Duration = Duration::from_millis(5);
+
+/// Entries applied between snapshots; small, so that the tests transfer snapshots.
+const COMPACT_ENTRIES: u64 = 40;
+
+/// Durable content of one member.
+#[derive(Clone, Default)]
+struct Disk {
+    state: RestartState,
+}
+
+/// Content of one `Persist` action.
+type PersistRequest = (u64, Option<HardState>, Option<u64>, Vec<LogEntry>);
+
+struct Member {
+    node: RaftNode,
+    disk: Disk,
+    name: Box<str>,
+    /// `Persist` actions that are not synced yet.
+    unsynced: Vec<PersistRequest>,
+    /// Payloads applied so far; the state machine.
+    state: Vec<u64>,
+    applied: u64,
+    snapshot_index: u64,
+    joins: JoinRequests,
+    alive: bool,
+    frozen: bool,
+}
+
+/// Faults of the message delivery.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Faults {
+    /// Share of messages that are lost, in percent.
+    pub(crate) loss: u32,
+    /// Share of messages that are delivered twice, in percent.
+    pub(crate) duplicate: u32,
+    /// Longest delay in steps; different delays reorder messages.
+    pub(crate) delay: u32,
+    /// Share of steps in which a member does not sync, in percent.
+    pub(crate) slow_sync: u32,
+}
+
+pub(crate) struct Cluster {
+    pub(crate) now: Instant,
+    pub(crate) random: fastrand::Rng,
+    pub(crate) faults: Faults,
+    members: BTreeMap<u64, Member>,
+    wire: Vec<(Instant, RaftMessage)>,
+    cuts: BTreeSet<(u64, u64)>,
+    /// Committed entries by index, as the first member to commit them saw them.
+    committed: BTreeMap<u64, LogEntry>,
+    leaders: BTreeMap<u64, u64>,
+    /// Payloads reported as committed by the leader that accepted them.
+    pub(crate) acknowledged: BTreeSet<u64>,
+    accepted: BTreeMap<(u64, u64, u64), u64>,
+    pub(crate) confirmed: Vec<(u64, u64)>,
+    next_payload: u64,
+}
+
+fn config() -> RaftConfig {
+    RaftConfig {
+        election_timeout: Duration::from_millis(150),
+        heartbeat_interval: Duration::from_millis(30),
+        max_append_bytes: 200,
+        max_in_flight: 4,
+        chunk_bytes: 64,
+        kept_entries: 8,
+        ..RaftConfig::default()
+    }
+}
+
+pub(crate) fn name_of(member: u64) -> Box<str> {
+    // Ids 1, 11 and 21 are successive ids of the member with the same name.
+    format!("control-{}", member % 10).into()
+}
+
+impl Cluster {
+    pub(crate) fn new(count: u64, seed: u64, faults: Faults) -> Self {
+        let mut cluster = Self {
+            now: Instant::now(),
+            random: fastrand::Rng::with_seed(seed),
+            faults,
+            members: BTreeMap::new(),
+            wire: Vec::new(),
+            cuts: BTreeSet::new(),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            acknowledged: BTreeSet::new(),
+            accepted: BTreeMap::new(),
+            confirmed: Vec::new(),
+            next_payload: 0,
+        };
+        let initial = MemberSet::of_voters((1..=count).map(|id| (id, name_of(id))));
+        for id in 1..=count {
+            let state = RestartState { initial: initial.clone(), ..RestartState::default() };
+            cluster.start(id, Disk { state });
+        }
+        cluster
+    }
+
+    fn start(&mut self, id: u64, disk: Disk) {
+        let seed = self.random.u64(..);
+        let node = RaftNode::new(config(), 0, id, seed, self.now, disk.state.clone());
+        let snapshot = disk.state.snapshot.clone();
+        let state = snapshot.as_ref().map_or_else(Vec::new, |saved| decode(&saved.data));
+        let applied = snapshot.map_or(0, |saved| saved.index);
+        let member = Member {
+            node,
+            disk,
+            name: name_of(id),
+            unsynced: Vec::new(),
+            state,
+            applied,
+            snapshot_index: applied,
+            joins: JoinRequests::new(),
+            alive: true,
+            frozen: false,
+        };
+        self.members.insert(id, member);
+    }
+
+    pub(crate) fn crash(&mut self, id: u64) {
+        let member = self.members.get_mut(&id).expect("the member exists");
+        member.alive = false;
+        member.unsynced.clear();
+    }
+
+    pub(crate) fn restart(&mut self, id: u64) {
+        let disk = self.members[&id].disk.clone();
+        self.start(id, disk);
+    }
+
+    /// The member comes back with an empty folder and a new id.
+    pub(crate) fn lose_disk(&mut self, id: u64, new_id: u64) {
+        self.crash(id);
+        self.start(new_id, Disk::default());
+    }
+
+    pub(crate) fn freeze(&mut self, id: u64, frozen: bool) {
+        self.members.get_mut(&id).expect("the member exists").frozen = frozen;
+    }
+
+    pub(crate) fn is_alive(&self, id: u64) -> bool {
+        self.members[&id].alive
+    }
+
+    pub(crate) fn ids(&self) -> Vec<u64> {
+        self.members.keys().copied().collect()
+    }
+
+    pub(crate) fn node(&self, id: u64) -> &RaftNode {
+        &self.members[&id].node
+    }
+
+    pub(crate) fn cut(&mut self, from: u64, to: u64) {
+        self.cuts.insert((from, to));
+    }
+
+    pub(crate) fn isolate(&mut self, id: u64) {
+        for other in self.ids() {
+            self.cut(id, other);
+            self.cut(other, id);
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    /// Leader with the highest term among running members.
+    pub(crate) fn leader(&self) -> Option<u64> {
+        let running = self.members.iter().filter(|(_, member)| member.alive && !member.frozen);
+        let leaders = running.filter(|(_, member)| member.node.role() == Role::Leader);
+        leaders.max_by_key(|(_, member)| member.node.term()).map(|(&id, _)| id)
+    }
+
+    pub(crate) fn propose(&mut self) -> Option<u64> {
+        let leader = self.leader()?;
+        self.next_payload += 1;
+        let payload = self.next_payload;
+        let proposal = Proposal { request: payload, payload: payload.to_le_bytes().to_vec() };
+        self.event(leader, RaftEvent::Propose(vec![proposal]));
+        Some(payload)
+    }
+
+    pub(crate) fn event(&mut self, id: u64, event: RaftEvent) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        if !member.alive || member.frozen {
+            return;
+        }
+        let actions = member.node.handle(self.now, event);
+        for action in actions {
+            self.perform(id, action);
+        }
+    }
+
+    fn perform(&mut self, id: u64, action: RaftAction) {
+        let member = self.members.get_mut(&id).expect("the member exists");
+        match action {
+            RaftAction::Persist { sequence, hard_state, truncate_from, entries } => {
+                member.unsynced.push((sequence, hard_state, truncate_from, entries));
+            }
+            RaftAction::Send(message) => self.post(message),
+            RaftAction::Commit(entries) => {
+                for entry in entries {
+                    self.commit(id, entry);
+                }
+            }
+            RaftAction::Accepted { request, term, index } => {
+                self.accepted.insert((id, index, term), request);
+            }
+            RaftAction::InstallSnapshot(snapshot) => {
+                member.disk.save(&snapshot);
+                member.state = decode(&snapshot.data);
+                member.applied = snapshot.index;
+                member.snapshot_index = snapshot.index;
+                self.event(id, RaftEvent::SnapshotInstalled(snapshot));
+            }
+            RaftAction::LeadershipConfirmed { request, index } => {
+                self.confirmed.push((request, index));
+            }
+            RaftAction::RoleChanged { role: Role::Leader, term, .. } => {
+                let first = *self.leaders.entry(term).or_insert(id);
+                assert_eq!(first, id, "two leaders in term {term}");
+            }
+            RaftAction::Refused { .. } | RaftAction::RoleChanged { .. } => {}
+        }
+    }
+
+    fn commit(&mut self, id: u64, entry: LogEntry) {
+        let known = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+        assert_eq!(*known, entry, "member {id} committed another entry");
+        let member = self.members.get_mut(&id).expect("the member exists");
+        assert_eq!(entry.index, member.applied + 1, "member {id} skipped an entry");
+        member.applied = entry.index;
+        let EntryBody::Payload(payload) = &entry.body else { return };
+        let payload = u64::from_le_bytes(payload.as_slice().try_into().expect("8 bytes"));
+        member.state.push(payload);
+        if self.accepted.get(&(id, entry.index, entry.term)) == Some(&payload) {
+            self.acknowledged.insert(payload);
+        }
+    }
+
+    fn post(&mut self, message: RaftMessage) {
+        let copies = 1 + u32::from(self.random.u32(0..100) < self.faults.duplicate);
+        for _ in 0..copies {
+            if self.random.u32(0..100) < self.faults.loss {
+                continue;
+            }
+            let steps = 1 + self.random.u32(0..=self.faults.delay);
+            self.wire.push((self.now + STEP * steps, message.clone()));
+        }
+    }
+
+    /// One step of simulated time: deliver, tick, sync, compact, repair.
+    pub(crate) fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.wire).into_iter().partition(|(at, _)| *at <= now);
+        self.wire = later;
+        for (_, message) in due {
+            if !self.cuts.contains(&(message.from, message.to)) {
+                self.event(message.to, RaftEvent::Message(message));
+            }
+        }
+        for id in self.ids() {
+            self.event(id, RaftEvent::Tick);
+            if self.random.u32(0..100) >= self.faults.slow_sync {
+                self.sync(id);
+            }
+            self.compact(id);
+            self.repair(id);
+        }
+    }
+
+    pub(crate) fn run(&mut self, steps: u32) {
+        for _ in 0..steps {
+            self.step();
+        }
+    }
+
+    /// Runs until `done`, at most 4000 steps.
+    pub(crate) fn run_until(&mut self, what: &str, mut done: impl FnMut(&Self) -> bool) {
+        for _ in 0..4000 {
+            if done(self) {
+                return;
+            }
+            self.step();
+        }
+        panic!("not reached: {what}");
+    }
+
+    fn sync(&mut self, id: u64) {
+        let member = self.members.get_mut(&id).expect("the member exists");
+        if !member.alive || member.frozen {
+            return;
+        }
+        let Some(&(sequence, ..)) = member.unsynced.last() else { return };
+        for (_, hard_state, truncate_from, entries) in std::mem::take(&mut member.unsynced) {
+            member.disk.write(hard_state, truncate_from, entries);
+        }
+        self.event(id, RaftEvent::Persisted { sequence });
+    }
+
+    fn compact(&mut self, id: u64) {
+        let member = self.members.get_mut(&id).expect("the member exists");
+        if !member.alive || member.applied < member.snapshot_index + COMPACT_ENTRIES {
+            return;
+        }
+        let data = member.state.iter().flat_map(|payload| payload.to_le_bytes()).collect();
+        let snapshot = member.node.snapshot_at(member.applied, data).expect("it is committed");
+        let snapshot = Arc::new(snapshot);
+        member.snapshot_index = snapshot.index;
+        member.disk.save(&snapshot);
+        self.event(id, RaftEvent::SnapshotSaved(snapshot));
+    }
+
+    /// Does what the host does: running members outside the list ask to join.
+    fn repair(&mut self, id: u64) {
+        let now_leader = self.leader();
+        let member = self.members.get_mut(&id).expect("the member exists");
+        if !member.alive || member.frozen {
+            return;
+        }
+        if let Some(change) = next_change(&member.node, &member.joins) {
+            self.event(id, RaftEvent::ChangeMembers { request: u64::MAX, change });
+            return;
+        }
+        if member.node.members().contains(id) {
+            return;
+        }
+        let name = member.name.clone();
+        let Some(leader) = now_leader.filter(|leader| !self.cuts.contains(&(id, *leader))) else {
+            return;
+        };
+        let leader = self.members.get_mut(&leader).expect("the member exists");
+        leader.joins.insert(name, id);
+    }
+
+    pub(crate) fn change(&mut self, change: MemberChange) {
+        let leader = self.leader().expect("there is a leader");
+        self.event(leader, RaftEvent::ChangeMembers { request: u64::MAX, change });
+    }
+
+    pub(crate) fn await_leader(&mut self) -> u64 {
+        self.run_until("a leader with a committed entry of its term", |cluster| {
+            cluster.leader().is_some_and(|id| {
+                let node = cluster.node(id);
+                cluster.committed.get(&node.commit()).is_some_and(|e| e.term == node.term())
+            })
+        });
+        self.leader().expect("the loop ended with a leader")
+    }
+
+    /// Proposes until one payload is acknowledged.
+    pub(crate) fn commit_one(&mut self) {
+        for _ in 0..40 {
+            self.await_leader();
+            let Some(payload) = self.propose() else { continue };
+            for _ in 0..100 {
+                self.step();
+                if self.acknowledged.contains(&payload) {
+                    return;
+                }
+            }
+        }
+        panic!("no payload was committed");
+    }
+
+    /// Checks that `id` holds every acknowledged payload and equals the committed log.
+    pub(crate) fn check_complete(&self, id: u64) {
+        let state: BTreeSet<u64> = self.members[&id].state.iter().copied().collect();
+        let lost: Vec<_> = self.acknowledged.difference(&state).collect();
+        assert!(lost.is_empty(), "member {id} lost {} from {:?} on", lost.len(), lost.first());
+        let expected = self.committed.range(..=self.members[&id].applied);
+        let payloads = expected.filter_map(|(_, entry)| match &entry.body {
+            EntryBody::Payload(payload) => Some(decode(payload)[0]),
+            _ => None,
+        });
+        assert!(payloads.eq(self.members[&id].state.iter().copied()), "member {id} differs");
+    }
+}
+
+impl Disk {
+    fn write(
+        &mut self,
+        hard_state: Option<HardState>,
+        truncate_from: Option<u64>,
+        entries: Vec<LogEntry>,
+    ) {
+        self.state.hard_state = hard_state.unwrap_or(self.state.hard_state);
+        if let Some(from) = truncate_from {
+            self.state.entries.retain(|entry| entry.index < from);
+        }
+        let base = self.state.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        for entry in entries {
+            if entry.index <= base {
+                continue;
+            }
+            let last = self.state.entries.back().map_or(base, |entry| entry.index);
+            assert_eq!(entry.index, last + 1, "a persisted log has no gap");
+            self.state.entries.push_back(entry);
+        }
+    }
+
+    fn save(&mut self, snapshot: &Arc<curranthollow::consensus::message::Snapshot>) {
+        let at = self.state.entries.iter().find(|entry| entry.index == snapshot.index);
+        let conflict = at.is_some_and(|entry| entry.term != snapshot.term);
+        self.state.snapshot = Some(Arc::clone(snapshot));
+        let kept: VecDeque<_> = std::mem::take(&mut self.state.entries);
+        let kept = kept.into_iter().filter(|entry| !conflict && entry.index > snapshot.index);
+        self.state.entries = kept.collect();
+    }
+}
+
+fn decode(data: &[u8]) -> Vec<u64> {
+    let chunks = data.chunks_exact(8);
+    chunks.map(|chunk| u64::from_le_bytes(chunk.try_into().expect("8 bytes"))).collect()
+}
--- /dev/null
+++ b/tests/consensus/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the replicated log.
+
+mod behaviour;
+mod faults;
+mod formation;
+mod harness;
