--- a/src/config.rs
+++ b/src/config.rs
@@ -193,6 +193,7 @@
         check.check_peers();
         check.check_own_peer();
         check.check_limits();
+        check.errors.sort_by_key(|error| (error.line, error.column));
         check.errors
     }
 
--- a/src/schema/validator.rs
+++ b/src/schema/validator.rs
@@ -253,7 +253,9 @@
             {
                 let key = unique.unwrap_or_default();
                 let message = format!("{key} `{}` is given twice", quote(text));
-                self.report(node.range().start, &format!("{inner}.{key}"), message);
+                let named = format!("{inner}.{key}");
+                let offset = self.positions.get(named.as_str()).copied();
+                self.report(offset.unwrap_or(node.range().start), &named, message);
             }
             list.push(value);
         }
--- /dev/null
+++ b/tests/schema.rs
@@ -0,0 +1,192 @@
+//! Guards the validator: every fault is found, placed and explained, and hostile texts cost little.
+
+use curranthollow::schema::{
+    DEPTH_LIMIT, DOCUMENT_LIMIT, ERROR_LIMIT, SchemaCheck, TextFormat, parse_quantile,
+};
+use curranthollow::units::{format_duration, format_size, parse_duration, parse_size};
+use serde_json::Value;
+use std::time::Duration;
+use yare::parameterized;
+
+const SCHEMAS: [&str; 5] = [
+    include_str!("../schema/config.schema.json"),
+    include_str!("../schema/settings.schema.json"),
+    include_str!("../schema/announcement.schema.json"),
+    include_str!("../schema/operator.schema.json"),
+    include_str!("../schema/chart.schema.json"),
+];
+
+fn team_errors(text: &str) -> Vec<String> {
+    let result = SchemaCheck::team_settings().validate(text, "teams.lakeshore");
+    let errors = result.err().unwrap_or_default();
+    errors.iter().map(ToString::to_string).collect()
+}
+
+/// Puts a service's content into a valid document; the content starts at line 2, column 1.
+fn service_errors(content: &str) -> Vec<String> {
+    team_errors(&format!(
+        "{{\"team\": \"lakeshore\", \"services\": {{\"rounds\": {{\"match\": {{\"path_prefix\": \"/r\"}},\n{content}}}}}}}"
+    ))
+}
+
+// Guards against a fault that passes, is misplaced, or is reported without what is allowed.
+#[parameterized(
+    wrong_type = { r#""servers": {"slots": "6"}"#, "2:22: teams.lakeshore.services.rounds.servers.slots: expected an integer from 1 to 65535, found \"6\"" },
+    below_range = { r#""servers": {"slots": 0}"#, "2:22: teams.lakeshore.services.rounds.servers.slots: expected an integer from 1 to 65535, found 0" },
+    fraction = { r#""servers": {"slots": 1.5}"#, "2:22: teams.lakeshore.services.rounds.servers.slots: expected an integer from 1 to 65535, found 1.5" },
+    huge = { r#""servers": {"slots": 99999999999999999999}"#, "2:22: teams.lakeshore.services.rounds.servers.slots: expected an integer from 1 to 65535, found 99999999999999999999" },
+    null = { r#""servers": null"#, "2:12: teams.lakeshore.services.rounds.servers: expected an object, found null" },
+    close_key = { r#""servers": {"slot": 6}"#, "2:13: teams.lakeshore.services.rounds.servers.slot: unknown key, did you mean `slots`?" },
+    far_key = { r#""servers": {"threads": 6}"#, "2:13: teams.lakeshore.services.rounds.servers.threads: unknown key, allowed are connections, queue, slots" },
+    duplicate_key = { r#""servers": {"slots": 6, "slots": 7}"#, "2:25: teams.lakeshore.services.rounds.servers.slots: the key is given twice" },
+    no_unit = { r#""deadline": "3""#, "2:13: teams.lakeshore.services.rounds.deadline: expected a duration such as 250ms, 3s, 2m or 24h, from 10ms to 24h, found \"3\"" },
+    short_duration = { r#""deadline": "9ms""#, "2:13: teams.lakeshore.services.rounds.deadline: expected a duration such as 250ms, 3s, 2m or 24h, from 10ms to 24h, found \"9ms\"" },
+    long_duration = { r#""drain": {"drain_time": "61s"}"#, "2:25: teams.lakeshore.services.rounds.drain.drain_time: expected a duration such as 250ms, 3s, 2m or 24h, from 100ms to 1m, found \"61s\"" },
+    overflow = { r#""deadline": "18446744073709551615h""#, "2:13: teams.lakeshore.services.rounds.deadline: expected a duration such as 250ms, 3s, 2m or 24h, from 10ms to 24h, found \"18446744073709551615h\"" },
+    wrong_size = { r#""long_body_threshold": "1KB""#, "2:24: teams.lakeshore.services.rounds.long_body_threshold: expected a size such as 512B, 64KiB, 8MiB or 1GiB, from 1B to 1GiB, found \"1KB\"" },
+    wrong_choice = { r#""policy": "fastest""#, "2:11: teams.lakeshore.services.rounds.policy: expected one of \"random\", \"round_robin\", \"least_in_flight\", \"two_choices\", \"credits\", found \"fastest\"" },
+    quantile = { r#""retry": {"hedge_quantile": "p30"}"#, "2:29: teams.lakeshore.services.rounds.retry.hedge_quantile: expected off or a quantile from p50 to p99.99 such as p99, found \"p30\"" },
+    status = { r#""retry": {"not_run_statuses": [503, 200]}"#, "2:37: teams.lakeshore.services.rounds.retry.not_run_statuses[1]: expected an integer from 400 to 599, found 200" },
+    class_twice = { r#""classes": [{"name": "a", "idempotent": true}, {"name": "a", "idempotent": true}]"#, "2:57: teams.lakeshore.services.rounds.classes[1].name: name `a` is given twice" },
+    missing_in_class = { r#""classes": [{"name": "a"}]"#, "2:13: teams.lakeshore.services.rounds.classes[0]: missing key `idempotent`, expected true or false" },
+    empty_methods = { r#""classes": [{"name": "a", "idempotent": true, "methods": []}]"#, "2:58: teams.lakeshore.services.rounds.classes[0].methods: expected a list of 1 to 16 items, found a list of 0 items" },
+    column_after_umlaut = { r#"/* ü */ "policy": 1"#, "2:19: teams.lakeshore.services.rounds.policy: expected one of \"random\", \"round_robin\", \"least_in_flight\", \"two_choices\", \"credits\", found 1" },
+)]
+fn reports_fault(content: &str, expected: &str) {
+    assert_eq!(service_errors(content), [expected]);
+}
+
+// Guards against extensions of JSON beyond comments and trailing commas.
+#[parameterized(
+    bare_key = { "{team: \"a\"}" },
+    single_quotes = { "{'team': 'a'}" },
+    missing_comma = { "{\"team\": \"a\" \"services\": {}}" },
+    hexadecimal = { "{\"team\": 0x10}" },
+    plus = { "{\"team\": +1}" },
+    nan = { "{\"team\": NaN}" },
+    unfinished = { "{\"team\": " },
+    two_values = { "{} {}" },
+    empty = { "" },
+    only_comment = { "// nothing" },
+)]
+fn refuses_other_syntax(text: &str) {
+    assert_eq!(team_errors(text).len(), 1);
+}
+
+// Guards against a path that two spellings or a dot segment could lead around.
+#[parameterized(
+    no_slash = { "rounds" }, end = { "/rounds/" }, double = { "//rounds" }, dots = { "/a/../b" },
+    escape = { "/a%2fb" }, query = { "/a?b" }, space = { "/a b" }, empty = { "" },
+)]
+fn refuses_path(path: &str) {
+    assert!(!TextFormat::PathPrefix.allows(path));
+}
+
+// Guards against a report that stops at the first error.
+#[test]
+fn reports_all_errors_in_order() {
+    let text = include_str!("faults/team.jsonc");
+    insta::assert_snapshot!(team_errors(text).join("\n"));
+}
+
+// Guards against a document whose size, depth or number of errors takes long to handle.
+#[test]
+fn bounds_hostile_documents() {
+    let large = format!("{{\"team\": \"{}\"}}", "a".repeat(DOCUMENT_LIMIT));
+    assert_eq!(team_errors(&large).len(), 1);
+    let deep = "[".repeat(DOCUMENT_LIMIT);
+    let message = format!(
+        "1:{}: teams.lakeshore: more than {DEPTH_LIMIT} levels of objects and lists",
+        DEPTH_LIMIT + 1
+    );
+    assert_eq!(team_errors(&deep), [message]);
+    let hidden = format!("{{\"team\": \"{}\\\"\" /* {} */}}", "[".repeat(100), "{".repeat(100));
+    assert!(!team_errors(&hidden)[0].contains("levels"));
+    let many: String = (0..5000).map(|key| format!("\"key{key}\": 1,")).collect();
+    assert_eq!(team_errors(&format!("{{{many}}}")).len(), ERROR_LIMIT);
+    let long = format!("{{\"{}\": 1, \"team\": \"a\", \"services\": {{}}}}", "k".repeat(10_000));
+    assert!(team_errors(&long)[0].len() < 300);
+}
+
+// Guards against a team that makes every change of the tree costly by its number of services.
+#[test]
+fn bounds_services_of_a_team() {
+    let service =
+        |number| format!("\"s{number}\": {{\"match\": {{\"path_prefix\": \"/s{number}\"}}}},");
+    let services: String = (0..501).map(service).collect();
+    let text = format!("{{\"team\": \"lakeshore\", \"services\": {{{services}}}}}");
+    let expected = "1:35: teams.lakeshore.services: expected at most 500 keys, found 501";
+    assert_eq!(team_errors(&text), [expected]);
+}
+
+// Guards against a schema with an unknown format, a dead reference, a key without description or
+// an object that lets unknown keys pass.
+#[test]
+fn schemas_are_complete() {
+    for text in SCHEMAS {
+        let schema: Value = serde_json::from_str(text).unwrap();
+        check_schema(&schema, &schema);
+    }
+}
+
+fn check_schema(file: &Value, schema: &Value) {
+    if let Some(name) = schema["format"].as_str() {
+        assert!(TextFormat::by_name(name).is_some(), "unknown format {name}");
+    }
+    if let Some(target) = schema["$ref"].as_str() {
+        assert!(file.pointer(&target[1..]).is_some(), "dead reference {target}");
+    }
+    if schema["type"] == "object" {
+        assert!(schema.get("additionalProperties").is_some(), "open object: {schema}");
+    }
+    if schema["type"] == "integer" {
+        assert!(schema["minimum"].is_i64() && schema["maximum"].is_i64(), "no range: {schema}");
+    }
+    for property in schema["properties"].as_object().into_iter().flat_map(|map| map.values()) {
+        assert!(property["description"].is_string(), "no description: {property}");
+    }
+    let children = match schema {
+        Value::Object(map) => map.values().collect(),
+        Value::Array(list) => list.iter().collect(),
+        _ => Vec::new(),
+    };
+    for child in children {
+        check_schema(file, child);
+    }
+}
+
+// Guards against a unit that is read or written with another factor.
+#[parameterized(
+    millis = { "250ms", 250 }, seconds = { "3s", 3_000 }, minutes = { "2m", 120_000 },
+    hours = { "24h", 86_400_000 }, zero = { "0ms", 0 },
+)]
+fn reads_durations(text: &str, millis: u64) {
+    let duration = parse_duration(text).unwrap();
+    assert_eq!(duration, Duration::from_millis(millis));
+    assert_eq!(format_duration(duration), text);
+}
+
+#[parameterized(
+    bytes = { "512B", 512 }, kib = { "64KiB", 65_536 }, mib = { "8MiB", 8_388_608 },
+    gib = { "1GiB", 1_073_741_824 }, zero = { "0B", 0 },
+)]
+fn reads_sizes(text: &str, bytes: u64) {
+    assert_eq!(parse_size(text), Some(bytes));
+    assert_eq!(format_size(bytes), text);
+}
+
+#[parameterized(
+    sign = { "-1s" }, plus = { "+1s" }, fraction = { "1.5s" }, space = { "1 s" }, upper = { "1S" },
+    none = { "s" }, empty = { "" }, days = { "1d" }, overflow = { "9999999999999999999h" },
+)]
+fn refuses_duration(text: &str) {
+    assert_eq!(parse_duration(text), None);
+}
+
+#[test]
+fn reads_quantiles() {
+    assert_eq!(parse_quantile("off"), Some(None));
+    assert_eq!(parse_quantile("p99"), Some(Some(0.99)));
+    assert_eq!(parse_quantile("p100"), None);
+    assert_eq!(parse_quantile("99"), None);
+}
--- /dev/null
+++ b/tests/settings_tree.rs
@@ -0,0 +1,180 @@
+//! Guards the settings tree: inheritance, the lookup of services and classes, and clashes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use curranthollow::settings::{
+    RequestLength, RootSettings, SelectionPolicy, SettingsTree, StalePolicy, TeamSettings,
+    effective_values,
+};
+use yare::parameterized;
+
+const ROOT: &str = include_str!("../examples/settings/root.jsonc");
+const LAKESHORE: &str = include_str!("../examples/settings/lakeshore.jsonc");
+const IRONBARK: &str = include_str!("../examples/settings/ironbark.jsonc");
+
+fn tree(root: &str, teams: &[(&str, &str)]) -> SettingsTree {
+    let root = Arc::new(RootSettings::parse(root, 1).unwrap());
+    let mut parsed = BTreeMap::new();
+    for (name, text) in teams {
+        parsed.insert((*name).into(), Arc::new(TeamSettings::parse(name, text, &root).unwrap()));
+    }
+    SettingsTree::assemble(1, root, parsed).unwrap()
+}
+
+fn examples() -> SettingsTree {
+    tree(ROOT, &[("lakeshore", LAKESHORE), ("ironbark", IRONBARK)])
+}
+
+fn team_errors(text: &str) -> String {
+    let root = RootSettings::parse(ROOT, 1).unwrap();
+    let errors = TeamSettings::parse("blue", text, &root).unwrap_err();
+    errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
+// Guards against a changed value or source in the effective settings of the example services.
+#[parameterized(
+    rounds = { "lakeshore", LAKESHORE, "rounds" }, signoff = { "lakeshore", LAKESHORE, "signoff" },
+    sheets = { "lakeshore", LAKESHORE, "sheets" }, roster = { "ironbark", IRONBARK, "roster" },
+    booking = { "ironbark", IRONBARK, "booking" }, packs = { "ironbark", IRONBARK, "packs" },
+)]
+fn reports_effective_values(team: &str, text: &str, service: &str) {
+    let values = effective_values(ROOT, team, text, service).unwrap().unwrap();
+    let lines: Vec<String> = values.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(format!("effective_{service}"), lines.join("\n"));
+}
+
+// Guards against a class or value of the design that the examples lose.
+#[test]
+fn example_services_have_typed_settings() {
+    let tree = examples();
+    let rounds = tree.service("lakeshore", "rounds").unwrap();
+    assert_eq!((rounds.servers.slots, rounds.servers.connections), (6, 220));
+    assert_eq!(rounds.retry.hedge_quantile, Some(0.99));
+    assert_eq!(rounds.drain.slow_start, Duration::from_secs(2));
+    assert_eq!(rounds.policy, SelectionPolicy::Credits);
+    let booking = tree.service("ironbark", "booking").unwrap();
+    assert_eq!(booking.servers.slots, 4);
+    assert!(!booking.is_idempotent("POST", "/booking/deposits"));
+    assert_eq!(booking.claims.retention, Duration::from_secs(24 * 3600));
+    assert_eq!(booking.claims.answer_limit, 64 * 1024);
+    assert_eq!(tree.root.settings_lease, Duration::from_secs(3));
+    assert_eq!(tree.root.stale_policy, StalePolicy::Refuse);
+}
+
+// Guards against an empty list that counts as left out: the service states that no status means
+// "not run", and inheriting 503 would repeat work that ran.
+#[test]
+fn empty_list_replaces_inherited_list() {
+    let root = r#"{"defaults": {"retry": {"not_run_statuses": [503]}}}"#;
+    let team = r#"{"team": "blue", "services": {
+        "a": {"match": {"path_prefix": "/a"}, "retry": {"not_run_statuses": []}},
+        "b": {"match": {"path_prefix": "/b"}, "retry": {"attempts": 1}}}}"#;
+    let tree = tree(root, &[("blue", team)]);
+    assert!(tree.service("blue", "a").unwrap().retry.not_run_statuses.is_empty());
+    let inherited = &tree.service("blue", "b").unwrap().retry;
+    assert!(inherited.not_run_statuses.contains(&503) && inherited.attempts == 1);
+}
+
+const ROUTES: &str = r#"{"team": "blue", "services": {
+    "root": {"match": {"path_prefix": "/"}},
+    "a": {"match": {"path_prefix": "/a"}},
+    "ab": {"match": {"path_prefix": "/a/b"}},
+    "host": {"match": {"host": "blue.example", "path_prefix": "/"}},
+    "host_a": {"match": {"host": "blue.example", "path_prefix": "/a/b/c"}}}}"#;
+
+// Guards against a request that reaches another service.
+#[parameterized(
+    exact = { "x", "/a", "a" }, below = { "x", "/a/c", "a" }, longest = { "x", "/a/b/c", "ab" },
+    segment = { "x", "/ab", "root" }, slash = { "x", "/a/", "a" }, query = { "x", "/a?b=/a/b", "a" },
+    root = { "x", "/", "root" }, host = { "blue.example", "/a", "host" },
+    host_longest = { "blue.example", "/a/b/c/d", "host_a" }, port = { "blue.example:8080", "/z", "host" },
+    upper_case = { "Blue.Example", "/z", "host" }, dot = { "blue.example.", "/z", "host" },
+    other_host = { "x.blue.example", "/z", "root" }, ipv6 = { "[::1]:80", "/a", "a" },
+)]
+fn finds_service(host: &str, path: &str, expected: &str) {
+    let tree = tree(ROOT, &[("blue", ROUTES)]);
+    assert_eq!(&*tree.find(host, path).unwrap().service, expected);
+}
+
+#[parameterized(empty = { "" }, star = { "*" }, relative = { "a/b" })]
+fn finds_no_service(path: &str) {
+    assert!(tree(ROOT, &[("blue", ROUTES)]).find("x", path).is_none());
+    assert!(examples().find("x", "/other").is_none());
+}
+
+// Guards against a long path that makes the lookup slow or cuts a character in two.
+#[test]
+fn bounds_lookup_of_long_paths() {
+    let tree = tree(ROOT, &[("blue", ROUTES)]);
+    let slashes = "/".repeat(100_000);
+    assert_eq!(&*tree.find("x", &slashes).unwrap().service, "root");
+    let umlauts = format!("/a/{}", "ü".repeat(1000));
+    assert_eq!(&*tree.find("x", &umlauts).unwrap().service, "a");
+}
+
+// Guards against work that runs twice or takes a short slot because of a wrong class.
+#[parameterized(
+    photo = { "PUT", "/sheets/photos/1", 0, true, RequestLength::Long, 120 },
+    sheet_small = { "GET", "/sheets/1", 10, true, RequestLength::Short, 30 },
+    sheet_large = { "PUT", "/sheets/1", 300_000, true, RequestLength::Long, 30 },
+    threshold = { "PUT", "/sheets/1", 262_144, true, RequestLength::Short, 30 },
+    no_class = { "POST", "/sheets/1", 0, false, RequestLength::Short, 30 },
+    delete = { "DELETE", "/sheets/1", 0, false, RequestLength::Short, 30 },
+    options = { "OPTIONS", "/sheets/1", 0, true, RequestLength::Short, 30 },
+    near_prefix = { "PUT", "/sheets/photoshop", 0, true, RequestLength::Short, 30 },
+)]
+fn classifies(
+    method: &str,
+    path: &str,
+    size: u64,
+    idempotent: bool,
+    length: RequestLength,
+    deadline: u64,
+) {
+    let tree = examples();
+    let sheets = tree.service("lakeshore", "sheets").unwrap();
+    assert_eq!(sheets.is_idempotent(method, path), idempotent);
+    assert_eq!(sheets.request_length(method, path, size), length);
+    assert_eq!(sheets.request_deadline(method, path), Duration::from_secs(deadline));
+}
+
+// Guards against documents whose values contradict each other.
+#[parameterized(
+    same_match = { r#"{"team": "blue", "services": {"a": {"match": {"path_prefix": "/x"}}, "b": {"match": {"path_prefix": "/x"}}}}"#, "1:101: teams.blue.services.b.match.path_prefix: service `a` matches the same host and path prefix" },
+    other_team = { r#"{"team": "red", "services": {}}"#, "1:10: teams.blue.team: expected the name of the branch (blue), found red" },
+    slots = { r#"{"team": "blue", "defaults": {"servers": {"slots": 300}}, "services": {"a": {"match": {"path_prefix": "/x"}}}}"#, "1:77: teams.blue.services.a.servers.slots: expected at most as many slots as connections (220), found 300" },
+    backoff = { r#"{"team": "blue", "services": {"a": {"match": {"path_prefix": "/x"}, "retry": {"backoff_min": "1s"}}}}"#, "1:94: teams.blue.services.a.retry.backoff_min: expected at most backoff_max (100ms), found 1s" },
+)]
+fn reports_contradiction(text: &str, expected: &str) {
+    assert_eq!(team_errors(text), expected);
+}
+
+#[test]
+fn root_defaults_must_agree() {
+    let errors =
+        RootSettings::parse(r#"{"defaults": {"servers": {"slots": 300}}}"#, 1).unwrap_err();
+    assert_eq!(
+        errors[0].to_string(),
+        "1:36: defaults.servers.slots: expected at most as many slots as connections (220), found 300"
+    );
+}
+
+// Guards against two teams that own one route.
+#[test]
+fn refuses_clash_across_teams() {
+    let root = Arc::new(RootSettings::parse(ROOT, 1).unwrap());
+    let mut teams = BTreeMap::new();
+    for name in ["blue", "red"] {
+        let text = format!(
+            r#"{{"team": "{name}", "services": {{"a": {{"match": {{"path_prefix": "/x"}}}}}}}}"#
+        );
+        teams.insert(name.into(), Arc::new(TeamSettings::parse(name, &text, &root).unwrap()));
+    }
+    let clash = SettingsTree::assemble(1, root, teams).unwrap_err();
+    assert_eq!(
+        clash.to_string(),
+        "service `red/a` matches the same host and path prefix as `blue/a`"
+    );
+}
