Give ejected servers no work through credits

Cause: an ejected server stayed the last resort, and a server that fails in 1 ms always has a free credit at hand. Change: credits of ejected servers go back and are not granted to that entry.

--- a/examples/policy_bench.rs
+++ b/examples/policy_bench.rs
@@ -1,6 +1,6 @@
 //! Compares the policies with an ideal shared queue over the same arrivals and service times.
 //!
-//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME]`.
+//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]`.
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
@@ -329,7 +329,7 @@
         let now = self.instant();
         let mut expired = Vec::new();
         if self.policy.is_none() {
-            while let Some(server) = self.servers.iter().position(|server| server.running < SLOTS) {
+            while let Some(server) = self.ideal_server() {
                 let Some(work) = self.shared.take(now, SHORT, &mut expired) else {
                     break;
                 };
@@ -376,6 +376,12 @@
         self.at((seconds * 1e9) as u64, Event::Finish { server, work });
     }
 
+    /// The ideal never uses a failing server; it does not know that a straggler is slow.
+    fn ideal_server(&self) -> Option<usize> {
+        let is_free = |index: &usize| self.servers[*index].running < SLOTS;
+        (0..SERVERS).find(|index| is_free(index) && !self.is_failing(*index))
+    }
+
     fn is_failing(&self, server: usize) -> bool {
         server == 0 && self.scenario == Scenario::FailFast
     }
@@ -517,7 +523,7 @@
             continue;
         }
         for (name, policy) in POLICIES {
-            if only_policy.as_ref().is_some_and(|only| only != name) {
+            if only_policy.as_ref().is_some_and(|only| !only.split(',').any(|part| part == name)) {
                 continue;
             }
             let mut outcomes = Vec::new();
--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -49,16 +49,16 @@
         best.map(|(_, name, class)| (name.clone(), class))
     }
 
-    /// Wanted before avoided, then the entry's zone, then the most free slots.
+    /// The entry's zone first, then the most free slots; servers the entry ejected never.
     fn best_server(&self, name: &ProcessName, class: WorkClass) -> Option<ServerKey> {
         let entry = self.entries.get(name)?;
         let mut best = None;
         for (server, account) in &self.servers {
             let free = account.free(class, self.settings.long_percent);
-            if free == 0 {
+            if free == 0 || entry.avoided.contains(server) {
                 continue;
             }
-            let rank = (!entry.avoided.contains(server), account.zone == entry.zone, free);
+            let rank = (account.zone == entry.zone, free);
             if best.is_none_or(|(first, _)| rank > first) {
                 best = Some((rank, *server));
             }
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -96,7 +96,7 @@
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
     pub report: Option<Vec<HeldLine>>,
-    /// Servers the entry wants no credits of while others are free.
+    /// Servers the entry has ejected and wants no credits of.
     pub avoided: Vec<ServerKey>,
 }
 
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -59,7 +59,7 @@
     /// The link to the holder closed; grants of that link no longer arrive.
     HolderUnreachable,
     Message(HolderMessage),
-    /// Servers to avoid while others have credits, such as ejected ones.
+    /// Ejected servers; their credits go back and they get no work from this entry.
     AvoidedChanged(Vec<ServerKey>),
     /// Comes about every millisecond while the service has traffic; carries the waiting work.
     Tick([WaitingWork; 2]),
@@ -154,7 +154,7 @@
 
     /// Takes a slot for a request that may start now; `None` means that it has to wait.
     ///
-    /// Excluded and avoided servers are used only when no other server has a slot.
+    /// Excluded servers are used only when no other server has a slot, avoided servers never.
     pub fn acquire(
         &mut self,
         now: Instant,
@@ -168,11 +168,11 @@
         let mut best = None;
         for (position, server) in self.servers.iter().enumerate() {
             let free = server.free(self.mode, class);
-            if free == 0 || server.draining {
+            if free == 0 || server.is_closed() {
                 continue;
             }
             let is_excluded = excluded.contains(&server.server);
-            let rank = (!is_excluded, !server.avoided, server.is_local, free);
+            let rank = (!is_excluded, server.is_local, free);
             if best.is_none_or(|(first, _)| rank > first) {
                 best = Some((rank, position));
             }
@@ -196,7 +196,7 @@
             self.has_returns |= self.has_session;
             return;
         }
-        let is_owed = server.owed > 0 || server.draining;
+        let is_owed = server.owed > 0 || server.is_closed();
         let is_owed_any = self.owed_any > 0 && now < self.owed_until;
         if is_owed || is_owed_any {
             server.owed = server.owed.saturating_sub(1);
@@ -409,7 +409,7 @@
         let server = &mut self.servers[position];
         server.idle[line.class.index()] += line.count;
         self.idle_total += line.count;
-        if server.draining || server.slots == 0 {
+        if server.is_closed() || server.slots == 0 {
             self.idle_total -= server.return_idle(u32::MAX);
             self.has_returns = true;
         }
--- a/src/credit/wallet_state.rs
+++ b/src/credit/wallet_state.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Whether the server gets no new work from this entry.
+    pub(super) fn is_closed(&self) -> bool {
+        self.draining || self.avoided
+    }
+
     pub(super) fn running(&self) -> u32 {
         self.in_use.iter().sum()
     }
