--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,332 @@
+//! What the commands of the binary do.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use async_std::task;
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::check::check_file;
+use crate::cli::{CliCommand, ControlArguments, SettingsCommand, StatusArguments, TokenArguments};
+use crate::config::{ConfigError, LogLevel, ProcessConfig, ProcessRole};
+use crate::control::{ControlListeners, ControlProcess};
+use crate::demo::DemoSystem;
+use crate::entry::{EntryListeners, EntryProcess};
+use crate::generated::operator::{ChangeReply, ChangeRequest, ChangeVerb, OutcomeName};
+use crate::http::{HeaderList, send_request};
+use crate::life_cycle::StateChart;
+use crate::logging;
+use crate::operator::{OperatorClient, OperatorError};
+use crate::settings::token_sha256;
+use crate::status::SystemStatus;
+use crate::table::print_status;
+
+/// Exit code of invalid input, such as a config with errors.
+const INVALID_INPUT: u8 = 2;
+
+/// Exit code of a refused change.
+const REFUSED: u8 = 3;
+
+/// Exit code of a change whose outcome is unknown.
+const OUTCOME_UNKNOWN: u8 = 4;
+
+/// Interval at which signals are looked for.
+const SIGNAL_CHECK: Duration = Duration::from_millis(50);
+
+/// Time for one answer of `dump`.
+const DUMP_TIME: Duration = Duration::from_secs(5);
+
+/// Carries out a command.
+pub fn run(command: CliCommand) -> Result<ExitCode> {
+    match command {
+        CliCommand::Entry(arguments) => run_entry(&arguments.config),
+        CliCommand::Control(arguments) => run_control(&arguments.config),
+        CliCommand::Try(arguments) => run_try(arguments.port),
+        CliCommand::Check { file } => run_check(&file),
+        CliCommand::Settings(command) => task::block_on(run_settings(command)),
+        CliCommand::Status(arguments) => task::block_on(run_status(arguments)),
+        CliCommand::Dump { address } => task::block_on(run_dump(address)),
+    }
+}
+
+/// Exit code that belongs to a failure.
+pub fn exit_code_of(error: &anyhow::Error) -> ExitCode {
+    if error.is::<ConfigError>() {
+        return ExitCode::from(INVALID_INPUT);
+    }
+    match error.downcast_ref::<OperatorError>() {
+        Some(OperatorError::Refused { .. }) => ExitCode::from(REFUSED),
+        Some(OperatorError::Unknown(_)) => ExitCode::from(OUTCOME_UNKNOWN),
+        _ => ExitCode::FAILURE,
+    }
+}
+
+/// Counts SIGINT and SIGTERM; the second one ends the process at once.
+struct StopSignal {
+    count: Arc<AtomicUsize>,
+}
+
+impl StopSignal {
+    fn install() -> Result<Self> {
+        let count = Arc::new(AtomicUsize::new(0));
+        let mut signals = signal_hook::iterator::Signals::new([SIGINT, SIGTERM])?;
+        let counted = Arc::clone(&count);
+        std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
+            for signal in signals.forever() {
+                if counted.fetch_add(1, Ordering::SeqCst) > 0 {
+                    log::warn!(signal; "second stop signal, stopping at once");
+                    std::process::exit(1);
+                }
+                log::info!(signal; "stop signal");
+            }
+        })?;
+        Ok(Self { count })
+    }
+
+    async fn wait(&self) {
+        while self.count.load(Ordering::SeqCst) == 0 {
+            task::sleep(SIGNAL_CHECK).await;
+        }
+    }
+}
+
+fn start_logging(level: LogLevel) {
+    logging::init(match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    });
+}
+
+fn run_entry(file: &Path) -> Result<ExitCode> {
+    StateChart::check_all()?;
+    let config = ProcessConfig::load(file, ProcessRole::Entry)?;
+    start_logging(config.log_level);
+    let signal = StopSignal::install()?;
+    task::block_on(async {
+        let entry = EntryProcess::start(&config, EntryListeners::bind(&config)?)?;
+        log::info!(name:% = config.name; "entry started");
+        signal.wait().await;
+        entry.stop().await;
+        log::info!(name:% = config.name; "entry stopped");
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn run_control(file: &Path) -> Result<ExitCode> {
+    StateChart::check_all()?;
+    let config = ProcessConfig::load(file, ProcessRole::Control)?;
+    start_logging(config.log_level);
+    let signal = StopSignal::install()?;
+    task::block_on(async {
+        let control = ControlProcess::start(&config, ControlListeners::bind(&config)?)?;
+        log::info!(name:% = config.name; "control started");
+        let stopped = signal.wait();
+        let failed = control.failed();
+        futures_util::pin_mut!(stopped, failed);
+        if let futures_util::future::Either::Right((Some(error), _)) =
+            futures_util::future::select(stopped, failed).await
+        {
+            log::error!(error:%; "control cannot go on");
+            return Err(error.into());
+        }
+        control.stop().await;
+        log::info!(name:% = config.name; "control stopped");
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn run_try(port: u16) -> Result<ExitCode> {
+    StateChart::check_all()?;
+    start_logging(LogLevel::Warn);
+    let signal = StopSignal::install()?;
+    task::block_on(async {
+        let demo = DemoSystem::start(port).await?;
+        println!("ready url=http://{} operator=http://{}", demo.traffic, demo.operator);
+        std::io::stdout().flush()?;
+        signal.wait().await;
+        demo.stop().await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+fn run_check(file: &Path) -> Result<ExitCode> {
+    let report = check_file(file).with_context(|| format!("cannot read {}", file.display()))?;
+    for error in &report.errors {
+        eprintln!("{error}");
+    }
+    if !report.errors.is_empty() {
+        return Ok(ExitCode::from(INVALID_INPUT));
+    }
+    println!("{}: valid", file.display());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn client(control: &ControlArguments, token: Option<&TokenArguments>) -> OperatorClient {
+    let token = token.map(|token| token.token.clone());
+    OperatorClient::new(control.control.clone(), token, control.timeout)
+}
+
+async fn run_settings(command: SettingsCommand) -> Result<ExitCode> {
+    match command {
+        SettingsCommand::Get { branch, effective, token, control } => {
+            let client = client(&control, Some(&token));
+            get_settings(&client, &branch, effective.as_deref()).await
+        }
+        SettingsCommand::Put {
+            branch,
+            file,
+            base,
+            change_id,
+            create_with_token_from,
+            token,
+            control,
+        } => {
+            let document = std::fs::read_to_string(&file)
+                .with_context(|| format!("cannot read {}", file.display()))?;
+            let team_token_sha256 = match &create_with_token_from {
+                Some(variable) => {
+                    let token = std::env::var(&**variable)
+                        .with_context(|| format!("environment variable {variable}"))?;
+                    Some(token_sha256(&token).into())
+                }
+                None => None,
+            };
+            let change = ChangeRequest {
+                action: match team_token_sha256 {
+                    Some(_) => ChangeVerb::Create,
+                    None => ChangeVerb::Replace,
+                },
+                base_version: i64::try_from(base)?,
+                branch: branch.into(),
+                change_id: change_id.map_or_else(random_change_id, Into::into),
+                document: Some(document),
+                team_token_sha256,
+            };
+            put_settings(&client(&control, Some(&token)), &change, &file).await
+        }
+        SettingsCommand::History { branch, token, control } => {
+            let client = client(&control, Some(&token));
+            print_bytes(&client.get(&format!("/settings/{branch}/history")).await?)
+        }
+        SettingsCommand::Watch { branch, count, token, control } => {
+            watch_settings(&client(&control, Some(&token)), &branch, count).await
+        }
+    }
+}
+
+fn random_change_id() -> String {
+    format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..))
+}
+
+fn print_bytes(bytes: &[u8]) -> Result<ExitCode> {
+    std::io::stdout().write_all(bytes)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Branch as the operator's interface returns it.
+#[derive(serde::Deserialize)]
+struct BranchBody {
+    version: u64,
+    revision: u64,
+    document: Box<str>,
+}
+
+async fn get_settings(
+    client: &OperatorClient,
+    branch: &str,
+    effective: Option<&str>,
+) -> Result<ExitCode> {
+    if let Some(service) = effective {
+        return print_bytes(&client.get(&format!("/settings/{branch}/effective/{service}")).await?);
+    }
+    let body: BranchBody =
+        serde_json::from_slice(&client.get(&format!("/settings/{branch}")).await?)?;
+    eprintln!("branch {branch} version {} revision {}", body.version, body.revision);
+    print_bytes(body.document.as_bytes())
+}
+
+async fn watch_settings(
+    client: &OperatorClient,
+    branch: &str,
+    count: Option<u64>,
+) -> Result<ExitCode> {
+    let mut after = 0;
+    let mut left = count.unwrap_or(u64::MAX);
+    while left > 0 {
+        let bytes = client.get(&format!("/settings/{branch}/watch/{after}")).await?;
+        let body: BranchBody = serde_json::from_slice(&bytes)?;
+        if body.version <= after {
+            continue;
+        }
+        after = body.version;
+        left -= 1;
+        println!("branch {branch} version {} revision {}", body.version, body.revision);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn put_settings(
+    client: &OperatorClient,
+    change: &ChangeRequest,
+    file: &Path,
+) -> Result<ExitCode> {
+    let reply = match client.change(change).await {
+        Ok(reply) => reply,
+        Err(OperatorError::Unknown(reason)) => {
+            println!("unknown: {reason}");
+            println!(
+                "run the same command with --change-id {} to learn the outcome",
+                change.change_id
+            );
+            return Ok(ExitCode::from(OUTCOME_UNKNOWN));
+        }
+        Err(error) => return Err(error.into()),
+    };
+    Ok(print_outcome(&reply, file))
+}
+
+fn print_outcome(reply: &ChangeReply, file: &Path) -> ExitCode {
+    let version = reply.version.unwrap_or_default();
+    match reply.outcome {
+        OutcomeName::Accepted => {
+            println!("accepted as version {version}");
+            ExitCode::SUCCESS
+        }
+        OutcomeName::Conflict => {
+            println!("refused because the current version is {version}");
+            ExitCode::from(REFUSED)
+        }
+        OutcomeName::Refused => {
+            println!("refused because {}", reply.reason.as_deref().unwrap_or("of errors"));
+            for error in &reply.errors {
+                let (line, column) = (error.line, error.column);
+                println!("{}:{line}:{column}: {}: {}", file.display(), error.path, error.message);
+            }
+            ExitCode::from(REFUSED)
+        }
+    }
+}
+
+async fn run_status(arguments: StatusArguments) -> Result<ExitCode> {
+    let status: SystemStatus = client(&arguments.control, None).status().await?;
+    if arguments.json {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+    } else {
+        print!("{}", print_status(&status));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn run_dump(address: SocketAddr) -> Result<ExitCode> {
+    let response = send_request(address, "GET", "/dump", HeaderList::new(), &[], DUMP_TIME).await?;
+    print_bytes(&response.body)
+}
--- a/src/consensus/host_loop.rs
+++ b/src/consensus/host_loop.rs
@@ -394,6 +394,10 @@
             }
             HostCommand::Subscribe { group, sender } => {
                 if let Some(runtime) = self.groups.get_mut(&group) {
+                    // A subscriber that comes after an election must still learn its result.
+                    let (role, term) = (runtime.node.role(), runtime.node.term());
+                    let leader = runtime.node.leader();
+                    let _ = sender.try_send(GroupNotice::Role { role, term, leader });
                     runtime.subscribers.push(sender);
                 }
             }
--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -217,6 +217,11 @@
         live
     }
 
+    /// Whether leases of an earlier leader have run out, so that the list is complete.
+    pub fn knows_all(&self, now: Instant) -> bool {
+        self.leadership.as_ref().is_some_and(|leadership| now >= leadership.unknown_until)
+    }
+
     /// Revision in force on each entry with a live lease.
     pub fn installed_revisions(&self) -> BTreeMap<ProcessName, SettingsRevision> {
         self.entries.iter().map(|(name, lease)| (name.clone(), lease.installed)).collect()
@@ -293,9 +298,8 @@
         let expires = now + self.guarded_lease();
         let direct = request.via == request.entry;
         let previous = self.entries.get(&request.entry);
-        let same = previous.is_some_and(|lease| {
-            lease.session == request.session && (!lease.suspect || !direct)
-        });
+        let same = previous
+            .is_some_and(|lease| lease.session == request.session && (!lease.suspect || !direct));
         // A relayed renewal keeps the lease alive, but peers may still be unable to reach the entry.
         let lease = EntryLease {
             session: request.session,
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -176,7 +176,8 @@
         self.attempt = self.attempt.wrapping_add(1);
         let linked: Vec<&ProcessName> =
             self.controls.iter().filter(|name| self.linked.contains(*name)).collect();
-        let prefer_peer = linked.is_empty() || (self.open.len() >= 2 && self.attempt.is_multiple_of(2));
+        let prefer_peer =
+            linked.is_empty() || (self.open.len() >= 2 && self.attempt.is_multiple_of(2));
         if prefer_peer && !self.peers.is_empty() {
             return self.peers.iter().nth(self.attempt / 2 % self.peers.len()).cloned();
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 pub use context::{EntryContext, ServiceTable};
 pub use control::ControlInput;
 pub use lease::{LeaseClient, LeaseInput, RenewalAction};
+pub use operator::METRICS_TYPE;
 pub use runtime::{RuntimeIdentity, ServiceRuntime, SlotPermit};
 pub use traffic::{ANNOUNCE_PATH, HEALTH_PATH};
 
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::claim::{ClaimKey, ClaimOutcome, ClaimView, OpenClaim, SettleClaim};
+use crate::consensus::formation::FormationMessage;
+use crate::consensus::message::RaftMessage;
 use crate::credit::{EntryMessage, HolderMessage};
 use crate::directory::{RelayedAnnouncement, ServiceKey};
 use crate::ids::{EpochNumber, GroupId, MemberId, ProcessName, SettingsRevision, ZoneName};
@@ -143,6 +145,10 @@
     Ping,
     /// Answers a ping.
     Pong,
+    /// Consensus message between control processes.
+    Raft(Box<RaftMessage>),
+    /// First formation of the control cluster.
+    Formation(FormationMessage),
     /// Entry to the control leader, directly or through a peer entry.
     RenewLease(RenewLease),
     /// Control leader to an entry, on the path of the request.
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,18 @@
 //! Entry point of the `curranthollow` binary.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+use curranthollow::cli::CliArguments;
+use curranthollow::commands;
+
+fn main() -> ExitCode {
+    let arguments = CliArguments::parse();
+    match commands::run(arguments.command) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            commands::exit_code_of(&error)
+        }
+    }
+}
