Merge heartbeats without copying their text

Cause: a heartbeat received by relay took 2.3 us at 23,000 servers, 5 % of a core with one heartbeat a second each.

Ruled out: the digest, which is only computed when the description changes.

Change: merge returns one of its two shared announcements unless the state is raised, and the server is looked up once. A newer heartbeat no longer moves the time of the last heartbeat backwards when its age is overestimated.

--- a/src/directory.rs
+++ b/src/directory.rs
@@ -217,32 +217,27 @@
         announcement: &Arc<ServerAnnouncement>,
         actions: &mut Vec<DirectoryAction>,
     ) -> bool {
-        let key = announcement.service_key();
-        let known = self.services.get_mut(&key);
-        let record = known.and_then(|entry| entry.servers.get_mut(&announcement.server));
-        if record.is_none() {
-            return self.insert(now, heard, key, announcement, actions);
-        }
         if announcement.longest_text() > self.limits.text_bytes {
             self.counters.refused_text += 1;
             return false;
         }
+        let key = announcement.service_key();
         let Some(entry) = self.services.get_mut(&key) else {
-            return false;
+            return self.insert(now, heard, key, announcement, actions);
         };
         let Some(record) = entry.servers.get_mut(&announcement.server) else {
-            return false;
+            return self.insert(now, heard, key, announcement, actions);
         };
         let old = Arc::clone(&record.announcement);
         let merged = old.merge(announcement);
-        if merged == *old {
+        if merged.same_heartbeat(&old) {
             self.counters.ignored_old += 1;
             return false;
         }
         let heartbeat = (merged.incarnation, merged.sequence) > (old.incarnation, old.sequence);
         let restarted = merged.incarnation > old.incarnation;
         if heartbeat {
-            record.heard = heard;
+            record.heard = record.heard.max(heard);
             entry.next_check = entry.next_check.min(heard + SUSPECT_AFTER);
         }
         let event = match restarted {
@@ -255,7 +250,7 @@
             record.life = next_state(from, event);
         }
         let changed = merged.differs_for_routing(&old);
-        record.announcement = Arc::new(merged);
+        record.announcement = merged;
         if changed {
             let digest = record.announcement.content_digest();
             let delta = digest.wrapping_sub(record.content_digest);
@@ -281,10 +276,6 @@
         announcement: &Arc<ServerAnnouncement>,
         actions: &mut Vec<DirectoryAction>,
     ) -> bool {
-        if announcement.longest_text() > self.limits.text_bytes {
-            self.counters.refused_text += 1;
-            return false;
-        }
         let forgotten = now.saturating_duration_since(heard) >= FORGET_AFTER;
         if forgotten && announcement.state == AnnouncedState::Gone {
             self.counters.ignored_old += 1;
--- a/src/directory/announcement.rs
+++ b/src/directory/announcement.rs
@@ -126,20 +126,21 @@
     /// The newer (incarnation, sequence) supplies the content. Draining and gone are kept from any
     /// announcement of the incarnation, also from an older one that arrives later. For equal
     /// numbers with different content, which only a faulty server sends, the greater content wins.
-    pub fn merge(&self, other: &Self) -> Self {
+    pub fn merge(self: &Arc<Self>, other: &Arc<Self>) -> Arc<Self> {
         let newer = if self.rank() >= other.rank() { self } else { other };
-        let mut merged = newer.clone();
-        if self.incarnation != other.incarnation {
-            return merged;
+        let mut state = newer.state;
+        if self.incarnation == other.incarnation {
+            let floor = self.final_state().max(other.final_state());
+            state = floor.map_or(state, |floor| state.max(floor));
+            if self.sequence == other.sequence {
+                state = self.state.max(other.state);
+            }
         }
-        let floor = self.final_state().max(other.final_state());
-        if let Some(floor) = floor {
-            merged.state = merged.state.max(floor);
+        // Nearly all heartbeats end here, without a copy of the text fields.
+        if state == newer.state {
+            return Arc::clone(newer);
         }
-        if self.sequence == other.sequence {
-            merged.state = self.state.max(other.state);
-        }
-        merged
+        Arc::new(Self { state, ..Self::clone(newer) })
     }
 
     fn rank(&self) -> impl Ord + '_ {
@@ -154,6 +155,13 @@
         (self.state >= AnnouncedState::Draining).then_some(self.state)
     }
 
+    /// Returns whether the two are equal, if they are of the same server.
+    pub(super) fn same_heartbeat(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+            && self.load == other.load
+            && !self.differs_for_routing(other)
+    }
+
     /// Returns whether the two differ in more than the heartbeat number and the load.
     pub fn differs_for_routing(&self, other: &Self) -> bool {
         self.incarnation != other.incarnation
