Refuse to offer a claim past its deadline or retention

Cause: an entry that freezes for longer than the retention could wake up with a grant whose claim had become unknown, been dropped and been granted again.

Ruled out: asking the group again before each offer, which costs a round trip.

Change: GrantedClaim::offer takes the time and returns the claim when the request's deadline or the retention is over. A waiting duplicate opens again with its own attempt, so that a late copy of its first command isn't in its way.

Conclusion: tests/claim_guard.rs covers both limits. A freeze between the offer and the first byte that lasts longer than the retention isn't covered.

--- a/src/claim/guard.rs
+++ b/src/claim/guard.rs
@@ -5,31 +5,35 @@
 //! consumes the grant, so a request can't be sent without a grant or twice with one:
 //!
 //! ```compile_fail,E0382
+//! # use std::time::Instant;
 //! # use curranthollow::claim::guard::{GrantedClaim, SendPermit};
 //! # fn send(_permit: SendPermit) {}
 //! fn send_twice(granted: GrantedClaim) {
-//!     let (_offered, permit) = granted.offer();
+//!     let Ok((_offered, permit)) = granted.offer(Instant::now()) else { return };
 //!     send(permit);
 //!     send(permit);
 //! }
 //! ```
 //!
 //! ```compile_fail,E0382
+//! # use std::time::Instant;
 //! # use curranthollow::claim::guard::GrantedClaim;
 //! fn offer_twice(granted: GrantedClaim) {
-//!     let _first = granted.offer();
-//!     let _second = granted.offer();
+//!     let _first = granted.offer(Instant::now());
+//!     let _second = granted.offer(Instant::now());
 //! }
 //! ```
 //!
 //! ```compile_fail,E0599
+//! # use std::time::Instant;
 //! # use curranthollow::claim::guard::UnclaimedRequest;
 //! fn offer_without_grant(request: UnclaimedRequest) {
-//!     let _ = request.offer();
+//!     let _ = request.offer(Instant::now());
 //! }
 //! ```
 //!
 //! ```compile_fail,E0451
+//! # use std::time::Instant;
 //! # use curranthollow::claim::guard::SendPermit;
 //! fn forge_permit() -> SendPermit {
 //!     SendPermit { number: 1, attempt: 1 }
@@ -39,9 +43,10 @@
 //! An offered claim has no way to be released as not run without a reason:
 //!
 //! ```compile_fail,E0599
+//! # use std::time::Instant;
 //! # use curranthollow::claim::guard::GrantedClaim;
 //! fn release_after_offer(granted: GrantedClaim) {
-//!     let (offered, _permit) = granted.offer();
+//!     let Ok((offered, _permit)) = granted.offer(Instant::now()) else { return };
 //!     let _ = offered.release();
 //! }
 //! ```
@@ -49,6 +54,7 @@
 //! The caller is told "not run" only after the group has answered the settlement with `Released`.
 
 use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
 
 use async_channel::Sender;
 
@@ -63,6 +69,7 @@
 #[derive(Debug)]
 pub struct UnclaimedRequest {
     open: OpenClaim,
+    offer_until: Instant,
     dropped: DroppedClaims,
 }
 
@@ -88,6 +95,7 @@
 #[must_use]
 pub struct GrantedClaim {
     held: HeldClaim,
+    offer_until: Instant,
 }
 
 /// A claim whose request is being sent. Dropping it settles the claim as unknown.
@@ -115,9 +123,15 @@
 }
 
 impl UnclaimedRequest {
-    /// Creates a request; `open.attempt` must be random and new.
-    pub fn new(open: OpenClaim, dropped: DroppedClaims) -> Self {
-        Self { open, dropped }
+    /// Creates a request at the time `now`; `open.attempt` must be random and new.
+    ///
+    /// It can be offered until `deadline`, and only within the claim's retention: an entry that
+    /// freezes for longer could otherwise wake up after its claim was dropped as unknown and the
+    /// key was granted again.
+    pub fn new(open: OpenClaim, now: Instant, deadline: Instant, dropped: DroppedClaims) -> Self {
+        let retained = now.checked_add(Duration::from_millis(open.retention_ms));
+        let offer_until = retained.map_or(deadline, |retained| deadline.min(retained));
+        Self { open, offer_until, dropped }
     }
 
     /// Returns the command to commit; it may be sent again until `resolve` is called.
@@ -132,7 +146,8 @@
     pub fn resolve(self, outcome: OpenOutcome) -> ClaimResolution {
         match outcome {
             OpenOutcome::Granted { number } => {
-                ClaimResolution::Granted(GrantedClaim { held: self.hold(number) })
+                let offer_until = self.offer_until;
+                ClaimResolution::Granted(GrantedClaim { held: self.hold(number), offer_until })
             }
             OpenOutcome::Running { holder, .. } => {
                 ClaimResolution::Duplicate { request: self, holder }
@@ -168,12 +183,18 @@
     }
 
     /// Allows one send. From here on the request counts as possibly run.
-    pub fn offer(mut self) -> (OfferedClaim, SendPermit) {
+    ///
+    /// # Errors
+    /// Returns the claim, to be released, when the time for the offer is over.
+    pub fn offer(mut self, now: Instant) -> Result<(OfferedClaim, SendPermit), Self> {
+        if now >= self.offer_until {
+            return Err(self);
+        }
         let (number, attempt) = (self.number(), self.held.attempt);
         if let Some(settle) = &mut self.held.settle {
             settle.outcome = SettledAs::Unknown;
         }
-        (OfferedClaim { held: self.held }, SendPermit { number, attempt })
+        Ok((OfferedClaim { held: self.held }, SendPermit { number, attempt }))
     }
 
     /// Releases the claim, as no byte was offered.
--- a/src/claim/waiter.rs
+++ b/src/claim/waiter.rs
@@ -31,7 +31,8 @@
     Look { until: Instant },
     /// Do nothing until the time given.
     Sleep { until: Instant },
-    /// The claim was released: open a claim for this request under a new attempt.
+    /// The claim was released: send this request's `Open` again, with the same attempt. It holds no
+    /// grant, unless a late copy of its first command was granted meanwhile; that grant is its own.
     OpenAgain,
     /// Answer the caller.
     Respond(DuplicateAnswer),
--- a/tests/claim_guard.rs
+++ b/tests/claim_guard.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use curranthollow::claim::guard::{ClaimResolution, GrantedClaim, SendPermit, UnclaimedRequest};
+use curranthollow::claim::guard::{
+    ClaimResolution, GrantedClaim, OfferedClaim, SendPermit, UnclaimedRequest,
+};
 use curranthollow::claim::waiter::{
     DuplicateAnswer, DuplicateWaiter, FIRST_POLL, LAST_POLL, MAX_POLLS, WaitAction, WaitEvent,
 };
@@ -26,10 +28,11 @@
         digest: [0; 32],
         holder: HolderSession { holder: "a".into(), session: 1 },
         attempt,
-        retention_ms: 1,
+        retention_ms: 60_000,
         capacity: 1,
     };
-    (UnclaimedRequest::new(open, sender), receiver)
+    let now = Instant::now();
+    (UnclaimedRequest::new(open, now, now + Duration::from_secs(30), sender), receiver)
 }
 
 fn granted(number: u64, attempt: u64) -> (GrantedClaim, Receiver<SettleClaim>) {
@@ -40,6 +43,10 @@
     (claim, receiver)
 }
 
+fn offer(claim: GrantedClaim) -> (OfferedClaim, SendPermit) {
+    claim.offer(Instant::now()).expect("the offer is in time")
+}
+
 fn send(_permit: SendPermit) {}
 
 fn end_granted(claim: GrantedClaim) -> Option<SettleClaim> {
@@ -47,30 +54,30 @@
 }
 
 fn end_done(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     send(permit);
     offered.done(Some(answer()))
 }
 
 fn end_unknown(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     send(permit);
     offered.unknown()
 }
 
 fn end_withdrawn(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     offered.withdraw(permit).expect("the permit is of this claim")
 }
 
 fn end_refused(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     send(permit);
     offered.refused(503, &BTreeSet::from([503])).expect("the status is declared")
 }
 
 fn end_refused_undeclared(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     send(permit);
     let offered = offered.refused(500, &BTreeSet::from([503])).expect_err("it isn't declared");
     offered.unknown()
@@ -82,7 +89,7 @@
 }
 
 fn drop_offered(claim: GrantedClaim) -> Option<SettleClaim> {
-    let (offered, permit) = claim.offer();
+    let (offered, permit) = offer(claim);
     drop(permit);
     drop(offered);
     None
@@ -116,8 +123,8 @@
 fn permit_of_another_claim_is_refused(first: (u64, u64), second: (u64, u64)) {
     let (first, receiver) = granted(first.0, first.1);
     let (second, _other) = granted(second.0, second.1);
-    let (first, _first_permit) = first.offer();
-    let (second, second_permit) = second.offer();
+    let (first, _first_permit) = offer(first);
+    let (second, second_permit) = offer(second);
     let Err((first, permit)) = first.withdraw(second_permit) else {
         panic!("the permit of another claim released this one");
     };
@@ -126,6 +133,30 @@
     assert_eq!(receiver.try_recv().map(|settle| settle.outcome), Ok(SettledAs::Unknown));
 }
 
+/// Guards against a send by an entry that wakes up after its deadline or the claim's retention.
+#[parameterized(
+    in_time = { 60, 30, 29, true },
+    past_deadline = { 60, 30, 30, false },
+    past_retention = { 10, 30, 10, false },
+)]
+fn late_offer_is_refused(retention: u64, deadline: u64, offered: u64, expected: bool) {
+    let start = Instant::now();
+    let (sender, receiver) = async_channel::bounded(4);
+    let mut open = request(1).0.command().clone();
+    open.retention_ms = retention * 1_000;
+    let deadline = start + Duration::from_secs(deadline);
+    let request = UnclaimedRequest::new(open, start, deadline, sender);
+    let ClaimResolution::Granted(claim) = request.resolve(OpenOutcome::Granted { number: 1 })
+    else {
+        panic!("a grant resolves to a granted claim");
+    };
+    let offer = claim.offer(start + Duration::from_secs(offered));
+    assert_eq!(offer.is_ok(), expected);
+    drop(offer);
+    let outcome = if expected { SettledAs::Unknown } else { SettledAs::NotRun };
+    assert_eq!(receiver.try_recv().map(|settle| settle.outcome), Ok(outcome));
+}
+
 /// Guards against an answer of the group that turns into a right to run.
 #[parameterized(
     running = { OpenOutcome::Running { number: 1, holder: "b".into() }, "duplicate" },
