Encode relayed heartbeats as arrays

Cause: a relayed heartbeat took 213 bytes, more than half of it field names.

Ruled out: sending only sequence and load once a peer knows the description; it saves more, but a peer that lost the description needs a way to ask for it.

Change: RelayedAnnouncement is encoded as an array. ServerAnnouncement keeps its named fields for the servers' JSON.

--- a/examples/directory_cost.rs
+++ b/examples/directory_cost.rs
@@ -118,6 +118,12 @@
     let mut bytes = Vec::new();
     ciborium::into_writer(&batch, &mut bytes).expect("a vector takes the batch");
     print_row("relay_bytes_per_heartbeat", size, bytes.len() as f64 / size as f64);
+    let start = Instant::now();
+    let decoded: Vec<RelayedAnnouncement> =
+        ciborium::from_reader(&bytes[..]).expect("the batch is complete");
+    let time = start.elapsed();
+    print_row("relay_decode_ns", size, time.as_nanos() as f64 / size as f64);
+    assert_eq!(decoded, batch);
     let mut peer = ServerDirectory::new(DirectoryLimits::default());
     peer.handle(now, DirectoryEvent::Relayed(batch.to_vec()));
     let mut next = batch.to_vec();
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -36,8 +36,10 @@
 };
 use crate::ids::{ClaimNumber, ProcessName, ServiceName, TeamName};
 
-/// Bytes that one claim without its answer counts for: its share of the maps, its indexes and its
-/// names at usual lengths. Checked by `examples/claim_cost.rs`.
+/// Bytes that one claim without its answer counts for.
+///
+/// `examples/claim_cost.rs` measures 291 bytes of resident memory per claim at 1,000,000 claims
+/// with shared names; the rest is room for services and holders that have few claims each.
 pub const RECORD_BYTES: u64 = 512;
 
 /// Longest name or key that is accepted, in bytes.
--- a/src/directory/announcement.rs
+++ b/src/directory/announcement.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
 
 use crate::ids::{RegionName, ServerId, ServiceName, TeamName, ZoneName};
@@ -41,13 +41,57 @@
 }
 
 /// An announcement on its way between entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// It is encoded as an array, as the names of its fields would be half of each heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayedAnnouncement {
     pub announcement: Arc<ServerAnnouncement>,
     /// Milliseconds since the server was heard, so that a late copy doesn't count as a new heartbeat.
     pub age_ms: u64,
 }
 
+/// Order of the fields in the encoding of a `RelayedAnnouncement`.
+type RelayFields<Text> = (
+    (Text, Text, Text),
+    (SocketAddr, Text, Text),
+    (u32, u32, AnnouncedState, u32),
+    (u64, u64, u64),
+);
+
+impl Serialize for RelayedAnnouncement {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let item = &self.announcement;
+        let fields: RelayFields<&str> = (
+            (&item.team, &item.service, &item.server),
+            (item.address, &item.availability_zone, &item.region),
+            (item.slots, item.connections, item.state, item.load),
+            (item.incarnation, item.sequence, self.age_ms),
+        );
+        fields.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for RelayedAnnouncement {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (names, place, size, numbers) = RelayFields::<Box<str>>::deserialize(deserializer)?;
+        let announcement = ServerAnnouncement {
+            team: names.0,
+            service: names.1,
+            server: names.2,
+            address: place.0,
+            availability_zone: place.1,
+            region: place.2,
+            slots: size.0,
+            connections: size.1,
+            state: size.2,
+            load: size.3,
+            incarnation: numbers.0,
+            sequence: numbers.1,
+        };
+        Ok(Self { announcement: Arc::new(announcement), age_ms: numbers.2 })
+    }
+}
+
 /// A service within its team.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServiceKey {
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -298,6 +298,24 @@
     assert_eq!(empty.root_digest(), directories[0].root_digest());
 }
 
+/// Guards against a field that changes its place or is lost between two processes.
+#[test]
+fn relays_survive_the_wire() {
+    let mut item = announcement(3, 4, 5, A::Draining);
+    (item.slots, item.connections, item.load) = (1, 2, 3);
+    for address in ["127.0.0.1:80", "[::1]:81"] {
+        item.address = address.parse().expect("the address is valid");
+        let sent = RelayedAnnouncement { announcement: Arc::new(item.clone()), age_ms: 6 };
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&vec![sent.clone()], &mut bytes).expect("a vector takes the batch");
+        let received: Vec<RelayedAnnouncement> =
+            ciborium::from_reader(&bytes[..]).expect("the batch is complete");
+        assert_eq!(received, [sent]);
+        let text = serde_json::to_string(&item).expect("an announcement has a JSON form");
+        assert_eq!(serde_json::from_str::<ServerAnnouncement>(&text).ok(), Some(item.clone()));
+    }
+}
+
 /// Guards against a directory that grows without bound or lets one team take all room.
 #[test]
 fn bounds_hold() {
