--- a/src/directory/announcement.rs
+++ b/src/directory/announcement.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use sha2::{Digest, Sha256};
 
 use crate::ids::{RegionName, ServerId, ServiceName, TeamName, ZoneName};
@@ -41,13 +41,57 @@
 }
 
 /// An announcement on its way between entries.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// It is encoded as an array, as the names of its fields would be half of each heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayedAnnouncement {
     pub announcement: Arc<ServerAnnouncement>,
     /// Milliseconds since the server was heard, so that a late copy doesn't count as a new heartbeat.
     pub age_ms: u64,
 }
 
+/// Order of the fields in the encoding of a `RelayedAnnouncement`.
+type RelayFields<Text> = (
+    (Text, Text, Text),
+    (SocketAddr, Text, Text),
+    (u32, u32, AnnouncedState, u32),
+    (u64, u64, u64),
+);
+
+impl Serialize for RelayedAnnouncement {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let item = &self.announcement;
+        let fields: RelayFields<&str> = (
+            (&item.team, &item.service, &item.server),
+            (item.address, &item.availability_zone, &item.region),
+            (item.slots, item.connections, item.state, item.load),
+            (item.incarnation, item.sequence, self.age_ms),
+        );
+        fields.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for RelayedAnnouncement {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let (names, place, size, numbers) = RelayFields::<Box<str>>::deserialize(deserializer)?;
+        let announcement = ServerAnnouncement {
+            team: names.0,
+            service: names.1,
+            server: names.2,
+            address: place.0,
+            availability_zone: place.1,
+            region: place.2,
+            slots: size.0,
+            connections: size.1,
+            state: size.2,
+            load: size.3,
+            incarnation: numbers.0,
+            sequence: numbers.1,
+        };
+        Ok(Self { announcement: Arc::new(announcement), age_ms: numbers.2 })
+    }
+}
+
 /// A service within its team.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServiceKey {
@@ -126,20 +170,21 @@
     /// The newer (incarnation, sequence) supplies the content. Draining and gone are kept from any
     /// announcement of the incarnation, also from an older one that arrives later. For equal
     /// numbers with different content, which only a faulty server sends, the greater content wins.
-    pub fn merge(&self, other: &Self) -> Self {
+    pub fn merge(self: &Arc<Self>, other: &Arc<Self>) -> Arc<Self> {
         let newer = if self.rank() >= other.rank() { self } else { other };
-        let mut merged = newer.clone();
-        if self.incarnation != other.incarnation {
-            return merged;
-        }
-        let floor = self.final_state().max(other.final_state());
-        if let Some(floor) = floor {
-            merged.state = merged.state.max(floor);
+        let mut state = newer.state;
+        if self.incarnation == other.incarnation {
+            let floor = self.final_state().max(other.final_state());
+            state = floor.map_or(state, |floor| state.max(floor));
+            if self.sequence == other.sequence {
+                state = self.state.max(other.state);
+            }
         }
-        if self.sequence == other.sequence {
-            merged.state = self.state.max(other.state);
+        // Nearly all heartbeats end here, without a copy of the text fields.
+        if state == newer.state {
+            return Arc::clone(newer);
         }
-        merged
+        Arc::new(Self { state, ..Self::clone(newer) })
     }
 
     fn rank(&self) -> impl Ord + '_ {
@@ -154,6 +199,13 @@
         (self.state >= AnnouncedState::Draining).then_some(self.state)
     }
 
+    /// Returns whether the two are equal, if they are of the same server.
+    pub(super) fn same_heartbeat(&self, other: &Self) -> bool {
+        self.sequence == other.sequence
+            && self.load == other.load
+            && !self.differs_for_routing(other)
+    }
+
     /// Returns whether the two differ in more than the heartbeat number and the load.
     pub fn differs_for_routing(&self, other: &Self) -> bool {
         self.incarnation != other.incarnation
