Release claims whose answer came too late

A claim that was granted after its request had given up would block its key until the entry's session ends. The entry now asks on and releases it.

--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -35,6 +35,9 @@
 /// Time after the deadline within which a settlement is still awaited.
 const SETTLE_TIME: Duration = Duration::from_secs(1);
 
+/// Time over which the fate of an unanswered claim is looked for.
+const ABANDON_TIME: Duration = Duration::from_secs(30);
+
 /// One request that needs a claim.
 struct ClaimedRequest<'a> {
     context: &'a Arc<EntryContext>,
@@ -90,17 +93,17 @@
     async fn run(&self, caller: &mut CallerConnection, key: Box<str>) -> RequestEnd {
         let mut open = self.open_command(key);
         loop {
-            let request = UnclaimedRequest::new(open, self.context.dropped_claims());
-            let outcome =
-                match self.context.claims.open(request.command(), self.plan.deadline).await {
-                    Ok(outcome) => outcome,
-                    Err(error) => {
-                        return RequestEnd::Failed(
-                            FailureReason::ClaimUnknown,
-                            error.to_string().into(),
-                        );
-                    }
-                };
+            let deadline = self.plan.deadline;
+            let dropped = self.context.dropped_claims();
+            let request = UnclaimedRequest::new(open, Instant::now(), deadline, dropped);
+            let outcome = match self.context.claims.open(request.command(), deadline).await {
+                Ok(outcome) => outcome,
+                Err(error) => {
+                    task::spawn(abandon(Arc::clone(self.context), request));
+                    let message = error.to_string().into();
+                    return RequestEnd::Failed(FailureReason::ClaimUnknown, message);
+                }
+            };
             let request = match request.resolve(outcome) {
                 ClaimResolution::Granted(claim) => return self.run_granted(caller, claim).await,
                 ClaimResolution::Duplicate { request, .. } => request,
@@ -189,8 +192,16 @@
                 }
             }
         }
+        match self.end_unsent(claim, last.0).await {
+            RequestEnd::Failed(reason, _) if reason == last.0 => RequestEnd::Failed(reason, last.1),
+            end => end,
+        }
+    }
+
+    /// Ends a request of which no byte was offered.
+    async fn end_unsent(&self, claim: GrantedClaim, reason: FailureReason) -> RequestEnd {
         if self.release(claim).await {
-            return RequestEnd::Failed(last.0, last.1);
+            return RequestEnd::Failed(reason, "the request was not sent".into());
         }
         let text = "the request was not sent, but its claim could not be released";
         RequestEnd::Failed(FailureReason::ClaimUnknown, text.into())
@@ -209,7 +220,13 @@
         };
         let deadline = self.plan.deadline;
         let forward = forward_head(self.head, framing, self.plan.peer, self.request_id, deadline);
-        let (claim, send_permit) = claim.offer();
+        let (claim, send_permit) = match claim.offer(Instant::now()) {
+            Ok(offered) => offered,
+            Err(claim) => {
+                drop(permit);
+                return self.end_unsent(claim, FailureReason::DeadlineBeforeStart).await;
+            }
+        };
         // From here the request may run. It is not cancelled when the caller goes away, so that a
         // resend finds the response.
         match send_once(send_permit, connection, &forward, &self.content, deadline).await {
@@ -368,6 +385,16 @@
     }
 }
 
+/// Finds out what became of a claim whose answer did not come in time, and releases it if it was
+/// granted; otherwise its key would stay blocked until the entry's session ends.
+async fn abandon(context: Arc<EntryContext>, request: UnclaimedRequest) {
+    let until = Instant::now() + ABANDON_TIME;
+    if let Ok(outcome) = context.claims.open(request.command(), until).await {
+        // Dropping a grant releases its claim.
+        drop(request.resolve(outcome));
+    }
+}
+
 /// Sends a request to a server; consumes the permit, so that it cannot be sent twice.
 async fn send_once(
     _permit: SendPermit,
