--- a/src/stand_in/pattern.rs
+++ b/src/stand_in/pattern.rs
@@ -21,11 +21,14 @@
     }
 
     /// Writes the next bytes of the sequence.
-    pub fn fill(&mut self, output: &mut [u8]) {
-        for byte in output {
+    pub fn fill(&mut self, mut output: &mut [u8]) {
+        while !output.is_empty() {
             let word = mix(self.seed.wrapping_add(self.offset / 8)).to_le_bytes();
-            *byte = word[(self.offset % 8) as usize];
-            self.offset += 1;
+            let rest = &word[(self.offset % 8) as usize..];
+            let count = rest.len().min(output.len());
+            output[..count].copy_from_slice(&rest[..count]);
+            self.offset += count as u64;
+            output = &mut output[count..];
         }
     }
 
