Refuse CR and control characters in chunk lines, count whole trailer lines

A chunk line with a CR inside, or with a form feed or a second CR after the size, was accepted: `trim_ascii_end` drops more than the white space of HTTP. Servers differ in how they read such lines, so they are refused as heads with a CR inside a line already were. The trailer limit counted lines without their CRLF, so tiny lines passed at up to three times the stated size.

--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -98,14 +98,14 @@
 
     /// Skips trailers; they are hop-by-hop for a proxy that does not know their meaning.
     fn decode_trailer(&mut self, input: &[u8]) -> Result<DecodedChunk, HttpError> {
-        let left = TRAILER_BYTES - self.trailer_bytes;
+        let left = TRAILER_BYTES.saturating_sub(self.trailer_bytes);
         let Some(line) = find_line(input, left)? else {
             return Ok(DecodedChunk { consumed: 0, data: 0..0 });
         };
         if line == 0 {
             self.state = DecodeState::Complete;
         }
-        self.trailer_bytes += line;
+        self.trailer_bytes += line + 2;
         Ok(DecodedChunk { consumed: line + 2, data: 0..0 })
     }
 }
@@ -120,10 +120,14 @@
         if position > limit {
             return Err(HttpError::InvalidFraming("chunk line or trailer too long"));
         }
+        let after_cr = position > 0 && input[position - 1] == b'\r';
         if *byte != b'\n' {
+            if after_cr {
+                return Err(HttpError::InvalidFraming("CR inside a chunk line or trailer"));
+            }
             continue;
         }
-        if position == 0 || input[position - 1] != b'\r' {
+        if !after_cr {
             return Err(HttpError::InvalidFraming("chunk line ends without CR"));
         }
         return Ok(Some(position - 1));
@@ -135,8 +139,11 @@
 }
 
 fn parse_chunk_size(line: &[u8]) -> Result<u64, HttpError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = digits.trim_ascii_end();
+    let mut digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    // Only these two are white space in HTTP; `trim_ascii_end` would also drop CR and form feed.
+    while let [rest @ .., b' ' | b'\t'] = digits {
+        digits = rest;
+    }
     if digits.is_empty() || digits.len() > 15 || !digits.iter().all(u8::is_ascii_hexdigit) {
         return Err(HttpError::InvalidFraming("invalid chunk size"));
     }
