Check the Host header and let the absolute form replace it

A Host with a space, a path, user information or bytes outside ASCII was accepted and passed on, and a request in absolute form was routed by its authority while the server saw the original Host header (RFC 9112, section 3.2.2 requires the authority). Both let a server act for another host than the one the request was routed by.

--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -63,8 +63,14 @@
         if matches!(method, "CONNECT" | "TRACE") {
             return Err(HttpError::UnsupportedMethod);
         }
-        let headers = collect_headers(request.headers);
-        let (host, target) = split_target(request.path.unwrap_or_default(), version, &headers)?;
+        let mut headers = collect_headers(request.headers);
+        let raw = request.path.unwrap_or_default();
+        let (authority, target) = split_target(raw, version, &headers)?;
+        let host = host_name(&authority);
+        if !raw.starts_with('/') && raw != "*" {
+            // A server behind this process must see the host by which the request was routed.
+            let _ = headers.set("host", authority.as_bytes());
+        }
         let framing = BodyFraming::of_request(version, &headers)?;
         let head = RequestHead { method: method.into(), target, host, version, headers, framing };
         Ok(Some((head, length)))
@@ -217,7 +223,7 @@
     headers
 }
 
-/// Returns host and origin-form target of a request.
+/// Returns authority and origin-form target of a request.
 fn split_target(
     raw: &str,
     version: HttpVersion,
@@ -226,7 +232,10 @@
     let mut hosts = headers.values("host");
     let host_header = match hosts.next() {
         Some(value) => {
-            std::str::from_utf8(value).map_err(|_| HttpError::MalformedHead("Host is not ASCII"))?
+            if !is_authority(value) {
+                return Err(HttpError::MalformedHead("invalid Host"));
+            }
+            std::str::from_utf8(value).unwrap_or_default()
         }
         None if version == HttpVersion::Http11 => {
             return Err(HttpError::MalformedHead("Host is missing"));
@@ -237,7 +246,7 @@
         return Err(HttpError::MalformedHead("more than one Host"));
     }
     if raw.starts_with('/') || raw == "*" {
-        return Ok((host_name(host_header), raw.into()));
+        return Ok((host_header.into(), raw.into()));
     }
     // The absolute form overrides the Host header (RFC 9112, section 3.2.2).
     let scheme_end = raw.find("://").ok_or(HttpError::MalformedHead("invalid target"))?;
@@ -247,11 +256,18 @@
     let rest = &raw[scheme_end + 3..];
     let path_start = rest.find(['/', '?']).unwrap_or(rest.len());
     let (authority, path) = rest.split_at(path_start);
-    if authority.is_empty() || authority.contains('@') {
+    if authority.is_empty() || !is_authority(authority.as_bytes()) {
         return Err(HttpError::MalformedHead("invalid authority in target"));
     }
     let target = if path.starts_with('/') { path.into() } else { format!("/{path}").into() };
-    Ok((host_name(authority), target))
+    Ok((authority.into(), target))
+}
+
+/// Reports whether `value` has only characters of a host and port (RFC 3986, section 3.2.2).
+///
+/// User information is not accepted, because servers differ in what they take for the host then.
+fn is_authority(value: &[u8]) -> bool {
+    value.iter().all(|byte| byte.is_ascii_alphanumeric() || b"-._~!$&'()*+,;=%:[]".contains(byte))
 }
 
 /// Strips the port and lower-cases a host.
