Refuse Transfer-Encoding in HTTP/1.0 responses

Its framing is faulty by RFC 9112, section 6.1; requests of that kind were refused already. One of 27 new response tests failed on the old code; all pass now.

--- a/src/http/framing.rs
+++ b/src/http/framing.rs
@@ -42,6 +42,9 @@
         if chunked && length.is_some() {
             return Err(HttpError::InvalidFraming("Content-Length with Transfer-Encoding"));
         }
+        if chunked && head.version == HttpVersion::Http10 {
+            return Err(HttpError::InvalidFraming("Transfer-Encoding in HTTP/1.0"));
+        }
         if method == "HEAD" || matches!(head.status, 204 | 304) {
             return Ok(Self::Empty);
         }
--- /dev/null
+++ b/tests/http_response.rs
@@ -0,0 +1,68 @@
+//! Response heads on bytes.
+
+use curranthollow::http::{BodyFraming, HttpLimits, ResponseHead};
+
+fn describe(method: &str, raw: &[u8]) -> String {
+    let head = match ResponseHead::parse(raw, &HttpLimits::default()) {
+        Ok(None) => return "incomplete".into(),
+        Ok(Some((head, _))) => head,
+        Err(error) => return error.to_string(),
+    };
+    if head.is_interim() {
+        return format!("{} interim", head.status);
+    }
+    match BodyFraming::of_response(method, &head) {
+        Ok(framing) => format!("{} {framing:?} keep_alive={}", head.status, head.keep_alive()),
+        Err(error) => error.to_string(),
+    }
+}
+
+/// Guards against a response whose end is taken to be elsewhere, or cannot be verified.
+#[yare::parameterized(
+    length = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "200 Length(5) keep_alive=true" },
+    zero = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "200 Empty keep_alive=true" },
+    chunked = { "GET", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "200 Chunked keep_alive=true" },
+    no_reason = { "GET", b"HTTP/1.1 200\r\nContent-Length: 5\r\n\r\n", "200 Length(5) keep_alive=true" },
+    without_length = { "GET", b"HTTP/1.1 200 OK\r\n\r\n", "response end is only marked by connection close" },
+    two_lengths = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", "invalid body framing: repeated Content-Length" },
+    two_lengths_to_head = { "HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n", "invalid body framing: repeated Content-Length" },
+    both = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n", "invalid body framing: Content-Length with Transfer-Encoding" },
+    chunked_http_10 = { "GET", b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "invalid body framing: Transfer-Encoding in HTTP/1.0" },
+    gzip = { "GET", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "unsupported transfer coding" },
+    http_10 = { "GET", b"HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\n", "200 Length(5) keep_alive=false" },
+    close = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\n", "200 Length(5) keep_alive=false" },
+    no_content = { "GET", b"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\n", "204 Empty keep_alive=true" },
+    not_modified = { "GET", b"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "304 Empty keep_alive=true" },
+    to_head = { "HEAD", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "200 Empty keep_alive=true" },
+    to_head_without_length = { "HEAD", b"HTTP/1.1 200 OK\r\n\r\n", "200 Empty keep_alive=true" },
+    to_lower_case_head = { "head", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "200 Length(5) keep_alive=true" },
+    early_hints = { "GET", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "103 interim" },
+    status_99 = { "GET", b"HTTP/1.1 099 Odd\r\nContent-Length: 5\r\n\r\n", "malformed head: status below 100" },
+    status_word = { "GET", b"HTTP/1.1 abc OK\r\n\r\n", "malformed head: invalid status" },
+    http_2 = { "GET", b"HTTP/2.0 200 OK\r\n\r\n", "HTTP version not supported" },
+    bare_lf = { "GET", b"HTTP/1.1 200 OK\nContent-Length: 5\n\n", "malformed head: line ends without CR" },
+    space_before_colon = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\n", "malformed head: invalid header name" },
+    line_folding = { "GET", b"HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n", "malformed head: invalid header name" },
+    cut = { "GET", b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", "incomplete" },
+)]
+fn heads(method: &str, raw: &[u8], expected: &str) {
+    assert_eq!(describe(method, raw), expected);
+}
+
+/// Guards against header values and reasons that are changed because they are not ASCII.
+#[test]
+fn values_pass_unchanged() {
+    let raw = b"HTTP/1.1 299 Odd reason\r\na: \xe4\xff\r\na: \xc3\xa4 b\r\n\r\n";
+    let (head, length) = ResponseHead::parse(raw, &HttpLimits::default()).unwrap().unwrap();
+    assert_eq!(length, raw.len());
+    let mut output = Vec::new();
+    head.write_to(&mut output);
+    assert_eq!(output, raw);
+}
+
+/// Guards against a response head that fills memory.
+#[test]
+fn large_head_is_refused() {
+    let large = format!("HTTP/1.1 200 OK\r\nA: {}\r\n\r\n", "b".repeat(150 * 1024));
+    assert_eq!(describe("GET", large.as_bytes()), "head exceeds the size limit");
+}
