Keep the read buffer intact when a read is given up; no length on 204

A read that was dropped while it waited (idle timeout, deadline, a second attempt) left up to 16 KiB of zero bytes in the buffer, because the buffer was resized before the await and truncated after it. The next read returned these bytes as body data. The read now goes through a buffer of the thread and appends only what arrived. This also frees idle connections from holding a 16 KiB buffer.

`respond` wrote a Content-Length and a body on 204 and 304, which shifts the next response on the connection (RFC 9110, section 8.6).

--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -151,11 +151,16 @@
         body: &[u8],
     ) -> Result<(), HttpError> {
         head.headers.remove("content-length");
-        let length = body.len().to_string();
-        let _ = head.headers.append("content-length", length.as_bytes());
+        // A 204 must not have a length, and that of a 304 would be taken for the size of the
+        // representation (RFC 9110, section 8.6).
+        let bodiless = matches!(head.status, 204 | 304);
+        if !bodiless {
+            let length = body.len().to_string();
+            let _ = head.headers.append("content-length", length.as_bytes());
+        }
         let mut output = Vec::with_capacity(512 + body.len());
         head.write_to(&mut output);
-        if request.method.as_ref() != "HEAD" {
+        if !bodiless && request.method.as_ref() != "HEAD" {
             output.extend_from_slice(body);
         }
         self.write(&output).await
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -1,11 +1,14 @@
 //! TCP stream with a bounded read buffer.
 
-use std::future::Future;
+use std::cell::RefCell;
+use std::future::{Future, poll_fn};
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::io::{ReadExt, WriteExt};
+use async_std::io::{Read, ReadExt, WriteExt};
 use async_std::net::TcpStream;
 
 use super::{BodyDecoder, HttpError, HttpLimits};
@@ -13,6 +16,13 @@
 /// Bytes requested from the socket in one read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Capacity that the buffer of an idle connection keeps, enough for a typical head.
+const KEPT_BYTES: usize = 1024;
+
+thread_local! {
+    static READ_BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// Bytes that are read and discarded before a refused connection is closed.
 const LINGER_BYTES: usize = 512 * 1024;
 
@@ -42,24 +52,31 @@
     /// Marks `count` bytes of the input as used.
     pub fn consume(&mut self, count: usize) {
         self.start += count;
-        if self.start == self.buffer.len() {
-            self.buffer.clear();
-            self.start = 0;
+        if self.start < self.buffer.len() {
+            return;
         }
+        self.buffer.clear();
+        self.buffer.shrink_to(KEPT_BYTES);
+        self.start = 0;
     }
 
     /// Reads once from the socket and returns the number of bytes; 0 means end of stream.
+    ///
+    /// Dropping the future loses no input and leaves the buffer as it was.
     pub async fn fill(&mut self) -> io::Result<usize> {
-        if self.start > 0 {
+        poll_fn(|context| self.poll_fill(context)).await
+    }
+
+    /// Reads by way of a buffer of the thread, so that an idle connection holds none.
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        READ_BUFFER.with_borrow_mut(|scratch| {
+            let result = ready!(Pin::new(&mut self.stream).poll_read(context, scratch));
+            let count = *result.as_ref().unwrap_or(&0);
             self.buffer.drain(..self.start);
             self.start = 0;
-        }
-        let old = self.buffer.len();
-        self.buffer.resize(old + READ_BYTES, 0);
-        let result = self.stream.read(&mut self.buffer[old..]).await;
-        let count = *result.as_ref().unwrap_or(&0);
-        self.buffer.truncate(old + count);
-        result
+            self.buffer.extend_from_slice(&scratch[..count]);
+            Poll::Ready(result)
+        })
     }
 
     /// Writes all bytes; gives up after `stall` without progress.
