Operator port: no empty body in place of a failed one, keep messages

A response whose body could not be read was sent as a complete empty 200; it is a 500 now. Messages of failed routes were lost in the conversion between the response types of tide; a middleware makes them the body. A target of `*` was appended to the host and routed as `/`; it is refused. Responses to HTTP/1.0 callers name keep-alive. A failed accept (no file descriptors left) no longer spins.

The failed accept has no test.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
@@ -12,7 +13,7 @@
 use tide::http::{Method, Request, Response, Url};
 
 use crate::http::{
-    CallerConnection, HttpError, HttpLimits, RequestBody, RequestHead, ResponseHead,
+    CallerConnection, HttpError, HttpLimits, HttpVersion, RequestBody, RequestHead, ResponseHead,
 };
 
 /// Largest request body in bytes on the operator port.
@@ -21,16 +22,22 @@
 /// Operator connections that may be open at once.
 const OPEN_CONNECTIONS: usize = 256;
 
+/// Wait after a failed accept.
+const ACCEPT_WAIT: Duration = Duration::from_millis(50);
+
 /// Serves `app` on `listener` for as long as the process runs.
-pub fn serve<S>(listener: TcpListener, app: tide::Server<S>)
+pub fn serve<S>(listener: TcpListener, mut app: tide::Server<S>)
 where
     S: Clone + Send + Sync + 'static,
 {
+    app.with(tide::utils::After(add_message));
     task::spawn(async move {
         let open = Arc::new(AtomicUsize::new(0));
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
             let Ok(stream) = stream else {
+                // Typically out of file descriptors; a short wait avoids a busy loop.
+                task::sleep(ACCEPT_WAIT).await;
                 continue;
             };
             if open.fetch_add(1, Ordering::Relaxed) >= OPEN_CONNECTIONS {
@@ -66,11 +73,10 @@
             Err(error) => return refuse(connection, Some(head), error).await,
         };
         let response = match build_request(&head, content) {
-            Some(request) => app.respond(request).await.unwrap_or_else(|error| {
-                let mut response = Response::new(error.status());
-                response.set_body(error.to_string());
-                response
-            }),
+            Some(request) => match app.respond(request).await {
+                Ok(response) => response,
+                Err(error) => Response::new(error.status()),
+            },
             None => Response::new(400),
         };
         let keep_alive = head.keep_alive();
@@ -81,6 +87,14 @@
     }
 }
 
+/// Makes the message of a failed route the body, which `tide` leaves empty.
+async fn add_message(mut response: tide::Response) -> tide::Result {
+    if let Some(message) = response.error().map(ToString::to_string) {
+        response.set_body(message);
+    }
+    Ok(response)
+}
+
 async fn refuse(
     mut connection: CallerConnection,
     head: Option<RequestHead>,
@@ -110,6 +124,9 @@
 /// Header values that are not ASCII are refused, because `http-types` panics on them.
 fn build_request(head: &RequestHead, content: Vec<u8>) -> Option<Request> {
     let method: Method = head.method.parse().ok()?;
+    if !head.target.starts_with('/') {
+        return None;
+    }
     let url = Url::parse(&format!("http://operator{}", head.target)).ok()?;
     let mut request = Request::new(method, url);
     for (name, value) in head.headers.iter() {
@@ -129,6 +146,11 @@
     mut response: Response,
     keep_alive: bool,
 ) -> Result<(), HttpError> {
+    let content = response.body_bytes().await;
+    if content.is_err() {
+        // An empty body in its place would look complete.
+        response = Response::new(500);
+    }
     let mut head = ResponseHead::new(response.status().into());
     for (name, values) in response.iter() {
         if matches!(name.as_str(), "content-length" | "transfer-encoding" | "connection") {
@@ -140,7 +162,8 @@
     }
     if !keep_alive {
         let _ = head.headers.append("connection", b"close");
+    } else if request.version == HttpVersion::Http10 {
+        let _ = head.headers.append("connection", b"keep-alive");
     }
-    let body = response.body_bytes().await.unwrap_or_default();
-    connection.respond(request, head, &body).await
+    connection.respond(request, head, &content.unwrap_or_default()).await
 }
