Store older settings versions as differences

A version now keeps only the bytes that differ from the next one, and a branch at most 1 MiB of them, so that a team that rewrites large documents keeps fewer than 100 versions instead of filling the memory of control.

--- a/src/settings/branch.rs
+++ b/src/settings/branch.rs
@@ -1,16 +1,13 @@
 //! State of one branch in the settings store.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::history::{HistoryEntry, VersionHistory};
 use super::outcomes::OutcomeLog;
 use crate::ids::SettingsRevision;
 
-/// Versions kept for one branch.
-pub const HISTORY_LIMIT: usize = 100;
-
 /// Branches that can exist, deleted ones included; 4,200 services need about 210.
 pub const BRANCH_LIMIT: usize = 4096;
 
@@ -24,20 +21,10 @@
     pub(super) token_sha256: Box<str>,
     /// `None` when the branch is deleted.
     pub(super) document: Option<Arc<str>>,
-    pub(super) history: VecDeque<HistoryEntry>,
+    pub(super) history: VersionHistory,
     pub(super) outcomes: OutcomeLog,
 }
 
-/// One accepted version of a branch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HistoryEntry {
-    pub version: u64,
-    pub revision: SettingsRevision,
-    pub change_id: Box<str>,
-    /// `None` for a deletion.
-    pub document: Option<Arc<str>>,
-}
-
 impl BranchState {
     pub(super) fn new(document: Option<Arc<str>>, token_sha256: Box<str>) -> Self {
         Self {
@@ -45,7 +32,7 @@
             revision: 0,
             token_sha256,
             document,
-            history: VecDeque::new(),
+            history: VersionHistory::default(),
             outcomes: OutcomeLog::default(),
         }
     }
@@ -59,13 +46,11 @@
     ) -> u64 {
         self.version += 1;
         self.revision = revision;
-        self.document = document.clone();
-        if self.history.len() == HISTORY_LIMIT {
-            self.history.pop_front();
-        }
-        let version = self.version;
         let change_id = change_id.into();
-        self.history.push_back(HistoryEntry { version, revision, change_id, document });
-        version
+        let entry =
+            HistoryEntry { version: self.version, revision, change_id, document: document.clone() };
+        self.history.push(entry, self.document.as_deref());
+        self.document = document;
+        self.version
     }
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,13 +4,14 @@
 mod change;
 mod document;
 mod effective;
+mod history;
 mod inheritance;
 mod installed;
 mod outcomes;
 mod store;
 mod tree;
 
-pub use branch::{BRANCH_LIMIT, HISTORY_LIMIT, HistoryEntry};
+pub use branch::BRANCH_LIMIT;
 pub use change::{
     ChangeAction, ChangeOutcome, RefusalReason, SettingsChange, token_matches, token_sha256,
 };
@@ -19,6 +20,7 @@
     ClaimRule, DrainRule, MeasureBudget, RequestClass, RetryRule, ServerLimits, ServiceMatch,
     ServiceSettings,
 };
+pub use history::{HISTORY_LIMIT, HISTORY_SIZE, HistoryEntry};
 pub use inheritance::{EffectiveValue, ValueSource, effective_values};
 pub use installed::{BranchCopy, InstallError, InstalledSettings, SettingsDelta};
 pub use outcomes::{DETAIL_LIMIT, OUTCOME_LIMIT};
--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -6,9 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::ROOT_BRANCH;
-use super::branch::{BRANCH_LIMIT, BranchState, HistoryEntry};
+use super::branch::{BRANCH_LIMIT, BranchState};
 use super::change::{ChangeAction, ChangeOutcome, RefusalReason, SettingsChange, token_matches};
 use super::document::{RootSettings, TeamSettings};
+use super::history::HistoryEntry;
 use super::installed::{BranchCopy, InstallError, SettingsDelta, build_tree};
 use super::tree::SettingsTree;
 use crate::ids::{ClusterId, SettingsRevision};
@@ -96,8 +97,9 @@
     }
 
     /// Kept versions of a branch, oldest first.
-    pub fn history(&self, branch: &str) -> impl Iterator<Item = &HistoryEntry> {
-        self.state.branches.get(branch).into_iter().flat_map(|branch| &branch.history)
+    pub fn history(&self, branch: &str) -> Vec<HistoryEntry> {
+        let branch = self.state.branches.get(branch);
+        branch.map_or_else(Vec::new, |branch| branch.history.entries(branch.document.as_ref()))
     }
 
     /// Number of outcomes kept for a branch.
--- a/tests/settings_store.rs
+++ b/tests/settings_store.rs
@@ -1,9 +1,9 @@
 //! Guards the replicated settings: versions, tokens, resends, isolation of teams and installation.
 
 use curranthollow::settings::{
-    BRANCH_LIMIT, ChangeAction, ChangeOutcome, DETAIL_LIMIT, HISTORY_LIMIT, InstallError,
-    InstalledSettings, OUTCOME_LIMIT, RefusalReason, RestoreError, SettingsChange, SettingsStore,
-    token_matches, token_sha256,
+    BRANCH_LIMIT, ChangeAction, ChangeOutcome, DETAIL_LIMIT, HISTORY_LIMIT, HISTORY_SIZE,
+    InstallError, InstalledSettings, OUTCOME_LIMIT, RefusalReason, RestoreError, SettingsChange,
+    SettingsStore, token_matches, token_sha256,
 };
 use yare::parameterized;
 
@@ -287,7 +287,7 @@
     for number in 0..HISTORY_LIMIT as u64 + 20 {
         store.apply(&replace("blue", 1 + number, &format!("h{number}"), "/b1"));
     }
-    let versions: Vec<u64> = store.history("blue").map(|entry| entry.version).collect();
+    let versions: Vec<u64> = store.history("blue").iter().map(|entry| entry.version).collect();
     assert_eq!(
         (versions.len(), versions[0], versions[HISTORY_LIMIT - 1]),
         (HISTORY_LIMIT, 22, 121)
@@ -305,6 +305,54 @@
     assert_eq!(SettingsStore::restore(&store.snapshot()).unwrap().snapshot(), store.snapshot());
 }
 
+// Guards against a kept version whose document differs from the accepted one: documents that grow,
+// shrink, share part of a character, are deleted and created again.
+#[test]
+fn history_restores_every_document() {
+    let mut store = store();
+    let mut expected: Vec<Option<String>> = vec![Some(document("blue", "/blue").into())];
+    let comments = ["", "ü", "ö", "öö", "ü/blue", "aaaa", "aa", "aaaaaa"];
+    for (number, comment) in comments.iter().enumerate() {
+        let text = format!("/* {comment} */ {} // {comment}", document("blue", "/blue"));
+        let action = ChangeAction::Replace { document: text.as_str().into() };
+        let next = change("blue", expected.len() as u64, &format!("x{number}"), "blue", action);
+        assert!(matches!(store.apply(&next), ChangeOutcome::Accepted { .. }));
+        expected.push(Some(text));
+        if number == 4 {
+            store.apply(&delete("blue", expected.len() as u64, "d"));
+            expected.push(None);
+            store.apply(&create("blue", expected.len() as u64, "c"));
+            expected.push(Some(document("blue", "/blue").into()));
+        }
+    }
+    store.apply(&rotate("blue", "r", "new"));
+    expected.push(expected[expected.len() - 1].clone());
+    let restored = SettingsStore::restore(&store.snapshot()).unwrap();
+    for store in [&store, &restored] {
+        let history = store.history("blue");
+        let documents: Vec<Option<String>> =
+            history.iter().map(|entry| entry.document.as_deref().map(str::to_owned)).collect();
+        assert_eq!(documents, expected);
+        assert!(history.is_sorted_by_key(|entry| entry.revision));
+    }
+}
+
+// Guards against a team that fills the memory of control by rewriting a large document.
+#[test]
+fn bounds_history_of_large_documents() {
+    let mut store = store();
+    for number in 0..12_u64 {
+        let filler = char::from(b'a' + number as u8).to_string().repeat(200_000);
+        let text = format!("/*{filler}*/ {}", document("blue", "/blue"));
+        let action = ChangeAction::Replace { document: text.into() };
+        let next = change("blue", 1 + number, &format!("x{number}"), "blue", action);
+        assert!(matches!(store.apply(&next), ChangeOutcome::Accepted { .. }));
+    }
+    let versions: Vec<u64> = store.history("blue").iter().map(|entry| entry.version).collect();
+    assert_eq!(versions, [8, 9, 10, 11, 12, 13]);
+    assert!(store.snapshot().len() < HISTORY_SIZE + 300_000);
+}
+
 // Guards against more branches than the state is sized for.
 #[test]
 fn bounds_branches() {
