Bound the cost of hostile settings documents

The walk ends at the error limit, and services share an inherited class list: 500 services that each copy 64 classes with 16 methods would multiply the memory of a short document on every entry (by estimate, not measured).

--- a/src/schema/validator.rs
+++ b/src/schema/validator.rs
@@ -150,11 +150,16 @@
 
 impl<'s> SchemaWalk<'s> {
     fn report(&mut self, offset: usize, path: &str, message: String) {
-        if self.errors.len() < ERROR_LIMIT {
+        if !self.is_full() {
             self.errors.push(self.index.error(offset, path.into(), message.into()));
         }
     }
 
+    /// Tells whether the walk can end, because further errors are not reported.
+    fn is_full(&self) -> bool {
+        self.errors.len() >= ERROR_LIMIT
+    }
+
     fn resolve(&self, schema: &'s Value) -> &'s Value {
         let Some(target) = schema.get("$ref").and_then(Value::as_str) else {
             return schema;
@@ -186,6 +191,9 @@
     fn check_object(&mut self, schema: &'s Value, object: &Object<'_>, path: &str) -> Value {
         let mut map = Map::new();
         for property in &object.properties {
+            if self.is_full() {
+                break;
+            }
             let name = property.name.as_str();
             let offset = property.name.range().start;
             let inner = join_path(path, &quote(name));
@@ -246,6 +254,9 @@
         let mut seen = BTreeSet::new();
         let unique = schema["x-unique"].as_str();
         for (position, node) in array.elements.iter().enumerate() {
+            if self.is_full() {
+                break;
+            }
             let inner = format!("{path}[{position}]");
             let value = self.check(&schema["items"], node, &inner);
             if let Some(text) = unique.and_then(|key| value.get(key)).and_then(Value::as_str)
--- a/src/settings/document.rs
+++ b/src/settings/document.rs
@@ -7,12 +7,12 @@
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
-use super::effective::ServiceSettings;
+use super::effective::{RequestClass, ServiceSettings};
 use super::inheritance::merge;
 use super::{ROOT_BRANCH, StalePolicy};
 use crate::generated::settings::{RootDocument, TeamDocument};
 use crate::ids::ServiceName;
-use crate::schema::{CheckedDocument, SchemaCheck, SchemaError};
+use crate::schema::{CheckedDocument, ERROR_LIMIT, SchemaCheck, SchemaError};
 use crate::units::parse_duration;
 
 /// Settings lease when the root document states none.
@@ -82,6 +82,7 @@
             }
         }
         errors.extend(team.inner_clashes(&document));
+        errors.truncate(ERROR_LIMIT);
         if errors.is_empty() { Ok(team) } else { Err(errors) }
     }
 
@@ -107,11 +108,23 @@
         let value = document.value();
         let mut defaults = root.defaults.clone();
         merge(&mut defaults, &value["defaults"]);
+        // The inherited list is read once and shared: 500 copies of a long list would make a small
+        // document take a lot of memory on every entry.
+        let inherited = defaults["classes"].take();
+        let inherited: Arc<[RequestClass]> = serde_json::from_value(inherited)
+            .map_err(|error| vec![document.error_at("defaults.classes", error.to_string())])?;
+        if let Some(object) = defaults.as_object_mut() {
+            object.remove("classes");
+        }
         let mut services = BTreeMap::new();
         for (service, stated) in value["services"].as_object().unwrap_or(&Map::new()) {
             let mut merged = defaults.clone();
             merge(&mut merged, stated);
-            let settings = read_service(document, &format!("services.{service}"), &merged)?;
+            let path = format!("services.{service}");
+            let mut settings = read_service(document, &path, &merged)?;
+            if stated.get("classes").is_none() {
+                settings.classes = Arc::clone(&inherited);
+            }
             services.insert(service.as_str().into(), Arc::new(settings));
         }
         Ok(Self { name: name.into(), version: 0, token_sha256: "".into(), services })
@@ -124,6 +137,9 @@
         for (service, settings) in &self.services {
             let matching = &settings.matching;
             let key = (matching.host.as_deref(), matching.path_prefix.as_ref());
+            if errors.len() == ERROR_LIMIT {
+                break;
+            }
             let Some(owner) = owners.get(&key) else {
                 owners.insert(key, service);
                 continue;
--- a/src/settings/effective.rs
+++ b/src/settings/effective.rs
@@ -1,6 +1,7 @@
 //! Effective settings of one service after inheritance.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Deserializer};
@@ -19,7 +20,9 @@
     #[serde(rename = "match")]
     pub matching: ServiceMatch,
     pub servers: ServerLimits,
-    pub classes: Vec<RequestClass>,
+    /// Shared by all services that inherit the list.
+    #[serde(default)]
+    pub classes: Arc<[RequestClass]>,
     /// Time limit of a request whose class states none.
     #[serde(deserialize_with = "read_duration")]
     pub deadline: Duration,
--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -13,7 +13,7 @@
 use super::installed::{BranchCopy, InstallError, SettingsDelta, build_tree};
 use super::tree::SettingsTree;
 use crate::ids::{ClusterId, SettingsRevision};
-use crate::schema::{SchemaError, TextFormat};
+use crate::schema::{ERROR_LIMIT, SchemaError, TextFormat};
 
 /// Version of the snapshot format; another version is not read.
 const SNAPSHOT_FORMAT: u32 = 1;
@@ -319,7 +319,7 @@
         return Vec::new();
     };
     let mut errors = Vec::new();
-    for service in services {
+    for service in services.iter().take(ERROR_LIMIT) {
         let path = format!("services.{service}.match.path_prefix");
         errors.push(document.error_at(&path, "another team matches the same host and path prefix"));
     }
--- a/tests/settings_tree.rs
+++ b/tests/settings_tree.rs
@@ -77,6 +77,20 @@
     assert!(inherited.not_run_statuses.contains(&503) && inherited.attempts == 1);
 }
 
+// Guards against a short document that takes a lot of memory through inherited lists.
+#[test]
+fn services_share_inherited_classes() {
+    let team = r#"{"team": "blue", "defaults": {"classes": [{"name": "r", "idempotent": true}]}, "services": {
+        "a": {"match": {"path_prefix": "/a"}},
+        "b": {"match": {"path_prefix": "/b"}},
+        "c": {"match": {"path_prefix": "/c"}, "classes": []}}}"#;
+    let tree = tree(ROOT, &[("blue", team)]);
+    let classes = |service| &tree.service("blue", service).unwrap().classes;
+    assert_eq!(classes("a").len(), 1);
+    assert!(Arc::ptr_eq(classes("a"), classes("b")));
+    assert!(classes("c").is_empty());
+}
+
 const ROUTES: &str = r#"{"team": "blue", "services": {
     "root": {"match": {"path_prefix": "/"}},
     "a": {"match": {"path_prefix": "/a"}},
