--- a/examples/settings_cost.rs
+++ b/examples/settings_cost.rs
@@ -61,6 +61,16 @@
     for series in &series {
         series.print();
     }
+    print_peak_memory();
+}
+
+/// Prints the peak of resident memory: one store, one tree, one entry's copy, one snapshot and the
+/// store loaded from it, at the largest size.
+fn print_peak_memory() {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    for line in status.lines().filter(|line| line.starts_with("VmHWM")) {
+        println!("peak resident memory of the process: {line}");
+    }
 }
 
 fn measure(services: usize) -> RunResult {
--- a/tests/schema.rs
+++ b/tests/schema.rs
@@ -1,9 +1,13 @@
 //! Guards the validator: every fault is found, placed and explained, and hostile texts cost little.
 
+use curranthollow::generated::announcement::AnnouncementDocument;
+use curranthollow::generated::operator::{ChangeReply, ChangeRequest, StatusReply};
 use curranthollow::schema::{
     DEPTH_LIMIT, DOCUMENT_LIMIT, ERROR_LIMIT, SchemaCheck, TextFormat, parse_quantile,
 };
 use curranthollow::units::{format_duration, format_size, parse_duration, parse_size};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::time::Duration;
 use yare::parameterized;
@@ -155,6 +159,47 @@
     }
 }
 
+const ANNOUNCEMENT: &str = r#"{"team": "lakeshore", "service": "rounds", "server": "rounds-1", "address": "127.0.0.1:9000",
+    "availability_zone": "zone-1", "slots": 6, "connections": 220, "state": "ready", "load": 2,
+    "incarnation": 1, "sequence": 9007199254740991}"#;
+const CHANGE: &str = r#"{"action": "rotate_token", "branch": "lakeshore", "base_version": 0, "change_id": "r-1",
+    "team_token_sha256": "ca978112ca1bbdcafac231b39a23dc4da786eff8147c4e72b9807785afee48bb"}"#;
+const REPLY: &str = r#"{"outcome": "refused", "reason": "the document has errors",
+    "errors": [{"line": 1, "column": 2, "path": "team", "message": "unknown key"}]}"#;
+const STATUS: &str = r#"{"name": "control-1", "role": "control", "region": "r", "availability_zone": "z",
+    "state": "serving", "settings_revision": 4, "leader": "control-2", "survivable_losses": 1,
+    "members": [{"name": "control-1", "state": "voter"}]}"#;
+
+// Guards against a body of an external interface that its generated type does not read or that
+// changes when it is written again.
+#[test]
+fn bodies_read_into_generated_types() {
+    round_trip::<AnnouncementDocument>(SchemaCheck::announcement(), ANNOUNCEMENT);
+    round_trip::<ChangeRequest>(SchemaCheck::change_request(), CHANGE);
+    round_trip::<ChangeReply>(SchemaCheck::change_reply(), REPLY);
+    round_trip::<StatusReply>(SchemaCheck::status_reply(), STATUS);
+}
+
+fn round_trip<T: DeserializeOwned + Serialize>(check: SchemaCheck, text: &str) {
+    let typed: T = check.parse(text).unwrap();
+    let written = serde_json::to_value(&typed).unwrap();
+    assert_eq!(written, serde_json::from_str::<Value>(text).unwrap());
+}
+
+// Guards against an announcement that would put a wrong server into the directory.
+#[parameterized(
+    no_slots = { "\"slots\": 6", "\"slots\": 0" }, no_port = { "127.0.0.1:9000", "127.0.0.1" },
+    host_name = { "127.0.0.1:9000", "localhost:9000" }, state = { "\"ready\"", "\"suspect\"" },
+    negative = { "\"incarnation\": 1", "\"incarnation\": -1" }, no_team = { "\"team\": \"lakeshore\",", "" },
+    extra = { "\"load\": 2", "\"weight\": 2" },
+)]
+fn refuses_announcement(from: &str, to: &str) {
+    let text = ANNOUNCEMENT.replacen(from, to, 1);
+    assert_ne!(text, ANNOUNCEMENT);
+    let errors = SchemaCheck::announcement().validate(&text, "").unwrap_err();
+    assert_eq!(errors.len(), 1);
+}
+
 // Guards against a unit that is read or written with another factor.
 #[parameterized(
     millis = { "250ms", 250 }, seconds = { "3s", 3_000 }, minutes = { "2m", 120_000 },
