--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -6,13 +6,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::ROOT_BRANCH;
-use super::branch::{BRANCH_LIMIT, BranchState, HistoryEntry};
+use super::branch::{BRANCH_LIMIT, BranchState};
 use super::change::{ChangeAction, ChangeOutcome, RefusalReason, SettingsChange, token_matches};
 use super::document::{RootSettings, TeamSettings};
+use super::history::HistoryEntry;
 use super::installed::{BranchCopy, InstallError, SettingsDelta, build_tree};
 use super::tree::SettingsTree;
 use crate::ids::{ClusterId, SettingsRevision};
-use crate::schema::{SchemaError, TextFormat};
+use crate::schema::{ERROR_LIMIT, SchemaError, TextFormat};
 
 /// Version of the snapshot format; another version is not read.
 const SNAPSHOT_FORMAT: u32 = 1;
@@ -96,8 +97,9 @@
     }
 
     /// Kept versions of a branch, oldest first.
-    pub fn history(&self, branch: &str) -> impl Iterator<Item = &HistoryEntry> {
-        self.state.branches.get(branch).into_iter().flat_map(|branch| &branch.history)
+    pub fn history(&self, branch: &str) -> Vec<HistoryEntry> {
+        let branch = self.state.branches.get(branch);
+        branch.map_or_else(Vec::new, |branch| branch.history.entries(branch.document.as_ref()))
     }
 
     /// Number of outcomes kept for a branch.
@@ -317,7 +319,7 @@
         return Vec::new();
     };
     let mut errors = Vec::new();
-    for service in services {
+    for service in services.iter().take(ERROR_LIMIT) {
         let path = format!("services.{service}.match.path_prefix");
         errors.push(document.error_at(&path, "another team matches the same host and path prefix"));
     }
