Count survivable losses under the uncommitted member list too

Right after the removal of the old id was appended at the leader, it reported one survivable loss; if the leader was lost then, the two others still needed three of four votes of the list before.

Ruled out: a weaker test or a longer wait; the cluster was stuck for good.

Change: survivable_losses is the smallest count over the committed list and every list after it. leader_lost_right_after_repair loses the leader at that moment.

Conclusion: a repair counts as finished only when its last list is committed.

--- a/src/consensus/replicate.rs
+++ b/src/consensus/replicate.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Instant;
 
+use super::members::MemberSet;
 use super::message::{LogEntry, MessageBody};
 use super::node::{RaftNode, Role};
 use super::snapshot::OutgoingSnapshot;
@@ -81,8 +82,17 @@
     }
 
     /// Voters that can be lost now without losing the majority or a committed entry.
+    ///
+    /// While a list is not committed, the others may still elect under the list before it. The
+    /// smaller number of both counts.
     pub fn survivable_losses(&self) -> usize {
-        let members = self.members();
+        let committed = self.lists.range(..=self.commit).next_back();
+        let open = self.lists.range(self.commit + 1..);
+        let lists = committed.into_iter().chain(open).map(|(_, members)| members);
+        lists.map(|members| self.losses_under(members)).min().unwrap_or(0)
+    }
+
+    fn losses_under(&self, members: &MemberSet) -> usize {
         let holders = members.voters().filter(|&voter| self.holds_committed(voter)).count();
         holders.saturating_sub(members.quorum())
     }
--- a/tests/consensus/faults.rs
+++ b/tests/consensus/faults.rs
@@ -121,6 +121,29 @@
     }
 }
 
+/// Guards against a repair that counts as finished while its last member list is only in the
+/// leader's log: if the leader is lost then, the others still need the majority of the old list.
+#[parameterized(
+    seed_1 = { 211 },
+    seed_2 = { 212 },
+    seed_3 = { 213 },
+)]
+fn leader_lost_right_after_repair(seed: u64) {
+    for round in 0..10 {
+        let mut cluster = Cluster::new(3, seed * 1000 + round, ROUGH);
+        let leader = cluster.await_leader();
+        cluster.commit_one();
+        let first = 1 + leader % 3;
+        cluster.lose_disk(first, first + 10);
+        cluster.run_until("the repair", |cluster| repaired(cluster, first, first + 10));
+        let leader = cluster.leader().expect("the repaired cluster has a leader");
+        cluster.lose_disk(leader, leader % 10 + 20);
+        cluster.commit_one();
+        cluster
+            .run_until("the second repair", |cluster| repaired(cluster, leader, leader % 10 + 20));
+    }
+}
+
 /// Guards against an old id that returns from a partition after its name was given to a new id.
 #[test]
 fn replaced_id_never_returns() {
