Send new demand and recalled credits at once

Cause: demand and recalled credits waited up to 1 ms for the next tick. Change: the wallet sends demand when work starts to wait, at most one message per millisecond; recalled credits go back with the answer to the recall; a message may leave the known demand as it is.

--- a/examples/policy_bench.rs
+++ b/examples/policy_bench.rs
@@ -1,6 +1,7 @@
 //! Compares the policies with an ideal shared queue over the same arrivals and service times.
 //!
-//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]`.
+//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]
+//! [--ahead PERCENT] [--idle-hold-us N]`.
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
@@ -141,6 +142,7 @@
 #[derive(Default, Clone)]
 struct Outcome {
     latencies: Vec<f64>,
+    waits: Vec<f64>,
     good: u64,
     refused: u64,
     failed: u64,
@@ -188,7 +190,7 @@
         for index in 0..ENTRIES {
             entries.push(Entry::new(index, policy, &servers, base, seed));
         }
-        let book = AccountBook::new(base, AccountSettings::default());
+        let book = AccountBook::new(base, account_settings());
         let limits = AdmissionSettings::default().limits.map(|limit| limit * ENTRIES);
         let shared = AdmissionQueue::new(AdmissionSettings { limits, ..Default::default() });
         Self {
@@ -323,6 +325,10 @@
         let is_queued = queue.offer(now, SHORT, work, Some(now + DEADLINE)).is_ok();
         self.outcome.refused += u64::from(!is_queued);
         self.start_waiting(index);
+        let waiting = self.entries[index].queue.waiting();
+        if self.policy == Some(RoutePolicy::Credits) && waiting[0].count > 0 {
+            self.feed_wallet(index, WalletEvent::Tick(waiting));
+        }
     }
 
     fn start_waiting(&mut self, index: usize) {
@@ -333,7 +339,7 @@
                 let Some(work) = self.shared.take(now, SHORT, &mut expired) else {
                     break;
                 };
-                self.send(server, work);
+                self.start_work(server, work);
             }
             self.outcome.refused += expired.len() as u64;
             return;
@@ -353,11 +359,19 @@
             };
             let server = self.servers.iter().position(|server| server.key == picked.server);
             self.picked.insert(work, picked);
-            self.send(server.expect("picks name known servers"), work);
+            self.start_work(server.expect("picks name known servers"), work);
         }
         self.outcome.refused += expired.len() as u64;
     }
 
+    fn start_work(&mut self, server: usize, work: usize) {
+        let at = self.now as f64 / 1e9;
+        if self.scenario.is_measured(at) {
+            self.outcome.waits.push(at - self.arrivals[work].at);
+        }
+        self.send(server, work);
+    }
+
     fn send(&mut self, server: usize, work: usize) {
         let state = &mut self.servers[server];
         state.most = state.most.max(state.running + state.queue.len() as u32 + 1);
@@ -480,7 +494,7 @@
             list.push(PoolServer { server, zone, slots, connections, ready_since, draining });
         }
         pool.set_servers(list, ENTRIES as u32);
-        let settings = WalletSettings::default();
+        let settings = wallet_settings();
         let mut wallet = CreditWallet::new(now, name.clone(), zone(index), settings);
         wallet.handle(now, WalletEvent::ServersChanged(pool.wallet_servers(now)));
         Self { name, pool, wallet, queue: AdmissionQueue::new(AdmissionSettings::default()) }
@@ -499,9 +513,10 @@
     format!("{first:.2}/{:.2}/{last:.2}", values[values.len() / 2])
 }
 
-fn quantile(outcome: &Outcome, part: f64) -> f64 {
-    let position = (outcome.latencies.len() as f64 * part) as usize;
-    outcome.latencies.get(position).map_or(f64::NAN, |latency| latency * 1000.0)
+/// Quantile of sorted seconds, in milliseconds.
+fn quantile(sorted: &[f64], part: f64) -> f64 {
+    let position = (sorted.len() as f64 * part) as usize;
+    sorted.get(position).map_or(f64::NAN, |seconds| seconds * 1000.0)
 }
 
 fn per(time: Duration, count: u64) -> f64 {
@@ -513,6 +528,24 @@
     arguments.nth(1)
 }
 
+fn number(name: &str) -> Option<u32> {
+    option(name).map(|text| text.parse().expect("the option is a whole number"))
+}
+
+fn account_settings() -> AccountSettings {
+    let mut settings = AccountSettings::default();
+    settings.ahead_percent = number("--ahead").unwrap_or(settings.ahead_percent);
+    settings
+}
+
+fn wallet_settings() -> WalletSettings {
+    let mut settings = WalletSettings::default();
+    if let Some(micros) = number("--idle-hold-us") {
+        settings.idle_hold = Duration::from_micros(micros.into());
+    }
+    settings
+}
+
 fn main() {
     let sigma = option("--sigma").map_or(1.0, |text| text.parse().expect("sigma is a number"));
     let seeds = option("--seeds").unwrap_or_else(|| "1,2,3".to_owned());
@@ -532,6 +565,7 @@
                 let arrivals = scenario.record(seed, sigma);
                 let mut outcome = Run::new(scenario, policy, &arrivals, seed).run();
                 outcome.latencies.sort_by(f64::total_cmp);
+                outcome.waits.sort_by(f64::total_cmp);
                 outcomes.push(outcome);
             }
             print_row(scenario_name, name, scenario, &outcomes);
@@ -545,9 +579,16 @@
         print!(" {label}={}", spread(outcomes, measure));
     };
     print!("{scenario_name:9} {name:15}");
-    show("p50_ms", &|outcome| quantile(outcome, 0.5));
-    show("p99_ms", &|outcome| quantile(outcome, 0.99));
-    show("p999_ms", &|outcome| quantile(outcome, 0.999));
+    show("p50_ms", &|outcome| quantile(&outcome.latencies, 0.5));
+    show("p99_ms", &|outcome| quantile(&outcome.latencies, 0.99));
+    show("p999_ms", &|outcome| quantile(&outcome.latencies, 0.999));
+    show("wait_p50_ms", &|outcome| quantile(&outcome.waits, 0.5));
+    show("wait_p90_ms", &|outcome| quantile(&outcome.waits, 0.9));
+    show("wait_p99_ms", &|outcome| quantile(&outcome.waits, 0.99));
+    show("at_once", &|outcome| {
+        let count = outcome.waits.partition_point(|wait| *wait < 1e-6);
+        count as f64 / outcome.waits.len() as f64
+    });
     show("goodput", &|outcome| outcome.good as f64 / capacity);
     show("over_slots", &|outcome| f64::from(outcome.over_slots));
     show("refused", &|outcome| outcome.refused as f64);
--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -270,7 +270,9 @@
         for line in message.returns {
             self.take_back(name, line);
         }
-        self.note_demand(now, name, &message.demand);
+        if message.has_demand {
+            self.note_demand(now, name, &message.demand);
+        }
     }
 
     fn take_back(&mut self, name: &ProcessName, line: CreditLine) {
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -92,6 +92,8 @@
     pub started: u32,
     /// Idle credits after the returns of this message.
     pub idle: u32,
+    /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
+    pub has_demand: bool,
     pub demand: Vec<DemandLine>,
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -22,6 +22,8 @@
     pub report_interval: Duration,
     /// An unanswered report is repeated after this time.
     pub report_repeat: Duration,
+    /// New demand and returns are sent at most this often; recalled credits go back at once.
+    pub message_gap: Duration,
     /// Waiting demand is repeated after this time even if nothing changed.
     pub demand_repeat: Duration,
 }
@@ -32,6 +34,7 @@
             idle_hold: Duration::from_millis(4),
             report_interval: Duration::from_millis(500),
             report_repeat: Duration::from_millis(50),
+            message_gap: Duration::from_millis(1),
             demand_repeat: Duration::from_millis(5),
         }
     }
@@ -61,7 +64,8 @@
     Message(HolderMessage),
     /// Ejected servers; their credits go back and they get no work from this entry.
     AvoidedChanged(Vec<ServerKey>),
-    /// Comes about every millisecond while the service has traffic; carries the waiting work.
+    /// Comes about every millisecond while the service has traffic, and when work starts to
+    /// wait; carries the waiting work.
     Tick([WaitingWork; 2]),
 }
 
@@ -387,7 +391,9 @@
         for line in &message.grants {
             self.accept(*line);
         }
-        None
+        // Others wait for what was recalled, so it does not stay until the next tick.
+        let is_awaited = self.has_returns && !message.recalls.is_empty();
+        is_awaited.then(|| self.return_message(now))
     }
 
     fn renew_lease(&mut self, acknowledged: u64, lease: Duration) {
@@ -409,6 +415,8 @@
         let server = &mut self.servers[position];
         server.idle[line.class.index()] += line.count;
         self.idle_total += line.count;
+        let demand = &mut self.last_demand[line.class.index()];
+        *demand = demand.saturating_sub(line.count);
         if server.is_closed() || server.slots == 0 {
             self.idle_total -= server.return_idle(u32::MAX);
             self.has_returns = true;
--- a/src/credit/wallet_report.rs
+++ b/src/credit/wallet_report.rs
@@ -50,6 +50,7 @@
             received: self.received,
             started: std::mem::take(&mut self.started),
             idle: self.idle_total,
+            has_demand: false,
             demand: Vec::new(),
             returns: Vec::new(),
             report: None,
@@ -80,21 +81,28 @@
         let elapsed =
             self.last_sent.map_or(Duration::MAX, |sent| now.saturating_duration_since(sent));
         let has_demand = counts != [0; 2];
-        let has_changed = counts != self.last_demand;
+        let has_more = counts[0] > self.last_demand[0] || counts[1] > self.last_demand[1];
+        let has_changed = has_demand || self.last_demand != [0; 2];
         let is_low = self.keep > 0 && self.idle_total * 2 <= self.keep && self.started > 0;
-        let is_due = self.has_returns
-            || has_changed
-            || (has_demand || is_low) && elapsed >= self.settings.demand_repeat
+        let is_due = (has_more || self.has_returns) && elapsed >= self.settings.message_gap
+            || (has_changed || is_low) && elapsed >= self.settings.demand_repeat
             || elapsed >= self.settings.report_interval;
         if !is_due {
             return None;
         }
         self.last_demand = counts;
+        let mut message = self.return_message(now);
+        message.demand = demand_lines(now, &waiting);
+        message.has_demand = true;
+        Some(message)
+    }
+
+    /// Sends the returns without a statement on demand.
+    pub(super) fn return_message(&mut self, now: Instant) -> EntryMessage {
         let returns = self.take_returns();
         let mut message = self.message(now);
         message.returns = returns;
-        message.demand = demand_lines(now, &waiting);
-        Some(message)
+        message
     }
 
     /// Credits that stayed idle beyond the number to keep go back.
