Recall credits whose idleness the account cannot see

Cause: a credit becomes idle without a message, so the account found nothing to recall while work waited. Change: entries without waiting work are asked for one credit each, most credits first.

--- a/examples/policy_bench.rs
+++ b/examples/policy_bench.rs
@@ -35,13 +35,15 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Scenario {
+    Light,
     Steady,
     Swing,
     Straggler,
     FailFast,
 }
 
-const SCENARIOS: [(&str, Scenario); 4] = [
+const SCENARIOS: [(&str, Scenario); 5] = [
+    ("light", Scenario::Light),
     ("steady", Scenario::Steady),
     ("swing", Scenario::Swing),
     ("straggler", Scenario::Straggler),
@@ -68,8 +70,10 @@
     /// Demand as a part of capacity. The swing is from 0.3 to 3 within 20 ms, for one second of
     /// every three.
     fn load(self, at: f64) -> f64 {
-        if self != Self::Swing {
-            return 0.85;
+        match self {
+            Self::Light => return 0.4,
+            Self::Swing => {}
+            _ => return 0.85,
         }
         let phase = (at - WARM_UP).rem_euclid(3.0);
         match phase {
--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -1,5 +1,6 @@
 //! Decides which entry gets which free slot and which credits are recalled.
 
+use std::cmp::Reverse;
 use std::time::Instant;
 
 use super::account::AccountBook;
@@ -171,6 +172,31 @@
             entry.recalled_at = now;
             entry.message(self.epoch).recalls.push(RecallLine { server: None, count });
         }
+        self.recall_unseen(now, missing);
+    }
+
+    /// Recalls one credit each from entries without waiting work, those with most credits first.
+    ///
+    /// The account does not see a credit become idle. Such an entry gives back an idle credit or
+    /// the next one that a request frees, instead of keeping it idle beside waiting work.
+    fn recall_unseen(&mut self, now: Instant, missing: u32) {
+        let mut names = Vec::new();
+        for (name, entry) in &self.entries {
+            let is_asked = entry.standing != EntryStanding::Reported || entry.recalled > 0;
+            if is_asked || entry.waiting_since(now, SHORT).is_some() || entry.total_held() == 0 {
+                continue;
+            }
+            names.push((Reverse(entry.total_held()), name.clone()));
+        }
+        names.sort();
+        for (_, name) in names.into_iter().take(missing as usize) {
+            let Some(entry) = self.entries.get_mut(&name) else {
+                continue;
+            };
+            entry.recalled = 1;
+            entry.recalled_at = now;
+            entry.message(self.epoch).recalls.push(RecallLine { server: None, count: 1 });
+        }
     }
 
     /// Credits for which work waits, less what was recalled and has not come back yet.
