--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -34,7 +34,7 @@
     fn default() -> Self {
         Self {
             long_percent: 50,
-            ahead_percent: 60,
+            ahead_percent: 80,
             recall_repeat: Duration::from_millis(10),
             fairness_gap: Duration::from_millis(5),
         }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -31,7 +31,7 @@
 impl Default for WalletSettings {
     fn default() -> Self {
         Self {
-            idle_hold: Duration::from_millis(4),
+            idle_hold: Duration::from_millis(2),
             report_interval: Duration::from_millis(500),
             report_repeat: Duration::from_millis(50),
             message_gap: Duration::from_millis(1),
