--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -34,6 +34,9 @@
 const FAILURE_LIMIT: f64 = 2.0;
 /// Part of a new response in the running mean and variance of the service.
 const MEAN_WEIGHT: f64 = 0.01;
+/// Part of a new response in the fast mean. Deviations count from the higher of both means, so
+/// that a change common to all servers fades after about ten responses.
+const FAST_WEIGHT: f64 = 0.1;
 /// Responses of a class before latencies are judged.
 const MIN_RESPONSES: u32 = 30;
 /// The deviation is taken as at least this, so that very even latencies cause no alarms.
@@ -55,6 +58,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ClassLatency {
     mean: f64,
+    fast_mean: f64,
     variance: f64,
     count: u32,
     failure_rate: f64,
@@ -225,6 +229,7 @@
         let weight = MEAN_WEIGHT.max(1.0 / f64::from(self.count));
         let difference = value - self.mean;
         self.mean += weight * difference;
+        self.fast_mean += weight.max(FAST_WEIGHT) * (value - self.fast_mean);
         self.variance = (1.0 - weight) * (self.variance + weight * difference * difference);
     }
 
@@ -232,7 +237,7 @@
         if self.count < MIN_RESPONSES {
             return 0.0;
         }
-        (value - self.mean) / self.variance.sqrt().max(MIN_DEVIATION)
+        (value - self.mean.max(self.fast_mean)) / self.variance.sqrt().max(MIN_DEVIATION)
     }
 }
 
