--- a/examples/policy_bench.rs
+++ b/examples/policy_bench/main.rs
@@ -5,6 +5,9 @@
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
+mod scenario;
+mod table;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
@@ -19,6 +22,9 @@
     PoolSettings, RoutePolicy, ServerPool,
 };
 
+use scenario::{Arrival, SCENARIOS, Scenario};
+use table::print_row;
+
 const ENTRIES: usize = 13;
 const SERVERS: usize = 15;
 const SLOTS: u32 = 6;
@@ -33,23 +39,6 @@
 const DEADLINE: Duration = Duration::from_millis(500);
 const SHORT: WorkClass = WorkClass::Short;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Scenario {
-    Light,
-    Steady,
-    Swing,
-    Straggler,
-    FailFast,
-}
-
-const SCENARIOS: [(&str, Scenario); 5] = [
-    ("light", Scenario::Light),
-    ("steady", Scenario::Steady),
-    ("swing", Scenario::Swing),
-    ("straggler", Scenario::Straggler),
-    ("fail_fast", Scenario::FailFast),
-];
-
 /// `None` is the ideal shared queue.
 const POLICIES: [(&str, Option<RoutePolicy>); 6] = [
     ("ideal", None),
@@ -60,61 +49,6 @@
     ("random", Some(RoutePolicy::Random)),
 ];
 
-struct Arrival {
-    at: f64,
-    entry: usize,
-    service: f64,
-}
-
-impl Scenario {
-    /// Demand as a part of capacity. The swing is from 0.3 to 3 within 20 ms, for one second of
-    /// every three.
-    fn load(self, at: f64) -> f64 {
-        match self {
-            Self::Light => return 0.4,
-            Self::Swing => {}
-            _ => return 0.85,
-        }
-        let phase = (at - WARM_UP).rem_euclid(3.0);
-        match phase {
-            ..1.0 => 0.3,
-            1.0..1.02 => 0.3 + 2.7 * (phase - 1.0) / 0.02,
-            1.02..2.0 => 3.0,
-            _ => 0.3,
-        }
-    }
-
-    /// Whether `at` is in the part of the run over which goodput is measured.
-    fn is_measured(self, at: f64) -> bool {
-        let phase = (at - WARM_UP).rem_euclid(3.0);
-        at >= WARM_UP && (self != Self::Swing || (1.05..2.0).contains(&phase))
-    }
-
-    fn measured_seconds(self) -> f64 {
-        let steps = (RUN * 1000.0) as u32;
-        let count = (0..steps).filter(|step| self.is_measured(f64::from(*step) / 1000.0)).count();
-        count as f64 / 1000.0
-    }
-
-    fn record(self, seed: u64, sigma: f64) -> Vec<Arrival> {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut arrivals = Vec::new();
-        let mut at = 0.0;
-        let highest = CAPACITY * 3.0;
-        while at < RUN {
-            at -= (1.0 - random.f64()).ln() / highest;
-            if random.f64() * 3.0 >= self.load(at) {
-                continue;
-            }
-            let (first, second) = (1.0 - random.f64(), random.f64());
-            let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
-            let service = MEAN_SERVICE * (sigma * normal - sigma * sigma / 2.0).exp();
-            arrivals.push(Arrival { at, entry: random.usize(..ENTRIES), service });
-        }
-        arrivals
-    }
-}
-
 enum Event {
     Arrive(usize),
     /// Request `work` ends on `server`.
@@ -509,24 +443,6 @@
     format!("zone-{}", index % 3).into()
 }
 
-/// Value of a measure over the seeds as minimum/median/maximum.
-fn spread(outcomes: &[Outcome], measure: impl Fn(&Outcome) -> f64) -> String {
-    let mut values: Vec<f64> = outcomes.iter().map(measure).collect();
-    values.sort_by(f64::total_cmp);
-    let (first, last) = (values[0], values[values.len() - 1]);
-    format!("{first:.2}/{:.2}/{last:.2}", values[values.len() / 2])
-}
-
-/// Quantile of sorted seconds, in milliseconds.
-fn quantile(sorted: &[f64], part: f64) -> f64 {
-    let position = (sorted.len() as f64 * part) as usize;
-    sorted.get(position).map_or(f64::NAN, |seconds| seconds * 1000.0)
-}
-
-fn per(time: Duration, count: u64) -> f64 {
-    time.as_nanos() as f64 / count.max(1) as f64
-}
-
 fn option(name: &str) -> Option<String> {
     let mut arguments = std::env::args().skip_while(|argument| argument != name);
     arguments.nth(1)
@@ -576,30 +492,3 @@
         }
     }
 }
-
-fn print_row(scenario_name: &str, name: &str, scenario: Scenario, outcomes: &[Outcome]) {
-    let capacity = CAPACITY * scenario.measured_seconds();
-    let show = |label: &str, measure: &dyn Fn(&Outcome) -> f64| {
-        print!(" {label}={}", spread(outcomes, measure));
-    };
-    print!("{scenario_name:9} {name:15}");
-    show("p50_ms", &|outcome| quantile(&outcome.latencies, 0.5));
-    show("p99_ms", &|outcome| quantile(&outcome.latencies, 0.99));
-    show("p999_ms", &|outcome| quantile(&outcome.latencies, 0.999));
-    show("wait_p50_ms", &|outcome| quantile(&outcome.waits, 0.5));
-    show("wait_p90_ms", &|outcome| quantile(&outcome.waits, 0.9));
-    show("wait_p99_ms", &|outcome| quantile(&outcome.waits, 0.99));
-    show("at_once", &|outcome| {
-        let count = outcome.waits.partition_point(|wait| *wait < 1e-6);
-        count as f64 / outcome.waits.len() as f64
-    });
-    show("goodput", &|outcome| outcome.good as f64 / capacity);
-    show("over_slots", &|outcome| f64::from(outcome.over_slots));
-    show("refused", &|outcome| outcome.refused as f64);
-    show("late", &|outcome| outcome.late as f64);
-    show("failed", &|outcome| outcome.failed as f64);
-    show("messages", &|outcome| outcome.messages as f64 / outcome.requests as f64);
-    show("decision_ns", &|outcome| per(outcome.decision_time, outcome.decisions));
-    show("holder_ns", &|outcome| per(outcome.holder_time, outcome.holder_events));
-    println!();
-}
