--- a/src/route/measure.rs
+++ b/src/route/measure.rs
@@ -42,21 +42,31 @@
 
     /// Spends one message of `bytes` bytes; on `false` the message must not be sent.
     pub fn try_spend(&mut self, now: Instant, bytes: u32) -> bool {
-        let passed = now.saturating_duration_since(self.filled_at);
-        self.filled_at = self.filled_at.max(now);
-        self.add(passed);
-        if self.messages < 1.0 || self.bytes < f64::from(bytes) {
+        if !self.has_room(now, bytes) {
             self.counters.messages_suppressed += 1;
             self.counters.bytes_suppressed += u64::from(bytes);
             return false;
         }
-        self.messages -= 1.0;
-        self.bytes -= f64::from(bytes);
-        self.counters.messages_spent += 1;
-        self.counters.bytes_spent += u64::from(bytes);
+        self.spend(bytes);
         true
     }
 
+    /// Whether a message of `bytes` bytes could be spent now; counts nothing.
+    ///
+    /// Credits travel in messages of wallets and accounts, so such a message must never be
+    /// dropped once it exists. Check this before the tick that would produce one.
+    pub fn has_room(&mut self, now: Instant, bytes: u32) -> bool {
+        self.fill(now);
+        self.messages >= 1.0 && self.bytes >= f64::from(bytes)
+    }
+
+    /// Spends a message that must go out, such as the answer to a recall. The bucket may fall
+    /// below zero; nothing else is then sent until the debt is paid.
+    pub fn charge(&mut self, now: Instant, bytes: u32) {
+        self.fill(now);
+        self.spend(bytes);
+    }
+
     /// Takes new limits; what is left in the buckets is cut to them.
     pub fn change_limits(&mut self, limits: MeasureLimits) {
         self.limits = limits;
@@ -67,6 +77,19 @@
         self.counters
     }
 
+    fn spend(&mut self, bytes: u32) {
+        self.messages -= 1.0;
+        self.bytes -= f64::from(bytes);
+        self.counters.messages_spent += 1;
+        self.counters.bytes_spent += u64::from(bytes);
+    }
+
+    fn fill(&mut self, now: Instant) {
+        let passed = now.saturating_duration_since(self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        self.add(passed);
+    }
+
     fn add(&mut self, passed: Duration) {
         let (seconds, burst) = (passed.as_secs_f64(), BURST_TIME.as_secs_f64());
         let MeasureLimits { messages_per_second, bytes_per_second } = self.limits;
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -221,3 +221,17 @@
         assert_eq!(counters.messages_spent + counters.messages_suppressed, attempts);
     }
 }
+
+/// Guards against a debt of messages that had to go out and are never paid for.
+#[test]
+fn charged_messages_suppress_others() {
+    let start = Instant::now();
+    let limits = MeasureLimits { messages_per_second: 10.0, bytes_per_second: 1e6 };
+    let mut budget = MeasureBudget::new(start, limits);
+    for _ in 0..15 {
+        budget.charge(start, 10);
+    }
+    assert!(!budget.try_spend(start + Duration::from_millis(1050), 10));
+    assert!(budget.try_spend(start + Duration::from_millis(1150), 10));
+    assert!(!budget.has_room(start + Duration::from_millis(1150), 10));
+}
--- a/tests/credit.rs
+++ b/tests/credit.rs
@@ -339,6 +339,53 @@
     }
 }
 
+/// Guards against credits that are lost for ever or counted twice after interruptions of any
+/// length, including those beyond the lease, with late messages and work by own count.
+#[parameterized(first = { 31 }, second = { 32 }, third = { 33 })]
+fn long_interruptions_lose_no_slot(seed: u64) {
+    for round in 0..25 {
+        let mut world = CreditWorld::new(seed * 1000 + round, 4, &[5, 3, 1]);
+        for _ in 0..1500 {
+            let name = world.pick_name();
+            match world.random.u32(..200) {
+                0..60 => world.request(&name, WorkClass::Short),
+                60..65 => world.request(&name, WorkClass::Long),
+                65..120 => world.finish(&name),
+                120..145 => world.deliver_up(&name),
+                145..170 => world.deliver_down(&name),
+                170..183 => world.tick_entry(&name),
+                183..188 => world.feed(AccountEvent::Tick),
+                188..190 => world.cut(&name),
+                190..193 => world.join(&name),
+                193..194 => world.change_epoch(),
+                194..195 => world.replace_holder(),
+                195..197 => world.now += MILLISECOND * world.random.u32(..1500),
+                _ => world.now += MILLISECOND,
+            }
+        }
+        for name in world.names() {
+            world.join(&name);
+        }
+        // Longer than the lease, so that every silent entry has been replaced by its report.
+        world.settle(2500);
+        for name in world.names() {
+            while !world.entries[&name].running.is_empty() {
+                world.finish(&name);
+            }
+            world.entries.get_mut(&name).expect("the entry is known").waiting = Default::default();
+        }
+        world.settle(50);
+        for name in world.names() {
+            for _ in 0..9 {
+                world.request(&name, WorkClass::Short);
+            }
+        }
+        world.settle(100);
+        world.check_slots(0);
+        world.check_no_idle_slot();
+    }
+}
+
 /// Guards against a dead entry's credits that come back too early or never.
 #[test]
 fn credits_of_dead_entry_return_after_lease() {
