--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -151,6 +151,9 @@
     /// Recalls idle credits for waiting work of others, then credits in use by younger work.
     pub(super) fn recall_for_waiting(&mut self, now: Instant) {
         let mut missing = self.missing_credits(now);
+        if missing == 0 {
+            return;
+        }
         let oldest =
             self.entries.values().filter_map(|entry| entry.waiting_since(now, SHORT)).min();
         for entry in self.entries.values_mut() {
@@ -180,6 +183,9 @@
     /// The account does not see a credit become idle. Such an entry gives back an idle credit or
     /// the next one that a request frees, instead of keeping it idle beside waiting work.
     fn recall_unseen(&mut self, now: Instant, missing: u32) {
+        if missing == 0 {
+            return;
+        }
         let mut names = Vec::new();
         for (name, entry) in &self.entries {
             let is_asked = entry.standing != EntryStanding::Reported || entry.recalled > 0;
