Return idle credits with the next message while slots are scarce

Cause: at 85 % load each credit that stays idle in an entry for 2 ms is a slot out of use while others wait.

--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -16,6 +16,9 @@
 /// An entry's lease is renewed at most this often when there is nothing else to send.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Credits are scarce when less than one slot in this many is free of work.
+const SCARCE_PART: u32 = 5;
+
 /// Rules of one service's account.
 #[derive(Clone, Debug)]
 pub struct AccountSettings {
@@ -326,11 +329,16 @@
 
     fn collect(&mut self, now: Instant) -> Vec<AccountAction> {
         let mut actions = Vec::new();
+        let slots: u32 = self.servers.values().map(|account| account.slots).sum();
+        let mut spare: u32 = self.servers.values().map(ServerAccount::unused).sum();
+        spare += self.entries.values().map(EntryAccount::idle_estimate).sum::<u32>();
+        let is_scarce = spare * SCARCE_PART < slots;
         for (name, entry) in &mut self.entries {
             let Some(mut message) = entry.outbox.take() else {
                 continue;
             };
             message.keep = entry.keep;
+            message.is_scarce = is_scarce;
             entry.replied_at = Some(now);
             actions.push(AccountAction { entry: name.clone(), message });
         }
--- a/src/credit/account_state.rs
+++ b/src/credit/account_state.rs
@@ -129,6 +129,7 @@
             acknowledged: self.acknowledged,
             lease: CREDIT_LEASE,
             keep: self.keep,
+            is_scarce: false,
             grants: Vec::new(),
             recalls: Vec::new(),
         }
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -112,6 +112,8 @@
     pub lease: Duration,
     /// Idle credits that the entry may keep until they are recalled.
     pub keep: u32,
+    /// Few slots are unused: credits above `keep` go back with the next message.
+    pub is_scarce: bool,
     pub grants: Vec<CreditLine>,
     pub recalls: Vec<RecallLine>,
 }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -114,6 +114,7 @@
     pub(super) started_by_count: bool,
     pub(super) own_count_from: Instant,
     pub(super) keep: u32,
+    pub(super) is_scarce: bool,
     pub(super) idle_total: u32,
     pub(super) lowest_idle: u32,
     pub(super) lowest_since: Instant,
@@ -145,6 +146,7 @@
             started_by_count: false,
             own_count_from: now,
             keep: 0,
+            is_scarce: false,
             idle_total: 0,
             lowest_idle: 0,
             lowest_since: now,
@@ -384,6 +386,7 @@
             return Some(self.report(now));
         }
         self.keep = message.keep;
+        self.is_scarce = message.is_scarce;
         // Recalls first: credits of the same message are meant for this entry's own work.
         for line in &message.recalls {
             self.give_back(now, *line);
--- a/src/credit/wallet_report.rs
+++ b/src/credit/wallet_report.rs
@@ -107,11 +107,12 @@
 
     /// Credits that stayed idle beyond the number to keep go back.
     fn return_surplus(&mut self, now: Instant, waiting: &[WaitingWork; 2]) {
-        if now < self.lowest_since + self.settings.idle_hold {
+        if !self.is_scarce && now < self.lowest_since + self.settings.idle_hold {
             return;
         }
         let is_waiting = waiting.iter().any(|work| work.count > 0);
-        let mut surplus = self.lowest_idle.saturating_sub(if is_waiting { 0 } else { self.keep });
+        let unneeded = if self.is_scarce { self.idle_total } else { self.lowest_idle };
+        let mut surplus = unneeded.saturating_sub(if is_waiting { 0 } else { self.keep });
         for credits in &mut self.servers {
             let count = credits.return_idle(surplus);
             surplus -= count;
