--- a/examples/policy_bench.rs
+++ b/examples/policy_bench/main.rs
@@ -1,9 +1,13 @@
 //! Compares the policies with an ideal shared queue over the same arrivals and service times.
 //!
-//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]`.
+//! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]
+//! [--ahead PERCENT] [--idle-hold-us N]`.
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
+mod scenario;
+mod table;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::{Duration, Instant};
@@ -18,6 +22,9 @@
     PoolSettings, RoutePolicy, ServerPool,
 };
 
+use scenario::{Arrival, SCENARIOS, Scenario};
+use table::print_row;
+
 const ENTRIES: usize = 13;
 const SERVERS: usize = 15;
 const SLOTS: u32 = 6;
@@ -32,21 +39,6 @@
 const DEADLINE: Duration = Duration::from_millis(500);
 const SHORT: WorkClass = WorkClass::Short;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Scenario {
-    Steady,
-    Swing,
-    Straggler,
-    FailFast,
-}
-
-const SCENARIOS: [(&str, Scenario); 4] = [
-    ("steady", Scenario::Steady),
-    ("swing", Scenario::Swing),
-    ("straggler", Scenario::Straggler),
-    ("fail_fast", Scenario::FailFast),
-];
-
 /// `None` is the ideal shared queue.
 const POLICIES: [(&str, Option<RoutePolicy>); 6] = [
     ("ideal", None),
@@ -57,59 +49,6 @@
     ("random", Some(RoutePolicy::Random)),
 ];
 
-struct Arrival {
-    at: f64,
-    entry: usize,
-    service: f64,
-}
-
-impl Scenario {
-    /// Demand as a part of capacity. The swing is from 0.3 to 3 within 20 ms, for one second of
-    /// every three.
-    fn load(self, at: f64) -> f64 {
-        if self != Self::Swing {
-            return 0.85;
-        }
-        let phase = (at - WARM_UP).rem_euclid(3.0);
-        match phase {
-            ..1.0 => 0.3,
-            1.0..1.02 => 0.3 + 2.7 * (phase - 1.0) / 0.02,
-            1.02..2.0 => 3.0,
-            _ => 0.3,
-        }
-    }
-
-    /// Whether `at` is in the part of the run over which goodput is measured.
-    fn is_measured(self, at: f64) -> bool {
-        let phase = (at - WARM_UP).rem_euclid(3.0);
-        at >= WARM_UP && (self != Self::Swing || (1.05..2.0).contains(&phase))
-    }
-
-    fn measured_seconds(self) -> f64 {
-        let steps = (RUN * 1000.0) as u32;
-        let count = (0..steps).filter(|step| self.is_measured(f64::from(*step) / 1000.0)).count();
-        count as f64 / 1000.0
-    }
-
-    fn record(self, seed: u64, sigma: f64) -> Vec<Arrival> {
-        let mut random = fastrand::Rng::with_seed(seed);
-        let mut arrivals = Vec::new();
-        let mut at = 0.0;
-        let highest = CAPACITY * 3.0;
-        while at < RUN {
-            at -= (1.0 - random.f64()).ln() / highest;
-            if random.f64() * 3.0 >= self.load(at) {
-                continue;
-            }
-            let (first, second) = (1.0 - random.f64(), random.f64());
-            let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
-            let service = MEAN_SERVICE * (sigma * normal - sigma * sigma / 2.0).exp();
-            arrivals.push(Arrival { at, entry: random.usize(..ENTRIES), service });
-        }
-        arrivals
-    }
-}
-
 enum Event {
     Arrive(usize),
     /// Request `work` ends on `server`.
@@ -141,6 +80,7 @@
 #[derive(Default, Clone)]
 struct Outcome {
     latencies: Vec<f64>,
+    waits: Vec<f64>,
     good: u64,
     refused: u64,
     failed: u64,
@@ -188,7 +128,7 @@
         for index in 0..ENTRIES {
             entries.push(Entry::new(index, policy, &servers, base, seed));
         }
-        let book = AccountBook::new(base, AccountSettings::default());
+        let book = AccountBook::new(base, account_settings());
         let limits = AdmissionSettings::default().limits.map(|limit| limit * ENTRIES);
         let shared = AdmissionQueue::new(AdmissionSettings { limits, ..Default::default() });
         Self {
@@ -323,6 +263,10 @@
         let is_queued = queue.offer(now, SHORT, work, Some(now + DEADLINE)).is_ok();
         self.outcome.refused += u64::from(!is_queued);
         self.start_waiting(index);
+        let waiting = self.entries[index].queue.waiting();
+        if self.policy == Some(RoutePolicy::Credits) && waiting[0].count > 0 {
+            self.feed_wallet(index, WalletEvent::Tick(waiting));
+        }
     }
 
     fn start_waiting(&mut self, index: usize) {
@@ -333,7 +277,7 @@
                 let Some(work) = self.shared.take(now, SHORT, &mut expired) else {
                     break;
                 };
-                self.send(server, work);
+                self.start_work(server, work);
             }
             self.outcome.refused += expired.len() as u64;
             return;
@@ -353,11 +297,19 @@
             };
             let server = self.servers.iter().position(|server| server.key == picked.server);
             self.picked.insert(work, picked);
-            self.send(server.expect("picks name known servers"), work);
+            self.start_work(server.expect("picks name known servers"), work);
         }
         self.outcome.refused += expired.len() as u64;
     }
 
+    fn start_work(&mut self, server: usize, work: usize) {
+        let at = self.now as f64 / 1e9;
+        if self.scenario.is_measured(at) {
+            self.outcome.waits.push(at - self.arrivals[work].at);
+        }
+        self.send(server, work);
+    }
+
     fn send(&mut self, server: usize, work: usize) {
         let state = &mut self.servers[server];
         state.most = state.most.max(state.running + state.queue.len() as u32 + 1);
@@ -480,7 +432,7 @@
             list.push(PoolServer { server, zone, slots, connections, ready_since, draining });
         }
         pool.set_servers(list, ENTRIES as u32);
-        let settings = WalletSettings::default();
+        let settings = wallet_settings();
         let mut wallet = CreditWallet::new(now, name.clone(), zone(index), settings);
         wallet.handle(now, WalletEvent::ServersChanged(pool.wallet_servers(now)));
         Self { name, pool, wallet, queue: AdmissionQueue::new(AdmissionSettings::default()) }
@@ -491,26 +443,27 @@
     format!("zone-{}", index % 3).into()
 }
 
-/// Value of a measure over the seeds as minimum/median/maximum.
-fn spread(outcomes: &[Outcome], measure: impl Fn(&Outcome) -> f64) -> String {
-    let mut values: Vec<f64> = outcomes.iter().map(measure).collect();
-    values.sort_by(f64::total_cmp);
-    let (first, last) = (values[0], values[values.len() - 1]);
-    format!("{first:.2}/{:.2}/{last:.2}", values[values.len() / 2])
+fn option(name: &str) -> Option<String> {
+    let mut arguments = std::env::args().skip_while(|argument| argument != name);
+    arguments.nth(1)
 }
 
-fn quantile(outcome: &Outcome, part: f64) -> f64 {
-    let position = (outcome.latencies.len() as f64 * part) as usize;
-    outcome.latencies.get(position).map_or(f64::NAN, |latency| latency * 1000.0)
+fn number(name: &str) -> Option<u32> {
+    option(name).map(|text| text.parse().expect("the option is a whole number"))
 }
 
-fn per(time: Duration, count: u64) -> f64 {
-    time.as_nanos() as f64 / count.max(1) as f64
+fn account_settings() -> AccountSettings {
+    let mut settings = AccountSettings::default();
+    settings.ahead_percent = number("--ahead").unwrap_or(settings.ahead_percent);
+    settings
 }
 
-fn option(name: &str) -> Option<String> {
-    let mut arguments = std::env::args().skip_while(|argument| argument != name);
-    arguments.nth(1)
+fn wallet_settings() -> WalletSettings {
+    let mut settings = WalletSettings::default();
+    if let Some(micros) = number("--idle-hold-us") {
+        settings.idle_hold = Duration::from_micros(micros.into());
+    }
+    settings
 }
 
 fn main() {
@@ -532,29 +485,10 @@
                 let arrivals = scenario.record(seed, sigma);
                 let mut outcome = Run::new(scenario, policy, &arrivals, seed).run();
                 outcome.latencies.sort_by(f64::total_cmp);
+                outcome.waits.sort_by(f64::total_cmp);
                 outcomes.push(outcome);
             }
             print_row(scenario_name, name, scenario, &outcomes);
         }
     }
 }
-
-fn print_row(scenario_name: &str, name: &str, scenario: Scenario, outcomes: &[Outcome]) {
-    let capacity = CAPACITY * scenario.measured_seconds();
-    let show = |label: &str, measure: &dyn Fn(&Outcome) -> f64| {
-        print!(" {label}={}", spread(outcomes, measure));
-    };
-    print!("{scenario_name:9} {name:15}");
-    show("p50_ms", &|outcome| quantile(outcome, 0.5));
-    show("p99_ms", &|outcome| quantile(outcome, 0.99));
-    show("p999_ms", &|outcome| quantile(outcome, 0.999));
-    show("goodput", &|outcome| outcome.good as f64 / capacity);
-    show("over_slots", &|outcome| f64::from(outcome.over_slots));
-    show("refused", &|outcome| outcome.refused as f64);
-    show("late", &|outcome| outcome.late as f64);
-    show("failed", &|outcome| outcome.failed as f64);
-    show("messages", &|outcome| outcome.messages as f64 / outcome.requests as f64);
-    show("decision_ns", &|outcome| per(outcome.decision_time, outcome.decisions));
-    show("holder_ns", &|outcome| per(outcome.holder_time, outcome.holder_events));
-    println!();
-}
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -94,6 +94,8 @@
     pub started: u32,
     /// Idle credits after the returns of this message.
     pub idle: u32,
+    /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
+    pub has_demand: bool,
     pub demand: Vec<DemandLine>,
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
@@ -112,6 +114,8 @@
     pub lease: Duration,
     /// Idle credits that the entry may keep until they are recalled.
     pub keep: u32,
+    /// Few slots are unused: credits above `keep` go back with the next message.
+    pub is_scarce: bool,
     pub grants: Vec<CreditLine>,
     pub recalls: Vec<RecallLine>,
 }
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -24,6 +24,9 @@
 };
 use crate::settings::{SelectionPolicy, ServiceSettings};
 
+/// Size of a usual message to the account holder, for which the measuring budget must have room.
+const TYPICAL_MESSAGE_BYTES: u32 = 256;
+
 /// Where messages to the account holder go.
 pub type CreditOutbox = Box<dyn Fn(&ServiceKey, EntryMessage) + Send + Sync>;
 
@@ -476,11 +479,13 @@
 
     /// Sends demand, returns and lease renewals unless the measuring budget is spent.
     fn tick_wallet(&mut self, now: Instant) -> Option<EntryMessage> {
-        if self.settings.policy != SelectionPolicy::Credits || !self.measure.has_room(now) {
+        if self.settings.policy != SelectionPolicy::Credits
+            || !self.measure.has_room(now, TYPICAL_MESSAGE_BYTES)
+        {
             return None;
         }
         let message = self.wallet.handle(now, WalletEvent::Tick(self.queue.waiting()))?;
-        self.measure.try_spend(now, message.wire_bytes());
+        self.measure.charge(now, message.wire_bytes());
         Some(message)
     }
 
