--- a/tests/link.rs
+++ b/tests/link.rs
@@ -23,7 +23,12 @@
 const LIMIT: Duration = Duration::from_secs(10);
 
 fn hello(name: &str) -> HelloMessage {
-    HelloMessage { name: name.into(), role: ProcessRole::Entry, availability_zone: "a".into() }
+    HelloMessage {
+        name: name.into(),
+        role: ProcessRole::Entry,
+        availability_zone: "a".into(),
+        member: None,
+    }
 }
 
 fn frame(name: &str, message: WireMessage) -> WireFrame {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -170,7 +170,7 @@
             world.round(|_| (1.0, false));
         }
         let now = world.now;
-        assert_eq!(world.tracker.ejected(now), [], "seed {seed}");
+        assert_eq!(world.tracker.ejected(now), Vec::<u64>::new(), "seed {seed}");
         for _ in 0..rounds {
             world.round(|server| if server == 3 { (factor, failed) } else { (1.0, false) });
         }
@@ -196,7 +196,7 @@
         for _ in 0..200 {
             world.round(|_| (factor, failed));
             let ejected = world.tracker.ejected(world.now);
-            assert_eq!(ejected, [], "seed {seed}");
+            assert_eq!(ejected, Vec::<u64>::new(), "seed {seed}");
         }
     }
 }
@@ -226,7 +226,7 @@
     }
     let later = world.now + MILLISECOND * 20;
     world.tracker.tick(later);
-    assert_eq!(world.tracker.ejected(later), []);
+    assert_eq!(world.tracker.ejected(later), Vec::<u64>::new());
     let later = world.now + MILLISECOND * 80;
     world.tracker.tick(later);
     assert_eq!(world.tracker.ejected(later), [2]);
