--- a/examples/settings_cost.rs
+++ b/examples/settings_cost.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::settings::{
-    ChangeAction, ChangeOutcome, InstalledSettings, SettingsChange, SettingsStore, token_sha256,
+    ChangeAction, ChangeOutcome, InstalledSettings, OUTCOME_LIMIT, SettingsChange, SettingsStore,
+    token_sha256,
 };
 
 /// Services at each size; a team has 20 of them.
@@ -16,6 +17,9 @@
 /// Changes timed in one run; their mean counts as the result of the run.
 const CHANGES: usize = 40;
 
+/// Teams whose kept outcomes are measured.
+const OUTCOME_TEAMS: usize = 20;
+
 /// One measured quantity at every size.
 struct Series {
     name: &'static str,
@@ -40,6 +44,7 @@
 ];
 
 fn main() {
+    measure_outcomes();
     let mut series: Vec<Series> = Vec::new();
     for (name, unit) in ROWS {
         series.push(Series { name, unit, points: Vec::new() });
@@ -64,6 +69,37 @@
     print_peak_memory();
 }
 
+/// Prints the bytes of one kept outcome, in memory and in a snapshot. Runs first, because freed
+/// memory of other measurements would hide the growth.
+fn measure_outcomes() {
+    let mut store = SettingsStore::new(1, &token_sha256("root"));
+    for team in 0..OUTCOME_TEAMS {
+        let document = document(team, 1, 0);
+        let action = ChangeAction::Create { document, team_token_sha256: token_sha256("team") };
+        apply(&mut store, change(team, 0, "create", "root", action));
+    }
+    let snapshot_before = store.snapshot().len();
+    let memory_before = resident_kib();
+    for team in 0..OUTCOME_TEAMS {
+        for number in 0..OUTCOME_LIMIT {
+            let action = ChangeAction::Replace { document: "".into() };
+            let conflict = change(team, 0, &format!("conflict{number}"), "team", action);
+            assert_eq!(store.apply(&conflict), ChangeOutcome::Conflict { current: 1 });
+        }
+    }
+    let count = (OUTCOME_TEAMS * OUTCOME_LIMIT) as f64;
+    let memory = (resident_kib() - memory_before) * 1024.0 / count;
+    let snapshot = (store.snapshot().len() - snapshot_before) as f64 / count;
+    println!("kept outcome: {memory:.0} B of memory, {snapshot:.0} B of snapshot, over {count}\n");
+}
+
+fn resident_kib() -> f64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS")).unwrap_or_default();
+    let value = line.split_whitespace().nth(1).and_then(|value| value.parse().ok());
+    value.unwrap_or(0.0)
+}
+
 /// Prints the peak of resident memory: one store, one tree, one entry's copy, one snapshot and the
 /// store loaded from it, at the largest size.
 fn print_peak_memory() {
