--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -4,3 +4,4 @@
 mod faults;
 mod formation;
 mod harness;
+mod rules;
--- /dev/null
+++ b/tests/consensus/rules.rs
@@ -0,0 +1,157 @@
+//! Single rules of the Raft state machine, driven message by message.
+
+use std::time::{Duration, Instant};
+
+use curranthollow::consensus::members::{MemberChange, MemberError, MemberSet};
+use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, MessageBody, RaftMessage};
+use curranthollow::consensus::node::{Refusal, RestartState};
+use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role};
+
+use crate::harness::{Cluster, Faults, name_of};
+
+/// Member 1 of three, with `count` entries of term 1 that are not committed.
+struct TestNode {
+    node: RaftNode,
+    now: Instant,
+    sequence: u64,
+}
+
+impl TestNode {
+    fn new(count: u64) -> Self {
+        let now = Instant::now();
+        let entry = |index| LogEntry { term: 1, index, body: EntryBody::Payload(vec![1]) };
+        let state = RestartState {
+            hard_state: HardState { term: 1, vote: None },
+            initial: MemberSet::of_voters((1..=3).map(|id| (id, name_of(id)))),
+            snapshot: None,
+            entries: (1..=count).map(entry).collect(),
+        };
+        Self { node: RaftNode::new(RaftConfig::default(), 0, 1, 7, now, state), now, sequence: 0 }
+    }
+
+    /// Processes an event and acknowledges all syncs at once.
+    fn event(&mut self, event: RaftEvent) -> Vec<RaftAction> {
+        let mut actions = self.node.handle(self.now, event);
+        let persist = actions.iter().find_map(|action| match action {
+            RaftAction::Persist { sequence, .. } => Some(*sequence),
+            _ => None,
+        });
+        if let Some(sequence) = persist.filter(|&sequence| sequence > self.sequence) {
+            self.sequence = sequence;
+            actions.extend(self.event(RaftEvent::Persisted { sequence }));
+        }
+        actions
+    }
+
+    fn message(&mut self, from: u64, term: u64, body: MessageBody) -> Vec<RaftAction> {
+        self.event(RaftEvent::Message(RaftMessage { group: 0, from, to: 1, term, body }))
+    }
+
+    /// Becomes leader of term 2 with the vote of member 2.
+    fn lead(&mut self) {
+        self.now += Duration::from_secs(2);
+        self.event(RaftEvent::Tick);
+        self.message(2, 2, MessageBody::PreVoteReply { granted: true });
+        self.message(2, 2, MessageBody::VoteReply { granted: true });
+        assert_eq!((self.node.role(), self.node.term()), (Role::Leader, 2));
+    }
+
+    fn change(&mut self, member: u64) -> Vec<RaftAction> {
+        let change = MemberChange::AddLearner { member, name: name_of(member) };
+        self.event(RaftEvent::ChangeMembers { request: member, change })
+    }
+}
+
+fn is_busy(actions: &[RaftAction]) -> bool {
+    let busy =
+        |action: &RaftAction| matches!(action, RaftAction::Refused { refusal: Refusal::Busy, .. });
+    actions.iter().any(busy)
+}
+
+/// Guards against commit of an entry of an earlier term by counting its copies; a later leader may
+/// still replace such an entry.
+#[test]
+fn earlier_term_is_committed_with_an_own_entry_only() {
+    let mut leader = TestNode::new(3);
+    leader.lead();
+    leader.message(2, 2, MessageBody::AppendAccepted { match_index: 3, round: 0 });
+    assert_eq!(leader.node.commit(), 0);
+    leader.message(2, 2, MessageBody::AppendAccepted { match_index: 4, round: 0 });
+    assert_eq!(leader.node.commit(), 4);
+}
+
+/// Guards against two member changes in flight, or one before the leader has committed an entry of
+/// its term; both can give two majorities without a common member.
+#[test]
+fn one_member_change_at_a_time() {
+    let mut leader = TestNode::new(0);
+    leader.lead();
+    assert!(is_busy(&leader.change(4)), "before the first entry of the term is committed");
+    leader.message(2, 2, MessageBody::AppendAccepted { match_index: 1, round: 0 });
+    assert!(!is_busy(&leader.change(4)));
+    assert!(is_busy(&leader.change(5)), "while the first change is open");
+    leader.message(2, 2, MessageBody::AppendAccepted { match_index: 2, round: 0 });
+    assert!(!is_busy(&leader.change(5)));
+}
+
+/// Guards against a late join request that brings a removed id back.
+#[test]
+fn removed_id_is_refused() {
+    let set = MemberSet::of_voters((1..=3).map(|id| (id, name_of(id))));
+    let set = set.changed(&MemberChange::Remove { member: 3 }, 5).expect("it is removed");
+    let again = MemberChange::AddLearner { member: 3, name: name_of(3) };
+    assert_eq!(set.changed(&again, 6), Err(MemberError::Removed(3)));
+}
+
+/// Guards against a conflicting tail that survives an installed snapshot, in memory or on disk.
+#[test]
+fn installed_snapshot_replaces_a_conflicting_log() {
+    let mut follower = TestNode::new(5);
+    let members = MemberSet::of_voters((1..=3).map(|id| (id, name_of(id))));
+    let chunk = MessageBody::SnapshotChunk {
+        index: 3,
+        last_term: 2,
+        members,
+        total: 4,
+        offset: 0,
+        round: 0,
+        data: vec![1, 2, 3, 4],
+    };
+    let actions = follower.message(2, 2, chunk);
+    let snapshot = actions.into_iter().find_map(|action| match action {
+        RaftAction::InstallSnapshot(snapshot) => Some(snapshot),
+        _ => None,
+    });
+    let snapshot = snapshot.expect("one chunk is the whole snapshot");
+    let actions = follower.event(RaftEvent::SnapshotInstalled(snapshot));
+    let truncated = actions.iter().find_map(|action| match action {
+        RaftAction::Persist { truncate_from, .. } => *truncate_from,
+        _ => None,
+    });
+    assert!(truncated.is_some_and(|from| from <= 3), "{truncated:?}");
+    assert_eq!((follower.node.last_index(), follower.node.commit()), (3, 3));
+    let accepted = actions.iter().any(|action| match action {
+        RaftAction::Send(message) => {
+            message.body == MessageBody::AppendAccepted { match_index: 3, round: 0 }
+        }
+        _ => false,
+    });
+    assert!(accepted, "{actions:?}");
+}
+
+/// Guards against a member that is cut off from the leader only and wins an election, or raises its
+/// term and deposes the leader later, although the others hear the leader.
+#[test]
+fn member_cut_off_from_the_leader_only_does_not_depose_it() {
+    let mut cluster = Cluster::new(3, 71, Faults::default());
+    let leader = cluster.await_leader();
+    let term = cluster.node(leader).term();
+    let other = cluster.ids().into_iter().find(|&id| id != leader).expect("three members");
+    cluster.cut(leader, other);
+    cluster.cut(other, leader);
+    cluster.run(600);
+    assert_eq!(cluster.node(other).term(), term);
+    cluster.heal();
+    cluster.run(200);
+    assert_eq!((cluster.leader(), cluster.node(leader).term()), (Some(leader), term));
+}
