--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -25,6 +25,8 @@
     pub max_snapshot_bytes: u64,
     /// Entries kept in memory behind a snapshot, so that a slow follower needs no snapshot.
     pub kept_entries: u64,
+    /// Bytes of these entries; whichever bound is reached first counts.
+    pub kept_bytes: usize,
 }
 
 impl Default for RaftConfig {
@@ -40,6 +42,7 @@
             chunk_bytes: 256 << 10,
             max_snapshot_bytes: 256 << 20,
             kept_entries: 1024,
+            kept_bytes: 1 << 20,
         }
     }
 }
--- a/src/consensus/host.rs
+++ b/src/consensus/host.rs
@@ -78,7 +78,7 @@
             tick_interval: Duration::from_millis(20),
             seed,
             compact_entries: 10_000,
-            compact_bytes: 16 << 20,
+            compact_bytes: 4 << 20,
             max_segments: 4,
             queue_length: 4096,
             outgoing_length: 4096,
--- a/src/consensus/log.rs
+++ b/src/consensus/log.rs
@@ -88,6 +88,26 @@
         self.entries.truncate(kept as usize);
     }
 
+    /// First base behind `index` with at most this many entries and bytes between them.
+    pub(super) fn base_behind(
+        &self,
+        index: LogIndex,
+        max_entries: u64,
+        max_bytes: usize,
+    ) -> LogIndex {
+        let lowest = index.saturating_sub(max_entries).max(self.base_index);
+        let mut base = index;
+        let mut bytes = 0;
+        while base > lowest {
+            bytes += self.get(base).map_or(0, LogEntry::size);
+            if bytes > max_bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Drops entries up to `index`, which becomes the base.
     pub(super) fn compact(&mut self, index: LogIndex) {
         let Some(term) = self.term_at(index) else { return };
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -457,7 +457,8 @@
         if self.snapshot.as_ref().is_some_and(|old| old.index >= snapshot.index) {
             return;
         }
-        let base = snapshot.index.saturating_sub(self.config.kept_entries);
+        let (entries, bytes) = (self.config.kept_entries, self.config.kept_bytes);
+        let base = self.log.base_behind(snapshot.index, entries, bytes);
         self.log.compact(base);
         self.forget_lists(self.log.base_index());
         self.snapshot = Some(snapshot);
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,11 +11,11 @@
 use async_std::task::block_on;
 use curranthollow::consensus::host::{
     ConfirmError, ConsensusHost, GroupMachine, GroupNotice, GroupSpec, GroupStatus, HostConfig,
-    HostHandle, ProposeError, RestoreError,
+    HostError, HostHandle, ProposeError, RestoreError,
 };
 use curranthollow::consensus::members::MemberSet;
 use curranthollow::consensus::{RaftConfig, Role};
-use curranthollow::storage::{LogStorage, StorageOptions};
+use curranthollow::storage::{LogStorage, StorageError, StorageOptions};
 use curranthollow::timer::TimerService;
 use futures_util::future::join_all;
 
@@ -312,3 +313,41 @@
     }
     assert_eq!(payloads, (1..=20).collect::<Vec<u8>>());
 }
+
+static FAIL_SYNC: AtomicBool = AtomicBool::new(false);
+
+fn failing_sync(file: &fs::File) -> std::io::Result<()> {
+    if FAIL_SYNC.load(Ordering::SeqCst) {
+        return Err(std::io::Error::other("injected failure"));
+    }
+    file.sync_data()
+}
+
+/// Guards against a positive answer after a failed sync, and against a host that runs on.
+#[test]
+fn failed_sync_stops_the_host() {
+    let folder = std::env::temp_dir().join(format!("chhost-{}-sync", std::process::id()));
+    let _ = fs::remove_dir_all(&folder);
+    let options = StorageOptions { sync: failing_sync, ..StorageOptions::default() };
+    let (storage, _) = LogStorage::open_with(&folder, options).expect("the folder opens");
+    let timers = TimerService::start();
+    let initial = MemberSet::of_voters([(1, name_of(1))]);
+    let config = HostConfig::new(name_of(1), 1, initial, 1);
+    let machine = Box::new(CountMachine::default());
+    let spec = GroupSpec { group: 0, machine, recovered: Default::default() };
+    let host = ConsensusHost::start(config, storage, vec![spec], &timers).expect("it starts");
+    let handle = host.handle();
+    let deadline = Instant::now() + PATIENCE;
+    while block_on(handle.propose(0, vec![1])).is_err() {
+        assert!(Instant::now() < deadline, "not reached: an accepted proposal");
+        thread::sleep(Duration::from_millis(5));
+    }
+    FAIL_SYNC.store(true, Ordering::SeqCst);
+    assert_eq!(block_on(handle.propose(0, vec![1])), Err(ProposeError::Stopped));
+    let ended = host.join();
+    let storage_failed =
+        matches!(ended, Err(HostError::Storage(StorageError::Io { action: "sync", .. })));
+    assert!(storage_failed, "{ended:?}");
+    timers.stop();
+    let _ = fs::remove_dir_all(&folder);
+}
