--- a/src/load/exchange.rs
+++ b/src/load/exchange.rs
@@ -22,9 +22,6 @@
 /// Part of a response without a pattern that is kept for inspection.
 const KEPT_BYTES: usize = 64 * 1024;
 
-/// Longest wait for a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// Error response of an entry.
 #[derive(Deserialize)]
 struct EntryError {
@@ -46,7 +43,8 @@
     ) -> LoadOutcome {
         let address = self.options.targets[position];
         let limit = self.options.connections_per_target;
-        let Ok(connection) = self.pool.checkout(address, limit, CONNECT_TIMEOUT).await else {
+        let connect_timeout = self.options.timeout;
+        let Ok(connection) = self.pool.checkout(address, limit, connect_timeout).await else {
             return LoadOutcome::NotRun;
         };
         let id = run_id(self.options.seed, number);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -66,7 +66,7 @@
     pub max_in_flight: usize,
     /// Keep-alive connections to each target.
     pub connections_per_target: usize,
-    /// Time from sending a request to the end of its response.
+    /// Time for a new connection, and then time from sending to the end of the response.
     pub timeout: Duration,
 }
 
