--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -6,6 +6,7 @@
 
 use async_std::net::TcpStream;
 
+use super::head::HeadScanner;
 use super::stream::limited;
 use super::{
     BodyDecoder, BodyFraming, BufferedStream, HttpError, HttpLimits, HttpVersion, RequestHead,
@@ -86,6 +87,7 @@
 
     async fn read_head(&mut self) -> Result<RequestHead, HttpError> {
         let mut lines = 0;
+        let mut scanner = HeadScanner::default();
         loop {
             while self.stream.input().starts_with(b"\r\n") && lines < LEADING_LINES {
                 self.stream.consume(2);
@@ -94,7 +96,8 @@
             let input = self.stream.input();
             let waits_for_line = input.is_empty() || input == b"\r";
             if !waits_for_line
-                && let Some((head, length)) = RequestHead::parse(input, &self.limits)?
+                && let Some((head, length)) =
+                    RequestHead::parse_more(input, &self.limits, &mut scanner)?
             {
                 self.stream.consume(length);
                 return Ok(head);
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -49,7 +49,16 @@
         input: &[u8],
         limits: &HttpLimits,
     ) -> Result<Option<(RequestHead, usize)>, HttpError> {
-        let Some(length) = find_head_end(input, limits)? else {
+        Self::parse_more(input, limits, &mut HeadScanner::default())
+    }
+
+    /// Parses as [`Self::parse`] and resumes the scan of a head that was incomplete before.
+    pub(super) fn parse_more(
+        input: &[u8],
+        limits: &HttpLimits,
+        scanner: &mut HeadScanner,
+    ) -> Result<Option<(RequestHead, usize)>, HttpError> {
+        let Some(length) = scanner.find_end(input, limits)? else {
             return Ok(None);
         };
         let mut fields = vec![httparse::EMPTY_HEADER; limits.header_count];
@@ -120,7 +129,16 @@
         input: &[u8],
         limits: &HttpLimits,
     ) -> Result<Option<(ResponseHead, usize)>, HttpError> {
-        let Some(length) = find_head_end(input, limits)? else {
+        Self::parse_more(input, limits, &mut HeadScanner::default())
+    }
+
+    /// Parses as [`Self::parse`] and resumes the scan of a head that was incomplete before.
+    pub(super) fn parse_more(
+        input: &[u8],
+        limits: &HttpLimits,
+        scanner: &mut HeadScanner,
+    ) -> Result<Option<(ResponseHead, usize)>, HttpError> {
+        let Some(length) = scanner.find_end(input, limits)? else {
             return Ok(None);
         };
         let mut fields = vec![httparse::EMPTY_HEADER; limits.header_count];
@@ -168,31 +186,42 @@
     version == HttpVersion::Http11 || headers.has_token("connection", "keep-alive")
 }
 
-/// Finds the end of the head and refuses line ends other than CRLF.
+/// Finds the end of a head and refuses line ends other than CRLF.
 ///
-/// `httparse` accepts a bare LF. Servers differ in that, so a head that contains one is refused.
-fn find_head_end(input: &[u8], limits: &HttpLimits) -> Result<Option<usize>, HttpError> {
-    let window = &input[..input.len().min(limits.head_bytes)];
-    let mut previous = 0;
-    let mut line_start = 0;
-    for (position, byte) in window.iter().copied().enumerate() {
-        if byte == b'\n' {
-            if previous != b'\r' {
-                return Err(HttpError::MalformedHead("line ends without CR"));
-            }
-            if position - line_start == 1 {
-                return Ok(Some(position + 1));
+/// `httparse` accepts a bare LF. Servers differ in that, so a head that contains one is refused. The
+/// scan resumes where it stopped: a head that arrives byte by byte must not be scanned from its start
+/// each time.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeadScanner {
+    position: usize,
+    line_start: usize,
+    previous: u8,
+}
+
+impl HeadScanner {
+    /// Scans the part of `input` that was not yet scanned; returns the length of a whole head.
+    fn find_end(&mut self, input: &[u8], limits: &HttpLimits) -> Result<Option<usize>, HttpError> {
+        let window = &input[..input.len().min(limits.head_bytes)];
+        while let Some(byte) = window.get(self.position).copied() {
+            if byte == b'\n' {
+                if self.previous != b'\r' {
+                    return Err(HttpError::MalformedHead("line ends without CR"));
+                }
+                if self.position - self.line_start == 1 {
+                    return Ok(Some(self.position + 1));
+                }
+                self.line_start = self.position + 1;
+            } else if self.previous == b'\r' {
+                return Err(HttpError::MalformedHead("CR inside a line"));
             }
-            line_start = position + 1;
-        } else if previous == b'\r' {
-            return Err(HttpError::MalformedHead("CR inside a line"));
+            self.previous = byte;
+            self.position += 1;
         }
-        previous = byte;
-    }
-    if input.len() >= limits.head_bytes {
-        return Err(HttpError::HeadTooLarge);
+        if input.len() >= limits.head_bytes {
+            return Err(HttpError::HeadTooLarge);
+        }
+        Ok(None)
     }
-    Ok(None)
 }
 
 fn parse_version(version: Option<u8>) -> Result<HttpVersion, HttpError> {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -6,6 +6,7 @@
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 
+use super::head::HeadScanner;
 use super::pool::ConnectionPermit;
 use super::stream::limited;
 use super::{BodyDecoder, BodyFraming, BufferedStream, HttpError, HttpLimits, ResponseHead};
@@ -118,10 +119,12 @@
     }
 
     async fn read_one_head(&mut self) -> Result<ResponseHead, HttpError> {
+        let mut scanner = HeadScanner::default();
         loop {
             let input = self.stream.input();
             if !input.is_empty()
-                && let Some((head, length)) = ResponseHead::parse(input, &self.limits)?
+                && let Some((head, length)) =
+                    ResponseHead::parse_more(input, &self.limits, &mut scanner)?
             {
                 self.stream.consume(length);
                 return Ok(head);
--- a/tests/http_connection.rs
+++ b/tests/http_connection.rs
@@ -64,6 +64,8 @@
     short_head = { "GET /1 HTTP/1.1\r\nHost: a\r\n", "connection closed before the message was complete" },
     large_body = { "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", "/1 body exceeds 100 bytes" },
     large_chunk = { "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n65\r\naaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa", "/1 body exceeds 100 bytes" },
+    bare_lf = { "GET /1 HTTP/1.1\r\nHost: a\nB: c\r\n\r\n", "malformed head: line ends without CR" },
+    cr_inside = { "GET /1 HTTP/1.1\r\nHost: a\rB: c\r\n\r\n", "malformed head: CR inside a line" },
     nothing = { "", "end" },
 )]
 fn requests(input: &str, expected: &str) {
