--- a/tests/stand_in.rs
+++ b/tests/stand_in.rs
@@ -1,17 +1,22 @@
 //! Stand-in server: announcements and modes.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
 
 use async_channel::Receiver;
-use async_std::net::TcpListener;
+use async_std::future::timeout;
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
 use async_std::task::{self, block_on};
 use curranthollow::http::{
     CallerConnection, HeaderList, HttpLimits, RequestBody, ResponseHead, send_request,
 };
 use curranthollow::stand_in::{
-    BodyPattern, ServiceTime, StandInMode, StandInOptions, StandInServer,
+    BodyPattern, ServiceTime, SlotQueue, StandInMode, StandInOptions, StandInServer,
 };
+use futures_util::FutureExt;
 
 /// Takes announcements and answers each with `status`.
 fn start_entry(status: u16) -> (SocketAddr, Receiver<(String, serde_json::Value)>) {
@@ -99,6 +104,104 @@
     assert_eq!(server.runs().count("run-1"), 1);
 }
 
+/// Sends a request and returns the time until its response.
+fn time_request(server: &StandInServer) -> Duration {
+    let started = Instant::now();
+    let limit = Duration::from_secs(60);
+    let request = send_request(server.address(), "GET", "/x", HeaderList::new(), b"", limit);
+    assert_eq!(block_on(request).expect("the response is whole").head.status, 200);
+    started.elapsed()
+}
+
+/// Guards against slow modes that are not slow.
+#[yare::parameterized(
+    straggler = { StandInMode::Straggler { factor: 20.0 } },
+    cold_start = { StandInMode::ColdStart { factor: 21.0, duration: Duration::from_secs(3600) } },
+)]
+fn slow_modes_are_slow(mode: StandInMode) {
+    let options = StandInOptions {
+        service_time: ServiceTime::Fixed(Duration::from_millis(5)),
+        ..StandInOptions::default()
+    };
+    let server = block_on(StandInServer::start(options)).expect("the server listens");
+    server.set_mode(mode);
+    assert!(time_request(&server) >= Duration::from_millis(100));
+    // Only the lower bound of the normal mode is certain on a busy machine.
+    server.set_mode(StandInMode::Normal);
+    assert!(time_request(&server) >= Duration::from_millis(5));
+}
+
+/// Guards against a server that takes more connections than it states.
+#[test]
+fn connections_are_limited() {
+    block_on(async {
+        let options = StandInOptions { connections: 1, ..StandInOptions::default() };
+        let server = StandInServer::start(options).await.expect("the server listens");
+        let mut first = TcpStream::connect(server.address()).await.unwrap();
+        first.write_all(b"GET /stand-in/runs HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        let mut response = [0; 512];
+        let count = first.read(&mut response).await.unwrap();
+        let expected = "HTTP/1.1 200 OK\r\ncontent-length: 36\r\n\r\n\
+            {\"total\":0,\"unrecorded\":0,\"runs\":[]}";
+        assert_eq!(String::from_utf8_lossy(&response[..count]), expected);
+        let mut second = TcpStream::connect(server.address()).await.unwrap();
+        assert!(matches!(second.read(&mut response).await, Ok(0) | Err(_)));
+        assert_eq!(server.connections(), (1, 1));
+    });
+}
+
+/// Guards against waiting work that overtakes, or a slot that is lost with work that gave up.
+#[test]
+fn slots_are_given_in_order() {
+    let queue = SlotQueue::new(1);
+    let first = block_on(queue.acquire());
+    let mut second = Box::pin(queue.acquire());
+    let mut third = Box::pin(queue.acquire());
+    let mut fourth = Box::pin(queue.acquire());
+    assert!((&mut second).now_or_never().is_none());
+    assert!((&mut third).now_or_never().is_none());
+    assert!((&mut fourth).now_or_never().is_none());
+    assert_eq!(queue.counts().max_waiting, 3);
+    drop(second);
+    drop(first);
+    assert!((&mut fourth).now_or_never().is_none());
+    let third = (&mut third).now_or_never().expect("the oldest work gets the slot");
+    // The slot is handed to the fourth, which gives up before it has seen it.
+    drop(third);
+    assert_eq!(queue.counts().running, 1);
+    drop(fourth);
+    assert_eq!(queue.counts().running, 0);
+    assert!(queue.acquire().now_or_never().is_some());
+}
+
+/// Guards against more work in the slots than there are, and against a deadlock of waiters that give up.
+#[test]
+fn slots_hold_under_concurrency() {
+    block_on(async {
+        let queue = SlotQueue::new(3);
+        let running = Arc::new(AtomicUsize::new(0));
+        let mut tasks = Vec::new();
+        for number in 0..2000_u64 {
+            let queue = queue.clone();
+            let running = Arc::clone(&running);
+            tasks.push(task::spawn(async move {
+                let patience = Duration::from_micros(number % 7 * 500);
+                let Ok(slot) = timeout(patience, queue.acquire()).await else {
+                    return;
+                };
+                assert!(running.fetch_add(1, Ordering::SeqCst) < 3);
+                task::yield_now().await;
+                running.fetch_sub(1, Ordering::SeqCst);
+                drop(slot);
+            }));
+        }
+        for task in tasks {
+            task.await;
+        }
+        assert_eq!((queue.counts().running, queue.counts().waiting), (0, 0));
+    });
+}
+
 /// Guards against service times that do not have the stated mean.
 #[test]
 fn lognormal_times_have_their_mean() {
