--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -39,7 +39,7 @@
             long_percent: 50,
             ahead_percent: 80,
             recall_repeat: Duration::from_millis(10),
-            fairness_gap: Duration::from_millis(5),
+            fairness_gap: Duration::from_millis(20),
         }
     }
 }
