--- a/examples/policy_bench/main.rs
+++ b/examples/policy_bench/main.rs
@@ -5,6 +5,7 @@
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
+mod options;
 mod scenario;
 mod table;
 
@@ -13,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::credit::{
-    AccountBook, AccountEvent, AccountSettings, CreditWallet, EntryMessage, HolderMessage,
-    LiveEntry, ServerKey, ServerLimit, WalletEvent, WalletSettings, WorkClass, server_key,
+    AccountBook, AccountEvent, CreditWallet, EntryMessage, HolderMessage, LiveEntry, ServerKey,
+    ServerLimit, WalletEvent, WorkClass, server_key,
 };
 use curranthollow::ids::ProcessName;
 use curranthollow::route::{
@@ -22,6 +23,7 @@
     PoolSettings, RoutePolicy, ServerPool,
 };
 
+use options::{account_settings, option, wallet_settings};
 use scenario::{Arrival, SCENARIOS, Scenario};
 use table::print_row;
 
@@ -36,6 +38,10 @@
 const RUN: f64 = 12.0;
 /// Time before which nothing is measured.
 const WARM_UP: f64 = 2.0;
+/// Time at which the straggler of the onset scenario becomes slow, in seconds.
+const ONSET: f64 = 5.0;
+/// Ends of the windows after the onset over which the straggler's work is counted, in seconds.
+const ONSET_WINDOWS: [f64; 3] = [0.03, 0.1, 0.3];
 const DEADLINE: Duration = Duration::from_millis(500);
 const SHORT: WorkClass = WorkClass::Short;
 
@@ -81,6 +87,8 @@
 struct Outcome {
     latencies: Vec<f64>,
     waits: Vec<f64>,
+    /// Starts on the straggler and on all servers, per window after the onset.
+    onset_starts: [(u32, u32); 3],
     good: u64,
     refused: u64,
     failed: u64,
@@ -307,6 +315,11 @@
         if self.scenario.is_measured(at) {
             self.outcome.waits.push(at - self.arrivals[work].at);
         }
+        let window = ONSET_WINDOWS.iter().position(|end| at - ONSET < *end);
+        if let Some(window) = window.filter(|_| at >= ONSET) {
+            let (slow, all) = &mut self.outcome.onset_starts[window];
+            (*slow, *all) = (*slow + u32::from(server == 0), *all + 1);
+        }
         self.send(server, work);
     }
 
@@ -319,7 +332,12 @@
         }
         state.running += 1;
         let mut seconds = self.arrivals[work].service;
-        if server == 0 && self.scenario == Scenario::Straggler {
+        let is_slow = match self.scenario {
+            Scenario::Straggler => true,
+            Scenario::Onset => self.now as f64 / 1e9 >= ONSET,
+            _ => false,
+        };
+        if server == 0 && is_slow {
             seconds *= 5.0;
         }
         if self.is_failing(server) {
@@ -443,29 +461,6 @@
     format!("zone-{}", index % 3).into()
 }
 
-fn option(name: &str) -> Option<String> {
-    let mut arguments = std::env::args().skip_while(|argument| argument != name);
-    arguments.nth(1)
-}
-
-fn number(name: &str) -> Option<u32> {
-    option(name).map(|text| text.parse().expect("the option is a whole number"))
-}
-
-fn account_settings() -> AccountSettings {
-    let mut settings = AccountSettings::default();
-    settings.ahead_percent = number("--ahead").unwrap_or(settings.ahead_percent);
-    settings
-}
-
-fn wallet_settings() -> WalletSettings {
-    let mut settings = WalletSettings::default();
-    if let Some(micros) = number("--idle-hold-us") {
-        settings.idle_hold = Duration::from_micros(micros.into());
-    }
-    settings
-}
-
 fn main() {
     let sigma = option("--sigma").map_or(1.0, |text| text.parse().expect("sigma is a number"));
     let seeds = option("--seeds").unwrap_or_else(|| "1,2,3".to_owned());
--- /dev/null
+++ b/examples/policy_bench/options.rs
@@ -0,0 +1,28 @@
+//! Options of the command line.
+
+use std::time::Duration;
+
+use curranthollow::credit::{AccountSettings, WalletSettings};
+
+pub(crate) fn option(name: &str) -> Option<String> {
+    let mut arguments = std::env::args().skip_while(|argument| argument != name);
+    arguments.nth(1)
+}
+
+fn number(name: &str) -> Option<u32> {
+    option(name).map(|text| text.parse().expect("the option is a whole number"))
+}
+
+pub(crate) fn account_settings() -> AccountSettings {
+    let mut settings = AccountSettings::default();
+    settings.ahead_percent = number("--ahead").unwrap_or(settings.ahead_percent);
+    settings
+}
+
+pub(crate) fn wallet_settings() -> WalletSettings {
+    let mut settings = WalletSettings::default();
+    if let Some(micros) = number("--idle-hold-us") {
+        settings.idle_hold = Duration::from_micros(micros.into());
+    }
+    settings
+}
--- a/examples/policy_bench/scenario.rs
+++ b/examples/policy_bench/scenario.rs
@@ -8,14 +8,17 @@
     Steady,
     Swing,
     Straggler,
+    /// The straggler becomes slow at `ONSET`.
+    Onset,
     FailFast,
 }
 
-pub(crate) const SCENARIOS: [(&str, Scenario); 5] = [
+pub(crate) const SCENARIOS: [(&str, Scenario); 6] = [
     ("light", Scenario::Light),
     ("steady", Scenario::Steady),
     ("swing", Scenario::Swing),
     ("straggler", Scenario::Straggler),
+    ("onset", Scenario::Onset),
     ("fail_fast", Scenario::FailFast),
 ];
 
--- a/examples/policy_bench/table.rs
+++ b/examples/policy_bench/table.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::scenario::Scenario;
-use crate::{CAPACITY, Outcome};
+use crate::{CAPACITY, Outcome, SERVERS};
 
 /// Value of a measure over the seeds as minimum/median/maximum.
 fn spread(outcomes: &[Outcome], measure: impl Fn(&Outcome) -> f64) -> String {
@@ -47,5 +47,13 @@
     show("messages", &|outcome| outcome.messages as f64 / outcome.requests as f64);
     show("decision_ns", &|outcome| per(outcome.decision_time, outcome.decisions));
     show("holder_ns", &|outcome| per(outcome.holder_time, outcome.holder_events));
+    if scenario == Scenario::Onset {
+        for window in 0..3 {
+            show(&format!("straggler_share{window}"), &|outcome| {
+                let (slow, all) = outcome.onset_starts[window];
+                f64::from(slow) * SERVERS as f64 / f64::from(all)
+            });
+        }
+    }
     println!();
 }
--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -10,6 +10,10 @@
 };
 use crate::ids::{EpochNumber, ProcessName, ZoneName};
 
+/// Bounds of what one message may claim; they keep sums from overflowing on malformed input.
+const MAX_COUNT: u32 = 65_535;
+const MAX_REPORT_LINES: usize = 8192;
+
 /// Bound of the servers that one entry may ask to avoid.
 const MAX_AVOIDED: usize = 64;
 
@@ -250,8 +254,8 @@
         entry.expires = now + LEASE_WITH_DRIFT;
         entry.acknowledged = message.sequence;
         entry.rate += f64::from(message.started);
-        entry.idle = message.idle;
-        entry.received = message.received;
+        entry.idle = message.idle.min(MAX_COUNT);
+        entry.received = message.received.min(u64::MAX / 2);
         entry.avoided = message.avoided;
         entry.avoided.truncate(MAX_AVOIDED);
         if entry.replied_at.is_none_or(|sent| now >= sent + RENEWAL_INTERVAL) {
@@ -260,12 +264,13 @@
         if let (true, Some(report)) = (is_report, message.report) {
             entry.standing = EntryStanding::Reported;
             entry.session = message.session;
-            entry.granted = message.received;
+            entry.granted = entry.received;
             entry.clear_requests();
             entry.outbox = Some(entry.empty_message(self.epoch));
             let mut held = BTreeMap::new();
-            for line in report {
-                *held.entry((line.server, line.class)).or_insert(0) += line.in_use + line.idle;
+            for line in report.into_iter().take(MAX_REPORT_LINES) {
+                *held.entry((line.server, line.class)).or_insert(0) +=
+                    line.in_use.min(MAX_COUNT) + line.idle.min(MAX_COUNT);
             }
             held.retain(|_, count| *count > 0);
             self.replace_held(name, held);
@@ -304,13 +309,14 @@
         let mut on_the_way = entry.on_the_way();
         entry.demand = [None; 2];
         for line in lines {
-            let covered = on_the_way.min(line.waiting);
+            let waiting = line.waiting.min(MAX_COUNT);
+            let covered = on_the_way.min(waiting);
             on_the_way -= covered;
             let demand = WaitingDemand {
                 since: now.checked_sub(line.oldest_age).unwrap_or(now),
-                waiting: line.waiting - covered,
-                reported: line.waiting.max(1),
-                deadline: line.deadline.map(|left| now + left),
+                waiting: waiting - covered,
+                reported: waiting.max(1),
+                deadline: line.deadline.and_then(|left| now.checked_add(left)),
             };
             entry.demand[line.class.index()] = Some(demand);
         }
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -50,7 +50,8 @@
     pub class: WorkClass,
     pub waiting: u32,
     pub oldest_age: Duration,
-    /// Time left until the earliest deadline of the waiting work.
+    /// Time left until the latest deadline of the waiting work, if all of it has one; the demand
+    /// is void then.
     pub deadline: Option<Duration>,
 }
 
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -74,6 +74,7 @@
 pub struct WaitingWork {
     pub count: u32,
     pub oldest: Option<Instant>,
+    /// Latest deadline, if all of the work has one.
     pub deadline: Option<Instant>,
 }
 
--- a/tests/credit.rs
+++ b/tests/credit.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::credit::{
-    AccountBook, AccountEvent, AccountSettings, CreditWallet, EntryMessage, HeldCredit,
-    HolderMessage, LiveEntry, ServerKey, ServerLimit, WaitingWork, WalletEvent, WalletServer,
-    WalletSettings, WorkClass, fallback_share, server_key,
+    AccountBook, AccountEvent, AccountSettings, CreditLine, CreditWallet, DemandLine, EntryMessage,
+    HeldCredit, HeldLine, HolderMessage, LiveEntry, ServerKey, ServerLimit, WaitingWork,
+    WalletEvent, WalletServer, WalletSettings, WorkClass, fallback_share, server_key,
 };
 use curranthollow::ids::ProcessName;
 use yare::parameterized;
@@ -219,6 +219,10 @@
     }
 
     fn settle(&mut self, rounds: usize) {
+        self.settle_by(rounds, MILLISECOND);
+    }
+
+    fn settle_by(&mut self, rounds: usize, step: Duration) {
         for _ in 0..rounds {
             for name in self.names() {
                 self.tick_entry(&name);
@@ -232,7 +236,7 @@
                     self.deliver_down(&name);
                 }
             }
-            self.now += MILLISECOND;
+            self.now += step;
         }
     }
 
@@ -367,7 +371,7 @@
             world.join(&name);
         }
         // Longer than the lease, so that every silent entry has been replaced by its report.
-        world.settle(2500);
+        world.settle_by(100, MILLISECOND * 25);
         for name in world.names() {
             while !world.entries[&name].running.is_empty() {
                 world.finish(&name);
@@ -542,6 +546,49 @@
     assert_eq!(world.entries[&name].to_holder.len(), 1);
 }
 
+/// Guards against a malformed message that stops the account holder or frees slots of others.
+#[test]
+fn absurd_message_does_no_harm() {
+    let mut world = CreditWorld::new(28, 2, &[2]);
+    for _ in 0..2 {
+        world.request(&"entry-0".into(), WorkClass::Short);
+    }
+    world.settle(10);
+    let (most, server) = (u32::MAX, world.servers[0].server);
+    let class = WorkClass::Short;
+    let demand = DemandLine {
+        class,
+        waiting: most,
+        oldest_age: Duration::MAX,
+        deadline: Some(Duration::MAX),
+    };
+    let message = EntryMessage {
+        epoch: 1,
+        session: 1,
+        sequence: u64::MAX,
+        received: u64::MAX,
+        started: most,
+        idle: most,
+        has_demand: true,
+        demand: vec![demand; 3],
+        returns: vec![CreditLine { server, class, count: most }; 3],
+        report: None,
+        avoided: vec![1; 1000],
+    };
+    world.feed(AccountEvent::Message { entry: "entry-1".into(), message: message.clone() });
+    assert_eq!(world.book.outstanding(server), 2);
+    let held = HeldLine { server, class, in_use: most, idle: most };
+    let report = EntryMessage { session: 2, report: Some(vec![held; 3]), ..message.clone() };
+    world.feed(AccountEvent::Message { entry: "entry-1".into(), message: report });
+    world.feed(AccountEvent::Tick);
+    assert!(world.book.outstanding(server) >= 2);
+    let empty = EntryMessage { session: 3, report: Some(Vec::new()), ..message };
+    world.finish(&"entry-0".into());
+    world.settle(10);
+    world.feed(AccountEvent::Message { entry: "entry-1".into(), message: empty });
+    assert!(world.book.outstanding(server) <= 2);
+}
+
 /// Guards against unnoticed changes in the order of grants and recalls.
 #[test]
 fn trace_of_two_entries() {
