--- a/src/consensus/replicate.rs
+++ b/src/consensus/replicate.rs
@@ -195,9 +195,11 @@
         }
         let next = (hint + 1).min(last + 1).max(progress.match_index + 1);
         // Answers to messages sent before the probe say the same; only the refusal of a heartbeat
-        // sent after the probe shows that the probe was lost.
+        // sent after the probe shows that the probe was lost. A probe from before the base cannot
+        // be sent again, and heartbeats then start at the base, so a snapshot is needed at once.
         let under_way = progress.probing && !progress.in_flight.is_empty();
-        if under_way && progress.probe_start == next && prev_index + 1 != progress.next_index {
+        let is_older = prev_index + 1 != progress.next_index && next > self.log.base_index();
+        if under_way && progress.probe_start == next && is_older {
             return;
         }
         progress.probe_start = next;
--- a/src/consensus/snapshot.rs
+++ b/src/consensus/snapshot.rs
@@ -74,12 +74,18 @@
         let Some(progress) = self.progress.get_mut(&from) else { return };
         let Some(outgoing) = &mut progress.snapshot else { return };
         let received = received as usize;
-        let in_order = received > outgoing.offset || received == 0;
         let complete = received >= outgoing.snapshot.data.len();
-        if outgoing.index() != index || !in_order || complete {
+        if outgoing.index() != index || complete {
             // A complete snapshot is acknowledged by an accepted append once it is installed.
             return;
         }
+        if received <= outgoing.offset {
+            // Either an old answer, or the receiver has started again, as it does after a restart
+            // or after a late chunk of another snapshot. The refusal of the next heartbeat resumes
+            // the transfer here; sending at once would multiply the chunks under duplicates.
+            outgoing.offset = received;
+            return;
+        }
         outgoing.offset = received;
         self.send_chunk(from);
     }
--- a/tests/consensus/rules.rs
+++ b/tests/consensus/rules.rs
@@ -3,8 +3,10 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::consensus::members::{MemberChange, MemberError, MemberSet};
-use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, MessageBody, RaftMessage};
-use curranthollow::consensus::node::{Refusal, RestartState};
+use curranthollow::consensus::message::{
+    EntryBody, HardState, LogEntry, MessageBody, RaftMessage, SharedSnapshot, Snapshot,
+};
+use curranthollow::consensus::node::{Proposal, Refusal, RestartState};
 use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role};
 
 use crate::harness::{Cluster, Faults, name_of};
@@ -18,15 +20,20 @@
 
 impl TestNode {
     fn new(count: u64) -> Self {
+        Self::with_snapshot(count, None)
+    }
+
+    fn with_snapshot(count: u64, snapshot: Option<SharedSnapshot>) -> Self {
         let now = Instant::now();
         let entry = |index| LogEntry { term: 1, index, body: EntryBody::Payload(vec![1]) };
         let state = RestartState {
             hard_state: HardState { term: 1, vote: None },
             initial: MemberSet::of_voters((1..=3).map(|id| (id, name_of(id)))),
-            snapshot: None,
+            snapshot,
             entries: (1..=count).map(entry).collect(),
         };
-        Self { node: RaftNode::new(RaftConfig::default(), 0, 1, 7, now, state), now, sequence: 0 }
+        let config = RaftConfig { kept_entries: 0, ..RaftConfig::default() };
+        Self { node: RaftNode::new(config, 0, 1, 7, now, state), now, sequence: 0 }
     }
 
     /// Processes an event and acknowledges all syncs at once.
@@ -139,6 +146,53 @@
     assert!(accepted, "{actions:?}");
 }
 
+/// Offsets of the snapshot chunks that the actions send.
+fn chunk_offsets(actions: &[RaftAction]) -> Vec<u64> {
+    let offset_of = |action: &RaftAction| match action {
+        RaftAction::Send(RaftMessage {
+            body: MessageBody::SnapshotChunk { offset, .. }, ..
+        }) => Some(*offset),
+        _ => None,
+    };
+    actions.iter().filter_map(offset_of).collect()
+}
+
+/// Guards against a transfer that never ends because the receiver has started again and holds less
+/// than the leader believes.
+#[test]
+fn snapshot_transfer_goes_back_to_what_the_receiver_holds() {
+    let members = MemberSet::of_voters((1..=3).map(|id| (id, name_of(id))));
+    let chunk = RaftConfig::default().chunk_bytes as u64;
+    let data = vec![0; 3 * chunk as usize];
+    let snapshot = Snapshot { index: 10, term: 1, members, data }.into();
+    let mut leader = TestNode::with_snapshot(0, Some(snapshot));
+    leader.lead();
+    let refused = MessageBody::AppendRejected { prev_index: 10, hint: 0, round: 0 };
+    assert_eq!(chunk_offsets(&leader.message(2, 2, refused.clone())), [0]);
+    let reply = |received| MessageBody::SnapshotReply { index: 10, received, round: 0 };
+    assert_eq!(chunk_offsets(&leader.message(2, 2, reply(chunk))), [chunk]);
+    assert_eq!(chunk_offsets(&leader.message(2, 2, reply(2 * chunk))), [2 * chunk]);
+    leader.message(2, 2, reply(chunk));
+    assert_eq!(chunk_offsets(&leader.message(2, 2, refused)), [chunk]);
+    assert_eq!(chunk_offsets(&leader.message(2, 2, reply(2 * chunk))), [2 * chunk]);
+}
+
+/// Guards against a follower that is never served again because the log was compacted past the
+/// place of a lost probe.
+#[test]
+fn lost_probe_before_the_base_turns_into_a_snapshot() {
+    let mut leader = TestNode::new(30);
+    leader.lead();
+    let refused = |prev_index| MessageBody::AppendRejected { prev_index, hint: 20, round: 0 };
+    leader.message(2, 2, refused(30));
+    // The probe carries the entries 21 to 31; one more entry moves the base behind its end.
+    leader.event(RaftEvent::Propose(vec![Proposal { request: 1, payload: vec![1] }]));
+    leader.message(3, 2, MessageBody::AppendAccepted { match_index: 32, round: 0 });
+    let snapshot = leader.node.snapshot_at(32, vec![1]).expect("everything is committed");
+    leader.event(RaftEvent::SnapshotSaved(snapshot.into()));
+    assert_eq!(chunk_offsets(&leader.message(2, 2, refused(32))), [0]);
+}
+
 /// Guards against a member that is cut off from the leader only and wins an election, or raises its
 /// term and deposes the leader later, although the others hear the leader.
 #[test]
