Keep 1,000 outcomes per settings branch instead of 10,000

Cause: settings_cost measured 106 bytes of memory per kept outcome. 210 branches with 10,000 outcomes take 210 MiB (calculated), nearly all of the 256 MB of a control process. Ruled out: a limit over all branches, because one team could then push out another team's outcomes.

--- a/src/settings/outcomes.rs
+++ b/src/settings/outcomes.rs
@@ -6,8 +6,9 @@
 
 use super::change::{ChangeOutcome, RefusalReason};
 
-/// Outcomes kept for one branch.
-pub const OUTCOME_LIMIT: usize = 10_000;
+/// Outcomes kept for one branch. At 106 bytes each, 210 branches with 10,000 would take 210 MiB of the
+/// 256 MB that a control process may use; a branch has about 70 changes a day.
+pub const OUTCOME_LIMIT: usize = 1_000;
 
 /// Bytes of error lists kept for one branch; older lists are dropped, their outcomes stay.
 pub const DETAIL_LIMIT: usize = 256 * 1024;
