Use one session for a lapsed lease, pass on Host, check the lease after queueing

Each retry of a renewal after a lapse started another session, so claims could be opened under a session that the control leader did not know and that it would end after two lists. A queued request could start after the lease had run out. The Host header lost its port on the way to the server.

--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -63,6 +63,8 @@
     directory_due: Instant,
     slow_due: Instant,
     is_leaving: bool,
+    /// A new session was started since the lease lapsed.
+    has_new_session: bool,
 }
 
 impl EntryControl {
@@ -89,6 +91,7 @@
             directory_due: now,
             slow_due: now,
             is_leaving: false,
+            has_new_session: false,
         }
     }
 
@@ -293,9 +296,14 @@
         if self.is_leaving {
             return;
         }
-        // Claims of a lapsed session may have been marked unknown; a new session opens new ones.
+        // Claims of a lapsed session may have been marked unknown; a new session opens new ones. It is
+        // one session for all attempts, because the control leader knows only the one it granted.
         let lapsed = self.lease.expires().is_some_and(|expires| expires <= now);
-        let session = if lapsed { self.context.renew_session() } else { self.context.session() };
+        if lapsed && !self.has_new_session {
+            self.context.renew_session();
+        }
+        self.has_new_session = lapsed;
+        let session = self.context.session();
         let request = RenewLease {
             entry: self.context.name.clone(),
             session,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -222,7 +222,10 @@
     headers.remove_hop_by_hop();
     headers.remove("expect");
     headers.remove("content-length");
-    let _ = headers.set("host", head.host.as_bytes());
+    if headers.get("host").is_none() {
+        // Only HTTP/1.0 requests come without one.
+        let _ = headers.append("host", head.host.as_bytes());
+    }
     match framing {
         BodyFraming::Empty => {
             if !matches!(&*head.method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
@@ -388,6 +391,11 @@
     let closed = caller.closed();
     pin_mut!(slot, closed);
     let result = match select(slot, closed).await {
+        // The lease may have run out while the request waited.
+        Either::Left((Ok(_), _)) if !context.may_serve(Instant::now()) => {
+            let text = "the settings lease of this entry has run out";
+            Err(RequestEnd::Failed(FailureReason::SettingsStale, text.into()))
+        }
         Either::Left((Ok(permit), _)) => Ok(permit),
         Either::Left((Err(reason), _)) => {
             Err(RequestEnd::Failed(reason, "the request was not started".into()))
