--- a/src/demo.rs
+++ b/src/demo.rs
@@ -100,6 +100,11 @@
         Ok(Self { control, entry, servers, folder, traffic: address, operator })
     }
 
+    /// Stand-in servers.
+    pub fn servers(&self) -> &[StandInServer] {
+        &self.servers
+    }
+
     /// Stops everything gracefully and removes the data folder.
     pub async fn stop(self) {
         self.entry.stop().await;
