Renew leases several times within their duration

Cause: an entry renewed its lease every 1 s whatever the lease's duration, and waited 300 ms for each answer. With settings_lease of 1 s or less, which the schema allows from 500 ms, every lease lapsed before its renewal. Each lapse started a new session, so the epoch of the credit accounts changed each second, no account finished collecting reports and claims could not be released.

Ruled out: links (all open), servers (all ready), account holder choice (equal on all entries). The request ids showed a new session each second.

Change: renewals are due after a third of the lease, at most 1 s; an answer is awaited for an eighth of it, at most 300 ms. A lease of 3 s behaves as before.

--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -8,12 +8,18 @@
 
 use crate::ids::ProcessName;
 
-/// Interval of renewals.
+/// Longest interval of renewals.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time without an answer after which another path is tried.
+/// Longest time without an answer after which another path is tried.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Renewals in one lease. A fixed interval of 1 s let every lease of 1 s or less lapse.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Answer timeouts in one lease, so that further paths are tried before it ends.
+const TIMEOUTS_PER_LEASE: u32 = 8;
+
 /// Requests whose send time is remembered.
 const OPEN_REQUESTS: usize = 16;
 
@@ -25,6 +31,7 @@
     peers: BTreeSet<ProcessName>,
     leader: Option<ProcessName>,
     expires: Option<Instant>,
+    answer_timeout: Duration,
     next_nonce: u64,
     open: Vec<OpenRequest>,
     send_due: Instant,
@@ -80,6 +87,7 @@
             peers: BTreeSet::new(),
             leader: None,
             expires: None,
+            answer_timeout: ANSWER_TIMEOUT,
             next_nonce: seed,
             open: Vec::new(),
             send_due: now,
@@ -149,7 +157,8 @@
         if self.linked.contains(&leader) {
             self.leader = Some(leader);
         }
-        self.send_due = request.sent + RENEW_INTERVAL;
+        self.answer_timeout = ANSWER_TIMEOUT.min(lease / TIMEOUTS_PER_LEASE);
+        self.send_due = request.sent + RENEW_INTERVAL.min(lease / RENEWALS_PER_LEASE);
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
@@ -157,7 +166,7 @@
             // The last path did not answer in time.
             self.leader = None;
         }
-        self.send_due = now + ANSWER_TIMEOUT;
+        self.send_due = now + self.answer_timeout;
         let to = self.choose_path()?;
         let nonce = self.next_nonce;
         self.next_nonce = self.next_nonce.wrapping_add(1);
