--- /dev/null
+++ b/tests/process/answers.rs
@@ -0,0 +1,192 @@
+//! Guards against a part of a response, or another request's response, that passes as whole.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use curranthollow::http::{HeaderList, send_request};
+
+use super::client::{Answer, Call};
+use super::cluster::{ClusterPlan, TEAM_TOKEN, TestCluster};
+use super::support::{seed, wait_until};
+
+const FAULTS: [&str; 8] =
+    ["none", "dies", "short_chunks", "over_long", "stalls", "late", "two_answers", "dies_in_head"];
+
+const CALLS: usize = 200;
+
+/// Server whose response breaks in the way that the query names.
+struct FaultyServer {
+    stopped: Arc<AtomicBool>,
+}
+
+impl FaultyServer {
+    fn start(entry: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (serving, announcing) = (Arc::clone(&stopped), Arc::clone(&stopped));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                if serving.load(Ordering::SeqCst) {
+                    return;
+                }
+                let Ok(stream) = stream else { continue };
+                thread::spawn(move || while serve(&stream).is_ok_and(|go_on| go_on) {});
+            }
+        });
+        thread::spawn(move || {
+            for sequence in 1.. {
+                if announcing.load(Ordering::SeqCst) {
+                    return;
+                }
+                announce(entry, address, sequence);
+                thread::sleep(Duration::from_millis(500));
+            }
+        });
+        Self { stopped }
+    }
+}
+
+impl Drop for FaultyServer {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::SeqCst);
+    }
+}
+
+fn announce(entry: SocketAddr, address: SocketAddr, sequence: u64) {
+    let body = serde_json::json!({
+        "team": "demo", "service": "faulty", "server": "faulty-1",
+        "address": address.to_string(), "availability_zone": "zone-1", "slots": 6,
+        "connections": 64, "state": "ready", "load": 0, "incarnation": 1, "sequence": sequence,
+    });
+    let mut headers = HeaderList::new();
+    headers.append("authorization", format!("Bearer {TEAM_TOKEN}").as_bytes()).unwrap();
+    let path = curranthollow::entry::ANNOUNCE_PATH;
+    let body = body.to_string().into_bytes();
+    let _ = block_on(send_request(entry, "POST", path, headers, &body, Duration::from_secs(1)));
+}
+
+/// Whole body of the response to `run_id`.
+fn whole_body(run_id: &str) -> Vec<u8> {
+    format!("{run_id};").repeat(20_000 / (run_id.len() + 1)).into_bytes()
+}
+
+/// Serves one request; returns whether the connection stays open.
+fn serve(mut stream: &TcpStream) -> std::io::Result<bool> {
+    let mut reader = BufReader::with_capacity(1, stream);
+    let (mut fault, mut run_id) = (String::new(), String::new());
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Ok(false);
+        }
+        if let Some((_, query)) = line.split_once("fault=") {
+            fault = query.split(' ').next().unwrap().into();
+        }
+        if let Some(value) = line.strip_prefix("x-run-id: ") {
+            run_id = value.trim().into();
+        }
+        if line == "\r\n" {
+            break;
+        }
+    }
+    let body = whole_body(&run_id);
+    let head = format!("HTTP/1.1 200 OK\r\nx-run-id: {run_id}\r\n");
+    let length = format!("{head}content-length: {}\r\n\r\n", body.len());
+    let half = &body[..body.len() / 2];
+    match &*fault {
+        "dies" => {
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(half)?;
+            return Ok(false);
+        }
+        "dies_in_head" => {
+            stream.write_all(head.as_bytes())?;
+            return Ok(false);
+        }
+        "short_chunks" => {
+            write!(stream, "{head}transfer-encoding: chunked\r\n\r\n{:x}\r\n", half.len())?;
+            stream.write_all(half)?;
+            stream.write_all(b"\r\n")?;
+            return Ok(false);
+        }
+        "over_long" => {
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(&body)?;
+            stream.write_all(b"bytes after the end")?;
+        }
+        "two_answers" => {
+            let forged =
+                format!("HTTP/1.1 200 OK\r\nx-run-id: {run_id}\r\ncontent-length: 2\r\n\r\nno");
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(&body)?;
+            stream.write_all(forged.as_bytes())?;
+        }
+        "stalls" => {
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(half)?;
+            thread::sleep(Duration::from_millis(1500));
+            return Ok(false);
+        }
+        "late" => {
+            thread::sleep(Duration::from_millis(1000));
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(&body)?;
+        }
+        _ => {
+            stream.write_all(length.as_bytes())?;
+            stream.write_all(&body)?;
+        }
+    }
+    Ok(true)
+}
+
+// Guards against truncated, mixed-up and late responses that reach a caller as whole ones.
+#[test]
+fn callers_get_whole_answers_or_clear_failures() {
+    let cluster = TestCluster::start(ClusterPlan { entries: 1, proxied: false });
+    let entry = cluster.entry(1);
+    let _server = FaultyServer::start(entry);
+    wait_until("the faulty server is known", || {
+        Call::get("/faulty?fault=none", "first").send(entry).is_served()
+    });
+    let mut random = fastrand::Rng::with_seed(seed());
+    let plan: Vec<_> = (0..CALLS).map(|_| FAULTS[random.usize(..FAULTS.len())]).collect();
+    let mut served = std::collections::BTreeMap::<&str, (u32, u32)>::new();
+    for (group, faults) in plan.chunks(8).enumerate() {
+        let answers: Vec<(&str, String, Answer)> = thread::scope(|scope| {
+            let calls: Vec<_> = faults
+                .iter()
+                .enumerate()
+                .map(|(number, fault)| {
+                    scope.spawn(move || {
+                        let run_id = format!("whole-{group}-{number}");
+                        let call = Call::get(&format!("/faulty?fault={fault}"), &run_id);
+                        let answer = call.send(entry);
+                        (*fault, run_id, answer)
+                    })
+                })
+                .collect();
+            calls.into_iter().map(|call| call.join().unwrap()).collect()
+        });
+        for (fault, run_id, answer) in answers {
+            let counts = served.entry(fault).or_default();
+            match answer {
+                Answer::Served(body) => {
+                    counts.0 += 1;
+                    assert!(body == whole_body(&run_id), "{fault}: not the whole own response");
+                    let possible = ["none", "over_long", "two_answers"].contains(&fault);
+                    assert!(possible, "{fault} passed as whole");
+                }
+                Answer::Failed { .. } | Answer::Broken(_) => counts.1 += 1,
+            }
+        }
+    }
+    println!("served and failed: {served:?}");
+    assert!(served["none"].0 > 0, "{served:?}");
+}
--- /dev/null
+++ b/tests/process/golden.rs
@@ -0,0 +1,145 @@
+//! Guards a session of an operator from the first start on: outputs, exit codes, and service that
+//! goes on when a control process dies.
+
+use std::fs;
+
+use serde_json::Value;
+
+use super::client::Call;
+use super::cluster::{ClusterPlan, ROOT_DOCUMENT, TEAM_DOCUMENT, TestCluster};
+use super::support::wait_until;
+
+/// Replaces what differs between runs: addresses, ids, folders and leaders.
+fn redact(cluster: &TestCluster, text: &str) -> String {
+    let mut text = text.replace(&*cluster.folder.display().to_string(), "FOLDER");
+    for server in &cluster.servers {
+        text = text.replace(&server.address().to_string(), "ADDRESS");
+    }
+    for node in cluster.nodes.values() {
+        for address in [node.traffic, node.operator, node.link] {
+            text = text.replace(&address.to_string(), "ADDRESS");
+        }
+    }
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        let mut words: Vec<&str> = line.split_whitespace().collect();
+        for position in 0..words.len() {
+            let word = words[position].trim_end_matches(',');
+            if word.len() == 16 && word.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+                words[position] = "ID";
+            }
+            if position > 0 && words[position - 1] == "leader" {
+                words[position] = "LEADER";
+            }
+        }
+        // A member's log length, a group's leader and the number of its claims depend on timing.
+        if words.len() == 4 && words[3] == "ID" {
+            words[2] = "COUNT";
+        }
+        if words.len() == 3 && words[1].starts_with("control-") {
+            words[1..].copy_from_slice(&["LEADER", "COUNT"]);
+        }
+        lines.push(words.join(" "));
+    }
+    lines.join("\n")
+}
+
+/// Keeps the keys and the texts of a dump; numbers and flags depend on timing.
+fn outline(value: &Value) -> Value {
+    match value {
+        Value::Object(map) => {
+            map.iter().map(|(key, value)| (key.clone(), outline(value))).collect()
+        }
+        Value::Array(list) => list.iter().map(outline).collect(),
+        Value::Number(_) => "NUMBER".into(),
+        Value::Bool(_) => "FLAG".into(),
+        value => value.clone(),
+    }
+}
+
+/// Runs the client and renders its exit code and output for a snapshot.
+fn session(cluster: &TestCluster, arguments: &[&str]) -> String {
+    let (code, output) = cluster.run(arguments);
+    let shown = arguments.join(" ");
+    let text = format!(
+        "$ curranthollow {shown}\n{}{}exit code {code}\n",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr),
+    );
+    redact(cluster, &text)
+}
+
+#[test]
+fn first_session_of_an_operator() {
+    let mut cluster = TestCluster::start_bare(ClusterPlan { entries: 2, proxied: false });
+    let folder = cluster.folder.clone();
+    fs::write(folder.join("root.jsonc"), ROOT_DOCUMENT).unwrap();
+    fs::write(folder.join("demo.jsonc"), TEAM_DOCUMENT).unwrap();
+    fs::write(folder.join("faulty.jsonc"), "{ \"team\": \"demo\", \"services\": { \"a\": {} } }")
+        .unwrap();
+    let create = ["settings", "put", "demo", "demo.jsonc", "--base", "0", "--change-id", "first"];
+    let create: Vec<&str> =
+        create.into_iter().chain(["--create-with-token-from", "NEW_TOKEN"]).collect();
+    let mut log = Vec::new();
+    for arguments in [
+        &["check", "control-1.jsonc"][..],
+        &["check", "faulty.jsonc"],
+        &["settings", "put", "root", "root.jsonc", "--base", "0", "--change-id", "root-1"],
+        &["settings", "put", "demo", "demo.jsonc", "--base", "0", "--change-id", "early"],
+        &create,
+        &create,
+        &["settings", "put", "demo", "demo.jsonc", "--base", "0", "--change-id", "stale"],
+        &["settings", "put", "demo", "faulty.jsonc", "--base", "1", "--change-id", "faulty"],
+        &["settings", "put", "demo", "demo.jsonc", "--base", "1", "--token", "wrong"],
+        &["settings", "get", "demo"],
+        &["settings", "get", "demo", "--token", "wrong"],
+        &["settings", "get", "demo", "--effective", "book"],
+        &["settings", "history", "demo"],
+        &["settings", "watch", "demo", "--count", "1"],
+    ] {
+        log.push(session(&cluster, arguments));
+    }
+    insta::assert_snapshot!("settings_session", log.join("\n"));
+    for service in ["read", "book"] {
+        for number in 1..=2 {
+            cluster.add_server(service, number);
+        }
+    }
+    cluster.wait_served();
+    wait_until("status shows four servers, all members and all entries", || {
+        cluster.status().is_some_and(|status| {
+            let ready = status.servers.iter().filter(|line| &*line.state == "ready").count();
+            (ready, status.members.len(), status.entries.len()) == (4, 3, 2)
+                && status.survivable_losses == Some(1)
+                && status.claim_groups.iter().all(|line| line.leader.is_some())
+                && status.servers.iter().all(|line| line.load == 0)
+        })
+    });
+    insta::assert_snapshot!("status", session(&cluster, &["status"]));
+    let operator = cluster.nodes["entry-1"].operator.to_string();
+    let (code, output) = cluster.run(&["dump", &operator]);
+    assert_eq!(code, 0);
+    let dump: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let dump = serde_json::to_string_pretty(&outline(&dump)).unwrap();
+    insta::assert_snapshot!("dump", redact(&cluster, &dump));
+    serve_without_each_control(&mut cluster);
+}
+
+fn serve_without_each_control(cluster: &mut TestCluster) {
+    for (round, name) in cluster.names("control").into_iter().enumerate() {
+        cluster.kill(&name);
+        for entry in cluster.entries() {
+            let key = format!("without-{name}-{entry}");
+            let answer = Call::post("/book", &key, "deposit").send(entry);
+            assert!(answer.is_served(), "{key}: {answer:?}");
+            assert!(Call::get("/read", &key).send(entry).is_served());
+        }
+        let base = 1 + round as u64;
+        let reply = cluster.put("demo", base, &format!("without-{name}"), TEAM_DOCUMENT).unwrap();
+        assert_eq!(reply.version, Some(base as i64 + 1));
+        cluster.restart(&name);
+        wait_until("the member is back", || {
+            cluster.status().is_some_and(|status| status.survivable_losses == Some(1))
+        });
+    }
+}
