Never let two confirmation rounds of lease requests run at once

Cause: the lease table started a round for a repeated request although a round was running. Each answer then moved all waiting requests to a further round, so two chains of rounds deferred the requests of all entries without end. A repeated request also replaced the one in the running round, so no request was granted while rounds took longer than repeats. Round numbers restarted with each leadership, so a late answer could confirm a round of the next one.

Ruled out: links (open on both sides), consensus (the leader was confirmed for status), the role of the control thread (leading, not deposed).

Change: one round at a time; a request stays in the running round; round numbers grow over leaderships.

--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -33,6 +33,9 @@
 pub struct LeaseTable {
     lease: Duration,
     leadership: Option<Leadership>,
+    /// Last round that was started; grows over all leaderships, so that a late answer to a round of
+    /// an earlier one confirms nothing.
+    round: RoundNumber,
     entries: BTreeMap<ProcessName, EntryLease>,
     waiting: BTreeMap<ChangeNumber, SettingsRevision>,
 }
@@ -41,7 +44,9 @@
 struct Leadership {
     term: TermNumber,
     changes: u32,
-    round: RoundNumber,
+    /// The last round waits for its answer. Rounds never overlap: two chains of rounds would defer
+    /// each other's requests forever.
+    is_confirming: bool,
     /// Leases of an earlier leader, unknown to this one, have run out by then.
     unknown_until: Instant,
     /// Requests that wait for a confirmation, by round.
@@ -155,7 +160,13 @@
 impl LeaseTable {
     /// Creates a table with the given lease duration.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, leadership: None, entries: BTreeMap::new(), waiting: BTreeMap::new() }
+        Self {
+            lease,
+            leadership: None,
+            round: 0,
+            entries: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        }
     }
 
     /// Processes one event.
@@ -167,11 +178,7 @@
             LeaseEvent::LeaseChanged(lease) => self.lease = lease,
             LeaseEvent::Requested(request) => self.request(request, &mut actions),
             LeaseEvent::Confirmed(round) => self.confirmed(now, round, &mut actions),
-            LeaseEvent::ConfirmFailed(_) => {
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.queued.clear();
-                }
-            }
+            LeaseEvent::ConfirmFailed(round) => self.confirm_failed(round),
             LeaseEvent::Installed { entry, session, revision } => {
                 self.installed(&entry, session, revision);
             }
@@ -230,8 +237,13 @@
     fn lead(&mut self, now: Instant, term: TermNumber, actions: &mut Vec<LeaseAction>) {
         self.depose(actions);
         let unknown_until = now + self.guarded_lease();
-        self.leadership =
-            Some(Leadership { term, changes: 0, round: 0, unknown_until, queued: Vec::new() });
+        self.leadership = Some(Leadership {
+            term,
+            changes: 0,
+            is_confirming: false,
+            unknown_until,
+            queued: Vec::new(),
+        });
     }
 
     fn depose(&mut self, actions: &mut Vec<LeaseAction>) {
@@ -251,15 +263,36 @@
         if full && !known {
             return;
         }
-        // Requests that arrive before the round is answered join the next one, because a confirmation
-        // only counts for what was asked before it started.
-        let open = leadership.queued.iter().any(|queued| queued.round == leadership.round);
-        leadership.queued.retain(|queued| queued.request.entry != request.entry);
-        let round = leadership.round + 1;
-        leadership.queued.push(QueuedRequest { round, request });
-        if !open {
-            leadership.round = round;
-            actions.push(LeaseAction::Confirm(round));
+        // A confirmation only counts for what was asked before it started, so requests that arrive
+        // meanwhile join the next round. A repeated request does not replace the one in the running
+        // round: when rounds take longer than repeats, it would never be granted.
+        let next = self.round + 1;
+        leadership
+            .queued
+            .retain(|queued| queued.round < next || queued.request.entry != request.entry);
+        leadership.queued.push(QueuedRequest { round: next, request });
+        self.start_round(actions);
+    }
+
+    /// Starts a round for the waiting requests, unless one is running.
+    fn start_round(&mut self, actions: &mut Vec<LeaseAction>) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if leadership.is_confirming || leadership.queued.is_empty() {
+            return;
+        }
+        leadership.is_confirming = true;
+        self.round += 1;
+        actions.push(LeaseAction::Confirm(self.round));
+    }
+
+    fn confirm_failed(&mut self, round: RoundNumber) {
+        if let Some(leadership) = &mut self.leadership
+            && round == self.round
+        {
+            leadership.is_confirming = false;
+            leadership.queued.clear();
         }
     }
 
@@ -267,6 +300,10 @@
         let Some(leadership) = &mut self.leadership else {
             return;
         };
+        if !leadership.is_confirming || round != self.round {
+            return;
+        }
+        leadership.is_confirming = false;
         let mut granted = Vec::new();
         leadership.queued.retain(|queued| {
             if queued.round <= round {
@@ -274,13 +311,7 @@
             }
             queued.round > round
         });
-        if !leadership.queued.is_empty() {
-            leadership.round = leadership.round.max(round) + 1;
-            for queued in &mut leadership.queued {
-                queued.round = leadership.round;
-            }
-            actions.push(LeaseAction::Confirm(leadership.round));
-        }
+        self.start_round(actions);
         for request in &granted {
             self.record(now, request);
         }
