Count survivable losses over the leaders of all groups

Cause: the settings leader reported the lowest number of survivable losses among the groups that it leads itself. Claim groups led elsewhere were left out, so status could show 1 survivable loss while a claim group was still repairing a lost disk. A second loss at that moment took the majority of that group.

Ruled out: the repair itself and the consensus node's count, which include learners and uncommitted member lists correctly.

Change: each process reports the count of the claim groups that it leads; the client asks all control processes and takes the lowest number over all groups, or shows it as unknown when a leader did not report.

Also names each attempt in the process tests, so that every "not run" is checked against the servers' record.

--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -453,6 +453,7 @@
             group: status.group,
             leader: leader_name(status, own, &state.routes),
             claims: store.lock().len(),
+            survivable_losses: status.survivable_losses,
         });
     }
     let store = groups.settings.lock();
@@ -466,8 +467,8 @@
         leader: report.leader,
         term: report.term,
         confirmed,
-        // The system survives what its weakest group survives.
-        survivable_losses: statuses.iter().filter_map(|status| status.survivable_losses).min(),
+        // The client adds the claim groups, whose leaders may be other processes.
+        survivable_losses: settings.and_then(|status| status.survivable_losses),
         members: settings.map(member_lines).unwrap_or_default(),
         claim_groups,
         branches,
--- a/src/operator.rs
+++ b/src/operator.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use futures_util::future::join_all;
 use serde::Deserialize;
 use thiserror::Error;
 
@@ -14,6 +15,9 @@
 /// Time for one attempt at one process; a change may wait there until it is in force.
 const ATTEMPT_TIME: Duration = Duration::from_secs(25);
 
+/// Time for one process's part of the status.
+const STATUS_TIME: Duration = Duration::from_secs(3);
+
 /// Wait before all processes are tried again.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
@@ -81,20 +85,28 @@
     }
 
     /// Reads the status from the leader, or from any process when there is no leader.
+    ///
+    /// All processes are asked, because each claim group is known best by its own leader.
     pub async fn status(&self) -> Result<SystemStatus, OperatorError> {
-        let mut last = None;
+        let limit = self.limit.min(STATUS_TIME);
+        let mut asked = Vec::new();
         for address in &self.addresses {
-            let limit = self.limit.min(Duration::from_secs(3));
-            let Ok(response) = self.send_once(*address, "GET", "/status", &[], limit).await else {
-                continue;
-            };
-            let status: SystemStatus = serde_json::from_slice(&response.body)?;
-            if status.confirmed {
-                return Ok(status);
-            }
-            last = Some(status);
+            asked.push(self.send_once(*address, "GET", "/status", &[], limit));
+        }
+        let mut statuses: Vec<SystemStatus> = Vec::new();
+        for response in join_all(asked).await.into_iter().flatten() {
+            statuses.push(serde_json::from_slice(&response.body)?);
+        }
+        let chosen = statuses.iter().position(|status| status.confirmed).unwrap_or(0);
+        if statuses.is_empty() {
+            return Err(OperatorError::NoLeader("no process answered".into()));
+        }
+        let mut status = statuses.swap_remove(chosen);
+        for other in &statuses {
+            status.merge_groups(other);
         }
-        last.ok_or_else(|| OperatorError::NoLeader("no process answered".into()))
+        status.apply_groups();
+        Ok(status)
     }
 
     async fn send(
--- a/src/status.rs
+++ b/src/status.rs
@@ -19,7 +19,8 @@
     pub term: TermNumber,
     /// Whether a majority confirmed the reporting process as leader for this report.
     pub confirmed: bool,
-    /// Control members that can be lost now without loss of data or majority.
+    /// Control members that can be lost now without loss of data or majority of any group; `None`
+    /// when a group's leader did not report.
     pub survivable_losses: Option<usize>,
     /// Control members.
     pub members: Vec<MemberLine>,
@@ -37,6 +38,33 @@
     pub servers: Vec<ServerLine>,
 }
 
+impl SystemStatus {
+    /// Takes over what another process reports about the claim groups that it leads.
+    pub fn merge_groups(&mut self, other: &Self) {
+        for line in &mut self.claim_groups {
+            let Some(found) = other.claim_groups.iter().find(|found| found.group == line.group)
+            else {
+                continue;
+            };
+            // A deposed leader may report, too; the lower number is the careful one.
+            line.survivable_losses = match (line.survivable_losses, found.survivable_losses) {
+                (Some(own), Some(found)) => Some(own.min(found)),
+                (own, found) => own.or(found),
+            };
+        }
+    }
+
+    /// Lowers the number of survivable losses to that of the weakest claim group.
+    pub fn apply_groups(&mut self) {
+        for line in &self.claim_groups {
+            self.survivable_losses = match (self.survivable_losses, line.survivable_losses) {
+                (Some(own), Some(group)) => Some(own.min(group)),
+                _ => None,
+            };
+        }
+    }
+}
+
 /// One control member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberLine {
@@ -59,6 +87,8 @@
     pub leader: Option<ProcessName>,
     /// Claims kept.
     pub claims: usize,
+    /// Control members whose loss the group survives; known to its leader only.
+    pub survivable_losses: Option<usize>,
 }
 
 /// One entry.
--- a/tests/process/chaos.rs
+++ b/tests/process/chaos.rs
@@ -10,7 +10,7 @@
 use curranthollow::generated::operator::{ChangeReply, OutcomeName};
 use curranthollow::operator::OperatorClient;
 
-use super::claims::disturb;
+use super::claims::{check_keys, disturb};
 use super::client::{Answer, Call};
 use super::cluster::{ClusterPlan, TEAM_TOKEN, TestCluster, numbered_document, replacement};
 use super::support::{env_number, seed, wait_until};
@@ -22,8 +22,8 @@
 struct ChaosRecord {
     stopped: AtomicBool,
     next: AtomicU64,
-    /// Answers by idempotency key, in the order of the calls.
-    answers: Mutex<BTreeMap<String, Vec<Answer>>>,
+    /// Run ids and answers by idempotency key, in the order of the calls.
+    answers: Mutex<BTreeMap<String, Vec<(String, Answer)>>>,
     /// Accepted document and version, in order.
     accepted: Mutex<Vec<(i64, String)>>,
 }
@@ -38,9 +38,11 @@
             read.send(entries[random.usize(..entries.len())]);
             let target = format!("/book?time_us={}", random.u64(0..20_000));
             let call = Call::post(&target, &key, "deposit").limit(Duration::from_secs(3));
-            for _ in 0..3 {
+            for attempt in 0..3 {
+                let call = call.attempt(attempt);
                 let answer = call.send(entries[random.usize(..entries.len())]);
                 let known = answer.is_served() && random.bool();
+                let answer = (call.run_id, answer);
                 self.answers.lock().unwrap().entry(key.clone()).or_default().push(answer);
                 if known {
                     break;
@@ -98,29 +100,11 @@
     wait_until("every member holds everything again", || {
         cluster.status().is_some_and(|status| status.survivable_losses == Some(1))
     });
-    check_claims(&cluster, &record);
-    check_settings(&cluster, &record);
-    cluster.wait_served();
-}
-
-fn check_claims(cluster: &TestCluster, record: &ChaosRecord) {
     let answers = record.answers.lock().unwrap();
-    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
-    for (key, answers) in answers.iter() {
-        let runs = cluster.runs_of_key(key);
-        let seed = seed();
-        assert!(runs <= 1, "seed {seed}: {key} ran {runs} times: {answers:?}");
-        let served: Vec<_> = answers.iter().filter(|answer| answer.is_served()).collect();
-        assert!(served.windows(2).all(|pair| pair[0] == pair[1]), "seed {seed}: {key} {answers:?}");
-        assert!(served.is_empty() || runs == 1, "seed {seed}: {key} {answers:?}");
-        if answers.iter().all(Answer::is_not_run) {
-            assert_eq!(runs, 0, "seed {seed}: {key} {answers:?}");
-        }
-        for answer in answers {
-            *counts.entry(answer.code().to_owned()).or_default() += 1;
-        }
-    }
+    let counts = check_keys(&cluster, &answers);
     println!("seed {}: {} keys, answers {counts:?}", seed(), answers.len());
+    check_settings(&cluster, &record);
+    cluster.wait_served();
 }
 
 fn check_settings(cluster: &TestCluster, record: &ChaosRecord) {
--- a/tests/process/claims.rs
+++ b/tests/process/claims.rs
@@ -89,13 +89,8 @@
     assert_eq!(cluster.runs_of_key("orphan"), 1, "{last:?}");
 }
 
-/// What all callers learned about one key.
-#[derive(Default)]
-struct KeyRecord {
-    answers: Vec<Answer>,
-    /// Runs that had started when the last call ended as not run, with no other call open.
-    last_not_run: bool,
-}
+/// Answers to the attempts of one key, with their run ids.
+type KeyAnswers = Vec<(String, Answer)>;
 
 // Guards against a second run and a false "not run" while processes die and freeze.
 #[test]
@@ -103,7 +98,7 @@
     let mut cluster = TestCluster::start(ClusterPlan { entries: 3, proxied: false });
     let mut random = fastrand::Rng::with_seed(seed());
     let next = AtomicUsize::new(0);
-    let records: Mutex<BTreeMap<String, KeyRecord>> = Mutex::default();
+    let records: Mutex<BTreeMap<String, KeyAnswers>> = Mutex::default();
     let entries = cluster.entries();
     thread::scope(|scope| {
         for worker in 0..WORKERS {
@@ -130,22 +125,38 @@
         }
     });
     let records = records.into_inner().unwrap();
-    let mut counts: BTreeMap<String, usize> = BTreeMap::new();
-    for (key, record) in &records {
-        let runs = cluster.runs_of_key(key);
-        assert!(runs <= 1, "seed {}: {key} ran {runs} times: {:?}", seed(), record.answers);
-        let served: Vec<_> = record.answers.iter().filter(|answer| answer.is_served()).collect();
-        assert!(served.windows(2).all(|pair| pair[0] == pair[1]), "{key}: {served:?}");
-        assert!(served.is_empty() || runs == 1, "{key} answered without a run");
-        if record.last_not_run {
-            assert_eq!(runs, 0, "seed {}: {key} ran: {:?}", seed(), record.answers);
+    assert_eq!(records.len(), KEYS);
+    println!("answers: {:?}", check_keys(&cluster, &records));
+}
+
+/// Checks what callers were told against the servers' records; returns the answers by code.
+pub fn check_keys(
+    cluster: &TestCluster,
+    records: &BTreeMap<String, KeyAnswers>,
+) -> BTreeMap<String, u64> {
+    let (mut runs_of_key, mut runs_of_attempt) = (BTreeMap::new(), BTreeMap::new());
+    for server in &cluster.servers {
+        for run in server.runs().runs {
+            *runs_of_key.entry(run.idempotency_key).or_insert(0) += run.count;
+            *runs_of_attempt.entry(run.run_id).or_insert(0) += run.count;
         }
-        for answer in &record.answers {
+    }
+    let seed = seed();
+    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    for (key, answers) in records {
+        let runs = runs_of_key.get(&**key).copied().unwrap_or(0);
+        assert!(runs <= 1, "seed {seed}: {key} ran {runs} times: {answers:?}");
+        let served: Vec<_> =
+            answers.iter().map(|(_, answer)| answer).filter(|answer| answer.is_served()).collect();
+        assert!(served.windows(2).all(|pair| pair[0] == pair[1]), "seed {seed}: {key} {served:?}");
+        assert!(served.is_empty() || runs == 1, "seed {seed}: {key} answered without a run");
+        for (run_id, answer) in answers {
+            let ran = runs_of_attempt.get(&**run_id).copied().unwrap_or(0);
+            assert!(!answer.is_not_run() || ran == 0, "seed {seed}: {run_id} ran: {answers:?}");
             *counts.entry(answer.code().to_owned()).or_default() += 1;
         }
     }
-    println!("answers: {counts:?}");
-    assert_eq!(records.len(), KEYS);
+    counts
 }
 
 /// Sends one key to random entries, often twice at once, until its fate is final.
@@ -153,26 +164,26 @@
     key: &str,
     entries: &[std::net::SocketAddr],
     random: &mut fastrand::Rng,
-) -> KeyRecord {
+) -> KeyAnswers {
     let target = format!("/book?time_us={}", random.u64(0..40_000));
     let call = Call::post(&target, key, "deposit").limit(Duration::from_secs(4));
-    let mut record = KeyRecord::default();
+    let mut record = Vec::new();
     for _ in 0..8 {
-        let copies = 1 + random.usize(0..2);
-        let chosen: Vec<_> = (0..copies).map(|_| entries[random.usize(..entries.len())]).collect();
-        let answers: Vec<Answer> = thread::scope(|scope| {
-            let calls: Vec<_> =
-                chosen.iter().map(|entry| scope.spawn(|| call.send(*entry))).collect();
+        let mut attempts = Vec::new();
+        for _ in 0..1 + random.usize(0..2) {
+            let number = record.len() + attempts.len();
+            attempts.push((call.attempt(number), entries[random.usize(..entries.len())]));
+        }
+        let answers: KeyAnswers = thread::scope(|scope| {
+            let calls: Vec<_> = attempts
+                .iter()
+                .map(|(call, entry)| scope.spawn(|| (call.run_id.clone(), call.send(*entry))))
+                .collect();
             calls.into_iter().map(|call| call.join().unwrap()).collect()
         });
-        // "Not run" speaks of this attempt; it holds for the key when no earlier attempt may have
-        // reached a server and no other one is open.
-        let refused = answers.iter().all(Answer::is_not_run);
-        let before = record.answers.iter().all(Answer::is_not_run);
-        record.last_not_run = refused && before;
-        record.answers.extend(answers.iter().cloned());
-        let last = answers.last().unwrap().code();
-        if ["served", "already_run"].contains(&last) && random.bool() {
+        let last = answers.last().unwrap().1.code().to_owned();
+        record.extend(answers);
+        if ["served", "already_run"].contains(&&*last) && random.bool() {
             break;
         }
         if last == "outcome_unknown" {
--- a/tests/process/client.rs
+++ b/tests/process/client.rs
@@ -43,7 +43,7 @@
     }
 
     pub fn post(target: &str, key: &str, body: &str) -> Self {
-        let run_id = format!("run-{key}");
+        let run_id = format!("{key}#0");
         Self {
             method: "POST",
             key: Some(key.into()),
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Names one attempt, so that the servers' record tells it from others with the same key.
+    pub fn attempt(&self, number: usize) -> Self {
+        let key = self.key.as_deref().unwrap_or_default();
+        Self { run_id: format!("{key}#{number}"), ..self.clone() }
+    }
+
     pub fn limit(mut self, limit: Duration) -> Self {
         self.limit = limit;
         self
@@ -83,8 +89,13 @@
             let text = |name: &str| body[name].as_str().unwrap_or_default().to_owned();
             return Answer::Failed { status, code: text("code"), run: text("run") };
         }
-        if let Some(own) = response.head.headers.get_str("x-run-id") {
-            assert_eq!(own, self.run_id, "response of another request: {:?}", response.head);
+        if let Some(found) = response.head.headers.get_str("x-run-id") {
+            // A stored response carries the run id of the attempt that ran.
+            let is_own = match &self.key {
+                Some(key) => found.split('#').next() == Some(key),
+                None => found == self.run_id,
+            };
+            assert!(is_own, "{self:?} got the response of another request: {:?}", response.head);
         }
         if let Some((_, size)) = self.target.split_once("size=") {
             let size: usize = size.split('&').next().unwrap().parse().unwrap();
--- a/tests/process/cluster.rs
+++ b/tests/process/cluster.rs
@@ -348,23 +348,8 @@
 
     /// Status of the confirmed leader.
     pub fn status(&self) -> Option<SystemStatus> {
-        let mut found = None;
-        for name in self.names("control") {
-            if self.nodes[&name].child.is_none() {
-                continue;
-            }
-            let limit = Duration::from_millis(1500);
-            let address = self.nodes[&name].operator;
-            let sent = send_request(address, "GET", "/status", HeaderList::new(), &[], limit);
-            let Ok(response) = block_on(sent) else { continue };
-            let Ok(status) = serde_json::from_slice::<SystemStatus>(&response.body) else {
-                continue;
-            };
-            if status.confirmed {
-                found = Some(status);
-            }
-        }
-        found
+        let status = block_on(self.client(ROOT_TOKEN).status()).ok()?;
+        status.confirmed.then_some(status)
     }
 
     /// Name of the confirmed leader of the settings group.
