Close gaps between the lease table and the clients

A leaving entry kept its lease after it had told the leader that it left. The permit of a queued request could be dropped under the runtime lock when the request gave up at that moment, which blocks the thread for ever; a request that gave up kept its place in the queue. Not covered: a follower that restarts, or takes over two changes of the duration in one batch, does not know the longer duration in between.

--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -16,6 +16,9 @@
 /// Time after a lost link at which an entry stops being a candidate for credit accounts.
 const SUSPECT_DELAY: Duration = Duration::from_millis(300);
 
+/// Time after which a leadership confirmation without an answer no longer holds up the next one.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Entries that the table holds; requests of further ones are ignored.
 const ENTRY_LIMIT: usize = 4096;
 
@@ -32,7 +35,12 @@
 #[derive(Debug)]
 pub struct LeaseTable {
     lease: Duration,
+    /// Longer duration before the last change, and when the leases granted with it have run out.
+    earlier: Option<(Duration, Instant)>,
     leadership: Option<Leadership>,
+    /// Last round started. It never starts again, because a late answer of an earlier leadership
+    /// must not confirm a round of this one.
+    round: RoundNumber,
     entries: BTreeMap<ProcessName, EntryLease>,
     waiting: BTreeMap<ChangeNumber, SettingsRevision>,
 }
@@ -41,7 +49,8 @@
 struct Leadership {
     term: TermNumber,
     changes: u32,
-    round: RoundNumber,
+    /// Round that waits for its answer, and when it started.
+    open_round: Option<(RoundNumber, Instant)>,
     /// Leases of an earlier leader, unknown to this one, have run out by then.
     unknown_until: Instant,
     /// Requests that wait for a confirmation, by round.
@@ -51,6 +60,9 @@
 #[derive(Clone, Debug)]
 struct QueuedRequest {
     round: RoundNumber,
+    /// Lease duration when the request arrived. A longer one that was set since counts from the
+    /// next request on, because a later leader may not have waited for it.
+    lease: Duration,
     request: RenewalRequest,
 }
 
@@ -133,7 +145,8 @@
 pub enum LeaseAction {
     /// Ask a majority to confirm this leader; answer with [`LeaseEvent::Confirmed`].
     Confirm(RoundNumber),
-    /// Send a lease. The settings sent along must include everything committed before the round.
+    /// Send a lease. The settings sent along must include everything committed before the round,
+    /// and every change that this process has reported in force until now.
     Grant {
         /// Request that is granted.
         request: RenewalRequest,
@@ -155,7 +168,14 @@
 impl LeaseTable {
     /// Creates a table with the given lease duration.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, leadership: None, entries: BTreeMap::new(), waiting: BTreeMap::new() }
+        Self {
+            lease,
+            earlier: None,
+            leadership: None,
+            round: 0,
+            entries: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        }
     }
 
     /// Processes one event.
@@ -164,14 +184,10 @@
         match event {
             LeaseEvent::Leading { term } => self.lead(now, term, &mut actions),
             LeaseEvent::Deposed => self.depose(&mut actions),
-            LeaseEvent::LeaseChanged(lease) => self.lease = lease,
-            LeaseEvent::Requested(request) => self.request(request, &mut actions),
+            LeaseEvent::LeaseChanged(lease) => self.change_lease(now, lease),
+            LeaseEvent::Requested(request) => self.request(now, request, &mut actions),
             LeaseEvent::Confirmed(round) => self.confirmed(now, round, &mut actions),
-            LeaseEvent::ConfirmFailed(_) => {
-                if let Some(leadership) = &mut self.leadership {
-                    leadership.queued.clear();
-                }
-            }
+            LeaseEvent::ConfirmFailed(round) => self.confirm_failed(round),
             LeaseEvent::Installed { entry, session, revision } => {
                 self.installed(&entry, session, revision);
             }
@@ -182,7 +198,9 @@
             }
             LeaseEvent::Left { entry, session } => self.left(&entry, session),
             LeaseEvent::Committed { change, revision } => {
-                if self.waiting.len() >= CHANGE_LIMIT {
+                if self.leadership.is_none() {
+                    actions.push(LeaseAction::Unconfirmed(change));
+                } else if self.waiting.len() >= CHANGE_LIMIT {
                     actions.push(LeaseAction::Untracked(change));
                 } else {
                     self.waiting.insert(change, revision);
@@ -229,9 +247,31 @@
 
     fn lead(&mut self, now: Instant, term: TermNumber, actions: &mut Vec<LeaseAction>) {
         self.depose(actions);
-        let unknown_until = now + self.guarded_lease();
-        self.leadership =
-            Some(Leadership { term, changes: 0, round: 0, unknown_until, queued: Vec::new() });
+        let mut unknown_until = now + guarded(self.lease);
+        // The earlier leader may have granted a longer lease just before the duration changed.
+        if let Some((lease, until)) = self.earlier
+            && now < until
+        {
+            unknown_until = unknown_until.max(now + guarded(lease));
+        }
+        self.leadership = Some(Leadership {
+            term,
+            changes: 0,
+            open_round: None,
+            unknown_until,
+            queued: Vec::new(),
+        });
+    }
+
+    fn change_lease(&mut self, now: Instant, lease: Duration) {
+        let mut longest = self.lease;
+        if let Some((earlier, until)) = self.earlier
+            && now < until
+        {
+            longest = longest.max(earlier);
+        }
+        self.earlier = (longest > lease).then(|| (longest, now + guarded(longest)));
+        self.lease = lease;
     }
 
     fn depose(&mut self, actions: &mut Vec<LeaseAction>) {
@@ -242,7 +282,7 @@
         }
     }
 
-    fn request(&mut self, request: RenewalRequest, actions: &mut Vec<LeaseAction>) {
+    fn request(&mut self, now: Instant, request: RenewalRequest, actions: &mut Vec<LeaseAction>) {
         let known = self.entries.contains_key(&request.entry);
         let full = self.entries.len() >= ENTRY_LIMIT;
         let Some(leadership) = &mut self.leadership else {
@@ -251,18 +291,28 @@
         if full && !known {
             return;
         }
+        leadership.queued.retain(|queued| queued.request.entry != request.entry);
         // Requests that arrive before the round is answered join the next one, because a confirmation
         // only counts for what was asked before it started.
-        let open = leadership.queued.iter().any(|queued| queued.round == leadership.round);
-        leadership.queued.retain(|queued| queued.request.entry != request.entry);
-        let round = leadership.round + 1;
-        leadership.queued.push(QueuedRequest { round, request });
-        if !open {
-            leadership.round = round;
-            actions.push(LeaseAction::Confirm(round));
+        let round = self.round + 1;
+        leadership.queued.push(QueuedRequest { round, lease: self.lease, request });
+        let is_open =
+            leadership.open_round.is_some_and(|(_, started)| now < started + ROUND_TIMEOUT);
+        if !is_open {
+            self.start_round(now, actions);
         }
     }
 
+    /// Asks for a confirmation that counts for every request queued so far.
+    fn start_round(&mut self, now: Instant, actions: &mut Vec<LeaseAction>) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        self.round += 1;
+        leadership.open_round = Some((self.round, now));
+        actions.push(LeaseAction::Confirm(self.round));
+    }
+
     fn confirmed(&mut self, now: Instant, round: RoundNumber, actions: &mut Vec<LeaseAction>) {
         let Some(leadership) = &mut self.leadership else {
             return;
@@ -270,23 +320,23 @@
         let mut granted = Vec::new();
         leadership.queued.retain(|queued| {
             if queued.round <= round {
-                granted.push(queued.request.clone());
+                granted.push((queued.lease.min(self.lease), queued.request.clone()));
             }
             queued.round > round
         });
-        if !leadership.queued.is_empty() {
-            leadership.round = leadership.round.max(round) + 1;
-            for queued in &mut leadership.queued {
-                queued.round = leadership.round;
+        let is_open = leadership.open_round.is_some_and(|(open, _)| open > round);
+        if !is_open {
+            leadership.open_round = None;
+            if !leadership.queued.is_empty() {
+                self.start_round(now, actions);
             }
-            actions.push(LeaseAction::Confirm(leadership.round));
         }
-        for request in &granted {
-            self.record(now, request);
+        for (lease, request) in &granted {
+            self.record(now, *lease, request);
         }
-        for request in granted {
+        for (lease, request) in granted {
             actions.push(LeaseAction::Grant {
-                lease: self.lease,
+                lease,
                 epoch: self.epoch(),
                 entries: self.live_entries(),
                 request,
@@ -294,10 +344,22 @@
         }
     }
 
-    fn record(&mut self, now: Instant, request: &RenewalRequest) {
-        let expires = now + self.guarded_lease();
+    fn confirm_failed(&mut self, round: RoundNumber) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if leadership.open_round.is_some_and(|(open, _)| open == round) {
+            leadership.open_round = None;
+            leadership.queued.clear();
+        }
+    }
+
+    fn record(&mut self, now: Instant, lease: Duration, request: &RenewalRequest) {
         let direct = request.via == request.entry;
         let previous = self.entries.get(&request.entry);
+        // The entry keeps the later end of two leases, for example when the duration was reduced.
+        let expires = now + guarded(lease);
+        let expires = previous.map_or(expires, |lease| lease.expires.max(expires));
         let same = previous
             .is_some_and(|lease| lease.session == request.session && (!lease.suspect || !direct));
         // A relayed renewal keeps the lease alive, but peers may still be unable to reach the entry.
@@ -370,8 +432,9 @@
             leadership.changes += 1;
         }
     }
+}
 
-    fn guarded_lease(&self) -> Duration {
-        self.lease * (100 + DRIFT_PERCENT) / 100
-    }
+/// Duration that the leader assumes for a lease, with the margin for clock drift.
+fn guarded(lease: Duration) -> Duration {
+    lease * (100 + DRIFT_PERCENT) / 100
 }
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -356,8 +356,9 @@
             self.pushed = store.revision();
             store.delta_since(since)
         };
+        // Followers note changes as well: as the next leader they wait for the leases granted before.
+        self.refresh_lease();
         if self.is_leader {
-            self.refresh_lease();
             let to = self.entries.iter().map(|name| &**name);
             self.hub.send_all(to, WireMessage::Settings(Box::new(delta)));
         }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -119,6 +119,8 @@
             }
             ControlInput::Leave(reply) => {
                 self.is_leaving = true;
+                // The leader no longer waits for this entry, so its settings may be outdated.
+                self.context.set_lease(None);
                 if let Some(leader) = self.lease.leader() {
                     let session = self.context.session();
                     self.hub.send(leader, WireMessage::Leaving { session });
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -8,7 +8,7 @@
 
 use crate::ids::ProcessName;
 
-/// Interval of renewals.
+/// Interval of renewals; shorter when the lease is shorter than three of them.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without an answer after which another path is tried.
@@ -27,6 +27,8 @@
     expires: Option<Instant>,
     next_nonce: u64,
     open: Vec<OpenRequest>,
+    /// Where the last request went.
+    last_path: Option<ProcessName>,
     send_due: Instant,
     attempt: usize,
 }
@@ -82,6 +84,7 @@
             expires: None,
             next_nonce: seed,
             open: Vec::new(),
+            last_path: None,
             send_due: now,
         }
     }
@@ -108,7 +111,8 @@
             }
             LeaseInput::Redirected(leader) => {
                 let known = leader.filter(|name| self.linked.contains(name));
-                if known.is_some() && known != self.leader {
+                // A leader that was asked last may still answer.
+                if known.is_some() && known != self.leader && known != self.last_path {
                     self.send_due = now;
                 }
                 self.leader = known;
@@ -149,16 +153,17 @@
         if self.linked.contains(&leader) {
             self.leader = Some(leader);
         }
-        self.send_due = request.sent + RENEW_INTERVAL;
+        self.send_due = request.sent + RENEW_INTERVAL.min(lease / 3);
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
-        if !self.open.is_empty() {
-            // The last path did not answer in time.
+        if !self.open.is_empty() && self.leader == self.last_path {
+            // The last path did not answer in time. A leader that was named since is still untried.
             self.leader = None;
         }
         self.send_due = now + ANSWER_TIMEOUT;
         let to = self.choose_path()?;
+        self.last_path = Some(to.clone());
         let nonce = self.next_nonce;
         self.next_nonce = self.next_nonce.wrapping_add(1);
         if self.open.len() == OPEN_REQUESTS {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,7 +15,7 @@
 mod runtime;
 mod traffic;
 
-pub use accounts::holder_of;
+pub use accounts::{AccountSet, holder_of};
 pub use announce::bearer_token;
 pub use answer::{FailureReason, RunState, failure_response, malformed_response};
 pub use claims::{ClaimCallError, ClaimClient};
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -169,7 +169,10 @@
             StartOutcome::Queued(receiver) => receiver,
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        match timeout(left, receiver.recv()).await {
+        let mut wait = QueuedWait { runtime: self, class, receiver, is_over: false };
+        let result = timeout(left, wait.receiver.recv()).await;
+        wait.is_over = result.is_ok();
+        match result {
             Ok(Ok(permit)) => Ok(permit),
             // The queue dropped the ticket: its deadline can no longer be met, or no server is left.
             Ok(Err(_)) if self.lock().usable_servers() == 0 => Err(FailureReason::NoServer),
@@ -243,17 +246,17 @@
 
     /// Gives free slots to waiting requests, short work first.
     fn grant_waiting(self: &Arc<Self>, mut guard: MutexGuard<'_, RuntimeState>, now: Instant) {
-        let mut expired = Vec::new();
+        let mut used = Vec::new();
         for class in WorkClass::ALL {
             while guard.queue.len(class) > 0 {
-                if !self.grant_one(&mut guard, class, now, &mut expired) {
+                if !self.grant_one(&mut guard, class, now, &mut used) {
                     break;
                 }
             }
         }
         drop(guard);
-        // Dropping the tickets wakes their requests; this happens outside the lock.
-        drop(expired);
+        // Dropping the tickets wakes expired requests; this happens outside the lock.
+        drop(used);
     }
 
     fn grant_one(
@@ -261,12 +264,12 @@
         state: &mut RuntimeState,
         class: WorkClass,
         now: Instant,
-        expired: &mut Vec<QueueTicket>,
+        used: &mut Vec<QueueTicket>,
     ) -> bool {
         let PickOutcome::Start(picked) = state.pool.pick(now, class, &[], &mut state.wallet) else {
             return false;
         };
-        let Some(ticket) = state.queue.take(now, class, expired) else {
+        let Some(ticket) = state.queue.take(now, class, used) else {
             state.pool.cancel(now, picked, &mut state.wallet);
             return false;
         };
@@ -281,6 +284,9 @@
                 state.pool.cancel(now, picked, &mut state.wallet);
             }
         }
+        // When the request gives up now, the ticket is the last owner of the permit, so it must not
+        // be dropped under the lock either.
+        used.push(ticket);
         true
     }
 
@@ -472,6 +478,29 @@
     Queued(Receiver<SlotPermit>),
 }
 
+/// Wait of a queued request; a request that gives up leaves the queue and returns its permit.
+struct QueuedWait<'a> {
+    runtime: &'a Arc<ServiceRuntime>,
+    class: WorkClass,
+    receiver: Receiver<SlotPermit>,
+    /// The ticket has left the queue.
+    is_over: bool,
+}
+
+impl Drop for QueuedWait<'_> {
+    fn drop(&mut self) {
+        if self.is_over {
+            return;
+        }
+        self.receiver.close();
+        // A permit may have arrived between the last look and the close.
+        drop(self.receiver.try_recv());
+        let is_closed = |ticket: &QueueTicket| ticket.grant.is_closed();
+        let removed = self.runtime.lock().queue.remove(self.class, is_closed);
+        drop(removed);
+    }
+}
+
 impl RuntimeState {
     fn usable_servers(&self) -> usize {
         self.servers.values().filter(|view| view.is_usable()).count()
