--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -92,6 +92,17 @@
 }
 
 impl FailureReason {
+    /// All reasons.
+    pub const ALL: [Self; FAILURE_TABLE.len()] = {
+        let mut reasons = [Self::NoService; FAILURE_TABLE.len()];
+        let mut position = 0;
+        while position < reasons.len() {
+            reasons[position] = FAILURE_TABLE[position].0;
+            position += 1;
+        }
+        reasons
+    };
+
     fn row(self) -> &'static (FailureReason, u16, &'static str, RunState) {
         for row in &FAILURE_TABLE {
             if row.0 == self {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -49,23 +49,22 @@
 /// Guards against a change that is reported in force while an entry may use older settings: the
 /// entry has installed it, has left, or its lease and the drift margin have passed.
 #[parameterized(
-    installed = { Some(LeaseEvent::Installed { entry: "e1".into(), session: 1, revision: 5 }), 10, true },
-    installed_older = { Some(LeaseEvent::Installed { entry: "e1".into(), session: 1, revision: 4 }), 10, false },
-    other_session = { Some(LeaseEvent::Installed { entry: "e1".into(), session: 2, revision: 5 }), 10, false },
-    left = { Some(LeaseEvent::Left { entry: "e1".into(), session: 1 }), 10, true },
-    left_other_session = { Some(LeaseEvent::Left { entry: "e1".into(), session: 2 }), 10, false },
-    link_lost = { Some(LeaseEvent::LinkLost("e1".into())), 10, false },
-    before_margin = { None, 3299, false },
-    after_margin = { None, 3300, true },
+    installed = { LeaseEvent::Installed { entry: "e1".into(), session: 1, revision: 5 }, 10, true },
+    installed_older = { LeaseEvent::Installed { entry: "e1".into(), session: 1, revision: 4 }, 10, false },
+    other_session = { LeaseEvent::Installed { entry: "e1".into(), session: 2, revision: 5 }, 10, false },
+    left = { LeaseEvent::Left { entry: "e1".into(), session: 1 }, 10, true },
+    left_other_session = { LeaseEvent::Left { entry: "e1".into(), session: 2 }, 10, false },
+    link_lost = { LeaseEvent::LinkLost("e1".into()), 10, false },
+    before_margin = { LeaseEvent::Tick, 3299, false },
+    after_margin = { LeaseEvent::Tick, 3300, true },
 )]
-fn change_waits_for_entry(event: Option<LeaseEvent>, millis: u32, expected: bool) {
+fn change_waits_for_entry(event: LeaseEvent, millis: u32, expected: bool) {
     let start = Instant::now();
     let mut table = leading_table(start, 3 * SECOND);
     let now = start + 10 * SECOND;
     grant(&mut table, now, "e1", 4);
     let committed = LeaseEvent::Committed { change: 7, revision: 5 };
     assert!(!is_in_force(&table.handle(now, committed)));
-    let event = event.unwrap_or(LeaseEvent::Tick);
     let actions = table.handle(now + MILLISECOND * millis, event);
     assert_eq!(is_in_force(&actions), expected, "{actions:?}");
 }
--- /dev/null
+++ b/tests/runtime.rs
@@ -0,0 +1,304 @@
+//! Running state of one service: slots, queue and credits of one entry.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, mpsc};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use async_std::future::timeout;
+use async_std::task;
+use curranthollow::credit::{EntryMessage, WorkClass};
+use curranthollow::directory::{AnnouncedState, LifeState, ServerAnnouncement, ServiceKey};
+use curranthollow::entry::{FailureReason, RuntimeIdentity, ServiceRuntime, SlotPermit};
+use curranthollow::settings::{RootSettings, ServiceSettings, SettingsTree, TeamSettings};
+use futures_util::FutureExt;
+use yare::parameterized;
+
+const SHORT: WorkClass = WorkClass::Short;
+const SLOTS: usize = 3;
+
+/// Longest time of a test step on a busy machine; nothing waits for it unless a test fails.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn settings(policy: &str, slots: usize) -> Arc<ServiceSettings> {
+    let root = Arc::new(
+        RootSettings::parse(r#"{ "defaults": {} }"#, 1).expect("the root settings are valid"),
+    );
+    let text = format!(
+        r#"{{ "team": "blue", "services": {{ "books": {{
+            "match": {{ "path_prefix": "/" }},
+            "servers": {{ "slots": {slots}, "queue": 64 }},
+            "drain": {{ "slow_start": "0ms" }},
+            "policy": "{policy}" }} }} }}"#
+    );
+    let team = TeamSettings::parse("blue", &text, &root).expect("the team's settings are valid");
+    let teams = BTreeMap::from([("blue".into(), Arc::new(team))]);
+    let tree = SettingsTree::assemble(1, root, teams).expect("the tree is valid");
+    Arc::clone(tree.service("blue", "books").expect("the service exists"))
+}
+
+/// Messages to the account holder.
+type SentMessages = Arc<Mutex<Vec<EntryMessage>>>;
+
+fn new_runtime(policy: &str) -> (Arc<ServiceRuntime>, SentMessages) {
+    let sent = SentMessages::default();
+    let outbox = Arc::clone(&sent);
+    let identity = RuntimeIdentity {
+        name: "e1".into(),
+        availability_zone: "a".into(),
+        seed: 1,
+        outbox: Box::new(move |_, message| outbox.lock().expect("no panic").push(message)),
+    };
+    let key = ServiceKey { team: "blue".into(), service: "books".into() };
+    let runtime = ServiceRuntime::new(key, settings(policy, SLOTS), identity, Instant::now());
+    // The entry is alone and has no account holder, so credits are its own count.
+    runtime.change_holder(1, vec!["e1".into()], false);
+    (runtime, sent)
+}
+
+fn announcement(server: &str) -> ServerAnnouncement {
+    ServerAnnouncement {
+        team: "blue".into(),
+        service: "books".into(),
+        server: server.into(),
+        address: ([127, 0, 0, 1], 9).into(),
+        availability_zone: "a".into(),
+        region: "r".into(),
+        slots: SLOTS as u32,
+        connections: 220,
+        state: AnnouncedState::Ready,
+        load: 0,
+        incarnation: 1,
+        sequence: 1,
+    }
+}
+
+fn set_server(runtime: &Arc<ServiceRuntime>, server: &str, life: LifeState) {
+    runtime.change_server(Instant::now(), &announcement(server), life);
+}
+
+fn deadline() -> Instant {
+    Instant::now() + PATIENCE
+}
+
+/// Takes a slot that must be free at once.
+fn take(runtime: &Arc<ServiceRuntime>) -> SlotPermit {
+    let permit = runtime.acquire(SHORT, &[], deadline()).now_or_never();
+    permit.expect("a slot is free").expect("a server is ready")
+}
+
+fn take_all(runtime: &Arc<ServiceRuntime>) -> Vec<SlotPermit> {
+    let permits = (0..SLOTS).map(|_| take(runtime)).collect();
+    let next = runtime.acquire(SHORT, &[], deadline()).now_or_never();
+    assert!(next.is_none(), "more slots than the server has");
+    permits
+}
+
+fn assert_idle(runtime: &Arc<ServiceRuntime>) {
+    assert_eq!(runtime.open(), 0);
+    assert_eq!(runtime.waiting(), [0, 0]);
+    drop(take_all(runtime));
+    assert_eq!(runtime.open(), 0);
+}
+
+/// Runs `work` and fails when it does not end, which a deadlock would cause.
+fn must_end<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> T {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || sender.send(work()));
+    receiver.recv_timeout(PATIENCE).expect("the work ends")
+}
+
+fn block<T: Send + 'static>(future: impl Future<Output = T> + Send + 'static) -> T {
+    must_end(move || task::block_on(future))
+}
+
+/// What happens to the permits that a test holds.
+#[derive(Clone, Copy)]
+enum PermitEnd {
+    Finish,
+    FinishFailed,
+    Drop,
+    DropAfterServerLeft,
+    DropAfterPolicyChange,
+    DropAfterSlotsChange,
+}
+
+/// Guards against slots that are lost in one of the ways in which a permit can end.
+#[parameterized(
+    finish = { "least_in_flight", PermitEnd::Finish },
+    failed = { "least_in_flight", PermitEnd::FinishFailed },
+    dropped = { "least_in_flight", PermitEnd::Drop },
+    server_left = { "least_in_flight", PermitEnd::DropAfterServerLeft },
+    slots_changed = { "least_in_flight", PermitEnd::DropAfterSlotsChange },
+    to_credits = { "least_in_flight", PermitEnd::DropAfterPolicyChange },
+    finish_credit = { "credits", PermitEnd::Finish },
+    failed_credit = { "credits", PermitEnd::FinishFailed },
+    dropped_credit = { "credits", PermitEnd::Drop },
+    server_left_credit = { "credits", PermitEnd::DropAfterServerLeft },
+    slots_changed_credit = { "credits", PermitEnd::DropAfterSlotsChange },
+    from_credits = { "credits", PermitEnd::DropAfterPolicyChange },
+)]
+fn slots_are_given_back(policy: &str, end: PermitEnd) {
+    let (runtime, _) = new_runtime(policy);
+    set_server(&runtime, "s1", LifeState::Ready);
+    let permits = take_all(&runtime);
+    assert_eq!(runtime.open(), SLOTS);
+    match end {
+        PermitEnd::DropAfterServerLeft => set_server(&runtime, "s1", LifeState::Gone),
+        PermitEnd::DropAfterPolicyChange => {
+            let other = if policy == "credits" { "two_choices" } else { "credits" };
+            runtime.change_settings(settings(other, SLOTS));
+        }
+        PermitEnd::DropAfterSlotsChange => runtime.change_settings(settings(policy, 1)),
+        _ => (),
+    }
+    for permit in permits {
+        match end {
+            PermitEnd::Finish => permit.finish(false),
+            PermitEnd::FinishFailed => permit.finish(true),
+            _ => drop(permit),
+        }
+    }
+    set_server(&runtime, "s1", LifeState::Ready);
+    runtime.change_settings(settings(policy, SLOTS));
+    assert_idle(&runtime);
+}
+
+/// Guards against a slot that stays free while a request waits for it.
+#[parameterized(
+    baseline = { "least_in_flight" },
+    credits = { "credits" },
+)]
+fn freed_slot_goes_to_waiting_request(policy: &str) {
+    let (runtime, _) = new_runtime(policy);
+    set_server(&runtime, "s1", LifeState::Ready);
+    let mut permits = take_all(&runtime);
+    let mut waiting = Box::pin(runtime.acquire(SHORT, &[], deadline()));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    assert_eq!(runtime.waiting(), [1, 0]);
+    permits.pop().expect("permits are held").finish(false);
+    let permit = waiting.as_mut().now_or_never().expect("the slot is passed on");
+    drop((permit.expect("the server is ready"), permits));
+    drop(waiting);
+    assert_idle(&runtime);
+}
+
+/// Guards against requests that gave up but keep a place in the queue or a slot on the way.
+#[parameterized(
+    while_queued = { false },
+    with_permit_on_the_way = { true },
+)]
+fn abandoned_wait_leaves_nothing(is_granted: bool) {
+    let (runtime, _) = new_runtime("least_in_flight");
+    set_server(&runtime, "s1", LifeState::Ready);
+    let permits = take_all(&runtime);
+    let mut waiting = Box::pin(runtime.acquire(SHORT, &[], deadline()));
+    assert!(waiting.as_mut().now_or_never().is_none());
+    if is_granted {
+        drop(permits);
+        drop(waiting);
+    } else {
+        drop(waiting);
+        assert_eq!(runtime.waiting(), [0, 0]);
+        drop(permits);
+    }
+    assert_idle(&runtime);
+}
+
+/// Guards against requests that wait until their deadline although no server is left.
+#[parameterized(
+    gone = { LifeState::Gone },
+    draining = { LifeState::Draining },
+    restarting = { LifeState::Starting },
+)]
+fn waiting_request_learns_that_no_server_is_left(life: LifeState) {
+    let (runtime, _) = new_runtime("least_in_flight");
+    set_server(&runtime, "s1", LifeState::Ready);
+    let permits = take_all(&runtime);
+    let waiting = Arc::clone(&runtime);
+    let waiter = task::spawn(async move { waiting.acquire(SHORT, &[], deadline()).await.err() });
+    while runtime.waiting() == [0, 0] {
+        thread::yield_now();
+    }
+    set_server(&runtime, "s1", life);
+    assert_eq!(block(waiter), Some(FailureReason::NoServer));
+    drop(permits);
+    assert_eq!(runtime.open(), 0);
+    let refused = runtime.acquire(SHORT, &[], deadline()).now_or_never();
+    assert_eq!(refused.expect("there is an answer").err(), Some(FailureReason::NoServer));
+}
+
+/// Guards against deadlocks and lost slots when permits, deadlines, requests that give up, server
+/// changes and settings changes meet.
+#[parameterized(
+    baseline = { "least_in_flight" },
+    credits = { "credits" },
+)]
+fn concurrent_use_loses_nothing(policy: &str) {
+    const WORKERS: u64 = 8;
+    const REQUESTS: usize = 3000;
+    let (runtime, _) = new_runtime(policy);
+    set_server(&runtime, "s1", LifeState::Ready);
+    let policy = policy.to_owned();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut workers = Vec::new();
+    for seed in 0..WORKERS {
+        let runtime = Arc::clone(&runtime);
+        workers.push(thread::spawn(move || {
+            let mut random = fastrand::Rng::with_seed(seed);
+            for _ in 0..REQUESTS {
+                task::block_on(use_slot(&runtime, &mut random));
+            }
+        }));
+    }
+    let changer = {
+        let (runtime, is_over) = (Arc::clone(&runtime), Arc::clone(&is_over));
+        thread::spawn(move || {
+            let mut random = fastrand::Rng::with_seed(99);
+            while !is_over.load(Ordering::Relaxed) {
+                change(&runtime, &policy, &mut random);
+            }
+            runtime.change_settings(settings(&policy, SLOTS));
+        })
+    };
+    must_end(move || {
+        for worker in workers {
+            worker.join().expect("no worker panics");
+        }
+        is_over.store(true, Ordering::Relaxed);
+        changer.join().expect("the changer does not panic");
+    });
+    set_server(&runtime, "s2", LifeState::Gone);
+    set_server(&runtime, "s1", LifeState::Gone);
+    set_server(&runtime, "s1", LifeState::Ready);
+    assert_idle(&runtime);
+}
+
+async fn use_slot(runtime: &Arc<ServiceRuntime>, random: &mut fastrand::Rng) {
+    let patience = Duration::from_micros(random.u64(..200));
+    let deadline = Instant::now() + Duration::from_micros(random.u64(..2000));
+    let Ok(Ok(permit)) = timeout(patience, runtime.acquire(SHORT, &[], deadline)).await else {
+        return;
+    };
+    if random.bool() {
+        thread::yield_now();
+    }
+    match random.u8(..3) {
+        0 => permit.finish(false),
+        1 => permit.finish(true),
+        _ => drop(permit),
+    }
+}
+
+fn change(runtime: &Arc<ServiceRuntime>, policy: &str, random: &mut fastrand::Rng) {
+    let server = if random.bool() { "s1" } else { "s2" };
+    match random.u8(..8) {
+        0 => set_server(runtime, server, LifeState::Gone),
+        1 => set_server(runtime, server, LifeState::Draining),
+        2 => runtime.change_settings(settings(policy, random.usize(1..4))),
+        3 => runtime.tick(Instant::now()),
+        _ => set_server(runtime, server, LifeState::Ready),
+    }
+}
