--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -16,6 +16,9 @@
 /// Time after a lost link at which an entry stops being a candidate for credit accounts.
 const SUSPECT_DELAY: Duration = Duration::from_millis(300);
 
+/// Time after which a leadership confirmation without an answer no longer holds up the next one.
+const ROUND_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Entries that the table holds; requests of further ones are ignored.
 const ENTRY_LIMIT: usize = 4096;
 
@@ -32,9 +35,11 @@
 #[derive(Debug)]
 pub struct LeaseTable {
     lease: Duration,
+    /// Longer duration before the last change, and when the leases granted with it have run out.
+    earlier: Option<(Duration, Instant)>,
     leadership: Option<Leadership>,
-    /// Last round that was started; grows over all leaderships, so that a late answer to a round of
-    /// an earlier one confirms nothing.
+    /// Last round started. It never starts again, because a late answer of an earlier leadership
+    /// must not confirm a round of this one.
     round: RoundNumber,
     entries: BTreeMap<ProcessName, EntryLease>,
     waiting: BTreeMap<ChangeNumber, SettingsRevision>,
@@ -44,9 +49,8 @@
 struct Leadership {
     term: TermNumber,
     changes: u32,
-    /// The last round waits for its answer. Rounds never overlap: two chains of rounds would defer
-    /// each other's requests forever.
-    is_confirming: bool,
+    /// Round that waits for its answer, and when it started.
+    open_round: Option<(RoundNumber, Instant)>,
     /// Leases of an earlier leader, unknown to this one, have run out by then.
     unknown_until: Instant,
     /// Requests that wait for a confirmation, by round.
@@ -56,6 +60,9 @@
 #[derive(Clone, Debug)]
 struct QueuedRequest {
     round: RoundNumber,
+    /// Lease duration when the request arrived. A longer one that was set since counts from the
+    /// next request on, because a later leader may not have waited for it.
+    lease: Duration,
     request: RenewalRequest,
 }
 
@@ -138,7 +145,8 @@
 pub enum LeaseAction {
     /// Ask a majority to confirm this leader; answer with [`LeaseEvent::Confirmed`].
     Confirm(RoundNumber),
-    /// Send a lease. The settings sent along must include everything committed before the round.
+    /// Send a lease. The settings sent along must include everything committed before the round,
+    /// and every change that this process has reported in force until now.
     Grant {
         /// Request that is granted.
         request: RenewalRequest,
@@ -162,6 +170,7 @@
     pub fn new(lease: Duration) -> Self {
         Self {
             lease,
+            earlier: None,
             leadership: None,
             round: 0,
             entries: BTreeMap::new(),
@@ -175,8 +184,8 @@
         match event {
             LeaseEvent::Leading { term } => self.lead(now, term, &mut actions),
             LeaseEvent::Deposed => self.depose(&mut actions),
-            LeaseEvent::LeaseChanged(lease) => self.lease = lease,
-            LeaseEvent::Requested(request) => self.request(request, &mut actions),
+            LeaseEvent::LeaseChanged(lease) => self.change_lease(now, lease),
+            LeaseEvent::Requested(request) => self.request(now, request, &mut actions),
             LeaseEvent::Confirmed(round) => self.confirmed(now, round, &mut actions),
             LeaseEvent::ConfirmFailed(round) => self.confirm_failed(round),
             LeaseEvent::Installed { entry, session, revision } => {
@@ -189,7 +198,9 @@
             }
             LeaseEvent::Left { entry, session } => self.left(&entry, session),
             LeaseEvent::Committed { change, revision } => {
-                if self.waiting.len() >= CHANGE_LIMIT {
+                if self.leadership.is_none() {
+                    actions.push(LeaseAction::Unconfirmed(change));
+                } else if self.waiting.len() >= CHANGE_LIMIT {
                     actions.push(LeaseAction::Untracked(change));
                 } else {
                     self.waiting.insert(change, revision);
@@ -236,16 +247,33 @@
 
     fn lead(&mut self, now: Instant, term: TermNumber, actions: &mut Vec<LeaseAction>) {
         self.depose(actions);
-        let unknown_until = now + self.guarded_lease();
+        let mut unknown_until = now + guarded(self.lease);
+        // The earlier leader may have granted a longer lease just before the duration changed.
+        if let Some((lease, until)) = self.earlier
+            && now < until
+        {
+            unknown_until = unknown_until.max(now + guarded(lease));
+        }
         self.leadership = Some(Leadership {
             term,
             changes: 0,
-            is_confirming: false,
+            open_round: None,
             unknown_until,
             queued: Vec::new(),
         });
     }
 
+    fn change_lease(&mut self, now: Instant, lease: Duration) {
+        let mut longest = self.lease;
+        if let Some((earlier, until)) = self.earlier
+            && now < until
+        {
+            longest = longest.max(earlier);
+        }
+        self.earlier = (longest > lease).then(|| (longest, now + guarded(longest)));
+        self.lease = lease;
+    }
+
     fn depose(&mut self, actions: &mut Vec<LeaseAction>) {
         self.leadership = None;
         self.entries.clear();
@@ -254,7 +282,7 @@
         }
     }
 
-    fn request(&mut self, request: RenewalRequest, actions: &mut Vec<LeaseAction>) {
+    fn request(&mut self, now: Instant, request: RenewalRequest, actions: &mut Vec<LeaseAction>) {
         let known = self.entries.contains_key(&request.entry);
         let full = self.entries.len() >= ENTRY_LIMIT;
         let Some(leadership) = &mut self.leadership else {
@@ -266,58 +294,53 @@
         // A confirmation only counts for what was asked before it started, so requests that arrive
         // meanwhile join the next round. A repeated request does not replace the one in the running
         // round: when rounds take longer than repeats, it would never be granted.
-        let next = self.round + 1;
-        leadership
-            .queued
-            .retain(|queued| queued.round < next || queued.request.entry != request.entry);
-        leadership.queued.push(QueuedRequest { round: next, request });
-        self.start_round(actions);
+        let round = self.round + 1;
+        let running = leadership.open_round.map(|(open, _)| open);
+        leadership.queued.retain(|queued| {
+            Some(queued.round) == running || queued.request.entry != request.entry
+        });
+        leadership.queued.push(QueuedRequest { round, lease: self.lease, request });
+        let is_open =
+            leadership.open_round.is_some_and(|(_, started)| now < started + ROUND_TIMEOUT);
+        if !is_open {
+            self.start_round(now, actions);
+        }
     }
 
-    /// Starts a round for the waiting requests, unless one is running.
-    fn start_round(&mut self, actions: &mut Vec<LeaseAction>) {
+    /// Asks for a confirmation that counts for every request queued so far.
+    fn start_round(&mut self, now: Instant, actions: &mut Vec<LeaseAction>) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if leadership.is_confirming || leadership.queued.is_empty() {
-            return;
-        }
-        leadership.is_confirming = true;
         self.round += 1;
+        leadership.open_round = Some((self.round, now));
         actions.push(LeaseAction::Confirm(self.round));
     }
 
-    fn confirm_failed(&mut self, round: RoundNumber) {
-        if let Some(leadership) = &mut self.leadership
-            && round == self.round
-        {
-            leadership.is_confirming = false;
-            leadership.queued.clear();
-        }
-    }
-
     fn confirmed(&mut self, now: Instant, round: RoundNumber, actions: &mut Vec<LeaseAction>) {
         let Some(leadership) = &mut self.leadership else {
             return;
         };
-        if !leadership.is_confirming || round != self.round {
-            return;
-        }
-        leadership.is_confirming = false;
         let mut granted = Vec::new();
         leadership.queued.retain(|queued| {
             if queued.round <= round {
-                granted.push(queued.request.clone());
+                granted.push((queued.lease.min(self.lease), queued.request.clone()));
             }
             queued.round > round
         });
-        self.start_round(actions);
-        for request in &granted {
-            self.record(now, request);
+        let is_open = leadership.open_round.is_some_and(|(open, _)| open > round);
+        if !is_open {
+            leadership.open_round = None;
+            if !leadership.queued.is_empty() {
+                self.start_round(now, actions);
+            }
+        }
+        for (lease, request) in &granted {
+            self.record(now, *lease, request);
         }
-        for request in granted {
+        for (lease, request) in granted {
             actions.push(LeaseAction::Grant {
-                lease: self.lease,
+                lease,
                 epoch: self.epoch(),
                 entries: self.live_entries(),
                 request,
@@ -325,10 +348,22 @@
         }
     }
 
-    fn record(&mut self, now: Instant, request: &RenewalRequest) {
-        let expires = now + self.guarded_lease();
+    fn confirm_failed(&mut self, round: RoundNumber) {
+        let Some(leadership) = &mut self.leadership else {
+            return;
+        };
+        if leadership.open_round.is_some_and(|(open, _)| open == round) {
+            leadership.open_round = None;
+            leadership.queued.clear();
+        }
+    }
+
+    fn record(&mut self, now: Instant, lease: Duration, request: &RenewalRequest) {
         let direct = request.via == request.entry;
         let previous = self.entries.get(&request.entry);
+        // The entry keeps the later end of two leases, for example when the duration was reduced.
+        let expires = now + guarded(lease);
+        let expires = previous.map_or(expires, |lease| lease.expires.max(expires));
         let same = previous
             .is_some_and(|lease| lease.session == request.session && (!lease.suspect || !direct));
         // A relayed renewal keeps the lease alive, but peers may still be unable to reach the entry.
@@ -401,8 +436,9 @@
             leadership.changes += 1;
         }
     }
+}
 
-    fn guarded_lease(&self) -> Duration {
-        self.lease * (100 + DRIFT_PERCENT) / 100
-    }
+/// Duration that the leader assumes for a lease, with the margin for clock drift.
+fn guarded(lease: Duration) -> Duration {
+    lease * (100 + DRIFT_PERCENT) / 100
 }
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -34,6 +34,8 @@
     answer_timeout: Duration,
     next_nonce: u64,
     open: Vec<OpenRequest>,
+    /// Where the last request went.
+    last_path: Option<ProcessName>,
     send_due: Instant,
     attempt: usize,
 }
@@ -90,6 +92,7 @@
             answer_timeout: ANSWER_TIMEOUT,
             next_nonce: seed,
             open: Vec::new(),
+            last_path: None,
             send_due: now,
         }
     }
@@ -116,7 +119,8 @@
             }
             LeaseInput::Redirected(leader) => {
                 let known = leader.filter(|name| self.linked.contains(name));
-                if known.is_some() && known != self.leader {
+                // A leader that was asked last may still answer.
+                if known.is_some() && known != self.leader && known != self.last_path {
                     self.send_due = now;
                 }
                 self.leader = known;
@@ -162,12 +166,13 @@
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
-        if !self.open.is_empty() {
-            // The last path did not answer in time.
+        if !self.open.is_empty() && self.leader == self.last_path {
+            // The last path did not answer in time. A leader that was named since is still untried.
             self.leader = None;
         }
         self.send_due = now + self.answer_timeout;
         let to = self.choose_path()?;
+        self.last_path = Some(to.clone());
         let nonce = self.next_nonce;
         self.next_nonce = self.next_nonce.wrapping_add(1);
         if self.open.len() == OPEN_REQUESTS {
