--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -489,5 +489,7 @@
             holds: status.match_indexes.get(member).copied(),
         });
     }
+    // Member ids are random, so their order would differ from cluster to cluster.
+    lines.sort_by(|one, other| (&one.name, &one.member).cmp(&(&other.name, &other.member)));
     lines
 }
