Move servers through their life cycle by the state chart

Cause: the directory had its own table of transitions beside charts/server.json, so the two could disagree. They differed in one point: the chart has no way out of gone, while an expired server that is heard again must get work again.

Change: next_state interprets the chart. A heartbeat of an expired server starts a new run of the chart, as a new incarnation does. status lists control members by name; their order followed the random member ids.

--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -489,5 +489,7 @@
             holds: status.match_indexes.get(member).copied(),
         });
     }
+    // Member ids are random; by name, the table has the same order after each repair.
+    lines.sort_by(|left, right| left.name.cmp(&right.name));
     lines
 }
--- a/src/directory/announcement.rs
+++ b/src/directory/announcement.rs
@@ -7,6 +7,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::ids::{RegionName, ServerId, ServiceName, TeamName, ZoneName};
+use crate::life_cycle::StateChart;
 
 /// State that a server announces for itself, ordered by progress within one incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -123,21 +124,51 @@
     HeartbeatLost,
 }
 
-/// Returns the state after `event`.
+/// Returns the state after `event` by the chart of a server.
 ///
-/// `Gone` followed by a ready heartbeat is ready: the server had expired. A server that announced
-/// `gone` never gets there, because its merged record keeps announcing `Gone`.
+/// A new incarnation starts a new run of the chart, and so does a heartbeat of an expired server. A
+/// server that announced `gone` never gets there, because its merged record keeps announcing `Gone`.
 pub fn next_state(state: LifeState, event: LifeEvent) -> LifeState {
-    match (state, event) {
-        (_, LifeEvent::Restarted(announced)) => announced.into(),
-        (
-            LifeState::Draining,
-            LifeEvent::Announced(AnnouncedState::Starting | AnnouncedState::Ready),
-        ) => LifeState::Draining,
-        (_, LifeEvent::Announced(announced)) => announced.into(),
-        (LifeState::Starting | LifeState::Ready, LifeEvent::HeartbeatLate) => LifeState::Suspect,
-        (state, LifeEvent::HeartbeatLate) => state,
-        (_, LifeEvent::HeartbeatLost) => LifeState::Gone,
+    let chart = StateChart::server();
+    let (from, name) = match event {
+        LifeEvent::Restarted(announced) => (chart.initial(), announced.event_name()),
+        LifeEvent::Announced(announced) if state == LifeState::Gone => {
+            (chart.initial(), announced.event_name())
+        }
+        LifeEvent::Announced(announced) => (state.name(), announced.event_name()),
+        LifeEvent::HeartbeatLate => (state.name(), "heartbeat_late"),
+        LifeEvent::HeartbeatLost => (state.name(), "heartbeat_lost"),
+    };
+    let next = chart.next(from, name);
+    let found = LifeState::ALL.into_iter().find(|found| Some(found.name()) == next);
+    // An event that the chart does not name for a state leaves it as it is.
+    found.unwrap_or(state)
+}
+
+impl LifeState {
+    const ALL: [Self; 5] = [Self::Starting, Self::Ready, Self::Suspect, Self::Draining, Self::Gone];
+
+    /// Name in the chart.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Ready => "ready",
+            Self::Suspect => "suspect",
+            Self::Draining => "draining",
+            Self::Gone => "gone",
+        }
+    }
+}
+
+impl AnnouncedState {
+    /// Event of the chart.
+    fn event_name(self) -> &'static str {
+        match self {
+            Self::Starting => "announce_starting",
+            Self::Ready => "announce_ready",
+            Self::Draining => "announce_draining",
+            Self::Gone => "announce_gone",
+        }
     }
 }
 
--- a/tests/directory.rs
+++ b/tests/directory.rs
@@ -352,3 +352,40 @@
     assert_eq!(directory.server_count(), 0);
     assert_eq!(directory.root_digest(), 0);
 }
+
+/// The rule in one place, independent of the chart.
+fn expected_state(state: LifeState, event: LifeEvent) -> LifeState {
+    match (state, event) {
+        (_, Restarted(announced)) => announced.into(),
+        (LifeState::Draining, Announced(AnnouncedState::Starting | AnnouncedState::Ready)) => state,
+        (_, Announced(announced)) => announced.into(),
+        (LifeState::Starting | LifeState::Ready, HeartbeatLate) => LifeState::Suspect,
+        (_, HeartbeatLate) => state,
+        (_, HeartbeatLost) => LifeState::Gone,
+    }
+}
+
+// Guards against a chart and a directory that disagree about any state and event.
+#[test]
+fn chart_gives_every_transition() {
+    use AnnouncedState::{Draining, Gone, Ready, Starting};
+    let mut events = vec![HeartbeatLate, HeartbeatLost];
+    for announced in [Starting, Ready, Draining, Gone] {
+        events.extend([Announced(announced), Restarted(announced)]);
+    }
+    for state in [
+        LifeState::Starting,
+        LifeState::Ready,
+        LifeState::Suspect,
+        LifeState::Draining,
+        LifeState::Gone,
+    ] {
+        for &event in &events {
+            assert_eq!(
+                next_state(state, event),
+                expected_state(state, event),
+                "{state:?} {event:?}"
+            );
+        }
+    }
+}
