Share open requests, queued requests and buffered bodies between teams

Cause: one team's flood could use up the requests and the memory of an entry. TeamShare was not used. Change: an entry counts open and queued requests and buffered bodies per team (ProcessShare). A team beyond its share is refused at once with queue_full as not run; its connection is closed, so that connections stay free. Small bodies are streamed when there is no memory to buffer them; bodies of requests that need a claim are refused. A request whose first attempt may have run was reported as not run when the second attempt was refused or could not connect; the failure that may have run is now reported. Ruled out: a share of the accepted connections, because the team is unknown until a head arrives.

--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -15,7 +15,7 @@
 use super::relay::{RelayOutcome, collect_body, prepare_head, relay_response};
 use super::request::{
     RequestEnd, RequestPlan, acquire, caller_failure, connect_server, describe, finish_connection,
-    forward_head,
+    forward_head, process_full,
 };
 use super::runtime::SlotPermit;
 use crate::claim::digest::request_digest;
@@ -66,6 +66,11 @@
         }
     };
     let limit = plan.settings().claims.body_limit;
+    let size = head.framing.declared_size().unwrap_or(limit).min(limit);
+    let Some(_memory) = context.share.buffer(&plan.service.team, size) else {
+        let (reason, message) = process_full();
+        return RequestEnd::Failed(reason, message);
+    };
     let content = match caller.read_whole_body(body, limit).await {
         Ok(content) => content,
         Err(crate::http::HttpError::BodyTooLarge(_)) => {
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -10,6 +10,7 @@
 use super::claims::ClaimClient;
 use super::control::ControlInput;
 use super::runtime::ServiceRuntime;
+use super::share::ProcessShare;
 use crate::claim::guard::DroppedClaims;
 use crate::claim::{HolderSession, SettleClaim};
 use crate::http::{ConnectionPool, HttpLimits};
@@ -53,6 +54,8 @@
     pub open_connections: usize,
     /// Connections to servers.
     pub pool: ConnectionPool,
+    /// Shares of the teams in the limits of the process.
+    pub share: Arc<ProcessShare>,
     /// Metrics of the process.
     pub metrics: ProcessMetrics,
     /// Claim requests.
@@ -87,6 +90,8 @@
     pub inbox: Sender<ControlInput>,
     /// Receives claims that were dropped without settlement.
     pub dropped: DroppedClaims,
+    /// Shares of the teams in the limits of the process.
+    pub share: Arc<ProcessShare>,
     /// First session number; a later start of the same entry has a higher one.
     pub session: u64,
 }
@@ -105,6 +110,7 @@
             claims: parts.claims,
             inbox: parts.inbox,
             dropped: parts.dropped,
+            share: parts.share,
             table: RwLock::default(),
             lease_until: Mutex::new(None),
             session: AtomicU64::new(parts.session),
@@ -122,6 +128,8 @@
 
     /// Replaces settings and services.
     pub fn publish(&self, table: ServiceTable) {
+        let teams: Vec<TeamName> = table.runtimes.keys().cloned().collect();
+        self.share.set_teams(&teams);
         *self.table.write().expect("no holder of the table lock panics") = Arc::new(table);
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,18 +13,20 @@
 mod relay;
 mod request;
 mod runtime;
+mod share;
 mod traffic;
 
 pub use accounts::{AccountSet, holder_of};
 pub use announce::bearer_token;
 pub use answer::{FailureReason, RunState, failure_response, malformed_response};
 pub use claims::{ClaimCallError, ClaimClient};
-pub use context::{EntryContext, ServiceTable};
+pub use context::{ContextParts, EntryContext, ServiceTable};
 pub use control::ControlInput;
 pub use lease::{LeaseClient, LeaseInput, RenewalAction};
 pub use operator::METRICS_TYPE;
 pub use runtime::{RuntimeIdentity, ServiceRuntime, SlotPermit};
-pub use traffic::{ANNOUNCE_PATH, HEALTH_PATH};
+pub use share::{ProcessShare, ShareGuard};
+pub use traffic::{ANNOUNCE_PATH, HEALTH_PATH, listen};
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -36,7 +38,6 @@
 use async_std::task;
 use thiserror::Error;
 
-use self::context::ContextParts;
 use self::control::{EntryControl, TICK_INTERVAL};
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
@@ -137,6 +138,7 @@
             claims,
             inbox,
             dropped,
+            share: ProcessShare::new(open_connections),
             session: start_number(),
         });
         let timers = TimerService::start();
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -8,9 +8,9 @@
 use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::{Either, select};
-use futures_util::pin_mut;
+use futures_util::{FutureExt, pin_mut};
 
-use super::answer::{FailureReason, failure_response, keeps_connection};
+use super::answer::{FailureReason, RunState, failure_response, keeps_connection};
 use super::claimed;
 use super::context::EntryContext;
 use super::exchange::{
@@ -98,6 +98,16 @@
             return fail(caller, &head, &mut body, failure, &request_id, keep_alive).await;
         }
     };
+    let Some(_open) = context.share.open(&plan.service.team) else {
+        context.metrics.record_request(
+            &plan.labels,
+            FailureReason::QueueFull.code(),
+            started.elapsed(),
+        );
+        let failure = process_full();
+        // The connection is closed, so that a flood leaves room for the connections of others.
+        return fail(caller, &head, &mut body, failure, &request_id, false).await;
+    };
     context.metrics.in_flight.get_or_create(&plan.labels).inc();
     let end = if plan.idempotent {
         serve_plain(context, caller, &head, &mut body, &plan, &request_id, keep_alive).await
@@ -131,6 +141,11 @@
     }
 }
 
+/// Refusal of a team that has used up its share of the process.
+pub fn process_full() -> (FailureReason, Box<str>) {
+    (FailureReason::QueueFull, "the team has used up its share of this entry".into())
+}
+
 /// Answers with an error; the connection is closed when part of the body is unread.
 async fn fail(
     caller: &mut CallerConnection,
@@ -254,9 +269,15 @@
     request_id: &str,
     keep_alive: bool,
 ) -> RequestEnd {
-    let replay = match read_replay(caller, head, body, plan.deadline).await {
-        Ok(replay) => replay,
-        Err(end) => return end,
+    // Without memory the body is streamed, which rules out another attempt.
+    let size = head.framing.declared_size().filter(|size| *size <= REPLAY_BYTES);
+    let memory = size.and_then(|size| context.share.buffer(&plan.service.team, size));
+    let replay = match &memory {
+        Some(_) => match read_replay(caller, body, plan.deadline).await {
+            Ok(content) => Some(content),
+            Err(end) => return end,
+        },
+        None => None,
     };
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut last = (FailureReason::NoServer, "no server may receive work".into());
@@ -292,7 +313,7 @@
             Err(failure) => {
                 permit.finish_failed(&failure);
                 let repeat = replayable || matches!(failure, AttemptFailure::NotOffered(_));
-                last = describe(&failure);
+                last = keep_unknown(last, describe(&failure));
                 if repeat && !matches!(failure, AttemptFailure::DeadlineExceeded) {
                     continue;
                 }
@@ -302,10 +323,11 @@
         let status = response.head.status;
         if plan.settings().retry.not_run_statuses.contains(&status)
             && replayable
-            && attempt + 1 < plan.attempts
+            && (attempt + 1 < plan.attempts || last.0.run_state() == RunState::Unknown)
         {
             permit.finish(true);
-            last = (FailureReason::ServersUnavailable, "servers refused the request".into());
+            let refused = "servers refused the request".into();
+            last = keep_unknown(last, (FailureReason::ServersUnavailable, refused));
             continue;
         }
         let relayed =
@@ -336,6 +358,16 @@
     RequestEnd::Failed(last.0, last.1)
 }
 
+/// Failure to report after two attempts: one that may have run stays, because "not run" would be
+/// wrong although the other attempt did not run.
+fn keep_unknown(
+    earlier: (FailureReason, Box<str>),
+    later: (FailureReason, Box<str>),
+) -> (FailureReason, Box<str>) {
+    let is_unknown = earlier.0.run_state() == RunState::Unknown;
+    if is_unknown && later.0.run_state() == RunState::NotRun { earlier } else { later }
+}
+
 /// Returns a connection to its pool when nothing of the request is left on it.
 pub fn finish_connection(response: OpenResponse) {
     if response.request_complete {
@@ -343,20 +375,15 @@
     }
 }
 
-/// Reads a small body into memory; `None` when the body has to be streamed.
+/// Reads a small body into memory.
 async fn read_replay(
     caller: &mut CallerConnection,
-    head: &RequestHead,
     body: &mut RequestBody,
     deadline: Instant,
-) -> Result<Option<Vec<u8>>, RequestEnd> {
-    match head.framing.declared_size() {
-        Some(size) if size <= REPLAY_BYTES => (),
-        _ => return Ok(None),
-    }
+) -> Result<Vec<u8>, RequestEnd> {
     let left = deadline.saturating_duration_since(Instant::now());
     match timeout(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
-        Ok(Ok(content)) => Ok(Some(content)),
+        Ok(Ok(content)) => Ok(content),
         Ok(Err(error)) => Err(caller_failure(error)),
         Err(_) => {
             let text = "the body did not arrive before the deadline";
@@ -387,6 +414,26 @@
     let slot = plan.runtime.acquire(plan.class, tried, plan.deadline);
     let closed = caller.closed();
     pin_mut!(slot, closed);
+    // Only a request that has to wait counts as queued.
+    let started = slot.as_mut().now_or_never();
+    let place = match &started {
+        Some(_) => None,
+        None => match context.share.queue(&plan.service.team) {
+            Some(place) => Some(place),
+            None => {
+                queued.dec();
+                let (reason, message) = process_full();
+                return Err(RequestEnd::Failed(reason, message));
+            }
+        },
+    };
+    let slot = async {
+        match started {
+            Some(result) => result,
+            None => slot.await,
+        }
+    };
+    pin_mut!(slot);
     let result = match select(slot, closed).await {
         Either::Left((Ok(permit), _)) => Ok(permit),
         Either::Left((Err(reason), _)) => {
@@ -395,6 +442,7 @@
         Either::Right(_) => Err(RequestEnd::CallerGone),
     };
     queued.dec();
+    drop(place);
     result
 }
 
--- a/src/route/team_share.rs
+++ b/src/route/team_share.rs
@@ -1,4 +1,4 @@
-//! Fair shares of teams in what one process has in common: queued and open requests.
+//! Fair shares of teams in what one process has in common: requests and buffered bodies.
 
 use std::collections::BTreeMap;
 
@@ -12,12 +12,15 @@
 pub struct ProcessLimits {
     pub queued: u32,
     pub open: u32,
+    /// Request bodies held in memory, in KiB.
+    pub buffered_kib: u32,
 }
 
 #[derive(Debug, Default)]
 struct TeamUse {
     queued: u32,
     open: u32,
+    buffered_kib: u32,
     deficit: u32,
 }
 
@@ -32,18 +35,19 @@
     teams: BTreeMap<TeamName, TeamUse>,
     queued: u32,
     open: u32,
+    buffered_kib: u32,
     /// Team whose turn it is in the round robin.
     turn: Option<TeamName>,
 }
 
 impl TeamShare {
     pub fn new(limits: ProcessLimits) -> Self {
-        Self { limits, teams: BTreeMap::new(), queued: 0, open: 0, turn: None }
+        Self { limits, teams: BTreeMap::new(), queued: 0, open: 0, buffered_kib: 0, turn: None }
     }
 
     /// Sets the teams; a team with requests stays until they have ended.
     pub fn set_teams(&mut self, teams: &[TeamName]) {
-        self.teams.retain(|name, team| teams.contains(name) || team.queued + team.open > 0);
+        self.teams.retain(|name, team| teams.contains(name) || team.is_active());
         for name in teams {
             self.teams.entry(name.clone()).or_default();
         }
@@ -97,6 +101,31 @@
         self.open -= 1;
     }
 
+    /// Reserves memory for a body, or returns `false` if the team must not buffer it.
+    pub fn try_buffer(&mut self, name: &str, kib: u32) -> bool {
+        let guarantee = self.guarantee(self.limits.buffered_kib);
+        let kept = self.kept_for_others(name, guarantee, |team| team.buffered_kib);
+        let Some(team) = self.teams.get_mut(name) else {
+            return false;
+        };
+        let free = self.limits.buffered_kib.saturating_sub(self.buffered_kib + kept);
+        if kib > free {
+            return false;
+        }
+        team.buffered_kib += kib;
+        self.buffered_kib += kib;
+        true
+    }
+
+    /// Releases the memory of a body.
+    pub fn release_buffer(&mut self, name: &str, kib: u32) {
+        let Some(team) = self.teams.get_mut(name).filter(|team| team.buffered_kib >= kib) else {
+            return;
+        };
+        team.buffered_kib -= kib;
+        self.buffered_kib -= kib;
+    }
+
     /// Team that opens the next request, by deficit round robin over the teams that can.
     ///
     /// `can_start` tells whether a team has queued work with a free slot. The caller then starts
@@ -136,6 +165,10 @@
         self.open
     }
 
+    pub fn buffered_kib(&self) -> u32 {
+        self.buffered_kib
+    }
+
     fn guarantee(&self, limit: u32) -> u32 {
         limit / (2 * self.teams.len().max(1) as u32)
     }
@@ -146,3 +179,9 @@
         others.map(|(_, team)| guarantee.saturating_sub(used(team))).sum()
     }
 }
+
+impl TeamUse {
+    fn is_active(&self) -> bool {
+        self.queued > 0 || self.open > 0 || self.buffered_kib > 0
+    }
+}
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -143,7 +143,7 @@
 /// Guards against a team that fills the process: another team still gets its guarantee.
 #[test]
 fn flood_leaves_guarantee() {
-    let mut share = TeamShare::new(ProcessLimits { queued: 100, open: 40 });
+    let mut share = TeamShare::new(ProcessLimits { queued: 100, open: 40, buffered_kib: 0 });
     share.set_teams(&teams(&["flood", "quiet"]));
     let queued = (0..1000).filter(|_| share.try_queue("flood")).count();
     let opened = (0..1000).filter(|_| share.try_open("flood")).count();
@@ -159,7 +159,7 @@
 fn process_bounds_hold(seed: u64) {
     let mut random = fastrand::Rng::with_seed(seed);
     let names = ["a", "b", "c", "d", "e"];
-    let mut share = TeamShare::new(ProcessLimits { queued: 30, open: 10 });
+    let mut share = TeamShare::new(ProcessLimits { queued: 30, open: 10, buffered_kib: 0 });
     share.set_teams(&teams(&names));
     for _ in 0..20_000 {
         let name = names[random.usize(..names.len())];
@@ -181,7 +181,7 @@
     none_busy = { &[], [0, 0, 0] },
 )]
 fn round_robin_is_fair(busy: &[&str], expected: [u32; 3]) {
-    let mut share = TeamShare::new(ProcessLimits { queued: 30, open: 10 });
+    let mut share = TeamShare::new(ProcessLimits { queued: 30, open: 10, buffered_kib: 0 });
     share.set_teams(&teams(&["a", "b", "c"]));
     let mut counts = [0_u32; 3];
     for _ in 0..300 {
--- /dev/null
+++ b/tests/entry/harness.rs
@@ -0,0 +1,158 @@
+//! One entry in this process, with settings and servers set directly.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task;
+use curranthollow::directory::{AnnouncedState, LifeState, ServerAnnouncement, ServiceKey};
+use curranthollow::entry::{
+    ClaimClient, ContextParts, EntryContext, ProcessShare, RuntimeIdentity, ServiceRuntime,
+    ServiceTable, listen,
+};
+use curranthollow::http::HttpLimits;
+use curranthollow::link::{HelloMessage, LinkConfig, LinkHub, ProcessRole};
+use curranthollow::route::team_share::ProcessLimits;
+use curranthollow::settings::{RootSettings, SettingsTree, TeamSettings};
+use curranthollow::stand_in::{StandInOptions, StandInServer};
+
+/// Longest wait of a test on a busy machine; nothing waits that long unless a test fails.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Entry whose settings and servers the test sets.
+pub struct TestEntry {
+    pub context: Arc<EntryContext>,
+    pub address: SocketAddr,
+}
+
+impl TestEntry {
+    /// Starts an entry with one service per team; a service has the settings of `teams` and takes
+    /// the requests whose path begins with the name of its team.
+    pub async fn start(teams: &[(&str, &str)], limits: ProcessLimits) -> Self {
+        let hello = HelloMessage {
+            name: "e1".into(),
+            role: ProcessRole::Entry,
+            availability_zone: "a".into(),
+            member: None,
+        };
+        let (events, _) = async_channel::bounded(16);
+        let hub = LinkHub::new(LinkConfig { hello, region: "r".into() }, events);
+        let (inbox, _) = async_channel::bounded(16);
+        let (dropped, _) = async_channel::bounded(16);
+        let context = EntryContext::new(ContextParts {
+            name: "e1".into(),
+            region: "r".into(),
+            availability_zone: "a".into(),
+            limits: HttpLimits::default(),
+            open_connections: 1000,
+            claims: ClaimClient::new(hub, Vec::new(), 1),
+            inbox,
+            dropped,
+            share: ProcessShare::with_limits(limits),
+            session: 1,
+        });
+        context.publish(table(teams));
+        context.set_lease(Some(Instant::now() + Duration::from_secs(3600)));
+        context.advance("ready");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        listen(Arc::clone(&context), listener);
+        Self { context, address }
+    }
+
+    /// Running state of a team's service.
+    pub fn runtime(&self, team: &str) -> Arc<ServiceRuntime> {
+        self.context.table().runtime(team, "books").expect("the service exists")
+    }
+
+    /// Makes a server ready.
+    pub fn add_server(&self, team: &str, server: &str, address: SocketAddr, slots: u32) {
+        let announcement = ServerAnnouncement {
+            team: team.into(),
+            service: "books".into(),
+            server: server.into(),
+            address,
+            availability_zone: "a".into(),
+            region: "r".into(),
+            slots,
+            connections: 220,
+            state: AnnouncedState::Ready,
+            load: 0,
+            incarnation: 1,
+            sequence: 1,
+        };
+        self.runtime(team).change_server(Instant::now(), &announcement, LifeState::Ready);
+    }
+}
+
+fn table(teams: &[(&str, &str)]) -> ServiceTable {
+    let root = RootSettings::parse(r#"{ "defaults": {} }"#, 1).expect("the root is valid");
+    let root = Arc::new(root);
+    let mut parsed = BTreeMap::new();
+    for (team, service) in teams {
+        let text = format!(
+            r#"{{ "team": "{team}", "services": {{ "books": {{
+                "match": {{ "path_prefix": "/{team}" }},
+                "policy": "least_in_flight", {service} }} }} }}"#
+        );
+        let settings = TeamSettings::parse(team, &text, &root).expect("the team is valid");
+        parsed.insert((*team).into(), Arc::new(settings));
+    }
+    let tree = Arc::new(SettingsTree::assemble(1, root, parsed).expect("the tree is valid"));
+    let mut table = ServiceTable { tree: Some(Arc::clone(&tree)), ..Default::default() };
+    for (team, _) in teams {
+        let identity = RuntimeIdentity {
+            name: "e1".into(),
+            availability_zone: "a".into(),
+            seed: 1,
+            outbox: Box::new(|_, _| ()),
+        };
+        let key = ServiceKey { team: (*team).into(), service: "books".into() };
+        let settings = Arc::clone(tree.service(team, "books").expect("the service exists"));
+        let runtime = ServiceRuntime::new(key, settings, identity, Instant::now());
+        table.runtimes.entry((*team).into()).or_default().insert("books".into(), runtime);
+    }
+    table
+}
+
+/// Limits that no test reaches.
+pub fn wide_limits() -> ProcessLimits {
+    ProcessLimits { queued: 1000, open: 1000, buffered_kib: 1024 * 1024 }
+}
+
+/// Starts a stand-in server that does not announce itself.
+pub async fn stand_in() -> StandInServer {
+    StandInServer::start(StandInOptions::default()).await.expect("a port is free")
+}
+
+/// Sends bytes on a new connection and returns everything until the entry closes it.
+pub async fn send(address: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the entry listens");
+    stream.write_all(request).await.expect("the entry reads");
+    read_all(&mut stream).await
+}
+
+/// Reads until the peer closes.
+pub async fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let result = async_std::future::timeout(PATIENCE, stream.read_to_end(&mut bytes)).await;
+    result.expect("the peer closes in time").expect("the connection is not reset");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Request that asks for the connection to be closed.
+pub fn get(path: &str) -> Vec<u8> {
+    format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").into_bytes()
+}
+
+/// Waits until `is_true` holds.
+pub async fn wait_until(what: &str, is_true: impl Fn() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !is_true() {
+        assert!(Instant::now() < end, "{what} does not come true");
+        task::sleep(Duration::from_millis(2)).await;
+    }
+}
--- /dev/null
+++ b/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! Requests through one entry without control processes.
+
+mod fairness;
+mod harness;
+mod retry;
