Hedge short reads after the latency quantile of the settings

Cause: a read waited for a stalled server although others were free; the budget's decision on hedges was not used. Change: entry/hedge.rs sends a second attempt of a short GET or HEAD to another server after RetryBudget::hedge_after, paid from the retry budget, only when hedge_quantile is set and nothing waits for a slot. The first whole head that is no refusal wins; the loser's connection is closed and its slot given back. A slow loser counts as a slow response, otherwise the quantile would shrink with each hedge. Ruled out: hedging of streamed bodies, which cannot be sent twice. Conclusion: reads at a stalled server are answered by the other one; requests with X-Retry-Attempt, other methods and services without a quantile are not hedged (test with stand-in servers).

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod context;
 mod control;
 mod exchange;
+mod hedge;
 mod lease;
 mod operator;
 mod relay;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -16,6 +16,7 @@
 use super::exchange::{
     AttemptFailure, AttemptTarget, OpenResponse, RequestPayload, connect, exchange,
 };
+use super::hedge::HedgedRequest;
 use super::relay::{RelayOutcome, relay_response};
 use super::runtime::{ServiceRuntime, SlotPermit};
 use crate::credit::{ServerKey, WorkClass};
@@ -300,12 +301,20 @@
             Err(end) => return end,
         };
         tried.push(permit.server());
-        let closed = caller.closed();
-        let payload = match &replay {
-            Some(content) => RequestPayload::Buffered(content),
-            None => RequestPayload::Streamed { caller: &mut *caller, body: &mut *body },
+        let (permit, result) = match &replay {
+            Some(content) => {
+                let caller = &*caller;
+                let request = HedgedRequest { context, caller, head, content, plan, request_id };
+                request.run(permit, &mut tried).await
+            }
+            None => {
+                let closed = caller.closed();
+                let payload = RequestPayload::Streamed { caller: &mut *caller, body: &mut *body };
+                let result =
+                    attempt_once(context, head, payload, closed, plan, request_id, &permit).await;
+                (permit, result)
+            }
         };
-        let result = attempt_once(context, head, payload, closed, plan, request_id, &permit).await;
         let replayable = replay.is_some();
         let mut response = match result {
             Ok(response) => response,
@@ -447,7 +456,7 @@
 }
 
 /// Sends the request to the server of `permit`; gives up when the caller goes away.
-async fn attempt_once(
+pub async fn attempt_once(
     context: &Arc<EntryContext>,
     head: &RequestHead,
     payload: RequestPayload<'_>,
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -10,6 +10,7 @@
 
 use super::answer::FailureReason;
 use super::exchange::AttemptFailure;
+use super::request::RequestPlan;
 use crate::credit::{
     CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
     WorkClass, server_key,
@@ -106,6 +107,13 @@
         }
     }
 
+    /// Ends an attempt that was given up because another one answered first.
+    pub fn finish_slow(mut self) {
+        if let Some(picked) = self.picked.take() {
+            self.runtime.finish_slow(picked);
+        }
+    }
+
     /// Ends an attempt that yielded no response head.
     pub fn finish_failed(self, failure: &AttemptFailure) {
         match failure {
@@ -235,6 +243,17 @@
         self.grant_waiting(guard, now);
     }
 
+    fn finish_slow(self: &Arc<Self>, picked: PickedServer) {
+        let now = Instant::now();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        state.open = state.open.saturating_sub(1);
+        // Without this sample the quantile would shrink with each hedge.
+        state.retry.note_slow(now.saturating_duration_since(picked.sent));
+        state.pool.finish(now, picked, false, &mut state.wallet);
+        self.grant_waiting(guard, now);
+    }
+
     fn cancel(self: &Arc<Self>, picked: PickedServer) {
         let now = Instant::now();
         let mut guard = self.lock();
@@ -441,6 +460,48 @@
         }
     }
 
+    /// Age at which a request may be hedged; `None` when the settings exclude it or too few
+    /// latencies are known.
+    pub fn hedge_after(&self) -> Option<Duration> {
+        let state = self.lock();
+        state.settings.retry.hedge_quantile?;
+        state.retry.hedge_after()
+    }
+
+    /// Takes a free slot of another server for a hedge and pays for it from the retry budget.
+    pub fn start_hedge(
+        self: &Arc<Self>,
+        plan: &RequestPlan,
+        sent: Instant,
+        tried: &[ServerKey],
+    ) -> Option<SlotPermit> {
+        let now = Instant::now();
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        // A hedge must not overtake requests that wait for their first attempt.
+        if !state.queue.is_empty() {
+            return None;
+        }
+        let PickOutcome::Start(picked) = state.pool.pick(now, plan.class, tried, &mut state.wallet)
+        else {
+            return None;
+        };
+        let attempt = FailedAttempt {
+            idempotent: plan.idempotent,
+            response_started: false,
+            has_outer_retry: plan.has_outer_retry,
+            tried,
+            deadline: Some(plan.deadline),
+        };
+        let is_other = !tried.contains(&picked.server);
+        if !is_other || !state.retry.decide_hedge(now, sent, &attempt) {
+            state.pool.cancel(now, picked, &mut state.wallet);
+            return None;
+        }
+        state.open += 1;
+        Some(self.permit(picked))
+    }
+
     /// Number of waiting requests, short and long.
     pub fn waiting(&self) -> [usize; 2] {
         let state = self.lock();
--- a/src/route/retry.rs
+++ b/src/route/retry.rs
@@ -104,6 +104,11 @@
         self.latency.note(latency);
     }
 
+    /// Notes the latency of an attempt that was given up as slow; it earns no budget.
+    pub fn note_slow(&mut self, latency: Duration) {
+        self.latency.note(latency);
+    }
+
     /// Decides on another attempt and spends the budget for it.
     pub fn decide(&mut self, now: Instant, attempt: &FailedAttempt<'_>) -> RetryDecision {
         let backoff = self.backoff(attempt.tried.len() as u32);
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod fairness;
 mod harness;
+mod hedge;
 mod retry;
