--- /dev/null
+++ b/tests/entry/main.rs
@@ -0,0 +1,6 @@
+//! Requests through one entry without control processes.
+
+mod fairness;
+mod harness;
+mod hedge;
+mod retry;
