Count messages and bytes on links and measure an idle system

Cause: the budget for control is 4 KB/s, 3 % of a core and 256 MB for each node, but only relayed heartbeats had been measured.

--- a/examples/claim_cost.rs
+++ b/examples/claim_cost.rs
@@ -78,7 +78,7 @@
         service_answer_bytes: unlimited,
         answer_limit: 64 << 10,
     });
-    let base = resident_bytes();
+    let base = resident_bytes("self");
     let mut next = 0;
     for &size in sizes {
         let added = size - next;
@@ -103,7 +103,7 @@
             settle_time += start.elapsed();
             next = end;
         }
-        let bytes = resident_bytes() - base;
+        let bytes = resident_bytes("self") - base;
         print_row(&label("open_ns"), size, open_time.as_nanos() as f64 / added as f64);
         print_row(&label("settle_ns"), size, settle_time.as_nanos() as f64 / added as f64);
         print_row(&label("resident_bytes"), size, bytes);
--- a/examples/cost_summary/mod.rs
+++ b/examples/cost_summary/mod.rs
@@ -10,9 +10,9 @@
     println!("{metric} {size} {value:.3}");
 }
 
-/// Returns the resident memory of this process in bytes.
-pub(crate) fn resident_bytes() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+/// Returns the resident memory of a process in bytes, by its id or `self`.
+pub(crate) fn resident_bytes(process: &str) -> f64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
     let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("VmRSS: 0");
     let kibibytes = line.split_whitespace().nth(1).and_then(|text| text.parse::<f64>().ok());
     kibibytes.unwrap_or(0.0) * 1024.0
--- a/examples/directory_cost.rs
+++ b/examples/directory_cost.rs
@@ -51,7 +51,7 @@
 
 fn measure() {
     let mut directory = ServerDirectory::new(DirectoryLimits::default());
-    let base = resident_bytes();
+    let base = resident_bytes("self");
     let mut now = Instant::now();
     let mut known = 0;
     let mut sequence = 0;
@@ -63,7 +63,7 @@
         known = size;
         now += Duration::from_millis(50);
         directory.handle(now, DirectoryEvent::Tick);
-        let bytes = resident_bytes() - base;
+        let bytes = resident_bytes("self") - base;
         print_row("resident_bytes", size, bytes);
         print_row("resident_bytes_per_server", size, bytes / size as f64);
         let batch = measure_heartbeats(&mut directory, &mut now, size, &mut sequence);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -152,6 +152,7 @@
             groups: Arc::clone(&groups),
             routes,
             inbox,
+            hub: hub.clone(),
             metrics: ProcessMetrics::new(),
         };
         operator::serve(Arc::new(state), listeners.operator.into());
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -21,6 +21,7 @@
     ChangeReply, ChangeRequest, ChangeVerb, DocumentError, OutcomeName,
 };
 use crate::ids::{MemberId, ProcessName, SettingsRevision};
+use crate::link::LinkHub;
 use crate::metrics::ProcessMetrics;
 use crate::schema::{SchemaCheck, SchemaError};
 use crate::settings::{
@@ -52,6 +53,8 @@
     pub routes: MemberRoutes,
     /// Queue of the control thread.
     pub inbox: Sender<ControlInput>,
+    /// Links, for their counts.
+    pub hub: LinkHub,
     /// Metrics of the process.
     pub metrics: ProcessMetrics,
 }
@@ -147,6 +150,7 @@
         let revision = i64::try_from(groups.settings.lock().revision()).unwrap_or(i64::MAX);
         state.metrics.settings_revision.set(revision);
     }
+    state.metrics.set_traffic(state.hub.traffic());
     let mut response = Response::new(200);
     response.set_body(state.metrics.encode());
     response.insert_header("content-type", crate::entry::METRICS_TYPE);
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -165,6 +165,7 @@
             None => f64::NEG_INFINITY,
         };
         metrics.lease_seconds.set(left);
+        metrics.set_traffic(self.hub.traffic());
         self.deliver_grants();
     }
 
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -19,7 +19,10 @@
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
 
-use super::{FRAME_BYTES, FrameError, HelloMessage, WIRE_VERSION, WireFrame, WireMessage};
+use super::traffic::kind_index;
+use super::{
+    FRAME_BYTES, FrameError, HelloMessage, LinkTraffic, WIRE_VERSION, WireFrame, WireMessage,
+};
 use crate::ids::{ProcessName, RegionName};
 
 /// Frames that may wait on one link; further ones are dropped and must be resent by their owner.
@@ -114,6 +117,7 @@
     stopping: Receiver<()>,
     /// Keeps `stopping` open until then.
     _stop: Sender<()>,
+    traffic: LinkTraffic,
     state: Mutex<HubState>,
 }
 
@@ -138,14 +142,23 @@
     number: u64,
     sender: Sender<Vec<u8>>,
     stream: TcpStream,
+    /// This side connected.
+    dialled: bool,
 }
 
 impl LinkHub {
     /// Creates a hub that reports to `events`.
     pub fn new(config: LinkConfig, events: Sender<LinkEvent>) -> Self {
         let (stop, stopping) = async_channel::bounded(1);
-        let state = Mutex::default();
-        Self { shared: Arc::new(SharedHub { config, events, stopping, _stop: stop, state }) }
+        let shared = SharedHub {
+            config,
+            events,
+            stopping,
+            _stop: stop,
+            traffic: LinkTraffic::default(),
+            state: Mutex::default(),
+        };
+        Self { shared: Arc::new(shared) }
     }
 
     /// Accepts links on `listener` until the hub is stopped.
@@ -180,10 +193,11 @@
 
     /// Queues a message for `peer`; returns `false` when there is no link or its queue is full.
     pub fn send(&self, peer: &str, message: WireMessage) -> bool {
+        let kind = kind_index(&message);
         let Ok(bytes) = self.shared.frame(message).encode() else {
             return false;
         };
-        self.send_encoded(peer, bytes)
+        self.send_encoded(peer, kind, bytes)
     }
 
     /// Queues one message for several peers and returns for how many it was queued.
@@ -192,23 +206,35 @@
         peers: impl Iterator<Item = &'a str>,
         message: WireMessage,
     ) -> usize {
+        let kind = kind_index(&message);
         let Ok(bytes) = self.shared.frame(message).encode() else {
             return 0;
         };
         let mut sent = 0;
         for peer in peers {
-            if self.send_encoded(peer, bytes.clone()) {
+            if self.send_encoded(peer, kind, bytes.clone()) {
                 sent += 1;
             }
         }
         sent
     }
 
-    fn send_encoded(&self, peer: &str, bytes: Vec<u8>) -> bool {
-        match self.shared.lock().links.get(peer) {
-            Some(link) => link.sender.try_send(bytes).is_ok(),
-            None => false,
+    fn send_encoded(&self, peer: &str, kind: usize, bytes: Vec<u8>) -> bool {
+        let state = self.shared.lock();
+        let Some(link) = state.links.get(peer) else {
+            return false;
+        };
+        let length = bytes.len();
+        let queued = link.sender.try_send(bytes).is_ok();
+        if queued {
+            self.shared.traffic.count_sent(kind, length, link.dialled);
         }
+        queued
+    }
+
+    /// Messages and bytes since the start.
+    pub fn traffic(&self) -> &LinkTraffic {
+        &self.shared.traffic
     }
 
     /// Names of the peers with a usable link.
@@ -237,7 +263,7 @@
             self.greet(socket.await?, None).await
         };
         match timeout(HANDSHAKE_TIME, handshake).await {
-            Ok(Ok((socket, hello))) => self.run_link(socket, stream, hello).await,
+            Ok(Ok((socket, hello))) => self.run_link(socket, stream, hello, false).await,
             Ok(Err(error)) => log_closed("inbound", &error),
             Err(_) => log_closed("inbound", &LinkError::Timeout),
         }
@@ -249,7 +275,7 @@
         while self.shared.lock().targets.get(&target.name) == Some(&dial) {
             let started = Instant::now();
             match timeout(HANDSHAKE_TIME, self.dial(&target)).await {
-                Ok(Ok((socket, stream, hello))) => self.run_link(socket, stream, hello).await,
+                Ok(Ok((socket, stream, hello))) => self.run_link(socket, stream, hello, true).await,
                 Ok(Err(LinkError::Io(_))) | Err(_) => (),
                 Ok(Err(error)) => log_closed(&target.name, &error),
             }
@@ -300,17 +326,23 @@
         Ok((socket, hello))
     }
 
-    async fn run_link(&self, socket: LinkStream, stream: TcpStream, hello: HelloMessage) {
+    async fn run_link(
+        &self,
+        socket: LinkStream,
+        stream: TcpStream,
+        hello: HelloMessage,
+        dialled: bool,
+    ) {
         let name = hello.name.clone();
         let (sender, receiver) = async_channel::bounded(SEND_BACKLOG);
-        let Some(number) = self.shared.open_link(&name, &sender, &stream) else {
+        let Some(number) = self.shared.open_link(&name, &sender, &stream, dialled) else {
             return;
         };
         let (sink, source) = socket.split();
         let writer = task::spawn(write_frames(sink, receiver, stream));
         log::info!(peer:% = name, role:% = hello.role.as_str(); "link open");
         if self.shared.events.send(LinkEvent::Up(hello)).await.is_ok() {
-            let error = self.read_frames(source, &sender, &name).await;
+            let error = self.read_frames(source, &sender, &name, dialled).await;
             log_closed(&name, &error);
         }
         sender.close();
@@ -325,6 +357,7 @@
         mut source: SplitStream<LinkStream>,
         sender: &Sender<Vec<u8>>,
         name: &ProcessName,
+        dialled: bool,
     ) -> LinkError {
         let mut ping_due = Instant::now();
         let mut last_pong = Instant::now();
@@ -332,7 +365,7 @@
             let now = Instant::now();
             if now >= ping_due {
                 ping_due = now + PING_INTERVAL;
-                let _ = self.queue(sender, WireMessage::Ping);
+                let _ = self.queue(sender, WireMessage::Ping, dialled);
             }
             if now - last_pong > PONG_TIMEOUT {
                 return LinkError::Timeout;
@@ -348,9 +381,11 @@
                 Ok(None) => continue,
                 Err(error) => return error.into(),
             };
+            let kind = kind_index(&frame.message);
+            self.shared.traffic.count_received(kind, message.len(), !dialled);
             match frame.message {
                 WireMessage::Ping => {
-                    let _ = self.queue(sender, WireMessage::Pong);
+                    let _ = self.queue(sender, WireMessage::Pong, dialled);
                 }
                 WireMessage::Pong => last_pong = Instant::now(),
                 message => {
@@ -363,9 +398,18 @@
         }
     }
 
-    fn queue(&self, sender: &Sender<Vec<u8>>, message: WireMessage) -> Result<(), FrameError> {
+    fn queue(
+        &self,
+        sender: &Sender<Vec<u8>>,
+        message: WireMessage,
+        dialled: bool,
+    ) -> Result<(), FrameError> {
+        let kind = kind_index(&message);
         let bytes = self.shared.frame(message).encode()?;
-        let _ = sender.try_send(bytes);
+        let length = bytes.len();
+        if sender.try_send(bytes).is_ok() {
+            self.shared.traffic.count_sent(kind, length, dialled);
+        }
         Ok(())
     }
 }
@@ -413,6 +457,7 @@
         name: &ProcessName,
         sender: &Sender<Vec<u8>>,
         stream: &TcpStream,
+        dialled: bool,
     ) -> Option<u64> {
         let mut state = self.lock();
         if state.stopped {
@@ -420,7 +465,8 @@
         }
         state.next_link += 1;
         let number = state.next_link;
-        let link = OpenLink { number, sender: sender.clone(), stream: stream.clone() };
+        let (sender, stream) = (sender.clone(), stream.clone());
+        let link = OpenLink { number, sender, stream, dialled };
         if let Some(older) = state.links.insert(name.clone(), link) {
             let _ = older.stream.shutdown(std::net::Shutdown::Both);
         }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -6,7 +6,9 @@
 mod frame;
 mod hub;
 mod message;
+mod traffic;
 
 pub use frame::{FRAME_BYTES, FrameError, WIRE_VERSION, WireFrame};
 pub use hub::{LinkConfig, LinkError, LinkEvent, LinkHub, LinkTarget};
 pub use message::*;
+pub use traffic::{LinkTraffic, TrafficLine};
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics in the OpenMetrics text format.
 
 use std::fmt;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -11,6 +11,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::link::LinkTraffic;
+
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 16] = [
     0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 60.0, 600.0,
@@ -43,6 +45,15 @@
     pub event: String,
 }
 
+/// Labels of messages between processes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct LinkLabels {
+    /// Kind of the message.
+    pub kind: String,
+    /// `sent` or `received`.
+    pub direction: String,
+}
+
 type LatencyFamily = Family<ServiceLabels, Histogram, fn() -> Histogram>;
 
 /// Metrics of one process.
@@ -66,6 +77,10 @@
     pub measure_bytes: Family<ServiceLabels, Counter>,
     /// Messages left out because the measuring budget was spent.
     pub measure_suppressed: Family<ServiceLabels, Counter>,
+    /// Messages on links.
+    pub link_messages: Family<LinkLabels, Counter>,
+    /// Bytes of those messages, with WebSocket headers.
+    pub link_bytes: Family<LinkLabels, Counter>,
     /// Process-wide events, such as malformed requests.
     pub events: Family<EventLabels, Counter>,
     /// Settings revision in force.
@@ -100,6 +115,8 @@
             measure_messages: Family::default(),
             measure_bytes: Family::default(),
             measure_suppressed: Family::default(),
+            link_messages: Family::default(),
+            link_bytes: Family::default(),
             events: Family::default(),
             settings_revision: Gauge::default(),
             lease_seconds: Gauge::default(),
@@ -132,6 +149,12 @@
             "Messages left out because the measuring budget was spent",
             self.measure_suppressed.clone(),
         );
+        registry.register("link_messages", "Messages on links", self.link_messages.clone());
+        registry.register(
+            "link_bytes",
+            "Bytes of those messages with WebSocket headers",
+            self.link_bytes.clone(),
+        );
         registry.register("events", "Process-wide events", self.events.clone());
         registry.register(
             "settings_revision",
@@ -146,6 +169,18 @@
         );
     }
 
+    /// Takes over the totals of the links.
+    pub fn set_traffic(&self, traffic: &LinkTraffic) {
+        for line in traffic.lines() {
+            let labels = LinkLabels { kind: line.kind.into(), direction: line.direction.into() };
+            let messages = self.link_messages.get_or_create(&labels);
+            messages.inner().store(line.messages, Ordering::Relaxed);
+            drop(messages);
+            let bytes = self.link_bytes.get_or_create(&labels);
+            bytes.inner().store(line.bytes, Ordering::Relaxed);
+        }
+    }
+
     /// Counts a process-wide event.
     pub fn count_event(&self, event: &str) {
         self.events.get_or_create(&EventLabels { event: event.to_owned() }).inc();
