Relay compact heartbeats, and only every second one

Cause: each heartbeat went to each process in full, 93 bytes and more. Change: a heartbeat that changes only sequence and load travels as 12 bytes (content digest, sequence, load, age), and only when no process is known to have relayed a beat within 1.5 s. Changes still travel at once and in full. An unknown digest leads to a bounded request to the sender. A process for which a server is silent for 2.4 s asks two peers, up to three times, before it suspects the server at 3 s.

--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -17,7 +17,10 @@
 use crate::consensus::Role;
 use crate::consensus::formation::{ClusterFormation, FormationAction, FormationEvent};
 use crate::consensus::host::{GroupNotice, GroupStatus, HostHandle};
-use crate::directory::{DirectoryEvent, DirectoryLimits, ServerDirectory};
+use crate::directory::{
+    CompactHeartbeat, DirectoryAction, DirectoryEvent, DirectoryLimits, ServerDirectory,
+};
+use crate::entry::choose_peers;
 use crate::ids::{MemberId, ProcessName, SettingsRevision, TermNumber};
 use crate::link::{GrantLease, HelloMessage, LinkEvent, LinkHub, ProcessRole, WireMessage};
 use crate::settings::SettingsStore;
@@ -192,7 +195,7 @@
             self.formation_event(FormationEvent::Tick);
         }
         self.lease_event(LeaseEvent::Tick);
-        self.directory.handle(now, DirectoryEvent::Tick);
+        self.directory_event(DirectoryEvent::Tick);
         if now < self.session_due {
             return;
         }
@@ -279,7 +282,14 @@
                 self.lease_event(LeaseEvent::Left { entry: from, session });
             }
             WireMessage::Announce(batch) => {
-                self.directory.handle(Instant::now(), DirectoryEvent::Relayed(batch));
+                self.directory_event(DirectoryEvent::Relayed(batch));
+            }
+            WireMessage::Heartbeats(packed) => match CompactHeartbeat::unpack(&packed) {
+                Ok(beats) => self.directory_event(DirectoryEvent::Heartbeats { from, beats }),
+                Err(error) => log::warn!(peer:% = from, error:%; "heartbeats ignored"),
+            },
+            WireMessage::DirectoryAnswer(batch) => {
+                self.directory_event(DirectoryEvent::Answered(batch));
             }
             WireMessage::LiveSessions(live) if self.is_current_leader(&from) => {
                 self.end_sessions(live);
@@ -289,6 +299,20 @@
         }
     }
 
+    fn directory_event(&mut self, event: DirectoryEvent) {
+        for action in self.directory.handle(Instant::now(), event) {
+            let DirectoryAction::Ask { peer, request } = action else {
+                continue;
+            };
+            let asked = match peer {
+                Some(peer) => vec![peer],
+                None => choose_peers(&self.entries, fastrand::u64(..)),
+            };
+            let to = asked.iter().map(|name| &**name);
+            self.hub.send_all(to, WireMessage::DirectoryRequest(request));
+        }
+    }
+
     fn is_current_leader(&self, name: &ProcessName) -> bool {
         let leader = self.leader.and_then(|member| self.routes.name_of(member));
         leader.as_ref() == Some(name)
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -1,11 +1,13 @@
 //! Servers as announced, kept by every entry and by control.
 //!
-//! An entry that hears a server by HTTP relays the heartbeat once, in a batch, to all other
-//! processes; a relayed heartbeat is never relayed again. One heartbeat therefore costs one relay
-//! item per link, whatever the number of batches or the order of their arrival.
+//! An entry that hears a server by HTTP relays changes at once, in a batch, to all other processes;
+//! of heartbeats that change nothing else than sequence and load, at most one in `RELAY_QUIET` is
+//! relayed. What was relayed is never relayed again, whatever the number of batches or the order of
+//! their arrival.
 
 mod announcement;
 mod expiry;
+mod heartbeat;
 mod sync;
 
 use std::collections::BTreeMap;
@@ -16,9 +18,13 @@
     AnnouncedState, LifeEvent, LifeState, RelayedAnnouncement, ServerAnnouncement, ServiceKey,
     next_state,
 };
+pub use heartbeat::{
+    ASK_AFTER, CompactHeartbeat, DirectoryRequest, HeartbeatError, RELAY_QUIET, REQUEST_LIMIT,
+};
 pub use sync::{ServerSummary, ServiceSummary};
 
-use crate::ids::{ServerId, TeamName};
+use self::heartbeat::RequestBook;
+use crate::ids::{ProcessName, ServerId, TeamName};
 
 /// A server without a heartbeat for this long is suspect; servers send one each second.
 pub const SUSPECT_AFTER: Duration = Duration::from_secs(3);
@@ -70,8 +76,12 @@
 pub enum DirectoryEvent {
     /// A server announced itself here by HTTP.
     Announced(ServerAnnouncement),
-    /// Another process sent a batch or an answer of anti-entropy.
+    /// Another process sent a batch to all processes.
     Relayed(Vec<RelayedAnnouncement>),
+    /// Another process sent heartbeats that changed only sequence and load to all processes.
+    Heartbeats { from: ProcessName, beats: Vec<CompactHeartbeat> },
+    /// Another process sent announcements to this one only, so that others may lack them.
+    Answered(Vec<RelayedAnnouncement>),
     /// Time has passed; due at least every `RELAY_INTERVAL` while `relay_due` is set.
     Tick,
 }
@@ -81,6 +91,10 @@
 pub enum DirectoryAction {
     /// Send to every other entry and to control.
     Relay(Vec<RelayedAnnouncement>),
+    /// Send to every other entry and to control.
+    RelayBeats(Vec<CompactHeartbeat>),
+    /// Send to the named peer, or to any two entries.
+    Ask { peer: Option<ProcessName>, request: DirectoryRequest },
     /// A server appeared, or its life-cycle state or description changed.
     ServerChanged { from: Option<LifeState>, to: LifeState, announcement: Arc<ServerAnnouncement> },
     /// A heartbeat changed only the load.
@@ -93,6 +107,10 @@
     pub announced: u64,
     pub relayed_in: u64,
     pub relayed_out: u64,
+    /// Items of `relayed_out` that were compact.
+    pub beats_out: u64,
+    /// Heartbeats that were not relayed because a younger one was.
+    pub beats_kept: u64,
     pub batches_out: u64,
     /// Announcements that brought nothing new.
     pub ignored_old: u64,
@@ -111,8 +129,28 @@
     pub life: LifeState,
     /// Estimated time of the newest heartbeat, by the local clock.
     pub heard: Instant,
+    /// Estimated time of the newest heartbeat that all processes were sent.
+    shared: Option<Instant>,
+    /// Times that peers were asked about the server since its newest heartbeat.
+    asked: u32,
     content_digest: u64,
-    relay_pending: bool,
+    pending: Option<PendingRelay>,
+}
+
+/// What waits to be relayed of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum PendingRelay {
+    Beat,
+    Whole,
+}
+
+/// What an announcement brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeardNews {
+    Nothing,
+    /// A new sequence or load only.
+    Beat,
+    Change,
 }
 
 /// Servers of one service.
@@ -137,6 +175,8 @@
     servers_by_team: BTreeMap<TeamName, usize>,
     server_count: usize,
     digest: u64,
+    by_digest: BTreeMap<u64, (ServiceKey, ServerId)>,
+    requests: RequestBook,
     pending: Vec<(ServiceKey, ServerId)>,
     relay_at: Option<Instant>,
     counters: DirectoryCounters,
@@ -151,6 +191,8 @@
             servers_by_team: BTreeMap::new(),
             server_count: 0,
             digest: 0,
+            by_digest: BTreeMap::new(),
+            requests: RequestBook::default(),
             pending: Vec::new(),
             relay_at: None,
             counters: DirectoryCounters::default(),
@@ -164,21 +206,32 @@
             DirectoryEvent::Announced(announcement) => {
                 self.counters.announced += 1;
                 let announcement = Arc::new(announcement);
-                if self.hear(now, now, &announcement, &mut actions) {
-                    self.queue_relay(now, &announcement);
+                match self.hear(now, now, &announcement, &mut actions) {
+                    HeardNews::Nothing => (),
+                    HeardNews::Beat => self.queue_relay(now, &announcement, PendingRelay::Beat),
+                    HeardNews::Change => self.queue_relay(now, &announcement, PendingRelay::Whole),
                 }
             }
             DirectoryEvent::Relayed(batch) => {
-                for item in batch {
-                    self.counters.relayed_in += 1;
-                    let age = Duration::from_millis(item.age_ms);
-                    let heard = now.checked_sub(age).unwrap_or(now);
-                    self.hear(now, heard, &item.announcement, &mut actions);
+                for item in &batch {
+                    let heard = self.hear_item(now, item, &mut actions);
+                    if let Some(record) = self.record_mut(&item.announcement) {
+                        record.note_shared(heard);
+                    }
+                }
+            }
+            DirectoryEvent::Heartbeats { from, beats } => {
+                self.hear_beats(now, &from, &beats, &mut actions);
+            }
+            DirectoryEvent::Answered(batch) => {
+                for item in &batch {
+                    self.hear_item(now, item, &mut actions);
                 }
             }
             DirectoryEvent::Tick => {
                 self.expire(now, &mut actions);
                 self.flush_relays(now, &mut actions);
+                self.requests.flush(now, &mut actions);
             }
         }
         actions
@@ -209,17 +262,34 @@
         self.services.get(service).is_some_and(|entry| entry.mass_suspicion)
     }
 
-    /// Merges one announcement; returns whether it brought anything new.
+    fn hear_item(
+        &mut self,
+        now: Instant,
+        item: &RelayedAnnouncement,
+        actions: &mut Vec<DirectoryAction>,
+    ) -> Instant {
+        self.counters.relayed_in += 1;
+        let heard = now.checked_sub(Duration::from_millis(item.age_ms)).unwrap_or(now);
+        self.hear(now, heard, &item.announcement, actions);
+        heard
+    }
+
+    fn record_mut(&mut self, announcement: &ServerAnnouncement) -> Option<&mut ServerRecord> {
+        let entry = self.services.get_mut(&announcement.service_key())?;
+        entry.servers.get_mut(&announcement.server)
+    }
+
+    /// Merges one announcement.
     fn hear(
         &mut self,
         now: Instant,
         heard: Instant,
         announcement: &Arc<ServerAnnouncement>,
         actions: &mut Vec<DirectoryAction>,
-    ) -> bool {
+    ) -> HeardNews {
         if announcement.longest_text() > self.limits.text_bytes {
             self.counters.refused_text += 1;
-            return false;
+            return HeardNews::Nothing;
         }
         let key = announcement.service_key();
         let Some(entry) = self.services.get_mut(&key) else {
@@ -232,13 +302,13 @@
         let merged = old.merge(announcement);
         if merged.same_heartbeat(&old) {
             self.counters.ignored_old += 1;
-            return false;
+            return HeardNews::Nothing;
         }
         let heartbeat = (merged.incarnation, merged.sequence) > (old.incarnation, old.sequence);
         let restarted = merged.incarnation > old.incarnation;
         if heartbeat {
-            record.heard = record.heard.max(heard);
-            entry.next_check = entry.next_check.min(heard + SUSPECT_AFTER);
+            record.note_heard(heard);
+            entry.next_check = entry.next_check.min(heard + ASK_AFTER);
         }
         let event = match restarted {
             true => LifeEvent::Restarted(merged.state),
@@ -254,6 +324,8 @@
         if changed {
             let digest = record.announcement.content_digest();
             let delta = digest.wrapping_sub(record.content_digest);
+            self.by_digest.remove(&record.content_digest);
+            self.by_digest.insert(digest, (key, announcement.server.clone()));
             record.content_digest = digest;
             entry.digest = entry.digest.wrapping_add(delta);
             self.digest = self.digest.wrapping_add(delta);
@@ -265,7 +337,7 @@
         } else if announcement.load != old.load {
             actions.push(DirectoryAction::LoadReported { announcement });
         }
-        true
+        if changed { HeardNews::Change } else { HeardNews::Beat }
     }
 
     fn insert(
@@ -275,35 +347,39 @@
         key: ServiceKey,
         announcement: &Arc<ServerAnnouncement>,
         actions: &mut Vec<DirectoryAction>,
-    ) -> bool {
+    ) -> HeardNews {
         let forgotten = now.saturating_duration_since(heard) >= FORGET_AFTER;
         if forgotten && announcement.state == AnnouncedState::Gone {
             self.counters.ignored_old += 1;
-            return false;
+            return HeardNews::Nothing;
         }
         if !self.has_room(&key) {
             self.counters.refused_full += 1;
-            return false;
+            return HeardNews::Nothing;
         }
         let content_digest = announcement.content_digest();
         let record = ServerRecord {
             announcement: Arc::clone(announcement),
             life: announcement.state.into(),
             heard,
+            shared: None,
+            asked: 0,
             content_digest,
-            relay_pending: false,
+            pending: None,
         };
         let to = record.life;
         *self.servers_by_team.entry(key.team.clone()).or_default() += 1;
         self.server_count += 1;
         self.digest = self.digest.wrapping_add(content_digest);
+        let named = (key.clone(), announcement.server.clone());
+        self.by_digest.insert(content_digest, named);
         let entry = self.services.entry(key).or_insert_with(|| ServiceEntry::new(heard));
         entry.digest = entry.digest.wrapping_add(content_digest);
-        entry.next_check = entry.next_check.min(heard + SUSPECT_AFTER);
+        entry.next_check = entry.next_check.min(heard + ASK_AFTER);
         entry.servers.insert(announcement.server.clone(), record);
         let announcement = Arc::clone(announcement);
         actions.push(DirectoryAction::ServerChanged { from: None, to, announcement });
-        true
+        HeardNews::Change
     }
 
     fn has_room(&self, key: &ServiceKey) -> bool {
@@ -317,20 +393,25 @@
             && self.server_count < self.limits.servers
     }
 
-    fn queue_relay(&mut self, now: Instant, announcement: &ServerAnnouncement) {
-        let key = announcement.service_key();
-        let Some(entry) = self.services.get_mut(&key) else {
+    fn queue_relay(
+        &mut self,
+        now: Instant,
+        announcement: &ServerAnnouncement,
+        relay: PendingRelay,
+    ) {
+        let Some(record) = self.record_mut(announcement) else {
             return;
         };
-        let Some(record) = entry.servers.get_mut(&announcement.server) else {
+        if relay == PendingRelay::Beat && record.was_shared(now) {
+            self.counters.beats_kept += 1;
             return;
-        };
+        }
         // A second heartbeat within the interval goes out with the first one's place.
-        if record.relay_pending {
-            return;
+        let waits = record.pending.is_some();
+        record.pending = record.pending.max(Some(relay));
+        if !waits {
+            self.pending.push((announcement.service_key(), announcement.server.clone()));
         }
-        record.relay_pending = true;
-        self.pending.push((key, announcement.server.clone()));
         self.relay_at.get_or_insert(now + RELAY_INTERVAL);
     }
 
@@ -339,29 +420,68 @@
             return;
         }
         self.relay_at = None;
-        let mut items = Vec::new();
+        let (mut items, mut beats) = (Vec::new(), Vec::new());
         for (key, server) in std::mem::take(&mut self.pending) {
             let entry = self.services.get_mut(&key);
             let Some(record) = entry.and_then(|entry| entry.servers.get_mut(&server)) else {
                 continue;
             };
-            record.relay_pending = false;
-            items.push(record.relayed(now));
+            match record.pending.take() {
+                // Another entry relayed a beat in the meantime.
+                Some(PendingRelay::Beat) if record.was_shared(now) => {
+                    self.counters.beats_kept += 1;
+                    continue;
+                }
+                Some(PendingRelay::Beat) => beats.push(record.compact(now)),
+                _ => items.push(record.relayed(now)),
+            }
+            record.note_shared(record.heard);
         }
-        self.counters.relayed_out += items.len() as u64;
+        self.counters.relayed_out += (items.len() + beats.len()) as u64;
+        self.counters.beats_out += beats.len() as u64;
         for batch in items.chunks(RELAY_BATCH) {
             self.counters.batches_out += 1;
             actions.push(DirectoryAction::Relay(batch.to_vec()));
         }
+        for batch in beats.chunks(RELAY_BATCH) {
+            self.counters.batches_out += 1;
+            actions.push(DirectoryAction::RelayBeats(batch.to_vec()));
+        }
     }
 }
 
 impl ServerRecord {
     fn relayed(&self, now: Instant) -> RelayedAnnouncement {
-        let age = now.saturating_duration_since(self.heard);
-        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let age_ms = self.age_ms(now);
         RelayedAnnouncement { announcement: Arc::clone(&self.announcement), age_ms }
     }
+
+    fn compact(&self, now: Instant) -> CompactHeartbeat {
+        CompactHeartbeat {
+            digest: self.content_digest,
+            sequence: self.announcement.sequence,
+            load: self.announcement.load,
+            age_ms: self.age_ms(now),
+        }
+    }
+
+    fn age_ms(&self, now: Instant) -> u64 {
+        let age = now.saturating_duration_since(self.heard);
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn note_heard(&mut self, heard: Instant) {
+        self.heard = self.heard.max(heard);
+        self.asked = 0;
+    }
+
+    fn note_shared(&mut self, heard: Instant) {
+        self.shared = self.shared.max(Some(heard));
+    }
+
+    fn was_shared(&self, now: Instant) -> bool {
+        self.shared.is_some_and(|shared| now.saturating_duration_since(shared) < RELAY_QUIET)
+    }
 }
 
 impl ServiceEntry {
@@ -369,7 +489,7 @@
         Self {
             servers: BTreeMap::new(),
             digest: 0,
-            next_check: heard + SUSPECT_AFTER,
+            next_check: heard + ASK_AFTER,
             mass_suspicion: false,
             suspicion_ended: None,
         }
--- a/src/directory/expiry.rs
+++ b/src/directory/expiry.rs
@@ -15,13 +15,20 @@
 
 use super::announcement::{LifeEvent, LifeState, next_state};
 use super::{
-    DirectoryAction, FORGET_AFTER, GONE_AFTER, HOLD_LIMIT, SUSPECT_AFTER, ServerDirectory,
-    ServerRecord, ServiceEntry, ServiceKey,
+    ASK_AFTER, DirectoryAction, FORGET_AFTER, GONE_AFTER, HOLD_LIMIT, SUSPECT_AFTER,
+    ServerDirectory, ServerRecord, ServiceEntry, ServiceKey,
 };
 
 /// Interval at which a service with late servers is looked at again.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Times that peers are asked about one silence, others each time; the first ones may have missed the
+/// same batch.
+const ASK_TIMES: u32 = 3;
+
+/// Interval of these requests; the last one is 200 ms before suspicion.
+const ASK_INTERVAL: Duration = Duration::from_millis(200);
+
 impl ServerDirectory {
     /// Looks at the services whose check is due.
     pub(super) fn expire(&mut self, now: Instant, actions: &mut Vec<DirectoryAction>) {
@@ -32,6 +39,7 @@
             }
             let was_mass = entry.mass_suspicion;
             entry.suspect_late(now, actions, &mut self.counters.suspected);
+            entry.ask_about_late(now, &mut self.requests.late);
             if entry.mass_suspicion && !was_mass {
                 self.counters.mass_suspicions += 1;
             }
@@ -51,6 +59,7 @@
         self.server_count -= records.len();
         for record in records {
             self.digest = self.digest.wrapping_sub(record.content_digest);
+            self.by_digest.remove(&record.content_digest);
         }
         if let Some(count) = self.servers_by_team.get_mut(&key.team) {
             *count -= records.len();
@@ -93,6 +102,17 @@
         self.mass_suspicion = mass;
     }
 
+    /// Notes the servers about which peers are to be asked.
+    fn ask_about_late(&mut self, now: Instant, late: &mut Vec<u64>) {
+        for record in self.servers.values_mut() {
+            let counts = matches!(record.life, LifeState::Starting | LifeState::Ready);
+            if counts && record.ask_due().is_some_and(|due| now >= due) {
+                record.asked += 1;
+                late.push(record.content_digest);
+            }
+        }
+    }
+
     fn remove_lost(&mut self, now: Instant, actions: &mut Vec<DirectoryAction>, expired: &mut u64) {
         let grace = self.suspicion_ended.is_some_and(|ended| now < ended + GONE_AFTER);
         let held = self.mass_suspicion || grace;
@@ -131,10 +151,12 @@
     /// Sets the next check from the oldest heartbeat, so that a service without late servers is
     /// scanned once in about `SUSPECT_AFTER` and not at every tick.
     fn schedule_check(&mut self, now: Instant) {
-        let mut next = now + SUSPECT_AFTER;
+        let mut next = now + ASK_AFTER;
         for record in self.servers.values() {
             let due = match record.life {
-                LifeState::Starting | LifeState::Ready => record.heard + SUSPECT_AFTER,
+                LifeState::Starting | LifeState::Ready => {
+                    record.ask_due().unwrap_or(record.heard + SUSPECT_AFTER)
+                }
                 LifeState::Draining => record.heard + GONE_AFTER,
                 LifeState::Gone => record.heard + FORGET_AFTER,
                 LifeState::Suspect => now + RECHECK_INTERVAL,
@@ -146,6 +168,11 @@
 }
 
 impl ServerRecord {
+    /// Returns when peers are to be asked about the server; `None` when they were asked often enough.
+    fn ask_due(&self) -> Option<Instant> {
+        (self.asked < ASK_TIMES).then(|| self.heard + ASK_AFTER + ASK_INTERVAL * self.asked)
+    }
+
     fn silence(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.heard)
     }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -14,8 +14,8 @@
 use super::runtime::{RuntimeIdentity, ServiceRuntime};
 use crate::credit::EntryMessage;
 use crate::directory::{
-    DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement,
-    ServerDirectory, ServiceKey, ServiceSummary,
+    CompactHeartbeat, DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState,
+    ServerAnnouncement, ServerDirectory, ServiceKey, ServiceSummary,
 };
 use crate::ids::{EpochNumber, ProcessName};
 use crate::link::{
@@ -32,6 +32,9 @@
 /// Interval at which slow start and metrics are brought up to date.
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Peers that are asked about servers that have fallen silent.
+const ASKED_PEERS: usize = 2;
+
 /// Input of the control thread.
 pub enum ControlInput {
     /// Something happened on a link.
@@ -200,7 +203,7 @@
             let nothing = ServiceSummary { service, servers: Vec::new() };
             let batch = self.directory.missing_from(now, &nothing);
             if !batch.is_empty() {
-                self.hub.send(peer, WireMessage::Announce(batch));
+                self.hub.send(peer, WireMessage::DirectoryAnswer(batch));
             }
         }
     }
@@ -231,6 +234,22 @@
             WireMessage::Announce(batch) => {
                 self.directory_event(now, DirectoryEvent::Relayed(batch));
             }
+            WireMessage::Heartbeats(packed) => match CompactHeartbeat::unpack(&packed) {
+                Ok(beats) => {
+                    let from = from.clone();
+                    self.directory_event(now, DirectoryEvent::Heartbeats { from, beats });
+                }
+                Err(error) => log::warn!(peer:% = from, error:%; "heartbeats ignored"),
+            },
+            WireMessage::DirectoryRequest(request) => {
+                let answer = self.directory.answer(now, &request);
+                if !answer.is_empty() {
+                    self.hub.send(from, WireMessage::DirectoryAnswer(answer));
+                }
+            }
+            WireMessage::DirectoryAnswer(batch) => {
+                self.directory_event(now, DirectoryEvent::Answered(batch));
+            }
             WireMessage::CreditRequest { service, message } => {
                 self.accounts.receive(now, &service, from, message);
                 self.deliver_grants();
@@ -403,6 +422,19 @@
                     let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
                     self.hub.send_all(to, WireMessage::Announce(batch));
                 }
+                DirectoryAction::RelayBeats(beats) => {
+                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
+                    let packed = CompactHeartbeat::pack(&beats);
+                    self.hub.send_all(to, WireMessage::Heartbeats(packed));
+                }
+                DirectoryAction::Ask { peer: Some(peer), request } => {
+                    self.hub.send(&peer, WireMessage::DirectoryRequest(request));
+                }
+                DirectoryAction::Ask { peer: None, request } => {
+                    let asked = choose_peers(&self.peers, self.context.random());
+                    let to = asked.iter().map(|name| &**name);
+                    self.hub.send_all(to, WireMessage::DirectoryRequest(request));
+                }
                 DirectoryAction::ServerChanged { from, to, announcement } => {
                     self.change_server(now, &table, from, to, &announcement);
                 }
@@ -545,3 +577,9 @@
         })
     }
 }
+
+/// Chooses peers that are asked about silent servers, others each time.
+pub fn choose_peers(peers: &BTreeSet<ProcessName>, random: u64) -> Vec<ProcessName> {
+    let start = random as usize % peers.len().max(1);
+    peers.iter().cycle().skip(start).take(ASKED_PEERS.min(peers.len())).cloned().collect()
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,7 +20,7 @@
 pub use answer::{FailureReason, RunState, failure_response, malformed_response};
 pub use claims::{ClaimCallError, ClaimClient};
 pub use context::{EntryContext, ServiceTable};
-pub use control::ControlInput;
+pub use control::{ControlInput, choose_peers};
 pub use lease::{LeaseClient, LeaseInput, RenewalAction};
 pub use operator::METRICS_TYPE;
 pub use runtime::{RuntimeIdentity, ServiceRuntime, SlotPermit};
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,7 +6,7 @@
 use crate::consensus::formation::FormationMessage;
 use crate::consensus::message::RaftMessage;
 use crate::credit::{EntryMessage, HolderMessage};
-use crate::directory::{RelayedAnnouncement, ServiceKey};
+use crate::directory::{DirectoryRequest, RelayedAnnouncement, ServiceKey};
 use crate::ids::{EpochNumber, GroupId, MemberId, ProcessName, SettingsRevision, ZoneName};
 use crate::settings::SettingsDelta;
 
@@ -164,8 +164,14 @@
         /// Revision in force.
         revision: SettingsRevision,
     },
-    /// Servers as announced to the sending entry.
+    /// Servers as announced to the sending entry, to all processes.
     Announce(Vec<RelayedAnnouncement>),
+    /// Packed heartbeats that changed only sequence and load, to all processes.
+    Heartbeats(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// Asks a peer for servers that the sender lacks.
+    DirectoryRequest(DirectoryRequest),
+    /// Servers that the receiving process lacks.
+    DirectoryAnswer(Vec<RelayedAnnouncement>),
     /// Entry to the account holder of a service.
     CreditRequest {
         /// Service of the account.
--- a/src/link/traffic.rs
+++ b/src/link/traffic.rs
@@ -5,7 +5,7 @@
 use super::WireMessage;
 
 /// Names of the kinds in the order of [`kind_index`].
-const KIND_NAMES: [&str; 17] = [
+const KIND_NAMES: [&str; 20] = [
     "hello",
     "ping",
     "pong",
@@ -23,6 +23,9 @@
     "claim_reply",
     "live_sessions",
     "leaving",
+    "heartbeats",
+    "directory_request",
+    "directory_answer",
 ];
 
 /// Number of kinds.
@@ -120,5 +123,8 @@
         WireMessage::ClaimReply(_) => 14,
         WireMessage::LiveSessions(_) => 15,
         WireMessage::Leaving { .. } => 16,
+        WireMessage::Heartbeats(_) => 17,
+        WireMessage::DirectoryRequest(_) => 18,
+        WireMessage::DirectoryAnswer(_) => 19,
     }
 }
