--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -8,12 +8,18 @@
 
 use crate::ids::ProcessName;
 
-/// Interval of renewals.
+/// Longest interval of renewals.
 const RENEW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time without an answer after which another path is tried.
+/// Longest time without an answer after which another path is tried.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Renewals in one lease. A fixed interval of 1 s let every lease of 1 s or less lapse.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Answer timeouts in one lease, so that further paths are tried before it ends.
+const TIMEOUTS_PER_LEASE: u32 = 8;
+
 /// Requests whose send time is remembered.
 const OPEN_REQUESTS: usize = 16;
 
@@ -25,8 +31,11 @@
     peers: BTreeSet<ProcessName>,
     leader: Option<ProcessName>,
     expires: Option<Instant>,
+    answer_timeout: Duration,
     next_nonce: u64,
     open: Vec<OpenRequest>,
+    /// Where the last request went.
+    last_path: Option<ProcessName>,
     send_due: Instant,
     attempt: usize,
 }
@@ -80,8 +89,10 @@
             peers: BTreeSet::new(),
             leader: None,
             expires: None,
+            answer_timeout: ANSWER_TIMEOUT,
             next_nonce: seed,
             open: Vec::new(),
+            last_path: None,
             send_due: now,
         }
     }
@@ -108,7 +119,8 @@
             }
             LeaseInput::Redirected(leader) => {
                 let known = leader.filter(|name| self.linked.contains(name));
-                if known.is_some() && known != self.leader {
+                // A leader that was asked last may still answer.
+                if known.is_some() && known != self.leader && known != self.last_path {
                     self.send_due = now;
                 }
                 self.leader = known;
@@ -149,16 +161,18 @@
         if self.linked.contains(&leader) {
             self.leader = Some(leader);
         }
-        self.send_due = request.sent + RENEW_INTERVAL;
+        self.answer_timeout = ANSWER_TIMEOUT.min(lease / TIMEOUTS_PER_LEASE);
+        self.send_due = request.sent + RENEW_INTERVAL.min(lease / RENEWALS_PER_LEASE);
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
-        if !self.open.is_empty() {
-            // The last path did not answer in time.
+        if !self.open.is_empty() && self.leader == self.last_path {
+            // The last path did not answer in time. A leader that was named since is still untried.
             self.leader = None;
         }
-        self.send_due = now + ANSWER_TIMEOUT;
+        self.send_due = now + self.answer_timeout;
         let to = self.choose_path()?;
+        self.last_path = Some(to.clone());
         let nonce = self.next_nonce;
         self.next_nonce = self.next_nonce.wrapping_add(1);
         if self.open.len() == OPEN_REQUESTS {
