Close suspected servers for all entries through the account holder

Cause: each entry judged a server by its own requests only, so a failing server was learned 13 times over and again after each ejection. Change: wallets report servers with bad scores in their messages. The holder closes a server when the evidence of at least two entries reaches 140 percent of an ejection; one entry counts at most 70 percent, so a single faulty entry closes nothing. An entry that suspects more than a third of the servers does not count. At most half of the servers are closed, counting those that look bad to someone. A closed server returns by one probe credit, then 2, 4 ... slots while good answers outnumber bad ones; each failed probe doubles the period (200 ms to 30 s). Ruled out: two entries at half an ejection each; noise of log latency reaches that often (estimate, not measured).

--- a/examples/policy_bench/main.rs
+++ b/examples/policy_bench/main.rs
@@ -406,7 +406,11 @@
         entry.queue.expire(now, &mut expired);
         self.outcome.refused += expired.len() as u64;
         let avoided = entry.pool.tick(now).map(<[ServerKey]>::to_vec);
+        let suspects = entry.pool.changed_suspects(now).map(<[_]>::to_vec);
         let waiting = entry.queue.waiting();
+        if let Some(suspects) = suspects {
+            self.feed_wallet(index, WalletEvent::SuspectsChanged(suspects));
+        }
         if let Some(avoided) = avoided {
             self.feed_wallet(index, WalletEvent::AvoidedChanged(avoided));
         }
--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -123,7 +123,10 @@
                 self.interrupt(&name);
             }
             AccountEvent::Message { entry, message } => self.receive(now, &entry, message),
-            AccountEvent::Tick => self.decay_rates(now),
+            AccountEvent::Tick => {
+                self.decay_rates(now);
+                self.start_probes(now);
+            }
         }
         if self.epoch > 0 && self.is_complete() {
             self.grant_demand(now);
@@ -148,15 +151,18 @@
 
     fn change_servers(&mut self, servers: Vec<ServerLimit>) {
         for account in self.servers.values_mut() {
-            account.slots = 0;
+            account.limit = 0;
         }
         for server in servers {
             let slots = if server.draining { 0 } else { server.slots };
             let account = self.servers.entry(server.server).or_insert_with(ServerAccount::empty);
             account.zone = server.zone;
-            account.slots = slots;
+            account.limit = slots;
+        }
+        for account in self.servers.values_mut() {
+            account.apply_cap();
         }
-        self.servers.retain(|_, account| account.slots + account.outstanding > 0);
+        self.servers.retain(|_, account| account.is_needed());
     }
 
     fn change_epoch(&mut self, now: Instant, epoch: EpochNumber, live: Vec<LiveEntry>) {
@@ -216,7 +222,7 @@
         let mut shares = BTreeMap::new();
         for (server, account) in &self.servers {
             let live = self.entries.iter().filter(|(_, entry)| entry.is_live());
-            let share = fallback_share(*server, account.slots, name, live.map(|(name, _)| name));
+            let share = fallback_share(*server, account.limit, name, live.map(|(name, _)| name));
             if share > 0 {
                 shares.insert((*server, WorkClass::Short), share);
             }
@@ -278,6 +284,8 @@
         for line in message.returns {
             self.take_back(name, line);
         }
+        self.note_outcomes(now, &message.outcomes);
+        self.note_suspects(now, name, &message.suspects);
         if message.has_demand {
             self.note_demand(now, name, &message.demand);
         }
--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -50,7 +50,8 @@
         best.map(|(_, name, class)| (name.clone(), class))
     }
 
-    /// The entry's zone first, then the most free slots; servers the entry ejected never.
+    /// Servers on probe first, so that they return also under light load; then the entry's zone,
+    /// then the most free slots; servers the entry ejected never.
     fn best_server(&self, name: &ProcessName, class: WorkClass) -> Option<ServerKey> {
         let entry = self.entries.get(name)?;
         let mut best = None;
@@ -59,7 +60,7 @@
             if free == 0 || entry.avoided.contains(server) {
                 continue;
             }
-            let rank = (account.zone == entry.zone, free);
+            let rank = (account.cap.is_probing(), account.zone == entry.zone, free);
             if best.is_none_or(|(first, _)| rank > first) {
                 best = Some((rank, *server));
             }
@@ -76,7 +77,12 @@
         account.add(class, 1);
         *entry.held.entry((server, class)).or_insert(0) += 1;
         entry.granted += 1;
-        let grants = &mut entry.message(self.epoch).grants;
+        let is_probing = account.cap.is_probing();
+        let message = entry.message(self.epoch);
+        if is_probing && !message.probes.contains(&server) {
+            message.probes.push(server);
+        }
+        let grants = &mut message.grants;
         match grants.iter_mut().find(|line| line.server == server && line.class == class) {
             Some(line) => line.count += 1,
             None => grants.push(CreditLine { server, class, count: 1 }),
@@ -145,7 +151,7 @@
                 entry.message(self.epoch).recalls.push(line);
             }
         }
-        self.servers.retain(|_, account| account.slots + account.outstanding > 0);
+        self.servers.retain(|_, account| account.is_needed());
     }
 
     /// Recalls idle credits for waiting work of others, then credits in use by younger work.
--- a/src/credit/account_state.rs
+++ b/src/credit/account_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+use super::account_health::{HealthCap, SuspectEntry};
 use super::{CREDIT_LEASE, HolderMessage, ServerKey, WorkClass};
 use crate::ids::{EpochNumber, ZoneName};
 
@@ -39,6 +40,7 @@
     pub(super) rate: f64,
     pub(super) keep: u32,
     pub(super) avoided: Vec<ServerKey>,
+    pub(super) suspects: Vec<SuspectEntry>,
     pub(super) replied_at: Option<Instant>,
     pub(super) outbox: Option<HolderMessage>,
 }
@@ -55,7 +57,11 @@
 #[derive(Debug)]
 pub(super) struct ServerAccount {
     pub(super) zone: ZoneName,
+    /// Slots in effect by the directory.
+    pub(super) limit: u32,
+    /// Slots that may be granted now: the limit, or less while the server is capped.
     pub(super) slots: u32,
+    pub(super) cap: HealthCap,
     pub(super) outstanding: u32,
     pub(super) long_outstanding: u32,
     pub(super) recall_sent: Option<Instant>,
@@ -79,6 +85,7 @@
             rate: 0.0,
             keep: 0,
             avoided: Vec::new(),
+            suspects: Vec::new(),
             replied_at: None,
             outbox: None,
         }
@@ -132,6 +139,7 @@
             is_scarce: false,
             grants: Vec::new(),
             recalls: Vec::new(),
+            probes: Vec::new(),
         }
     }
 
@@ -144,7 +152,18 @@
 impl ServerAccount {
     pub(super) fn empty() -> Self {
         let zone = "".into();
-        Self { zone, slots: 0, outstanding: 0, long_outstanding: 0, recall_sent: None }
+        let cap = HealthCap::default();
+        let (outstanding, long_outstanding, recall_sent) = (0, 0, None);
+        Self { zone, limit: 0, slots: 0, cap, outstanding, long_outstanding, recall_sent }
+    }
+
+    pub(super) fn apply_cap(&mut self) {
+        self.slots = self.cap.limit(self.limit);
+    }
+
+    /// Whether the account must remember the server.
+    pub(super) fn is_needed(&self) -> bool {
+        self.limit + self.outstanding > 0
     }
 
     pub(super) fn unused(&self) -> u32 {
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod account;
 mod account_grant;
+mod account_health;
 mod account_state;
 pub mod wallet;
 mod wallet_report;
@@ -81,6 +82,41 @@
     pub count: u32,
 }
 
+/// Why an entry suspects a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum SuspectReason {
+    Slow,
+    Failing,
+}
+
+/// A server whose answers look bad to an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectLine {
+    pub server: ServerKey,
+    pub reason: SuspectReason,
+    /// In percent of the score that ejects a server; 100 for an ejected one.
+    pub strength: u8,
+}
+
+/// How a request ended, compared with the usual answers of the service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    Good,
+    /// Slower than usual, but not by enough to count.
+    Neutral,
+    Slow,
+    Failed,
+}
+
+/// Answers of a server that the holder has put on probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeLine {
+    pub server: ServerKey,
+    pub good: u32,
+    pub slow: u32,
+    pub failed: u32,
+}
+
 /// Message of an entry to the account holder; carries demand, returns and reports in one batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryMessage {
@@ -103,6 +139,12 @@
     pub report: Option<Vec<HeldLine>>,
     /// Servers the entry has ejected and wants no credits of.
     pub avoided: Vec<ServerKey>,
+    /// Servers whose answers look bad to the entry now; replaces the earlier statement.
+    #[serde(default)]
+    pub suspects: Vec<SuspectLine>,
+    /// Answers on probe credits since the previous message.
+    #[serde(default)]
+    pub outcomes: Vec<OutcomeLine>,
 }
 
 /// Message of the account holder to one entry. Without lines it only renews the lease.
@@ -119,6 +161,9 @@
     pub is_scarce: bool,
     pub grants: Vec<CreditLine>,
     pub recalls: Vec<RecallLine>,
+    /// Servers on probe: each credit of the grants goes back after one request, with its outcome.
+    #[serde(default)]
+    pub probes: Vec<ServerKey>,
 }
 
 impl EntryMessage {
@@ -127,7 +172,8 @@
         const MESSAGE_BYTES: usize = 200;
         const LINE_BYTES: usize = 60;
         let report = self.report.as_ref().map_or(0, Vec::len);
-        let lines = self.demand.len() + self.returns.len() + report + self.avoided.len();
+        let health = self.avoided.len() + self.suspects.len() + self.outcomes.len();
+        let lines = self.demand.len() + self.returns.len() + report + health;
         u32::try_from(MESSAGE_BYTES + lines * LINE_BYTES).unwrap_or(u32::MAX)
     }
 }
@@ -137,7 +183,7 @@
     pub fn wire_bytes(&self) -> u32 {
         const MESSAGE_BYTES: usize = 180;
         const LINE_BYTES: usize = 50;
-        let lines = self.grants.len() + self.recalls.len();
+        let lines = self.grants.len() + self.recalls.len() + self.probes.len();
         u32::try_from(MESSAGE_BYTES + lines * LINE_BYTES).unwrap_or(u32::MAX)
     }
 }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -5,8 +5,8 @@
 
 use super::wallet_state::{ServerCredits, WalletMode};
 use super::{
-    CREDIT_LEASE, CreditLine, EntryMessage, HolderMessage, RecallLine, ServerKey, WorkClass,
-    fallback_share,
+    AnswerVerdict, CREDIT_LEASE, CreditLine, EntryMessage, HolderMessage, RecallLine, ServerKey,
+    SuspectLine, WorkClass, fallback_share,
 };
 use crate::ids::{EpochNumber, ProcessName, ZoneName};
 
@@ -64,6 +64,8 @@
     Message(HolderMessage),
     /// Ejected servers; their credits go back and they get no work from this entry.
     AvoidedChanged(Vec<ServerKey>),
+    /// Servers whose answers look bad here; passed on to the holder.
+    SuspectsChanged(Vec<SuspectLine>),
     /// Comes about every millisecond while the service has traffic, and when work starts to
     /// wait; carries the waiting work.
     Tick([WaitingWork; 2]),
@@ -124,6 +126,9 @@
     pub(super) last_sent: Option<Instant>,
     pub(super) last_demand: [u32; 2],
     pub(super) has_returns: bool,
+    pub(super) suspects: Vec<SuspectLine>,
+    /// A suspicion is new or has grown since the last message.
+    pub(super) has_news: bool,
 }
 
 impl CreditWallet {
@@ -156,6 +161,8 @@
             last_sent: None,
             last_demand: [0; 2],
             has_returns: false,
+            suspects: Vec::new(),
+            has_news: false,
         }
     }
 
@@ -179,7 +186,8 @@
                 continue;
             }
             let is_excluded = excluded.contains(&server.server);
-            let rank = (!is_excluded, server.is_local, free);
+            // Answers on probe credits decide when a server returns for all entries.
+            let rank = (!is_excluded, server.probes > 0, server.is_local, free);
             if best.is_none_or(|(first, _)| rank > first) {
                 best = Some((rank, position));
             }
@@ -188,8 +196,17 @@
         Some(self.start(position, class))
     }
 
-    /// Gives the slot of a finished request back.
+    /// Gives a slot back whose request says nothing about the server.
     pub fn release(&mut self, now: Instant, credit: HeldCredit) {
+        self.settle(now, credit, None);
+    }
+
+    /// Gives the slot of an answered request back.
+    pub fn finish(&mut self, now: Instant, credit: HeldCredit, verdict: AnswerVerdict) {
+        self.settle(now, credit, Some(verdict));
+    }
+
+    fn settle(&mut self, now: Instant, credit: HeldCredit, verdict: Option<AnswerVerdict>) {
         self.check_lease(now);
         let class = credit.class.index();
         let Ok(position) = self.position(credit.server) else {
@@ -203,7 +220,8 @@
             self.has_returns |= self.has_session;
             return;
         }
-        let is_owed = server.owed > 0 || server.is_closed();
+        let is_probe = server.end_probe(verdict);
+        let is_owed = server.owed > 0 || server.is_closed() || is_probe;
         let is_owed_any = self.owed_any > 0 && now < self.owed_until;
         if is_owed || is_owed_any {
             server.owed = server.owed.saturating_sub(1);
@@ -230,6 +248,7 @@
             }
             WalletEvent::Message(message) => return self.receive(now, message),
             WalletEvent::AvoidedChanged(avoided) => self.change_avoided(&avoided),
+            WalletEvent::SuspectsChanged(suspects) => self.change_suspects(suspects),
             WalletEvent::Tick(waiting) => return self.tick(now, waiting),
         }
         None
@@ -296,6 +315,7 @@
             server.idle = [0; 2];
             server.returning = [0; 2];
             server.owed = 0;
+            (server.probes, server.outcome) = (0, None);
         }
         self.idle_total = 0;
         self.lowest_idle = 0;
@@ -353,6 +373,14 @@
         self.lowest_idle = self.lowest_idle.min(self.idle_total);
     }
 
+    fn change_suspects(&mut self, suspects: Vec<SuspectLine>) {
+        for line in &suspects {
+            let before = self.suspects.iter().find(|other| other.server == line.server);
+            self.has_news |= before.is_none_or(|before| before.strength < line.strength);
+        }
+        self.suspects = suspects;
+    }
+
     fn change_holder(
         &mut self,
         now: Instant,
@@ -393,7 +421,7 @@
             self.give_back(now, *line);
         }
         for line in &message.grants {
-            self.accept(*line);
+            self.accept(*line, message.probes.contains(&line.server));
         }
         // Others wait for what was recalled, so it does not stay until the next tick.
         let is_awaited = self.has_returns && !message.recalls.is_empty();
@@ -413,11 +441,12 @@
         }
     }
 
-    fn accept(&mut self, line: CreditLine) {
+    fn accept(&mut self, line: CreditLine, is_probe: bool) {
         self.received += u64::from(line.count);
         let position = self.ensure(line.server);
         let server = &mut self.servers[position];
         server.idle[line.class.index()] += line.count;
+        server.probes += if is_probe { line.count } else { 0 };
         self.idle_total += line.count;
         let demand = &mut self.last_demand[line.class.index()];
         *demand = demand.saturating_sub(line.count);
--- a/src/credit/wallet_report.rs
+++ b/src/credit/wallet_report.rs
@@ -4,7 +4,7 @@
 
 use super::wallet::{CreditWallet, WaitingWork};
 use super::wallet_state::{WalletMode, demand_lines};
-use super::{CreditLine, EntryMessage, HeldLine, ServerKey, WorkClass};
+use super::{CreditLine, EntryMessage, HeldLine, OutcomeLine, ServerKey, WorkClass};
 
 /// Sent messages whose times are kept for dating the lease; without a time the lease stays as is.
 const MAX_SENT_TIMES: usize = 1024;
@@ -55,9 +55,16 @@
             returns: Vec::new(),
             report: None,
             avoided: self.avoided(),
+            suspects: self.suspects.clone(),
+            outcomes: self.take_outcomes(),
         }
     }
 
+    fn take_outcomes(&mut self) -> Vec<OutcomeLine> {
+        self.has_news = false;
+        self.servers.iter_mut().filter_map(|credits| credits.outcome.take()).collect()
+    }
+
     fn avoided(&self) -> Vec<ServerKey> {
         self.servers
             .iter()
@@ -84,7 +91,8 @@
         let has_more = counts[0] > self.last_demand[0] || counts[1] > self.last_demand[1];
         let has_changed = has_demand || self.last_demand != [0; 2];
         let is_low = self.keep > 0 && self.idle_total * 2 <= self.keep && self.started > 0;
-        let is_due = (has_more || self.has_returns) && elapsed >= self.settings.message_gap
+        let is_due = (has_more || self.has_returns || self.has_news)
+            && elapsed >= self.settings.message_gap
             || (has_changed || is_low) && elapsed >= self.settings.demand_repeat
             || elapsed >= self.settings.report_interval;
         if !is_due {
--- a/src/credit/wallet_state.rs
+++ b/src/credit/wallet_state.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::wallet::WaitingWork;
-use super::{DemandLine, ServerKey, WorkClass};
+use super::{AnswerVerdict, DemandLine, OutcomeLine, ServerKey, WorkClass};
 
 #[derive(Debug)]
 pub(super) struct ServerCredits {
@@ -17,6 +17,9 @@
     pub(super) idle: [u32; 2],
     pub(super) in_use: [u32; 2],
     pub(super) returning: [u32; 2],
+    /// Credits on probe; each goes back after one request.
+    pub(super) probes: u32,
+    pub(super) outcome: Option<OutcomeLine>,
     /// Credits in use that go back when their request finishes.
     pub(super) owed: u32,
 }
@@ -41,6 +44,8 @@
             idle: [0; 2],
             in_use: [0; 2],
             returning: [0; 2],
+            probes: 0,
+            outcome: None,
             owed: 0,
         }
     }
@@ -50,6 +55,24 @@
         self.draining || self.avoided
     }
 
+    /// Counts the end of a request on a probe credit. Returns whether it was one.
+    pub(super) fn end_probe(&mut self, verdict: Option<AnswerVerdict>) -> bool {
+        if self.probes == 0 {
+            return false;
+        }
+        self.probes -= 1;
+        let server = self.server;
+        let empty = OutcomeLine { server, good: 0, slow: 0, failed: 0 };
+        let outcome = self.outcome.get_or_insert(empty);
+        match verdict {
+            Some(AnswerVerdict::Good) => outcome.good += 1,
+            Some(AnswerVerdict::Slow) => outcome.slow += 1,
+            Some(AnswerVerdict::Failed) => outcome.failed += 1,
+            Some(AnswerVerdict::Neutral) | None => (),
+        }
+        true
+    }
+
     pub(super) fn running(&self) -> u32 {
         self.in_use.iter().sum()
     }
@@ -76,6 +99,9 @@
             self.returning[class] += count;
             left -= count;
         }
+        if self.idle == [0; 2] {
+            self.probes = self.probes.min(self.running());
+        }
         limit - left
     }
 }
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -370,6 +370,10 @@
             let event = WalletEvent::AvoidedChanged(avoided.to_vec());
             state.wallet.handle(now, event);
         }
+        if let Some(suspects) = state.pool.changed_suspects(now) {
+            let event = WalletEvent::SuspectsChanged(suspects.to_vec());
+            state.wallet.handle(now, event);
+        }
         let message = state.tick_wallet(now);
         self.grant_waiting(guard, now);
         drop(expired);
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::credit::{ServerKey, WorkClass};
+use crate::credit::{AnswerVerdict, ServerKey, SuspectLine, SuspectReason, WorkClass};
 
 /// Rules of one service.
 #[derive(Clone, Debug)]
@@ -43,6 +43,13 @@
 const MIN_DEVIATION: f64 = 0.2;
 /// A single response counts at most this many deviations, so that one outlier ejects nobody.
 const MAX_DEVIATION: f64 = 3.0;
+/// Scores from this part of the limit on are reported. Latency scores of healthy servers reach
+/// half of the limit in under one percent of the time; a failure alone is 35 percent.
+const REPORTED_LATENCY: f64 = 0.5;
+const REPORTED_FAILURE: f64 = 0.3;
+/// Deviations that make an answer good or slow for a server on probe.
+const GOOD_DEVIATION: f64 = 0.5;
+const SLOW_DEVIATION: f64 = 1.5;
 /// Open requests followed for each server; older ones say most, so newer ones are left out.
 const MAX_OPEN: usize = 64;
 
@@ -167,6 +174,59 @@
         self.servers.keys().copied().filter(|server| self.is_ejected(now, *server)).collect()
     }
 
+    /// Servers whose scores exceed those of the others, for the account holder.
+    pub fn suspects(&self, now: Instant) -> Vec<SuspectLine> {
+        let mut found = Vec::new();
+        for (&server, score) in &self.servers {
+            let latency = self.latency_sum(now, score);
+            let is_ejected = score.ejected_until.is_some_and(|until| now < until);
+            let is_reported = latency >= REPORTED_LATENCY * LATENCY_LIMIT
+                || score.failure >= REPORTED_FAILURE * FAILURE_LIMIT;
+            if is_reported || is_ejected {
+                found.push((server, latency, score.failure, is_ejected));
+            }
+        }
+        if found.is_empty() {
+            return Vec::new();
+        }
+        let median_latency = self.median(|score| self.latency_sum(now, score));
+        let median_failure = self.median(|score| score.failure);
+        let mut lines = Vec::new();
+        for (server, latency, failure, is_ejected) in found {
+            let latency = (latency - median_latency) / LATENCY_LIMIT;
+            let failure = (failure - median_failure) / FAILURE_LIMIT;
+            let is_failing = failure >= REPORTED_FAILURE;
+            if !is_failing && latency < REPORTED_LATENCY && !is_ejected {
+                continue;
+            }
+            let reason = if is_failing { SuspectReason::Failing } else { SuspectReason::Slow };
+            let part = if is_ejected { 1.0 } else { latency.max(failure).clamp(0.0, 1.0) };
+            // Steps of ten percent, so that small changes need no message.
+            let strength = (part * 10.0) as u8 * 10;
+            lines.push(SuspectLine { server, reason, strength });
+        }
+        lines
+    }
+
+    /// Compares an answer with the usual ones of its class; call it before `note_response`.
+    pub fn verdict(
+        &self,
+        now: Instant,
+        class: WorkClass,
+        sent: Instant,
+        failed: bool,
+    ) -> AnswerVerdict {
+        if failed {
+            return AnswerVerdict::Failed;
+        }
+        let deviation = self.classes[class.index()].deviation(log_latency(now, sent));
+        match deviation {
+            ..GOOD_DEVIATION => AnswerVerdict::Good,
+            ..SLOW_DEVIATION => AnswerVerdict::Neutral,
+            _ => AnswerVerdict::Slow,
+        }
+    }
+
     fn judge(&mut self, now: Instant, server: ServerKey) {
         let Some(score) = self.servers.get(&server) else {
             return;
--- a/src/route/pool.rs
+++ b/src/route/pool.rs
@@ -4,7 +4,9 @@
 
 use super::health::{HealthSettings, HealthTracker};
 use super::policy::{PolicyCandidate, PolicyState, RoutePolicy};
-use crate::credit::{CreditWallet, HeldCredit, ServerKey, WalletServer, WorkClass};
+use crate::credit::{
+    AnswerVerdict, CreditWallet, HeldCredit, ServerKey, SuspectLine, WalletServer, WorkClass,
+};
 use crate::ids::ZoneName;
 
 /// Rules of one service's pool.
@@ -67,14 +69,16 @@
     candidates: Vec<PolicyCandidate>,
     seed: u64,
     avoided: Vec<ServerKey>,
+    suspects: Vec<SuspectLine>,
 }
 
 impl ServerPool {
     pub fn new(zone: ZoneName, settings: PoolSettings, seed: u64) -> Self {
         let health = HealthTracker::new(settings.health.clone());
-        let (servers, candidates, avoided) = (Vec::new(), Vec::new(), Vec::new());
+        let (servers, candidates) = (Vec::new(), Vec::new());
+        let (avoided, suspects) = (Vec::new(), Vec::new());
         let state = PolicyState::new(seed);
-        Self { settings, zone, servers, health, state, candidates, seed, avoided }
+        Self { settings, zone, servers, health, state, candidates, seed, avoided, suspects }
     }
 
     /// Takes over new rules; the health of the servers is kept.
@@ -157,8 +161,9 @@
         wallet: &mut CreditWallet,
     ) {
         let PickedServer { server, class, sent, credit } = picked;
+        let verdict = self.health.verdict(now, class, sent, failed);
         self.health.note_response(now, server, class, sent, failed);
-        self.leave(now, server, credit, wallet);
+        self.leave(now, server, credit, Some(verdict), wallet);
     }
 
     fn leave(
@@ -166,10 +171,13 @@
         now: Instant,
         server: ServerKey,
         credit: Option<HeldCredit>,
+        verdict: Option<AnswerVerdict>,
         wallet: &mut CreditWallet,
     ) {
-        if let Some(credit) = credit {
-            wallet.release(now, credit);
+        match (credit, verdict) {
+            (Some(credit), Some(verdict)) => wallet.finish(now, credit, verdict),
+            (Some(credit), None) => wallet.release(now, credit),
+            (None, _) => (),
         }
         let Ok(position) = self.position(server) else {
             return;
@@ -184,7 +192,7 @@
     /// Gives a server back for which no request was left; says nothing about its health.
     pub fn cancel(&mut self, now: Instant, picked: PickedServer, wallet: &mut CreditWallet) {
         self.health.forget(picked.server, picked.class, picked.sent);
-        self.leave(now, picked.server, picked.credit, wallet);
+        self.leave(now, picked.server, picked.credit, None, wallet);
     }
 
     /// Judges open requests. Returns the servers to avoid if they changed since the last call,
@@ -199,6 +207,17 @@
         Some(&self.avoided)
     }
 
+    /// Returns the servers whose answers look bad if that changed since the last call, for
+    /// `WalletEvent::SuspectsChanged`.
+    pub fn changed_suspects(&mut self, now: Instant) -> Option<&[SuspectLine]> {
+        let suspects = self.health.suspects(now);
+        if suspects == self.suspects {
+            return None;
+        }
+        self.suspects = suspects;
+        Some(&self.suspects)
+    }
+
     /// Servers for the wallet and the account, with the slots in effect now.
     pub fn wallet_servers(&self, now: Instant) -> Vec<WalletServer> {
         let mut servers = Vec::new();
--- a/tests/credit.rs
+++ b/tests/credit.rs
@@ -5,8 +5,9 @@
 
 use curranthollow::credit::{
     AccountBook, AccountEvent, AccountSettings, CreditLine, CreditWallet, DemandLine, EntryMessage,
-    HeldCredit, HeldLine, HolderMessage, LiveEntry, ServerKey, ServerLimit, WaitingWork,
-    WalletEvent, WalletServer, WalletSettings, WorkClass, fallback_share, server_key,
+    HeldCredit, HeldLine, HolderMessage, LiveEntry, OutcomeLine, ServerKey, ServerLimit,
+    SuspectLine, SuspectReason, WaitingWork, WalletEvent, WalletServer, WalletSettings, WorkClass,
+    fallback_share, server_key,
 };
 use curranthollow::ids::ProcessName;
 use yare::parameterized;
@@ -562,6 +563,9 @@
         oldest_age: Duration::MAX,
         deadline: Some(Duration::MAX),
     };
+    let reason = SuspectReason::Failing;
+    let suspect = SuspectLine { server, reason, strength: u8::MAX };
+    let outcome = OutcomeLine { server, good: most, slow: most, failed: most };
     let message = EntryMessage {
         epoch: 1,
         session: 1,
@@ -574,6 +578,8 @@
         returns: vec![CreditLine { server, class, count: most }; 3],
         report: None,
         avoided: vec![1; 1000],
+        suspects: vec![suspect; 1000],
+        outcomes: vec![outcome; 1000],
     };
     world.feed(AccountEvent::Message { entry: "entry-1".into(), message: message.clone() });
     assert_eq!(world.book.outstanding(server), 2);
