--- a/tests/process/claims.rs
+++ b/tests/process/claims.rs
@@ -32,11 +32,23 @@
     let missing = Call { key: None, ..Call::post("/book", "none", "") }.send(cluster.entry(1));
     assert!(matches!(missing, Answer::Failed { status: 400, .. }), "{missing:?}");
     assert!(missing.is_not_run(), "{missing:?}");
+    large_answer_is_not_stored(&cluster);
     concurrent_duplicates(&cluster);
     refused_requests_run_later(&cluster);
     holder_dies(&mut cluster);
 }
 
+fn large_answer_is_not_stored(cluster: &TestCluster) {
+    let call = Call::post("/book?size=200000", "large", "deposit");
+    // The body of the response belongs to the attempt, so it is checked against the run id.
+    let first = call.send(cluster.entry(1));
+    assert!(first.is_served(), "{first:?}");
+    let again = call.send(cluster.entry(2));
+    assert!(matches!(again, Answer::Failed { status: 409, .. }), "{again:?}");
+    assert_eq!(again.code(), "already_run");
+    assert_eq!(cluster.runs_of_key("large"), 1);
+}
+
 fn concurrent_duplicates(cluster: &TestCluster) {
     let call = Call::post("/book?time_us=600000", "same", "deposit");
     let answers: Vec<Answer> = thread::scope(|scope| {
