Warm connections, raise the listen backlog, use traffic_threads, return credits on a policy change

Cause: connections were made only when requests needed them and stayed open for up to 30 s when their server had left; listeners had the standard library's backlog of 128; traffic_threads was ignored; a service switched from credits to a baseline kept its credits until their lease ended. Change: PoolKeeper makes connections every 500 ms for the credits held, at least one per server, within this entry's share, and closes idle ones to servers that drain or are gone. listen::listen (socket2) has a backlog of 4096 and is used by entry, control and try. The entry initialises async-global-executor with traffic_threads before anything spawns a task. A wallet whose service does not use credits treats its servers as draining, so that everything held goes back; a switch back starts a new session and waits for the holder's answer. Ruled out: warming on the 100 ms interval, because its cost grows with the number of servers. Not covered: requests that run under the baseline at the switch back are on no account until they end.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -106,9 +106,20 @@
     });
 }
 
+/// Sets the number of executor threads; must come before anything that spawns a task.
+pub fn init_executor(threads: u32) {
+    let threads = threads as usize;
+    let config = async_global_executor::GlobalExecutorConfig::default()
+        .with_min_threads(threads)
+        .with_max_threads(threads)
+        .with_thread_name_fn(|| "traffic".to_owned());
+    async_global_executor::init_with_config(config);
+}
+
 fn run_entry(file: &Path) -> Result<ExitCode> {
     StateChart::check_all()?;
     let config = ProcessConfig::load(file, ProcessRole::Entry)?;
+    init_executor(config.traffic_threads);
     start_logging(config.log_level);
     let signal = StopSignal::install()?;
     task::block_on(async {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -100,7 +100,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, ControlError> {
-    TcpListener::bind(address).map_err(|error| ControlError::Listen { address, error })
+    crate::listen::listen(address).map_err(|error| ControlError::Listen { address, error })
 }
 
 impl ControlProcess {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -112,7 +112,7 @@
 }
 
 fn listen(port: u16) -> io::Result<TcpListener> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, port))
+    crate::listen::listen((Ipv4Addr::LOCALHOST, port).into())
 }
 
 fn data_folder() -> io::Result<PathBuf> {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -12,6 +12,7 @@
 use super::context::{EntryContext, ServiceTable};
 use super::lease::{LeaseClient, LeaseInput, RenewalAction};
 use super::runtime::{RuntimeIdentity, ServiceRuntime};
+use super::warm::{PoolKeeper, WARM_INTERVAL};
 use crate::credit::EntryMessage;
 use crate::directory::{
     DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement,
@@ -62,6 +63,8 @@
     relayed: BTreeMap<ProcessName, u64>,
     directory_due: Instant,
     slow_due: Instant,
+    pool_keeper: PoolKeeper,
+    warm_due: Instant,
     is_leaving: bool,
 }
 
@@ -88,6 +91,8 @@
             relayed: BTreeMap::new(),
             directory_due: now,
             slow_due: now,
+            pool_keeper: PoolKeeper::new(),
+            warm_due: now,
             is_leaving: false,
         }
     }
@@ -156,6 +161,10 @@
             self.accounts.change_servers(now, runtime.key(), || runtime.server_limits(now));
         }
         self.context.pool.close_expired(now);
+        if now >= self.warm_due {
+            self.warm_due = now + WARM_INTERVAL;
+            self.pool_keeper.refresh(&self.context.pool, table.all());
+        }
         let metrics = &self.context.metrics;
         metrics.settings_revision.set(i64::try_from(self.installed.revision()).unwrap_or(i64::MAX));
         let left = match self.lease.expires() {
--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time for a new connection, which takes about 1 ms in a healthy network.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Time for an early response after the server stopped reading the body.
 const EARLY_RESPONSE_TIME: Duration = Duration::from_millis(500);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod runtime;
 mod share;
 mod traffic;
+mod warm;
 
 pub use accounts::{AccountSet, holder_of};
 pub use announce::bearer_token;
@@ -28,6 +29,7 @@
 pub use runtime::{RuntimeIdentity, ServiceRuntime, SlotPermit};
 pub use share::{ProcessShare, ShareGuard};
 pub use traffic::{ANNOUNCE_PATH, HEALTH_PATH, listen};
+pub use warm::{PoolKeeper, WarmTarget};
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -113,7 +115,7 @@
 }
 
 fn bind(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address).map_err(|error| EntryError::Listen { address, error })
+    crate::listen::listen(address).map_err(|error| EntryError::Listen { address, error })
 }
 
 impl EntryProcess {
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -11,6 +11,7 @@
 use super::answer::FailureReason;
 use super::exchange::AttemptFailure;
 use super::request::RequestPlan;
+use super::warm::WarmTarget;
 use crate::credit::{
     CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
     WorkClass, server_key,
@@ -59,6 +60,8 @@
     retry: RetryBudget,
     measure: MeasureBudget,
     live_entries: usize,
+    /// Epoch and live entries, and whether the account holder can be reached.
+    holder: Option<(EpochNumber, Vec<ProcessName>, bool)>,
     open: usize,
 }
 
@@ -155,6 +158,7 @@
             servers: BTreeMap::new(),
             wallet,
             live_entries: 1,
+            holder: None,
             open: 0,
         };
         Arc::new(Self { key, outbox, state: Mutex::new(state) })
@@ -316,10 +320,14 @@
         if *guard.settings == *settings {
             return;
         }
+        let resumes = guard.settings.policy != SelectionPolicy::Credits
+            && settings.policy == SelectionPolicy::Credits;
         guard.replace_settings(now, settings);
         let message = guard.announce_servers(now);
+        let report = if resumes { guard.resume_credits(now) } else { None };
         self.grant_waiting(guard, now);
         self.send(message);
+        self.send(report);
     }
 
     /// Takes over a server's announcement or a change of its life-cycle state.
@@ -355,6 +363,7 @@
         let now = Instant::now();
         let mut guard = self.lock();
         guard.live_entries = live.len().max(1);
+        guard.holder = Some((epoch, live.clone(), reachable));
         let mut messages = Vec::new();
         messages.extend(guard.wallet.handle(now, WalletEvent::HolderChanged { epoch, live }));
         if !reachable {
@@ -373,6 +382,9 @@
         let now = Instant::now();
         let mut guard = self.lock();
         guard.wallet.handle(now, WalletEvent::HolderUnreachable);
+        if let Some((_, _, reachable)) = &mut guard.holder {
+            *reachable = false;
+        }
         self.grant_waiting(guard, now);
     }
 
@@ -416,11 +428,22 @@
     pub fn target(&self, server: ServerKey) -> Option<(ServerView, usize)> {
         let state = self.lock();
         let view = state.servers.get(&server)?.clone();
-        let total = view.connections.min(state.settings.servers.connections) as usize;
-        let share = (total / state.live_entries).max(1);
+        let share = state.connection_share(&view);
         Some((view, share))
     }
 
+    /// Connections to have for each server that may receive new work.
+    pub fn warm_targets(&self) -> Vec<WarmTarget> {
+        let state = self.lock();
+        let mut targets = Vec::with_capacity(state.servers.len());
+        for (key, view) in state.servers.iter().filter(|(_, view)| view.is_usable()) {
+            let wanted = state.wallet.held(*key).max(1) as usize;
+            let limit = state.connection_share(view);
+            targets.push(WarmTarget { address: view.address, wanted, limit });
+        }
+        targets
+    }
+
     /// Servers with the slots in effect now, for the account holder.
     pub fn server_limits(&self, now: Instant) -> Vec<ServerLimit> {
         let mut limits = Vec::new();
@@ -567,18 +590,48 @@
         self.servers.values().filter(|view| view.is_usable()).count()
     }
 
+    /// This entry's share of the connections that the server accepts.
+    fn connection_share(&self, view: &ServerView) -> usize {
+        let total = view.connections.min(self.settings.servers.connections) as usize;
+        (total / self.live_entries).max(1)
+    }
+
     /// Sends demand, returns and lease renewals unless the measuring budget is spent.
     fn tick_wallet(&mut self, now: Instant) -> Option<EntryMessage> {
-        if self.settings.policy != SelectionPolicy::Credits
-            || !self.measure.has_room(now, TYPICAL_MESSAGE_BYTES)
-        {
+        if !self.measure.has_room(now, TYPICAL_MESSAGE_BYTES) {
             return None;
         }
-        let message = self.wallet.handle(now, WalletEvent::Tick(self.queue.waiting()))?;
+        let waiting = match self.uses_credits() {
+            true => self.queue.waiting(),
+            false if self.holds_credits() => Default::default(),
+            false => return None,
+        };
+        let message = self.wallet.handle(now, WalletEvent::Tick(waiting))?;
         self.measure.charge(now, message.wire_bytes());
         Some(message)
     }
 
+    fn uses_credits(&self) -> bool {
+        self.settings.policy == SelectionPolicy::Credits
+    }
+
+    fn holds_credits(&self) -> bool {
+        self.servers.keys().any(|server| self.wallet.held(*server) > 0)
+    }
+
+    /// Starts a new session with the account holder after a time without credits.
+    ///
+    /// Others may hold credits for all slots, so no work starts by own count before the answer.
+    /// Requests that still run under the other policy are on no account until they finish.
+    fn resume_credits(&mut self, now: Instant) -> Option<EntryMessage> {
+        let (epoch, live, reachable) = self.holder.clone()?;
+        if !reachable {
+            return None;
+        }
+        self.wallet.handle(now, WalletEvent::HolderUnreachable);
+        self.wallet.handle(now, WalletEvent::HolderChanged { epoch, live })
+    }
+
     /// Exchanges a server that the request has tried for another one with a free slot.
     fn respect_exclusions(
         &mut self,
@@ -651,7 +704,14 @@
         }
         let live = u32::try_from(self.live_entries).unwrap_or(u32::MAX);
         self.pool.set_servers(servers, live);
-        let event = WalletEvent::ServersChanged(self.pool.wallet_servers(now));
+        let mut servers = self.pool.wallet_servers(now);
+        if !self.uses_credits() {
+            // The wallet returns credits that no request uses.
+            for server in &mut servers {
+                server.draining = true;
+            }
+        }
+        let event = WalletEvent::ServersChanged(servers);
         self.wallet.handle(now, event)
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod ids;
 pub mod life_cycle;
 pub mod link;
+pub mod listen;
 pub mod load;
 pub mod logging;
 pub mod metrics;
--- a/tests/runtime.rs
+++ b/tests/runtime.rs
@@ -9,9 +9,12 @@
 
 use async_std::future::timeout;
 use async_std::task;
-use curranthollow::credit::{EntryMessage, WorkClass};
+use curranthollow::credit::{CreditLine, EntryMessage, HolderMessage, WorkClass, server_key};
 use curranthollow::directory::{AnnouncedState, LifeState, ServerAnnouncement, ServiceKey};
-use curranthollow::entry::{FailureReason, RuntimeIdentity, ServiceRuntime, SlotPermit};
+use curranthollow::entry::{
+    FailureReason, PoolKeeper, RuntimeIdentity, ServiceRuntime, SlotPermit,
+};
+use curranthollow::http::{ConnectionPool, HttpLimits};
 use curranthollow::settings::{RootSettings, ServiceSettings, SettingsTree, TeamSettings};
 use futures_util::FutureExt;
 use yare::parameterized;
@@ -302,3 +305,112 @@
         _ => set_server(runtime, server, LifeState::Ready),
     }
 }
+
+/// Answers the last report with credits for all slots of `s1`.
+fn grant_all(runtime: &Arc<ServiceRuntime>, sent: &SentMessages) {
+    let report = sent.lock().expect("no panic").last().cloned().expect("a report was sent");
+    assert!(report.report.is_some(), "{report:?}");
+    let server = server_key("s1");
+    let line = CreditLine { server, class: SHORT, count: SLOTS as u32 };
+    runtime.receive(HolderMessage {
+        epoch: report.epoch,
+        session: report.session,
+        acknowledged: report.sequence,
+        lease: Duration::from_secs(2),
+        keep: SLOTS as u32,
+        is_scarce: false,
+        grants: vec![line],
+        recalls: Vec::new(),
+    });
+}
+
+/// Ticks once and returns the number of credits that were sent back.
+fn tick_returns(runtime: &Arc<ServiceRuntime>, sent: &SentMessages, now: Instant) -> u32 {
+    sent.lock().expect("no panic").clear();
+    runtime.tick(now);
+    let messages = std::mem::take(&mut *sent.lock().expect("no panic"));
+    messages.iter().flat_map(|message| &message.returns).map(|line| line.count).sum()
+}
+
+fn credit_runtime() -> (Arc<ServiceRuntime>, SentMessages) {
+    let (runtime, sent) = new_runtime("credits");
+    set_server(&runtime, "s1", LifeState::Ready);
+    runtime.change_holder(2, vec!["e1".into()], true);
+    grant_all(&runtime, &sent);
+    assert!(!runtime.is_own_count());
+    (runtime, sent)
+}
+
+/// Guards against credits that stay with an entry whose service no longer uses them, which would
+/// keep slots from entries that still do, and against a service that gets none when it is switched
+/// back.
+#[test]
+fn policy_change_returns_credits() {
+    let (runtime, sent) = credit_runtime();
+    let permit = take(&runtime);
+    runtime.change_settings(settings("two_choices", SLOTS));
+    let mut now = Instant::now();
+    let mut returned = [0; 3];
+    let mut permit = Some(permit);
+    for count in &mut returned {
+        now += Duration::from_millis(10);
+        *count = tick_returns(&runtime, &sent, now);
+        permit = permit.take().and_then(|permit| {
+            permit.finish(false);
+            None
+        });
+    }
+    assert_eq!(returned, [SLOTS as u32 - 1, 1, 0]);
+    for _ in 0..100 {
+        now += Duration::from_millis(10);
+        runtime.tick(now);
+    }
+    assert!(sent.lock().expect("no panic").is_empty(), "a wallet without credits sends nothing");
+    drop(take_all(&runtime));
+    runtime.change_settings(settings("credits", SLOTS));
+    let early = runtime.acquire(SHORT, &[], deadline()).now_or_never();
+    assert!(early.is_none(), "work starts only with the holder's answer");
+    grant_all(&runtime, &sent);
+    assert!(!runtime.is_own_count());
+    assert_idle(&runtime);
+}
+
+/// Guards against connections that are made only when a swing has begun, beyond this entry's share
+/// of the server's connections, or that stay open when their server leaves.
+#[test]
+fn connections_follow_servers_and_credits() {
+    let (runtime, sent) = new_runtime("credits");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("the listener is bound");
+    let set = |life| {
+        let announced = ServerAnnouncement { address, connections: 4, ..announcement("s1") };
+        runtime.change_server(Instant::now(), &announced, life);
+    };
+    let pool = ConnectionPool::new(HttpLimits::default());
+    let mut keeper = PoolKeeper::new();
+    let mut expect = |idle: usize| {
+        let end = Instant::now() + PATIENCE;
+        while pool.counts(address).idle != idle {
+            assert!(Instant::now() < end, "{:?} instead of {idle}", pool.counts(address));
+            keeper.refresh(&pool, [&runtime].into_iter());
+            thread::sleep(Duration::from_millis(1));
+        }
+    };
+    set(LifeState::Starting);
+    expect(0);
+    set(LifeState::Ready);
+    expect(1);
+    runtime.change_holder(2, vec!["e1".into()], true);
+    grant_all(&runtime, &sent);
+    expect(SLOTS);
+    set(LifeState::Draining);
+    expect(0);
+    set(LifeState::Ready);
+    // Credits went back when the server drained; two entries share four connections.
+    runtime.change_holder(3, vec!["e1".into(), "e2".into()], true);
+    grant_all(&runtime, &sent);
+    expect(2);
+    set(LifeState::Gone);
+    expect(0);
+    assert_eq!(pool.counts(address).open, 0);
+}
