Close the caller's connection after an early response and look for one while sending

Cause: a response that came before the body was read whole was passed on without Connection: close, although the entry closed the connection afterwards. A server that responded to a large buffered body (requests with a claim) without reading it blocked the write until the stall timeout. Change: Connection: close unless the body was read whole; bodies over 16 KiB are written while the entry waits for a response. Ruled out: the server's connection was already closed in this case (checked by the test on bytes). Not covered: a server that responds before it reads a body that the kernel has already taken over; such a body counts as sent. No test shows the large buffered body with a claim.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -18,6 +18,10 @@
 /// Time for an early response after the server stopped reading the body.
 const EARLY_RESPONSE_TIME: Duration = Duration::from_millis(500);
 
+/// Largest body in bytes that is written without looking for a response at the same time. It fits
+/// the send buffer of a connection, so that a server which stops reading does not block the write.
+const BLIND_BYTES: usize = 16 * 1024;
+
 /// Server and limits of one attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTarget {
@@ -114,6 +118,9 @@
     let mut output = Vec::with_capacity(1024 + body.len());
     head.write_to(&mut output);
     output.extend_from_slice(body);
+    if body.len() > BLIND_BYTES {
+        return send_large(connection, &head.method, &output).await;
+    }
     if let Err(error) = connection.write(&output).await {
         // The server may have answered before it closed, for example with a refusal.
         let early = timeout(EARLY_RESPONSE_TIME, connection.read_head(&head.method)).await;
@@ -126,6 +133,32 @@
     Ok((response, body, true))
 }
 
+/// Sends a request that the server may answer before it has read the whole body.
+async fn send_large(
+    connection: &mut ServerConnection,
+    method: &str,
+    request: &[u8],
+) -> ExchangeResult {
+    let writer = connection.writer();
+    let upload = ServerConnection::write_to(&writer, request, connection.stall_timeout());
+    let download = connection.read_head(method);
+    pin_mut!(upload, download);
+    match select(upload, download).await {
+        Either::Left((Ok(()), download)) => {
+            let (response, body) = download.await.map_err(server_failure)?;
+            Ok((response, body, true))
+        }
+        Either::Left((Err(error), download)) => {
+            match timeout(EARLY_RESPONSE_TIME, download).await {
+                Ok(Ok((response, body))) => Ok((response, body, false)),
+                _ => Err(AttemptFailure::ServerFailed(error)),
+            }
+        }
+        Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
+        Either::Right((Err(error), _)) => Err(server_failure(error)),
+    }
+}
+
 async fn send_streamed(
     connection: &mut ServerConnection,
     head: &RequestHead,
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -339,6 +339,8 @@
             last = keep_unknown(last, (FailureReason::ServersUnavailable, refused));
             continue;
         }
+        // The rest of a body that was not read whole would be taken for the next request.
+        let keep_alive = keep_alive && body.is_complete();
         let relayed =
             relay_response(caller, head, &mut response, request_id, keep_alive, plan.deadline)
                 .await;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -64,6 +64,11 @@
         self.reused
     }
 
+    /// Time without progress after which a transfer is given up.
+    pub fn stall_timeout(&self) -> Duration {
+        self.limits.stall_timeout
+    }
+
     /// Writes raw bytes of a request.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
         self.stream.write(bytes, self.limits.stall_timeout).await
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Requests through one entry without control processes.
 
+mod early;
 mod fairness;
 mod harness;
 mod hedge;
