--- a/src/load/exchange.rs
+++ b/src/load/exchange.rs
@@ -51,7 +51,7 @@
         };
         let id = run_id(self.options.seed, number);
         let mut progress = LoadOutcome::Unknown;
-        let exchange = self.send_and_verify(connection, class, &id, &mut progress);
+        let exchange = self.send_and_verify(connection, number, class, &id, &mut progress);
         match timeout(self.options.timeout, exchange).await {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) | Err(_) => progress,
@@ -62,14 +62,15 @@
     async fn send_and_verify(
         &self,
         mut connection: ServerConnection,
+        number: usize,
         class: usize,
         id: &str,
         progress: &mut LoadOutcome,
     ) -> Result<LoadOutcome, HttpError> {
+        let target = self.options.classes[class].target(self.options.service_time(number, class));
         let class = &self.options.classes[class];
         let mut output = Vec::new();
-        self.request_head(class.upload_bytes, &class.method, class.target(), id)
-            .write_to(&mut output);
+        self.request_head(class.upload_bytes, &class.method, target, id).write_to(&mut output);
         connection.write(&output).await?;
         let writer = connection.writer();
         let upload = send_upload(&writer, id, class.upload_bytes, self.options.timeout);
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -17,7 +17,7 @@
 use async_std::task;
 
 use crate::http::{ConnectionPool, HttpLimits};
-use crate::stand_in::SlotQueue;
+use crate::stand_in::{ServiceTime, SlotQueue};
 use report::ReportBuilder;
 
 /// Kind of request.
@@ -35,8 +35,8 @@
     pub upload_bytes: u64,
     /// Size of the response body; `None` asks for the short default response.
     pub download_bytes: Option<u64>,
-    /// Service time that the stand-in server is asked for; `None` leaves it to the server.
-    pub service_time: Option<Duration>,
+    /// Service times that the stand-in server is asked for; `None` leaves them to the server.
+    pub service_time: Option<ServiceTime>,
 }
 
 /// What a run of the generator sends.
@@ -90,6 +90,29 @@
     }
 }
 
+impl LoadOptions {
+    /// Arrivals of the run.
+    pub fn schedule(&self) -> Vec<ScheduledRequest> {
+        let plan = SchedulePlan {
+            seed: self.seed,
+            rate: self.rate,
+            arrivals: self.arrivals,
+            duration: self.duration,
+            swings: self.swings.clone(),
+            shares: self.classes.iter().map(|class| class.share).collect(),
+            max_requests: if self.targets.is_empty() { 0 } else { self.max_requests },
+        };
+        plan.arrivals()
+    }
+
+    /// Service time that request `number` asks for; it depends on the seed and the number only.
+    pub fn service_time(&self, number: usize, class: usize) -> Option<Duration> {
+        let seed = self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64);
+        let mut random = fastrand::Rng::with_seed(seed);
+        Some(self.classes[class].service_time?.sample(&mut random))
+    }
+}
+
 impl LoadClass {
     /// Short reads.
     pub fn short_read() -> Self {
@@ -118,14 +141,14 @@
     }
 
     /// Path and query.
-    fn target(&self) -> String {
+    fn target(&self, service_time: Option<Duration>) -> String {
         let mut target = self.path.to_string();
         let mut separator = '?';
         if let Some(size) = self.download_bytes {
             target.push_str(&format!("{separator}size={size}"));
             separator = '&';
         }
-        if let Some(time) = self.service_time {
+        if let Some(time) = service_time {
             target.push_str(&format!("{separator}time_us={}", time.as_micros()));
         }
         target
@@ -165,16 +188,7 @@
 
 /// Sends the whole schedule and waits for all outcomes.
 pub async fn run_load(options: LoadOptions) -> LoadReport {
-    let plan = SchedulePlan {
-        seed: options.seed,
-        rate: options.rate,
-        arrivals: options.arrivals,
-        duration: options.duration,
-        swings: options.swings.clone(),
-        shares: options.classes.iter().map(|class| class.share).collect(),
-        max_requests: if options.targets.is_empty() { 0 } else { options.max_requests },
-    };
-    let schedule = plan.arrivals();
+    let schedule = options.schedule();
     let limits = HttpLimits { stall_timeout: options.timeout, ..HttpLimits::default() };
     let in_flight = SlotQueue::new(options.max_in_flight);
     let mut connections = Vec::new();
--- a/src/stand_in/mod.rs
+++ b/src/stand_in/mod.rs
@@ -273,6 +273,11 @@
         self.shared.slots.counts()
     }
 
+    /// Returns the largest sum of running and waiting work since the previous call.
+    pub fn take_max_demand(&self) -> usize {
+        self.shared.slots.take_max_demand()
+    }
+
     /// Returns the number of open connections and of those that were refused.
     pub fn connections(&self) -> (usize, u64) {
         let state = self.shared.lock();
--- a/src/stand_in/serve.rs
+++ b/src/stand_in/serve.rs
@@ -123,6 +123,8 @@
         state.runs.add(run_id, key);
         let state = &mut *state;
         let drawn = shared.options.service_time.sample(&mut state.random);
+        // A time that the request asks for is slowed down as well.
+        let drawn = query_number(head, "time_us").map_or(drawn, Duration::from_micros);
         (state.mode, drawn.mul_f64(slowdown(state.mode, state.mode_since.elapsed())))
     };
     let mut digest = Sha256::new();
@@ -134,7 +136,6 @@
     if let StandInMode::FailFast { status } = mode {
         return Ok(Some(error_reply(status)));
     }
-    let time = query_number(head, "time_us").map_or(time, Duration::from_micros);
     if !time.is_zero() {
         task::sleep(time).await;
     }
--- a/src/stand_in/slots.rs
+++ b/src/stand_in/slots.rs
@@ -73,6 +73,14 @@
         receiver.recv().await.expect("the queue outlives its waiting work")
     }
 
+    /// Returns the largest demand since the previous call.
+    pub fn take_max_demand(&self) -> usize {
+        let mut state = lock(&self.state);
+        state.waiting.retain(|waiter| !waiter.is_closed());
+        let present = state.running + state.waiting.len();
+        std::mem::replace(&mut state.max_demand, present)
+    }
+
     /// Returns the present and the largest use.
     pub fn counts(&self) -> SlotCounts {
         let mut state = lock(&self.state);
