Start the number of traffic threads that the config states

Cause: traffic_threads was read and checked, but nothing used it. Each process ran one executor thread for each processor (10 on the machine at hand). Control processes now run 2.

async-global-executor becomes a direct dependency, because async-std takes the number from the environment only, and setting that at run time is unsafe code. It was in the lock file already.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use async_global_executor::GlobalExecutorConfig;
 use async_std::task;
 use signal_hook::consts::{SIGINT, SIGTERM};
 
@@ -96,6 +97,9 @@
     }
 }
 
+/// Executor threads of a control process; consensus and storage run on threads of their own.
+const CONTROL_THREADS: usize = 2;
+
 fn start_logging(level: LogLevel) {
     logging::init(match level {
         LogLevel::Error => log::LevelFilter::Error,
@@ -106,10 +110,24 @@
     });
 }
 
+/// Starts the executor with a fixed number of threads.
+///
+/// Without this the first use of async-std starts one thread for each processor, and each arrival of
+/// input wakes several of them.
+fn start_executor(threads: usize) {
+    let config = GlobalExecutorConfig::default()
+        .with_env_var("ASYNC_STD_THREAD_COUNT")
+        .with_min_threads(threads)
+        .with_max_threads(threads)
+        .with_thread_name_fn(|| "traffic".to_owned());
+    async_global_executor::init_with_config(config);
+}
+
 fn run_entry(file: &Path) -> Result<ExitCode> {
     StateChart::check_all()?;
     let config = ProcessConfig::load(file, ProcessRole::Entry)?;
     start_logging(config.log_level);
+    start_executor(config.traffic_threads as usize);
     let signal = StopSignal::install()?;
     task::block_on(async {
         let entry = EntryProcess::start(&config, EntryListeners::bind(&config)?)?;
@@ -125,6 +143,7 @@
     StateChart::check_all()?;
     let config = ProcessConfig::load(file, ProcessRole::Control)?;
     start_logging(config.log_level);
+    start_executor(CONTROL_THREADS);
     let signal = StopSignal::install()?;
     task::block_on(async {
         let control = ControlProcess::start(&config, ControlListeners::bind(&config)?)?;
