Keep time limits of the traffic path in one map

Cause: each pending timer of async-io interrupts the reactor's wait by a write to an event descriptor, and a request sets at least three (idle connection, stop check, deadline) without reaching them. The new deadline::within keeps limits in an ordered map and wakes its thread only for a limit that is earlier than all others.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 
+use crate::deadline::within;
 use crate::http::{
     BodyFraming, CallerConnection, CheckoutError, ConnectionPool, HttpError, RequestBody,
     RequestHead, ResponseBody, ResponseHead, ServerConnection, encode_chunk, encode_last_chunk,
@@ -86,7 +86,7 @@
     deadline: Instant,
 ) -> Result<OpenResponse, AttemptFailure> {
     let left = deadline.saturating_duration_since(Instant::now());
-    let result = timeout(left, async {
+    let result = within(left, async {
         match payload {
             RequestPayload::Buffered(body) => send_buffered(&mut connection, head, body).await,
             RequestPayload::Streamed { caller, body } => {
@@ -116,7 +116,7 @@
     output.extend_from_slice(body);
     if let Err(error) = connection.write(&output).await {
         // The server may have answered before it closed, for example with a refusal.
-        let early = timeout(EARLY_RESPONSE_TIME, connection.read_head(&head.method)).await;
+        let early = within(EARLY_RESPONSE_TIME, connection.read_head(&head.method)).await;
         return match early {
             Ok(Ok((response, body))) => Ok((response, body, false)),
             _ => Err(AttemptFailure::ServerFailed(error)),
@@ -148,7 +148,7 @@
             Err(AttemptFailure::CallerFailed(error))
         }
         Either::Left((Err(UploadError::Server(error)), download)) => {
-            match timeout(EARLY_RESPONSE_TIME, download).await {
+            match within(EARLY_RESPONSE_TIME, download).await {
                 Ok(Ok((response, body))) => Ok((response, body, false)),
                 _ => Err(AttemptFailure::ServerFailed(error)),
             }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -2,9 +2,8 @@
 
 use std::time::Instant;
 
-use async_std::future::timeout;
-
 use super::exchange::OpenResponse;
+use crate::deadline::within;
 use crate::http::{
     BodyFraming, CallerConnection, HttpError, HttpVersion, RequestHead, ResponseHead,
 };
@@ -118,7 +117,7 @@
     deadline: Instant,
 ) -> Result<Option<Vec<u8>>, HttpError> {
     let left = deadline.saturating_duration_since(Instant::now());
-    match timeout(left, response.connection.read_body(&mut response.body)).await {
+    match within(left, response.connection.read_body(&mut response.body)).await {
         Ok(result) => result,
         Err(_) => Err(HttpError::Timeout("reading a response before the deadline")),
     }
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
@@ -19,6 +18,7 @@
 use super::relay::{RelayOutcome, relay_response};
 use super::runtime::{ServiceRuntime, SlotPermit};
 use crate::credit::{ServerKey, WorkClass};
+use crate::deadline::within;
 use crate::http::{
     BodyFraming, CallerConnection, CheckoutError, HttpError, RequestBody, RequestHead,
     ServerConnection,
@@ -355,7 +355,7 @@
         _ => return Ok(None),
     }
     let left = deadline.saturating_duration_since(Instant::now());
-    match timeout(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
+    match within(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
         Ok(Ok(content)) => Ok(Some(content)),
         Ok(Err(error)) => Err(caller_failure(error)),
         Err(_) => {
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_std::future::timeout;
 
 use super::answer::FailureReason;
 use super::exchange::AttemptFailure;
@@ -14,6 +13,7 @@
     CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
     WorkClass, server_key,
 };
+use crate::deadline::within;
 use crate::directory::{LifeState, ServerAnnouncement, ServiceKey};
 use crate::http::CheckoutError;
 use crate::ids::{EpochNumber, ProcessName, ServerId, ZoneName};
@@ -169,7 +169,7 @@
             StartOutcome::Queued(receiver) => receiver,
         };
         let left = deadline.saturating_duration_since(Instant::now());
-        match timeout(left, receiver.recv()).await {
+        match within(left, receiver.recv()).await {
             Ok(Ok(permit)) => Ok(permit),
             // The queue dropped the ticket: its deadline can no longer be met, or no server is left.
             Ok(Err(_)) if self.lock().usable_servers() == 0 => Err(FailureReason::NoServer),
--- a/src/http/stream.rs
+++ b/src/http/stream.rs
@@ -7,11 +7,11 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
-use async_std::future::timeout;
 use async_std::io::{Read, ReadExt, WriteExt};
 use async_std::net::TcpStream;
 
 use super::{BodyDecoder, HttpError, HttpLimits};
+use crate::deadline::within;
 
 /// Bytes requested from the socket in one read.
 const READ_BYTES: usize = 16 * 1024;
@@ -138,7 +138,7 @@
                 }
             }
         };
-        let _ = timeout(LINGER_TIME, discard).await;
+        let _ = within(LINGER_TIME, discard).await;
     }
 }
 
@@ -148,5 +148,5 @@
     action: &'static str,
     future: impl Future<Output = T>,
 ) -> Result<T, HttpError> {
-    timeout(limit, future).await.map_err(|_| HttpError::Timeout(action))
+    within(limit, future).await.map_err(|_| HttpError::Timeout(action))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod consensus;
 pub mod control;
 pub mod credit;
+pub mod deadline;
 pub mod demo;
 pub mod directory;
 pub mod entry;
