Tick rarely without traffic and wake idle connections by a channel

Cause: the control thread ticked every 2 ms in an idle entry, by way of the timer thread, and each idle caller connection looked every 100 ms whether the process finishes. Ticks now come every 20 ms unless there was traffic in the last 200 ms, and idle connections wait on a channel that closes.

--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -121,6 +121,11 @@
 }
 
 impl EntryMessage {
+    /// Whether the message tells of work, not of a lease renewal only.
+    pub fn is_urgent(&self) -> bool {
+        self.started > 0 || !self.demand.is_empty() || !self.returns.is_empty()
+    }
+
     /// Size on the wire in bytes, estimated from the encoded size of each part.
     pub fn wire_bytes(&self) -> u32 {
         const MESSAGE_BYTES: usize = 200;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Instant;
 
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
 
 use super::claims::ClaimClient;
 use super::control::ControlInput;
@@ -65,8 +65,11 @@
     session: AtomicU64,
     phase: Mutex<Box<str>>,
     stopping: AtomicBool,
+    /// Closes when idle caller connections must end.
+    finishing: (Sender<()>, Receiver<()>),
     open_requests: AtomicUsize,
     next_request: AtomicU64,
+    requests: AtomicU64,
 }
 
 /// Parts of an [`EntryContext`] that its owner provides.
@@ -110,8 +113,10 @@
             session: AtomicU64::new(parts.session),
             phase: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
+            finishing: async_channel::bounded(1),
             open_requests: AtomicUsize::new(0),
             next_request: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
         })
     }
 
@@ -156,9 +161,37 @@
         log::info!(from:% = phase, to:% = next, event; "process state");
         *phase = next.into();
         self.stopping.store(!matches!(next, "starting" | "serving"), Ordering::Relaxed);
+        if matches!(next, "finishing" | "stopped") {
+            self.finishing.0.close();
+        }
         true
     }
 
+    /// Resolves when idle caller connections must end.
+    pub async fn finishing(&self) {
+        let _ = self.finishing.1.recv().await;
+    }
+
+    /// Whether idle caller connections must end.
+    pub fn is_finishing(&self) -> bool {
+        self.finishing.0.is_closed()
+    }
+
+    /// Whether the process has stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.is_finishing() && &*self.phase() == "stopped"
+    }
+
+    /// Counts a request of a caller.
+    pub fn count_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Number of requests of callers so far.
+    pub fn request_count(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
     /// Current state of the process's life cycle.
     pub fn phase(&self) -> Box<str> {
         self.phase.lock().expect("no holder of the phase lock panics").clone()
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -5,14 +5,13 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use futures_util::future::{Either, select};
-use futures_util::pin_mut;
 
 use super::accounts::{AccountSet, holder_of};
 use super::context::{EntryContext, ServiceTable};
 use super::lease::{LeaseClient, LeaseInput, RenewalAction};
 use super::runtime::{RuntimeIdentity, ServiceRuntime};
 use crate::credit::EntryMessage;
+use crate::deadline::{LimitPassed, within};
 use crate::directory::{
     DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement,
     ServerDirectory, ServiceKey, ServiceSummary,
@@ -23,8 +22,15 @@
 };
 use crate::settings::{InstalledSettings, SettingsDelta, SettingsTree};
 
-/// Interval of all periodic work of the control thread.
-pub const TICK_INTERVAL: Duration = Duration::from_millis(2);
+/// Interval of all periodic work of the control thread while there is traffic.
+const TICK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Interval of all periodic work while there is no traffic. Leases and heartbeats allow for it.
+const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Time after the last sign of traffic in which ticks stay frequent. Wallets return idle credits
+/// within it.
+const TRAFFIC_MEMORY: Duration = Duration::from_millis(200);
 
 /// Interval at which the directory looks for late heartbeats when nothing waits to be relayed.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(50);
@@ -62,6 +68,10 @@
     relayed: BTreeMap<ProcessName, u64>,
     directory_due: Instant,
     slow_due: Instant,
+    /// Until then ticks are frequent.
+    frequent_until: Instant,
+    /// Requests counted at the last tick.
+    requests: u64,
     is_leaving: bool,
 }
 
@@ -88,24 +98,43 @@
             relayed: BTreeMap::new(),
             directory_due: now,
             slow_due: now,
+            frequent_until: now,
+            requests: 0,
             is_leaving: false,
         }
     }
 
-    /// Processes inputs and ticks until the input channel closes.
-    pub async fn run(mut self, inputs: Receiver<ControlInput>, ticks: Receiver<Instant>) {
-        loop {
-            let input = inputs.recv();
-            let tick = ticks.recv();
-            pin_mut!(input, tick);
-            match select(input, tick).await {
-                Either::Left((Ok(input), _)) => self.process(input),
-                Either::Right((Ok(_), _)) => self.tick(Instant::now()),
-                Either::Left((Err(_), _)) | Either::Right((Err(_), _)) => return,
+    /// Processes inputs and ticks until the process has stopped or the input channel closes.
+    pub async fn run(mut self, inputs: Receiver<ControlInput>) {
+        let mut tick_due = Instant::now() + TICK_INTERVAL;
+        while !self.context.is_stopped() {
+            let left = tick_due.saturating_duration_since(Instant::now());
+            match within(left, inputs.recv()).await {
+                Ok(Ok(input)) => self.process(input),
+                Ok(Err(_)) => return,
+                Err(LimitPassed) => (),
+            }
+            let now = Instant::now();
+            // Checked after each input as well, so that a full queue does not delay the ticks.
+            if now >= tick_due {
+                self.tick(now);
+            }
+            tick_due = tick_due.min(now + self.tick_interval(now));
+            if now >= tick_due {
+                tick_due = now + self.tick_interval(now);
             }
         }
     }
 
+    fn tick_interval(&self, now: Instant) -> Duration {
+        if now < self.frequent_until { TICK_INTERVAL } else { IDLE_TICK_INTERVAL }
+    }
+
+    /// Notes traffic of callers, here or at an entry whose credits are accounted here.
+    fn note_traffic(&mut self, now: Instant) {
+        self.frequent_until = now + TRAFFIC_MEMORY;
+    }
+
     fn process(&mut self, input: ControlInput) {
         let now = Instant::now();
         match input {
@@ -113,7 +142,12 @@
             ControlInput::Announced(announcement) => {
                 self.directory_event(now, DirectoryEvent::Announced(announcement));
             }
-            ControlInput::Credit(service, message) => self.route_credit(now, &service, message),
+            ControlInput::Credit(service, message) => {
+                if message.is_urgent() {
+                    self.note_traffic(now);
+                }
+                self.route_credit(now, &service, message);
+            }
             ControlInput::Dump(reply) => {
                 let _ = reply.try_send(self.dump(now));
             }
@@ -129,6 +163,11 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        let requests = self.context.request_count();
+        if requests != self.requests || self.context.open_requests() > 0 {
+            self.requests = requests;
+            self.note_traffic(now);
+        }
         self.renew(now, LeaseInput::Tick);
         let relay_due = self.directory.relay_due().is_some_and(|due| now >= due);
         if relay_due || now >= self.directory_due {
@@ -228,6 +267,9 @@
                 self.directory_event(now, DirectoryEvent::Relayed(batch));
             }
             WireMessage::CreditRequest { service, message } => {
+                if message.is_urgent() {
+                    self.note_traffic(now);
+                }
                 self.accounts.receive(now, &service, from, message);
                 self.deliver_grants();
             }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,13 +37,12 @@
 use thiserror::Error;
 
 use self::context::ContextParts;
-use self::control::{EntryControl, TICK_INTERVAL};
+use self::control::EntryControl;
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
 use crate::http::HttpLimits;
 use crate::ids::GroupId;
 use crate::link::{HelloMessage, LinkConfig, LinkEvent, LinkHub, LinkTarget, ProcessRole};
-use crate::timer::TimerService;
 
 /// Number of claim groups. Keys move between groups when it changes, so it is fixed.
 pub const CLAIM_GROUPS: GroupId = 4;
@@ -94,7 +93,6 @@
 pub struct EntryProcess {
     context: Arc<EntryContext>,
     hub: LinkHub,
-    timers: TimerService,
     shutdown_delay: Duration,
 }
 
@@ -139,12 +137,10 @@
             dropped,
             session: start_number(),
         });
-        let timers = TimerService::start();
         let control = EntryControl::new(Arc::clone(&context), hub.clone(), controls, now);
-        let ticks = timers.every(TICK_INTERVAL);
         thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || task::block_on(control.run(inputs, ticks)))
+            .spawn(move || task::block_on(control.run(inputs)))
             .map_err(EntryError::Thread)?;
         for _ in 0..LATE_SETTLERS {
             task::spawn(settle_dropped(Arc::clone(&context), settlements.clone()));
@@ -155,7 +151,7 @@
         }
         operator::serve(Arc::clone(&context), listeners.operator.into());
         traffic::listen(Arc::clone(&context), listeners.traffic.into());
-        Ok(Self { context, hub, timers, shutdown_delay: config.shutdown_delay })
+        Ok(Self { context, hub, shutdown_delay: config.shutdown_delay })
     }
 
     /// Shared state.
@@ -188,7 +184,6 @@
     pub fn halt(&self) {
         self.context.advance("stop_now");
         self.hub.stop();
-        self.timers.stop();
     }
 }
 
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -87,6 +87,7 @@
     head: RequestHead,
 ) -> Result<bool, HttpError> {
     let started = Instant::now();
+    context.count_request();
     let request_id = request_id(context, &head);
     let mut body = RequestBody::new(&head);
     let keep_alive = keeps_connection(&head, context.is_stopping());
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -22,16 +22,13 @@
 /// Path to which servers announce themselves.
 pub const ANNOUNCE_PATH: &str = "/.curranthollow/announce";
 
-/// Interval at which an idle connection notices that the process finishes.
-const STOP_CHECK: Duration = Duration::from_millis(100);
-
 /// Accepts caller connections until the process finishes.
 pub fn listen(context: Arc<EntryContext>, listener: TcpListener) {
     task::spawn(async move {
         let open = Arc::new(AtomicUsize::new(0));
         let mut incoming = listener.incoming();
         while let Some(stream) = incoming.next().await {
-            if is_finishing(&context) {
+            if context.is_finishing() {
                 return;
             }
             let Ok(stream) = stream else {
@@ -54,10 +51,6 @@
     });
 }
 
-fn is_finishing(context: &EntryContext) -> bool {
-    matches!(&*context.phase(), "finishing" | "stopped")
-}
-
 async fn serve_connection(context: &Arc<EntryContext>, stream: TcpStream) {
     let mut connection = match CallerConnection::new(stream, context.limits.clone()) {
         Ok(connection) => connection,
@@ -94,11 +87,7 @@
     if connection.has_input() {
         return connection.next_head().await;
     }
-    let finishing = async {
-        while !is_finishing(context) {
-            task::sleep(STOP_CHECK).await;
-        }
-    };
+    let finishing = context.finishing();
     {
         let arrival = connection.wait_for_input();
         pin_mut!(arrival, finishing);
