Shorten link frames, ping less often and leave known lists out of leases

Cause: each frame carried its field names, region and sender, about 45 bytes; four pings and pongs a second in each direction of each link; each lease grant carried all live entries, 13.6 KB/s from the leader at 13 entries. Pings come each second, and a link is closed after 2.5 s without a pong (before: 2 s), which tolerates a pong that is 1.5 s late as before. A lease request states the epoch that the entry knows, and the grant carries the live entries only when it differs. An entry ignored the list of an equal epoch already.

--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -79,6 +79,8 @@
     pub availability_zone: ZoneName,
     /// Revision that the entry has installed.
     pub installed: SettingsRevision,
+    /// Epoch of the list of live entries that the entry knows.
+    pub epoch: EpochNumber,
     /// Echoed in the grant.
     pub nonce: u64,
 }
--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -272,6 +272,7 @@
                     session: request.session,
                     availability_zone: request.availability_zone,
                     installed: request.installed,
+                    epoch: request.epoch,
                     nonce: request.nonce,
                 }));
             }
@@ -407,7 +408,7 @@
                         nonce: request.nonce,
                         lease_ms: u64::try_from(lease.as_millis()).unwrap_or(u64::MAX),
                         epoch,
-                        entries,
+                        entries: if request.epoch == epoch { Vec::new() } else { entries },
                         update,
                     };
                     self.hub.send(&request.via, WireMessage::GrantLease(Box::new(grant)));
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -60,64 +60,92 @@
 /// A number of credits of one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CreditLine {
+    #[serde(rename = "s")]
     pub server: ServerKey,
+    #[serde(rename = "c")]
     pub class: WorkClass,
+    #[serde(rename = "n")]
     pub count: u32,
 }
 
 /// Credits of one server and class that an entry holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldLine {
+    #[serde(rename = "s")]
     pub server: ServerKey,
+    #[serde(rename = "c")]
     pub class: WorkClass,
+    #[serde(rename = "u")]
     pub in_use: u32,
+    #[serde(rename = "i")]
     pub idle: u32,
 }
 
 /// Credits the holder wants back: of one server, or of any server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecallLine {
+    #[serde(rename = "s")]
     pub server: Option<ServerKey>,
+    #[serde(rename = "n")]
     pub count: u32,
 }
 
 /// Message of an entry to the account holder; carries demand, returns and reports in one batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryMessage {
+    #[serde(rename = "e")]
     pub epoch: EpochNumber,
     /// Counts up with every full report; older grants are void then.
+    #[serde(rename = "s")]
     pub session: u64,
     /// Counts up with every message; the holder echoes it, which dates the lease.
+    #[serde(rename = "q")]
     pub sequence: u64,
     /// Credits received in this session; the holder subtracts what is still on the way.
+    #[serde(rename = "r")]
     pub received: u64,
     /// Requests started since the previous message; the measure of recent demand.
+    #[serde(rename = "t")]
     pub started: u32,
     /// Idle credits after the returns of this message.
+    #[serde(rename = "i")]
     pub idle: u32,
     /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
+    #[serde(rename = "h")]
     pub has_demand: bool,
+    #[serde(rename = "d")]
     pub demand: Vec<DemandLine>,
+    #[serde(rename = "x")]
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
+    #[serde(rename = "p")]
     pub report: Option<Vec<HeldLine>>,
     /// Servers the entry has ejected and wants no credits of.
+    #[serde(rename = "a")]
     pub avoided: Vec<ServerKey>,
 }
 
 /// Message of the account holder to one entry. Without lines it only renews the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderMessage {
+    #[serde(rename = "e")]
     pub epoch: EpochNumber,
+    #[serde(rename = "s")]
     pub session: u64,
     /// Sequence of the newest message received; the lease runs from the time it was sent.
+    #[serde(rename = "k")]
     pub acknowledged: u64,
+    #[serde(rename = "l")]
     pub lease: Duration,
     /// Idle credits that the entry may keep until they are recalled.
+    #[serde(rename = "p")]
     pub keep: u32,
     /// Few slots are unused: credits above `keep` go back with the next message.
+    #[serde(rename = "c")]
     pub is_scarce: bool,
+    #[serde(rename = "g")]
     pub grants: Vec<CreditLine>,
+    #[serde(rename = "r")]
     pub recalls: Vec<RecallLine>,
 }
 
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -331,6 +331,7 @@
             session,
             availability_zone: self.context.availability_zone.clone(),
             installed: self.installed.revision(),
+            epoch: self.epoch,
             nonce,
         };
         self.hub.send(&to, WireMessage::RenewLease(request));
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -32,13 +32,13 @@
 const HANDSHAKE_TIME: Duration = Duration::from_secs(2);
 
 /// Interval of pings on a link.
-const PING_INTERVAL: Duration = Duration::from_millis(500);
+const PING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time without any pong after which a link is closed.
 ///
 /// Only a pong proves that both directions work; data alone also arrives when the other direction is
-/// cut.
-const PONG_TIMEOUT: Duration = Duration::from_secs(2);
+/// cut. A pong may be 1.5 s late.
+const PONG_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Bounds of the wait between two attempts to connect.
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -60,14 +60,22 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RenewLease {
     /// Entry that wants the lease.
+    #[serde(rename = "e")]
     pub entry: ProcessName,
     /// Random id of its process start.
+    #[serde(rename = "s")]
     pub session: u64,
     /// Availability zone of the entry.
+    #[serde(rename = "z")]
     pub availability_zone: ZoneName,
     /// Revision that it has installed.
+    #[serde(rename = "i")]
     pub installed: SettingsRevision,
+    /// Epoch of the list of live entries that it knows.
+    #[serde(rename = "p")]
+    pub epoch: EpochNumber,
     /// Echoed in the grant.
+    #[serde(rename = "n")]
     pub nonce: u64,
 }
 
@@ -75,18 +83,25 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct GrantLease {
     /// Entry that receives the lease.
+    #[serde(rename = "e")]
     pub entry: ProcessName,
     /// Control process that grants.
+    #[serde(rename = "l")]
     pub leader: ProcessName,
     /// Nonce of the request.
+    #[serde(rename = "n")]
     pub nonce: u64,
     /// Duration in milliseconds from the moment the entry sent the request.
+    #[serde(rename = "d")]
     pub lease_ms: u64,
     /// Epoch of the list of live entries.
+    #[serde(rename = "p")]
     pub epoch: EpochNumber,
-    /// Live entries.
+    /// Live entries; empty when the entry knows this epoch.
+    #[serde(rename = "v")]
     pub entries: Vec<LiveEntry>,
     /// Settings that the entry lacks.
+    #[serde(rename = "u")]
     pub update: Option<SettingsDelta>,
 }
 
@@ -136,28 +151,38 @@
     Lost,
 }
 
-/// All messages on links.
+/// All messages on links. Names are short on the wire, as most messages are small and frequent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum WireMessage {
     /// Introduces a process.
+    #[serde(rename = "h")]
     Hello(HelloMessage),
     /// Asks for a pong.
+    #[serde(rename = "p")]
     Ping,
     /// Answers a ping.
+    #[serde(rename = "q")]
     Pong,
     /// Consensus message between control processes.
+    #[serde(rename = "r")]
     Raft(Box<RaftMessage>),
     /// First formation of the control cluster.
+    #[serde(rename = "f")]
     Formation(FormationMessage),
     /// Entry to the control leader, directly or through a peer entry.
+    #[serde(rename = "l")]
     RenewLease(RenewLease),
     /// Control leader to an entry, on the path of the request.
+    #[serde(rename = "g")]
     GrantLease(Box<GrantLease>),
     /// Control process that is not leader, to an entry.
+    #[serde(rename = "n")]
     NotLeader(Option<ProcessName>),
     /// Control leader to entries: settings that were just committed.
+    #[serde(rename = "s")]
     Settings(Box<SettingsDelta>),
     /// Entry to the control leader: a revision is in force.
+    #[serde(rename = "i")]
     Installed {
         /// Random id of the entry's process start.
         session: u64,
@@ -165,28 +190,39 @@
         revision: SettingsRevision,
     },
     /// Servers as announced to the sending entry, to all processes.
+    #[serde(rename = "a")]
     Announce(Vec<RelayedAnnouncement>),
     /// Packed heartbeats that changed only sequence and load, to all processes.
+    #[serde(rename = "b")]
     Heartbeats(#[serde(with = "serde_bytes")] Vec<u8>),
     /// Asks a peer for servers that the sender lacks.
+    #[serde(rename = "u")]
     DirectoryRequest(DirectoryRequest),
     /// Servers that the receiving process lacks.
+    #[serde(rename = "v")]
     DirectoryAnswer(Vec<RelayedAnnouncement>),
     /// Entry to the account holder of a service.
+    #[serde(rename = "c")]
     CreditRequest {
         /// Service of the account.
+        #[serde(rename = "s")]
         service: ServiceKey,
         /// Demand, returns and reports.
+        #[serde(rename = "m")]
         message: EntryMessage,
     },
     /// Account holder to an entry.
+    #[serde(rename = "d")]
     CreditGrant {
         /// Service of the account.
+        #[serde(rename = "s")]
         service: ServiceKey,
         /// Grants and recalls.
+        #[serde(rename = "m")]
         message: HolderMessage,
     },
     /// Entry to a control process.
+    #[serde(rename = "k")]
     ClaimCall {
         /// Number for the reply.
         call: u64,
@@ -196,10 +232,13 @@
         body: ClaimCall,
     },
     /// Control process to an entry.
+    #[serde(rename = "m")]
     ClaimReply(ClaimReply),
     /// Settings leader to control processes: sessions of entries with a live lease.
+    #[serde(rename = "e")]
     LiveSessions(Vec<(ProcessName, u64)>),
     /// Entry to the control leader: it stops.
+    #[serde(rename = "x")]
     Leaving {
         /// Random id of the entry's process start.
         session: u64,
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -21,6 +21,7 @@
         session,
         availability_zone: "a".into(),
         installed,
+        epoch: 0,
         nonce: 1,
     })
 }
@@ -451,6 +452,7 @@
             session: state.session,
             availability_zone: "a".into(),
             installed: state.installed,
+            epoch: 0,
             nonce: action.nonce,
         };
         let control = control.unwrap_or(self.leader);
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -13,6 +13,7 @@
         session: 1,
         availability_zone: "a".into(),
         installed: 0,
+        epoch: 0,
         nonce,
     })
 }
