Pause servers that just failed a request

Cause: a freed credit of a server that fails fast was the next free one, so the server attracted work by being quick. Change: after a failure the wallet starts nothing on the server for 2 ms, doubled up to 16 ms by further failures, and sends the credit back; the holder does not grant the server for the same kind of time. No pause when over 30 percent of all answers of the service fail. New scenario flaky: one server fails every fifth request at once. Ruled out: keeping the credit idle in the wallet; a recall would hand it to another entry.

--- a/examples/policy_bench/main.rs
+++ b/examples/policy_bench/main.rs
@@ -340,7 +340,7 @@
         if server == 0 && is_slow {
             seconds *= 5.0;
         }
-        if self.is_failing(server) {
+        if self.is_failing(server, work) {
             seconds = 0.001;
         }
         self.at((seconds * 1e9) as u64, Event::Finish { server, work });
@@ -349,15 +349,19 @@
     /// The ideal never uses a failing server; it does not know that a straggler is slow.
     fn ideal_server(&self) -> Option<usize> {
         let is_free = |index: &usize| self.servers[*index].running < SLOTS;
-        (0..SERVERS).find(|index| is_free(index) && !self.is_failing(*index))
+        (0..SERVERS).find(|index| is_free(index) && !self.is_failing(*index, 0))
     }
 
-    fn is_failing(&self, server: usize) -> bool {
-        server == 0 && self.scenario == Scenario::FailFast
+    fn is_failing(&self, server: usize, work: usize) -> bool {
+        match self.scenario {
+            Scenario::FailFast => server == 0,
+            Scenario::Flaky => server == 0 && work.is_multiple_of(5),
+            _ => false,
+        }
     }
 
     fn finish(&mut self, server: usize, work: usize) {
-        let failed = self.is_failing(server);
+        let failed = self.is_failing(server, work);
         self.servers[server].running -= 1;
         if let Some(next) = self.servers[server].queue.pop_front() {
             self.send(server, next);
--- a/examples/policy_bench/scenario.rs
+++ b/examples/policy_bench/scenario.rs
@@ -11,15 +11,18 @@
     /// The straggler becomes slow at `ONSET`.
     Onset,
     FailFast,
+    /// One server fails every fifth request at once.
+    Flaky,
 }
 
-pub(crate) const SCENARIOS: [(&str, Scenario); 6] = [
+pub(crate) const SCENARIOS: [(&str, Scenario); 7] = [
     ("light", Scenario::Light),
     ("steady", Scenario::Steady),
     ("swing", Scenario::Swing),
     ("straggler", Scenario::Straggler),
     ("onset", Scenario::Onset),
     ("fail_fast", Scenario::FailFast),
+    ("flaky", Scenario::Flaky),
 ];
 
 pub(crate) struct Arrival {
--- a/src/credit/account_health.rs
+++ b/src/credit/account_health.rs
@@ -4,7 +4,7 @@
 
 use super::account::AccountBook;
 use super::account_state::{EntryStanding, ServerAccount};
-use super::{OutcomeLine, ServerKey, SuspectLine};
+use super::{FIRST_PAUSE, LONGEST_PAUSE, OutcomeLine, ServerKey, SuspectLine};
 use crate::ids::ProcessName;
 
 /// Bound of the servers that one entry may suspect.
@@ -25,6 +25,9 @@
 /// A server that stayed open for this many of its last periods starts again with the first one.
 const FORGIVING_PERIODS: u32 = 10;
 
+/// Failures further apart than this count as single ones.
+const PAUSE_MEMORY: Duration = Duration::from_millis(50);
+
 /// An answer that failed outweighs this many good answers of a server on probe.
 const FAILED_WEIGHT: u32 = 2;
 
@@ -105,6 +108,20 @@
     }
 }
 
+impl ServerAccount {
+    /// Good answers are not reported, so a time without failures ends the growth of the pauses.
+    fn note_pause(&mut self, now: Instant, failed: u32) {
+        if failed == 0 {
+            return;
+        }
+        let is_repeated = self.failed_at.is_some_and(|at| now < at + PAUSE_MEMORY);
+        let pause = if is_repeated { self.pause * 2 } else { FIRST_PAUSE };
+        self.pause = pause.min(LONGEST_PAUSE);
+        self.failed_at = Some(now);
+        self.paused_until = Some(now + self.pause);
+    }
+}
+
 impl AccountBook {
     /// Servers that get fewer slots than they have because of their answers.
     pub fn capped(&self) -> Vec<ServerKey> {
@@ -195,14 +212,18 @@
             let Some(account) = self.servers.get_mut(&line.server) else {
                 continue;
             };
+            account.note_pause(now, line.failed);
             account.cap.note(now, line, account.limit);
             account.apply_cap();
         }
     }
 
-    /// Starts probes of servers whose period is over.
+    /// Starts probes of servers whose period is over, and ends pauses.
     pub(super) fn start_probes(&mut self, now: Instant) {
         for account in self.servers.values_mut() {
+            if account.paused_until.is_some_and(|until| now >= until) {
+                account.paused_until = None;
+            }
             let CapPhase::Closed { until } = account.cap.phase else {
                 continue;
             };
--- a/src/credit/account_state.rs
+++ b/src/credit/account_state.rs
@@ -1,7 +1,7 @@
 //! What an account knows about one entry and one server.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::account_health::{HealthCap, SuspectEntry};
 use super::{CREDIT_LEASE, HolderMessage, ServerKey, WorkClass};
@@ -62,6 +62,10 @@
     /// Slots that may be granted now: the limit, or less while the server is capped.
     pub(super) slots: u32,
     pub(super) cap: HealthCap,
+    /// No grants until the pause after a failure ends.
+    pub(super) paused_until: Option<Instant>,
+    pub(super) pause: Duration,
+    pub(super) failed_at: Option<Instant>,
     pub(super) outstanding: u32,
     pub(super) long_outstanding: u32,
     pub(super) recall_sent: Option<Instant>,
@@ -153,8 +157,18 @@
     pub(super) fn empty() -> Self {
         let zone = "".into();
         let cap = HealthCap::default();
-        let (outstanding, long_outstanding, recall_sent) = (0, 0, None);
-        Self { zone, limit: 0, slots: 0, cap, outstanding, long_outstanding, recall_sent }
+        Self {
+            zone,
+            limit: 0,
+            slots: 0,
+            cap,
+            paused_until: None,
+            pause: Duration::ZERO,
+            failed_at: None,
+            outstanding: 0,
+            long_outstanding: 0,
+            recall_sent: None,
+        }
     }
 
     pub(super) fn apply_cap(&mut self) {
@@ -171,6 +185,9 @@
     }
 
     pub(super) fn free(&self, class: WorkClass, long_percent: u32) -> u32 {
+        if self.paused_until.is_some() {
+            return 0;
+        }
         if class == WorkClass::Short {
             return self.unused();
         }
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -31,6 +31,11 @@
 /// the lease covers clock drift between two VMs.
 pub const LEASE_WITH_DRIFT: Duration = Duration::from_millis(2200);
 
+/// A server that failed a request gets no new work for this long, and twice as long after each
+/// further failure; otherwise it would attract work by failing fast.
+const FIRST_PAUSE: Duration = Duration::from_millis(2);
+const LONGEST_PAUSE: Duration = Duration::from_millis(16);
+
 /// Class of work. Part of each server's slots is reserved for short work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum WorkClass {
@@ -106,9 +111,11 @@
     Neutral,
     Slow,
     Failed,
+    /// Failed while many answers of the whole service fail; says nothing about this server.
+    CommonFailure,
 }
 
-/// Answers of a server that the holder has put on probe.
+/// Answers of a server on probe, and failed answers of any server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeLine {
     pub server: ServerKey,
@@ -142,7 +149,7 @@
     /// Servers whose answers look bad to the entry now; replaces the earlier statement.
     #[serde(default)]
     pub suspects: Vec<SuspectLine>,
-    /// Answers on probe credits since the previous message.
+    /// Answers on probe credits and failed answers since the previous message.
     #[serde(default)]
     pub outcomes: Vec<OutcomeLine>,
 }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -168,7 +168,8 @@
 
     /// Takes a slot for a request that may start now; `None` means that it has to wait.
     ///
-    /// Excluded servers are used only when no other server has a slot, avoided servers never.
+    /// Excluded servers are used only when no other server has a slot; avoided servers never, and
+    /// servers that just failed not until their pause ends.
     pub fn acquire(
         &mut self,
         now: Instant,
@@ -182,7 +183,7 @@
         let mut best = None;
         for (position, server) in self.servers.iter().enumerate() {
             let free = server.free(self.mode, class);
-            if free == 0 || server.is_closed() {
+            if free == 0 || server.is_closed() || server.is_paused(now) {
                 continue;
             }
             let is_excluded = excluded.contains(&server.server);
@@ -214,14 +215,15 @@
         };
         let server = &mut self.servers[position];
         server.in_use[class] = server.in_use[class].saturating_sub(1);
+        server.note_pause(now, verdict);
         if self.mode == WalletMode::OwnCount {
             // A report on the way counts this request; the return corrects it after the answer.
             server.returning[class] += u32::from(self.has_session);
             self.has_returns |= self.has_session;
             return;
         }
-        let is_probe = server.end_probe(verdict);
-        let is_owed = server.owed > 0 || server.is_closed() || is_probe;
+        let goes_back = server.note_outcome(verdict);
+        let is_owed = server.owed > 0 || server.is_closed() || goes_back;
         let is_owed_any = self.owed_any > 0 && now < self.owed_until;
         if is_owed || is_owed_any {
             server.owed = server.owed.saturating_sub(1);
--- a/src/credit/wallet_state.rs
+++ b/src/credit/wallet_state.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::wallet::WaitingWork;
-use super::{AnswerVerdict, DemandLine, OutcomeLine, ServerKey, WorkClass};
+use super::{
+    AnswerVerdict, DemandLine, FIRST_PAUSE, LONGEST_PAUSE, OutcomeLine, ServerKey, WorkClass,
+};
 
 #[derive(Debug)]
 pub(super) struct ServerCredits {
@@ -20,6 +22,9 @@
     /// Credits on probe; each goes back after one request.
     pub(super) probes: u32,
     pub(super) outcome: Option<OutcomeLine>,
+    /// Length of the last pause after a failure; zero after any other answer.
+    pause: Duration,
+    paused_until: Option<Instant>,
     /// Credits in use that go back when their request finishes.
     pub(super) owed: u32,
 }
@@ -46,6 +51,8 @@
             returning: [0; 2],
             probes: 0,
             outcome: None,
+            pause: Duration::ZERO,
+            paused_until: None,
             owed: 0,
         }
     }
@@ -55,12 +62,29 @@
         self.draining || self.avoided
     }
 
-    /// Counts the end of a request on a probe credit. Returns whether it was one.
-    pub(super) fn end_probe(&mut self, verdict: Option<AnswerVerdict>) -> bool {
-        if self.probes == 0 {
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| now < until)
+    }
+
+    /// Starts a pause after a failure; any other answer ends the growth of the pauses.
+    pub(super) fn note_pause(&mut self, now: Instant, verdict: Option<AnswerVerdict>) {
+        match verdict {
+            Some(AnswerVerdict::Failed) => {
+                self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+                self.paused_until = Some(now + self.pause);
+            }
+            Some(_) => self.pause = Duration::ZERO,
+            None => (),
+        }
+    }
+
+    /// Counts an answer on a probe credit and any failed one. Returns whether the credit goes
+    /// back to the holder.
+    pub(super) fn note_outcome(&mut self, verdict: Option<AnswerVerdict>) -> bool {
+        if self.probes == 0 && verdict != Some(AnswerVerdict::Failed) {
             return false;
         }
-        self.probes -= 1;
+        self.probes = self.probes.saturating_sub(1);
         let server = self.server;
         let empty = OutcomeLine { server, good: 0, slow: 0, failed: 0 };
         let outcome = self.outcome.get_or_insert(empty);
@@ -68,7 +92,7 @@
             Some(AnswerVerdict::Good) => outcome.good += 1,
             Some(AnswerVerdict::Slow) => outcome.slow += 1,
             Some(AnswerVerdict::Failed) => outcome.failed += 1,
-            Some(AnswerVerdict::Neutral) | None => (),
+            Some(AnswerVerdict::Neutral | AnswerVerdict::CommonFailure) | None => (),
         }
         true
     }
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -47,6 +47,9 @@
 /// half of the limit in under one percent of the time; a failure alone is 35 percent.
 const REPORTED_LATENCY: f64 = 0.5;
 const REPORTED_FAILURE: f64 = 0.3;
+/// With more failures than this in the whole service, a failure is no sign against one server;
+/// pauses would then only slow down a service that fails as a whole.
+const COMMON_FAILURE_RATE: f64 = 0.3;
 /// Deviations that make an answer good or slow for a server on probe.
 const GOOD_DEVIATION: f64 = 0.5;
 const SLOW_DEVIATION: f64 = 1.5;
@@ -217,7 +220,8 @@
         failed: bool,
     ) -> AnswerVerdict {
         if failed {
-            return AnswerVerdict::Failed;
+            let is_common = self.classes[class.index()].failure_rate > COMMON_FAILURE_RATE;
+            return if is_common { AnswerVerdict::CommonFailure } else { AnswerVerdict::Failed };
         }
         let deviation = self.classes[class.index()].deviation(log_latency(now, sent));
         match deviation {
--- a/tests/credit_health.rs
+++ b/tests/credit_health.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::credit::{
-    AccountBook, AccountEvent, AccountSettings, CreditLine, DemandLine, EntryMessage,
-    HolderMessage, LiveEntry, OutcomeLine, ServerLimit, SuspectLine, SuspectReason, WorkClass,
+    AccountBook, AccountEvent, AccountSettings, AnswerVerdict, CreditLine, CreditWallet,
+    DemandLine, EntryMessage, HolderMessage, LiveEntry, OutcomeLine, ServerLimit, SuspectLine,
+    SuspectReason, WalletEvent, WalletServer, WalletSettings, WorkClass,
 };
-use curranthollow::ids::ProcessName;
+use curranthollow::ids::{ProcessName, ZoneName};
 use yare::parameterized;
 
 const SLOTS: u32 = 6;
@@ -193,3 +194,43 @@
     world.wait(800);
     assert_eq!(world.ask(2), 0);
 }
+
+/// Guards against a server that attracts work by failing faster than others answer.
+#[parameterized(
+    failed = { AnswerVerdict::Failed, true },
+    good = { AnswerVerdict::Good, false },
+    all_servers_fail = { AnswerVerdict::CommonFailure, false },
+)]
+fn wallet_pauses_server_after_failure(verdict: AnswerVerdict, pauses: bool) {
+    let mut now = Instant::now();
+    let zone: ZoneName = "zone".into();
+    let mut wallet = CreditWallet::new(now, name(0), zone.clone(), WalletSettings::default());
+    let server = WalletServer { server: 0, zone, slots: SLOTS, draining: false };
+    wallet.handle(now, WalletEvent::ServersChanged(vec![server]));
+    wallet.handle(now, WalletEvent::HolderChanged { epoch: 1, live: vec![name(0)] });
+    wallet.handle(now, WalletEvent::HolderUnreachable);
+    for pause in [2, 4, 8, 16, 16] {
+        let credit = wallet.acquire(now, WorkClass::Short, &[]).expect("a slot is free");
+        wallet.finish(now, credit, verdict);
+        now += Duration::from_millis(pause - 1);
+        let credit = wallet.acquire(now, WorkClass::Short, &[]);
+        assert_eq!(credit.is_none(), pauses);
+        if let Some(credit) = credit {
+            wallet.release(now, credit);
+        }
+        now += Duration::from_millis(1);
+    }
+}
+
+/// Guards against a holder that grants the credit of a failed request again at once.
+#[test]
+fn holder_pauses_server_after_failure() {
+    let mut world = HealthWorld::new(3, 2);
+    assert_eq!(world.ask(2), SLOTS);
+    world.answer(2, 0, 1);
+    assert_eq!(world.ask(1), 0);
+    world.wait(1);
+    assert_eq!(world.ask(1), 0);
+    world.wait(1);
+    assert_eq!(world.ask(1), 1);
+}
