Measure short work beside uploads and the fairness of long credits

Scenarios short_only, uploads (long requests of 2 s, 30 % of capacity, beside short work of 55 %) and uploads_uneven (long work asks for 60 %, half of it at entry 0); rows show bytes per request as well. The types of servers and entries move to fleet.rs.

--- a/examples/policy_bench/main.rs
+++ b/examples/policy_bench/main.rs
@@ -5,6 +5,7 @@
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
+mod fleet;
 mod options;
 mod scenario;
 mod table;
@@ -14,16 +15,15 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::credit::{
-    AccountBook, AccountEvent, CreditWallet, EntryMessage, HolderMessage, LiveEntry, ServerKey,
-    ServerLimit, WalletEvent, WorkClass, server_key,
+    AccountBook, AccountEvent, EntryMessage, HolderMessage, LiveEntry, ServerKey, ServerLimit,
+    WalletEvent, WorkClass, server_key,
 };
-use curranthollow::ids::ProcessName;
 use curranthollow::route::{
-    AdmissionQueue, AdmissionSettings, HealthSettings, PickOutcome, PickedServer, PoolServer,
-    PoolSettings, RoutePolicy, ServerPool,
+    AdmissionQueue, AdmissionSettings, PickOutcome, PickedServer, RoutePolicy,
 };
 
-use options::{account_settings, option, wallet_settings};
+use fleet::{Entry, Server, zone};
+use options::{account_settings, option};
 use scenario::{Arrival, SCENARIOS, Scenario};
 use table::print_row;
 
@@ -43,6 +43,7 @@
 /// Ends of the windows after the onset over which the straggler's work is counted, in seconds.
 const ONSET_WINDOWS: [f64; 3] = [0.03, 0.1, 0.3];
 const DEADLINE: Duration = Duration::from_millis(500);
+const LONG_DEADLINE: Duration = Duration::from_secs(10);
 const SHORT: WorkClass = WorkClass::Short;
 
 /// `None` is the ideal shared queue.
@@ -69,24 +70,15 @@
     Report,
 }
 
-struct Server {
-    key: ServerKey,
-    running: u32,
-    queue: VecDeque<usize>,
-    most: u32,
-}
-
-struct Entry {
-    name: ProcessName,
-    pool: ServerPool,
-    wallet: CreditWallet,
-    queue: AdmissionQueue<usize>,
-}
-
 #[derive(Default, Clone)]
 struct Outcome {
     latencies: Vec<f64>,
     waits: Vec<f64>,
+    /// Waits of long work of entry 0 and of the others.
+    long_waits: [Vec<f64>; 2],
+    long_offered: u64,
+    long_done: u64,
+    bytes: u64,
     /// Starts on the straggler and on all servers, per window after the onset.
     onset_starts: [(u32, u32); 3],
     good: u64,
@@ -222,6 +214,7 @@
             let index = self.entries.iter().position(|entry| entry.name == action.entry);
             let index = index.expect("actions name known entries");
             self.outcome.messages += 1;
+            self.outcome.bytes += u64::from(action.message.wire_bytes());
             self.at(MESSAGE_DELAY, Event::ToEntry(index, action.message));
         }
     }
@@ -230,6 +223,7 @@
         let now = self.instant();
         if let Some(message) = self.entries[index].wallet.handle(now, event) {
             self.outcome.messages += 1;
+            self.outcome.bytes += u64::from(message.wire_bytes());
             self.at(MESSAGE_DELAY, Event::ToHolder(index, message));
         }
     }
@@ -262,17 +256,20 @@
             self.at(delay, Event::Arrive(work + 1));
         }
         self.outcome.requests += 1;
+        let is_long = arrival.class == WorkClass::Long && self.scenario.is_measured(arrival.at);
+        self.outcome.long_offered += u64::from(is_long);
         let now = self.instant();
         let index = arrival.entry;
         let queue = match self.policy {
             Some(_) => &mut self.entries[index].queue,
             None => &mut self.shared,
         };
-        let is_queued = queue.offer(now, SHORT, work, Some(now + DEADLINE)).is_ok();
+        let deadline = Some(now + deadline(arrival.class));
+        let is_queued = queue.offer(now, arrival.class, work, deadline).is_ok();
         self.outcome.refused += u64::from(!is_queued);
         self.start_waiting(index);
         let waiting = self.entries[index].queue.waiting();
-        if self.policy == Some(RoutePolicy::Credits) && waiting[0].count > 0 {
+        if self.policy == Some(RoutePolicy::Credits) && waiting.iter().any(|work| work.count > 0) {
             self.feed_wallet(index, WalletEvent::Tick(waiting));
         }
     }
@@ -282,7 +279,9 @@
         let mut expired = Vec::new();
         if self.policy.is_none() {
             while let Some(server) = self.ideal_server() {
-                let Some(work) = self.shared.take(now, SHORT, &mut expired) else {
+                let short = self.shared.take(now, SHORT, &mut expired);
+                let work = short.or_else(|| self.shared.take(now, WorkClass::Long, &mut expired));
+                let Some(work) = work else {
                     break;
                 };
                 self.start_work(server, work);
@@ -290,16 +289,24 @@
             self.outcome.refused += expired.len() as u64;
             return;
         }
-        while self.entries[index].queue.len(SHORT) > 0 {
+        for class in WorkClass::ALL {
+            self.start_class(index, class, &mut expired);
+        }
+        self.outcome.refused += expired.len() as u64;
+    }
+
+    fn start_class(&mut self, index: usize, class: WorkClass, expired: &mut Vec<usize>) {
+        let now = self.instant();
+        while self.entries[index].queue.len(class) > 0 {
             let entry = &mut self.entries[index];
             let started = Instant::now();
-            let outcome = entry.pool.pick(now, SHORT, &[], &mut entry.wallet);
+            let outcome = entry.pool.pick(now, class, &[], &mut entry.wallet);
             self.outcome.decision_time += started.elapsed();
             self.outcome.decisions += 1;
             let PickOutcome::Start(picked) = outcome else {
                 break;
             };
-            let Some(work) = entry.queue.take(now, SHORT, &mut expired) else {
+            let Some(work) = entry.queue.take(now, class, expired) else {
                 entry.pool.cancel(now, picked, &mut entry.wallet);
                 break;
             };
@@ -307,13 +314,17 @@
             self.picked.insert(work, picked);
             self.start_work(server.expect("picks name known servers"), work);
         }
-        self.outcome.refused += expired.len() as u64;
     }
 
     fn start_work(&mut self, server: usize, work: usize) {
         let at = self.now as f64 / 1e9;
+        let arrival = &self.arrivals[work];
         if self.scenario.is_measured(at) {
-            self.outcome.waits.push(at - self.arrivals[work].at);
+            let waits = match arrival.class {
+                WorkClass::Short => &mut self.outcome.waits,
+                WorkClass::Long => &mut self.outcome.long_waits[usize::from(arrival.entry > 0)],
+            };
+            waits.push(at - arrival.at);
         }
         let window = ONSET_WINDOWS.iter().position(|end| at - ONSET < *end);
         if let Some(window) = window.filter(|_| at >= ONSET) {
@@ -369,29 +380,32 @@
         let arrival = &self.arrivals[work];
         let (at, index) = (self.now as f64 / 1e9, arrival.entry);
         let latency = at - arrival.at;
-        self.note(at, latency, failed);
+        let class = arrival.class;
+        self.note(at, class, latency, failed);
         let now = self.instant();
         if let Some(picked) = self.picked.remove(&work) {
             let entry = &mut self.entries[index];
-            entry.queue.note_service(SHORT, now.saturating_duration_since(picked.sent));
+            entry.queue.note_service(class, now.saturating_duration_since(picked.sent));
             let started = Instant::now();
             entry.pool.finish(now, picked, failed, &mut entry.wallet);
             self.outcome.decision_time += started.elapsed();
             self.outcome.decisions += 1;
         } else {
-            self.shared.note_service(SHORT, Duration::from_secs_f64(arrival.service));
+            self.shared.note_service(class, Duration::from_secs_f64(arrival.service));
         }
         self.start_waiting(index);
     }
 
-    fn note(&mut self, at: f64, latency: f64, failed: bool) {
+    fn note(&mut self, at: f64, class: WorkClass, latency: f64, failed: bool) {
         if failed {
             self.outcome.failed += 1;
             return;
         }
-        let is_late = latency > DEADLINE.as_secs_f64();
+        let is_late = latency > deadline(class).as_secs_f64();
         self.outcome.late += u64::from(is_late);
-        if self.scenario.is_measured(at) {
+        if self.scenario.is_measured(at) && class == WorkClass::Long {
+            self.outcome.long_done += u64::from(!is_late);
+        } else if self.scenario.is_measured(at) {
             self.outcome.latencies.push(latency);
             self.outcome.good += u64::from(!is_late);
         }
@@ -435,40 +449,13 @@
     }
 }
 
-impl Entry {
-    fn new(
-        index: usize,
-        policy: Option<RoutePolicy>,
-        servers: &[Server],
-        now: Instant,
-        seed: u64,
-    ) -> Self {
-        let name: ProcessName = format!("entry-{index}").into();
-        let settings = PoolSettings {
-            policy: policy.unwrap_or(RoutePolicy::Random),
-            slow_start: Duration::from_secs(2),
-            health: HealthSettings::default(),
-        };
-        let mut pool = ServerPool::new(zone(index), settings, seed * 100 + index as u64);
-        let mut list = Vec::new();
-        for (position, server) in servers.iter().enumerate() {
-            let (server, zone) = (server.key, zone(position));
-            let (slots, connections, draining) = (SLOTS, 220, false);
-            let ready_since = None;
-            list.push(PoolServer { server, zone, slots, connections, ready_since, draining });
-        }
-        pool.set_servers(list, ENTRIES as u32);
-        let settings = wallet_settings();
-        let mut wallet = CreditWallet::new(now, name.clone(), zone(index), settings);
-        wallet.handle(now, WalletEvent::ServersChanged(pool.wallet_servers(now)));
-        Self { name, pool, wallet, queue: AdmissionQueue::new(AdmissionSettings::default()) }
+fn deadline(class: WorkClass) -> Duration {
+    match class {
+        WorkClass::Short => DEADLINE,
+        WorkClass::Long => LONG_DEADLINE,
     }
 }
 
-fn zone(index: usize) -> Box<str> {
-    format!("zone-{}", index % 3).into()
-}
-
 fn main() {
     let sigma = option("--sigma").map_or(1.0, |text| text.parse().expect("sigma is a number"));
     let seeds = option("--seeds").unwrap_or_else(|| "1,2,3".to_owned());
@@ -489,6 +476,9 @@
                 let mut outcome = Run::new(scenario, policy, &arrivals, seed).run();
                 outcome.latencies.sort_by(f64::total_cmp);
                 outcome.waits.sort_by(f64::total_cmp);
+                for waits in &mut outcome.long_waits {
+                    waits.sort_by(f64::total_cmp);
+                }
                 outcomes.push(outcome);
             }
             print_row(scenario_name, name, scenario, &outcomes);
--- a/examples/policy_bench/scenario.rs
+++ b/examples/policy_bench/scenario.rs
@@ -1,5 +1,7 @@
 //! Recorded arrivals and service times.
 
+use curranthollow::credit::WorkClass;
+
 use crate::{CAPACITY, ENTRIES, MEAN_SERVICE, RUN, WARM_UP};
 
 #[derive(Clone, Copy, PartialEq)]
@@ -13,9 +15,18 @@
     FailFast,
     /// One server fails every fifth request at once.
     Flaky,
+    /// The short work of `Uploads` alone.
+    ShortOnly,
+    /// Long work with 30 % of capacity beside short work with 55 %.
+    Uploads,
+    /// As `Uploads`, but long work asks for more than it may have, half of it at entry 0.
+    UploadsUneven,
 }
 
-pub(crate) const SCENARIOS: [(&str, Scenario); 7] = [
+/// Service time of long work, in seconds.
+const LONG_SERVICE: f64 = 2.0;
+
+pub(crate) const SCENARIOS: [(&str, Scenario); 10] = [
     ("light", Scenario::Light),
     ("steady", Scenario::Steady),
     ("swing", Scenario::Swing),
@@ -23,12 +34,16 @@
     ("onset", Scenario::Onset),
     ("fail_fast", Scenario::FailFast),
     ("flaky", Scenario::Flaky),
+    ("short_only", Scenario::ShortOnly),
+    ("uploads", Scenario::Uploads),
+    ("uploads_uneven", Scenario::UploadsUneven),
 ];
 
 pub(crate) struct Arrival {
     pub(crate) at: f64,
     pub(crate) entry: usize,
     pub(crate) service: f64,
+    pub(crate) class: WorkClass,
 }
 
 impl Scenario {
@@ -37,6 +52,7 @@
     fn load(self, at: f64) -> f64 {
         match self {
             Self::Light => return 0.4,
+            Self::ShortOnly | Self::Uploads | Self::UploadsUneven => return 0.55,
             Self::Swing => {}
             _ => return 0.85,
         }
@@ -52,7 +68,13 @@
     /// Whether `at` is in the part of the run over which goodput is measured.
     pub(crate) fn is_measured(self, at: f64) -> bool {
         let phase = (at - WARM_UP).rem_euclid(3.0);
-        at >= WARM_UP && (self != Self::Swing || (1.05..2.0).contains(&phase))
+        // Long work needs its service time more to fill its slots.
+        let start = if self.long_load() > 0.0 || self == Self::ShortOnly {
+            WARM_UP + LONG_SERVICE
+        } else {
+            WARM_UP
+        };
+        at >= start && (self != Self::Swing || (1.05..2.0).contains(&phase))
     }
 
     pub(crate) fn measured_seconds(self) -> f64 {
@@ -61,6 +83,27 @@
         count as f64 / 1000.0
     }
 
+    /// Demand of long work as a part of capacity.
+    fn long_load(self) -> f64 {
+        match self {
+            Self::Uploads => 0.3,
+            Self::UploadsUneven => 0.6,
+            _ => 0.0,
+        }
+    }
+
+    fn add_long(self, arrivals: &mut Vec<Arrival>, random: &mut fastrand::Rng) {
+        let rate = self.long_load() * CAPACITY * MEAN_SERVICE / LONG_SERVICE;
+        let mut at = 0.0;
+        while rate > 0.0 && at < RUN {
+            at -= (1.0 - random.f64()).ln() / rate;
+            let is_first = self == Self::UploadsUneven && random.bool();
+            let entry = if is_first { 0 } else { random.usize(..ENTRIES) };
+            arrivals.push(Arrival { at, entry, service: LONG_SERVICE, class: WorkClass::Long });
+        }
+        arrivals.sort_by(|first, second| first.at.total_cmp(&second.at));
+    }
+
     pub(crate) fn record(self, seed: u64, sigma: f64) -> Vec<Arrival> {
         let mut random = fastrand::Rng::with_seed(seed);
         let mut arrivals = Vec::new();
@@ -74,8 +117,10 @@
             let (first, second) = (1.0 - random.f64(), random.f64());
             let normal = (-2.0 * first.ln()).sqrt() * (std::f64::consts::TAU * second).cos();
             let service = MEAN_SERVICE * (sigma * normal - sigma * sigma / 2.0).exp();
-            arrivals.push(Arrival { at, entry: random.usize(..ENTRIES), service });
+            let (entry, class) = (random.usize(..ENTRIES), WorkClass::Short);
+            arrivals.push(Arrival { at, entry, service, class });
         }
+        self.add_long(&mut arrivals, &mut random);
         arrivals
     }
 }
