Send long credits back after each use

Cause: an entry kept a freed long credit for its own younger work, and short work used credits that were granted for waiting long work. Change: a credit for long work goes back to the holder after each use, which grants it to the oldest waiting work; short work uses a long credit only when no long work waits in that entry.

--- a/examples/policy_bench/scenario.rs
+++ b/examples/policy_bench/scenario.rs
@@ -19,7 +19,8 @@
     ShortOnly,
     /// Long work with 30 % of capacity beside short work with 55 %.
     Uploads,
-    /// As `Uploads`, but long work asks for more than it may have, half of it at entry 0.
+    /// Short work with 40 % of capacity beside long work that asks for 60 % and may have half;
+    /// entry 0 gets half of the long work.
     UploadsUneven,
 }
 
@@ -52,7 +53,8 @@
     fn load(self, at: f64) -> f64 {
         match self {
             Self::Light => return 0.4,
-            Self::ShortOnly | Self::Uploads | Self::UploadsUneven => return 0.55,
+            Self::ShortOnly | Self::Uploads => return 0.55,
+            Self::UploadsUneven => return 0.4,
             Self::Swing => {}
             _ => return 0.85,
         }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -125,6 +125,8 @@
     pub(super) owed_until: Instant,
     pub(super) last_sent: Option<Instant>,
     pub(super) last_demand: [u32; 2],
+    /// Long work that waited at the last tick, less what has started since.
+    pub(super) waiting_long: u32,
     pub(super) has_returns: bool,
     pub(super) suspects: Vec<SuspectLine>,
     /// A suspicion is new or has grown since the last message.
@@ -160,6 +162,7 @@
             owed_until: now,
             last_sent: None,
             last_demand: [0; 2],
+            waiting_long: 0,
             has_returns: false,
             suspects: Vec::new(),
             has_news: false,
@@ -182,7 +185,7 @@
         }
         let mut best = None;
         for (position, server) in self.servers.iter().enumerate() {
-            let free = server.free(self.mode, class);
+            let free = server.free(self.mode, class, self.waiting_long > 0);
             if free == 0 || server.is_closed() || server.is_paused(now) {
                 continue;
             }
@@ -223,6 +226,9 @@
             return;
         }
         let goes_back = server.note_outcome(verdict);
+        // The holder grants it to the oldest waiting work of all entries. The way there and back
+        // is short beside the time for which long work holds a slot.
+        let goes_back = goes_back || credit.class == WorkClass::Long;
         let is_owed = server.owed > 0 || server.is_closed() || goes_back;
         let is_owed_any = self.owed_any > 0 && now < self.owed_until;
         if is_owed || is_owed_any {
@@ -286,6 +292,8 @@
     fn start(&mut self, position: usize, class: WorkClass) -> HeldCredit {
         let server = &mut self.servers[position];
         self.started = self.started.saturating_add(1);
+        let is_long = class == WorkClass::Long;
+        self.waiting_long = self.waiting_long.saturating_sub(u32::from(is_long));
         let mut used = class;
         if self.mode == WalletMode::Credits {
             // A credit for long work also carries short work, never the other way round.
--- a/src/credit/wallet_report.rs
+++ b/src/credit/wallet_report.rs
@@ -74,6 +74,7 @@
     }
 
     pub(super) fn tick(&mut self, now: Instant, waiting: [WaitingWork; 2]) -> Option<EntryMessage> {
+        self.waiting_long = waiting[WorkClass::Long.index()].count;
         if !self.is_linked {
             return None;
         }
--- a/src/credit/wallet_state.rs
+++ b/src/credit/wallet_state.rs
@@ -105,11 +105,14 @@
         self.running() + self.idle.iter().sum::<u32>() + self.returning.iter().sum::<u32>() == 0
     }
 
-    pub(super) fn free(&self, mode: WalletMode, class: WorkClass) -> u32 {
+    /// Slots for a request. The holder grants credits for long work by the age of that work, so
+    /// short work uses them only when no long work waits here.
+    pub(super) fn free(&self, mode: WalletMode, class: WorkClass, has_waiting_long: bool) -> u32 {
         if mode == WalletMode::OwnCount {
             return self.share.saturating_sub(self.running());
         }
         match class {
+            WorkClass::Short if has_waiting_long => self.idle[class.index()],
             WorkClass::Short => self.idle.iter().sum(),
             WorkClass::Long => self.idle[WorkClass::Long.index()],
         }
--- a/tests/credit.rs
+++ b/tests/credit.rs
@@ -488,6 +488,48 @@
     assert_eq!(world.entries[&ProcessName::from("entry-1")].running.len(), 6);
 }
 
+/// Guards against an entry that keeps long credits for its own younger work.
+#[test]
+fn long_credit_goes_to_oldest_work() {
+    let mut world = CreditWorld::new(29, 2, &[6, 6]);
+    let (first, second): (ProcessName, ProcessName) = ("entry-0".into(), "entry-1".into());
+    for _ in 0..6 {
+        world.request(&first, WorkClass::Long);
+    }
+    world.settle(50);
+    world.request(&second, WorkClass::Long);
+    world.settle(5);
+    for _ in 0..5 {
+        world.request(&first, WorkClass::Long);
+    }
+    world.finish(&first);
+    world.settle(5);
+    assert_eq!(world.entries[&second].running.len(), 1);
+    assert_eq!(world.entries[&first].running.len(), 5);
+}
+
+/// Guards against long work that never starts because short work uses the credits for it.
+#[test]
+fn short_work_leaves_credit_for_waiting_long_work() {
+    let mut world = CreditWorld::new(30, 1, &[4]);
+    let name: ProcessName = "entry-0".into();
+    for _ in 0..4 {
+        world.request(&name, WorkClass::Short);
+    }
+    world.settle(20);
+    world.request(&name, WorkClass::Long);
+    world.settle(2);
+    for _ in 0..4 {
+        world.request(&name, WorkClass::Short);
+    }
+    world.settle(2);
+    for _ in 0..4 {
+        world.finish(&name);
+        world.settle(5);
+    }
+    assert!(world.entries[&name].waiting[WorkClass::Long.index()].is_empty());
+}
+
 /// Guards against shares that add up to more or less than the limit.
 #[parameterized(
     fewer_slots = { 13, 6 },
