Ask every linked control process for a lease and follow redirects

Cause: one counter chose between a peer and a control process and also the control process. Peers took the even values, so with two linked control processes only the second one was ever asked. If the leader was the first one, the entry got no lease until the third control process came back. A redirect could not help: the redirected request counted as unanswered, so its renewal dropped the leader that the redirect had named.

Ruled out: the election (a leader 1.15 s after the death of the old one), the links (open), the confirmation rounds.

Change: peers and control processes have a counter each; an answer of any kind ends the wait for it; one redirect is followed at once per timeout.

--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -35,7 +35,14 @@
     next_nonce: u64,
     open: Vec<OpenRequest>,
     send_due: Instant,
-    attempt: usize,
+    /// The last request has had no answer of any kind.
+    awaits_answer: bool,
+    /// A redirect was followed at once since the last timeout, so the next one waits. Two processes
+    /// that name each other would otherwise be asked without a pause.
+    followed: bool,
+    /// Counted apart, so that each kind of path is tried in full turns.
+    control_turn: usize,
+    peer_turn: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -81,7 +88,10 @@
     /// Creates a client; `seed` sets the first nonce and the control process that is tried first.
     pub fn new(controls: Vec<ProcessName>, seed: u64, now: Instant) -> Self {
         Self {
-            attempt: usize::try_from(seed % 1024).unwrap_or_default(),
+            awaits_answer: false,
+            followed: false,
+            control_turn: usize::try_from(seed % 1024).unwrap_or_default(),
+            peer_turn: 0,
             controls,
             linked: BTreeSet::new(),
             peers: BTreeSet::new(),
@@ -116,12 +126,15 @@
             }
             LeaseInput::Redirected(leader) => {
                 let known = leader.filter(|name| self.linked.contains(name));
-                if known.is_some() && known != self.leader {
+                self.awaits_answer = false;
+                if known.is_some() && known != self.leader && !self.followed {
+                    self.followed = true;
                     self.send_due = now;
                 }
                 self.leader = known;
             }
             LeaseInput::Granted { leader, nonce, lease } => self.granted(leader, nonce, lease),
+            LeaseInput::Tick if now >= self.send_due => self.followed = false,
             LeaseInput::Tick => (),
         }
         if now < self.send_due {
@@ -157,12 +170,13 @@
         if self.linked.contains(&leader) {
             self.leader = Some(leader);
         }
+        self.awaits_answer = false;
         self.answer_timeout = ANSWER_TIMEOUT.min(lease / TIMEOUTS_PER_LEASE);
         self.send_due = request.sent + RENEW_INTERVAL.min(lease / RENEWALS_PER_LEASE);
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
-        if !self.open.is_empty() {
+        if self.awaits_answer {
             // The last path did not answer in time.
             self.leader = None;
         }
@@ -174,6 +188,7 @@
             self.open.remove(0);
         }
         self.open.push(OpenRequest { nonce, sent: now });
+        self.awaits_answer = true;
         Some(RenewalAction { to, nonce })
     }
 
@@ -182,17 +197,18 @@
         if let Some(leader) = &self.leader {
             return Some(leader.clone());
         }
-        self.attempt = self.attempt.wrapping_add(1);
         let linked: Vec<&ProcessName> =
             self.controls.iter().filter(|name| self.linked.contains(*name)).collect();
         let prefer_peer =
-            linked.is_empty() || (self.open.len() >= 2 && self.attempt.is_multiple_of(2));
+            linked.is_empty() || (self.open.len() >= 2 && self.next_nonce.is_multiple_of(2));
         if prefer_peer && !self.peers.is_empty() {
-            return self.peers.iter().nth(self.attempt / 2 % self.peers.len()).cloned();
+            self.peer_turn = self.peer_turn.wrapping_add(1);
+            return self.peers.iter().nth(self.peer_turn % self.peers.len()).cloned();
         }
         if linked.is_empty() {
             return None;
         }
-        Some(linked[self.attempt % linked.len()].clone())
+        self.control_turn = self.control_turn.wrapping_add(1);
+        Some(linked[self.control_turn % linked.len()].clone())
     }
 }
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -1,8 +1,11 @@
-//! Guards the grants of settings leases against slow and late confirmations of leadership.
+//! Guards settings leases: slow and late confirmations on the leader's side, the search for the leader
+//! on the entry's side.
 
 use std::time::{Duration, Instant};
 
 use curranthollow::control::{LeaseAction, LeaseEvent, LeaseTable, RenewalRequest};
+use curranthollow::entry::{LeaseClient, LeaseInput};
+use yare::parameterized;
 
 const LEASE: Duration = Duration::from_secs(1);
 
@@ -71,3 +74,42 @@
     let granted = outcome(table.handle(now, LeaseEvent::Confirmed(new)));
     assert_eq!(granted, (Vec::new(), vec![2]));
 }
+
+// Guards against an entry that never asks the leader when one control process is down, and one that
+// ignores who is named as leader.
+#[parameterized(
+    first = { "control-1", true }, second = { "control-2", true }, third = { "control-3", true },
+    first_unnamed = { "control-1", false }, second_unnamed = { "control-2", false },
+    third_unnamed = { "control-3", false },
+)]
+fn finds_the_leader_for_every_seed(leader: &str, is_named: bool) {
+    let controls: Vec<Box<str>> =
+        ["control-1", "control-2", "control-3"].into_iter().map(Into::into).collect();
+    let dead = if leader == "control-3" { "control-1" } else { "control-3" };
+    for seed in 0..12 {
+        let start = Instant::now();
+        let mut client = LeaseClient::new(controls.clone(), seed, start);
+        client.handle(start, LeaseInput::PeerUp("entry-2".into()));
+        for control in controls.iter().filter(|control| &***control != dead) {
+            client.handle(start, LeaseInput::ControlUp(control.clone()));
+        }
+        let (mut now, mut found) = (start, None);
+        while found.is_none() && now < start + Duration::from_millis(2500) {
+            now += Duration::from_millis(2);
+            let mut input = LeaseInput::Tick;
+            // Answers come at once; the peer has no leader to pass the request on to.
+            while let Some(action) = client.handle(now, input) {
+                input = LeaseInput::Tick;
+                if &*action.to == leader {
+                    found = Some(now - start);
+                    break;
+                }
+                if action.to.starts_with("control") {
+                    input = LeaseInput::Redirected(is_named.then(|| leader.into()));
+                }
+            }
+        }
+        let limit = Duration::from_millis(if is_named { 700 } else { 1300 });
+        assert!(found.is_some_and(|found| found < limit), "seed {seed}: {found:?}");
+    }
+}
