--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -37,7 +37,14 @@
     /// Where the last request went.
     last_path: Option<ProcessName>,
     send_due: Instant,
-    attempt: usize,
+    /// The last request has had no answer of any kind.
+    awaits_answer: bool,
+    /// A redirect was followed at once since the last timeout, so the next one waits. Two processes
+    /// that name each other would otherwise be asked without a pause.
+    followed: bool,
+    /// Counted apart, so that each kind of path is tried in full turns.
+    control_turn: usize,
+    peer_turn: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -83,7 +90,10 @@
     /// Creates a client; `seed` sets the first nonce and the control process that is tried first.
     pub fn new(controls: Vec<ProcessName>, seed: u64, now: Instant) -> Self {
         Self {
-            attempt: usize::try_from(seed % 1024).unwrap_or_default(),
+            awaits_answer: false,
+            followed: false,
+            control_turn: usize::try_from(seed % 1024).unwrap_or_default(),
+            peer_turn: 0,
             controls,
             linked: BTreeSet::new(),
             peers: BTreeSet::new(),
@@ -119,13 +129,17 @@
             }
             LeaseInput::Redirected(leader) => {
                 let known = leader.filter(|name| self.linked.contains(name));
+                self.awaits_answer = false;
                 // A leader that was asked last may still answer.
-                if known.is_some() && known != self.leader && known != self.last_path {
+                let is_new = known != self.leader && known != self.last_path;
+                if known.is_some() && is_new && !self.followed {
+                    self.followed = true;
                     self.send_due = now;
                 }
                 self.leader = known;
             }
             LeaseInput::Granted { leader, nonce, lease } => self.granted(leader, nonce, lease),
+            LeaseInput::Tick if now >= self.send_due => self.followed = false,
             LeaseInput::Tick => (),
         }
         if now < self.send_due {
@@ -161,13 +175,14 @@
         if self.linked.contains(&leader) {
             self.leader = Some(leader);
         }
+        self.awaits_answer = false;
         self.answer_timeout = ANSWER_TIMEOUT.min(lease / TIMEOUTS_PER_LEASE);
         self.send_due = request.sent + RENEW_INTERVAL.min(lease / RENEWALS_PER_LEASE);
     }
 
     fn renew(&mut self, now: Instant) -> Option<RenewalAction> {
-        if !self.open.is_empty() && self.leader == self.last_path {
-            // The last path did not answer in time. A leader that was named since is still untried.
+        if self.awaits_answer {
+            // The last path did not answer in time.
             self.leader = None;
         }
         self.send_due = now + self.answer_timeout;
@@ -179,6 +194,7 @@
             self.open.remove(0);
         }
         self.open.push(OpenRequest { nonce, sent: now });
+        self.awaits_answer = true;
         Some(RenewalAction { to, nonce })
     }
 
@@ -187,17 +203,18 @@
         if let Some(leader) = &self.leader {
             return Some(leader.clone());
         }
-        self.attempt = self.attempt.wrapping_add(1);
         let linked: Vec<&ProcessName> =
             self.controls.iter().filter(|name| self.linked.contains(*name)).collect();
         let prefer_peer =
-            linked.is_empty() || (self.open.len() >= 2 && self.attempt.is_multiple_of(2));
+            linked.is_empty() || (self.open.len() >= 2 && self.next_nonce.is_multiple_of(2));
         if prefer_peer && !self.peers.is_empty() {
-            return self.peers.iter().nth(self.attempt / 2 % self.peers.len()).cloned();
+            self.peer_turn = self.peer_turn.wrapping_add(1);
+            return self.peers.iter().nth(self.peer_turn % self.peers.len()).cloned();
         }
         if linked.is_empty() {
             return None;
         }
-        Some(linked[self.attempt % linked.len()].clone())
+        self.control_turn = self.control_turn.wrapping_add(1);
+        Some(linked[self.control_turn % linked.len()].clone())
     }
 }
