--- a/tests/runtime.rs
+++ b/tests/runtime.rs
@@ -321,6 +321,7 @@
         is_scarce: false,
         grants: vec![line],
         recalls: Vec::new(),
+        probes: Vec::new(),
     });
 }
 
