--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -31,6 +31,11 @@
 /// the lease covers clock drift between two VMs.
 pub const LEASE_WITH_DRIFT: Duration = Duration::from_millis(2200);
 
+/// A server that failed a request gets no new work for this long, and twice as long after each
+/// further failure; otherwise it would attract work by failing fast.
+const FIRST_PAUSE: Duration = Duration::from_millis(2);
+const LONGEST_PAUSE: Duration = Duration::from_millis(16);
+
 /// Class of work. Part of each server's slots is reserved for short work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum WorkClass {
@@ -61,24 +66,33 @@
 /// A number of credits of one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CreditLine {
+    #[serde(rename = "s")]
     pub server: ServerKey,
+    #[serde(rename = "c")]
     pub class: WorkClass,
+    #[serde(rename = "n")]
     pub count: u32,
 }
 
 /// Credits of one server and class that an entry holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldLine {
+    #[serde(rename = "s")]
     pub server: ServerKey,
+    #[serde(rename = "c")]
     pub class: WorkClass,
+    #[serde(rename = "u")]
     pub in_use: u32,
+    #[serde(rename = "i")]
     pub idle: u32,
 }
 
 /// Credits the holder wants back: of one server, or of any server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecallLine {
+    #[serde(rename = "s")]
     pub server: Option<ServerKey>,
+    #[serde(rename = "n")]
     pub count: u32,
 }
 
@@ -106,9 +120,11 @@
     Neutral,
     Slow,
     Failed,
+    /// Failed while many answers of the whole service fail; says nothing about this server.
+    CommonFailure,
 }
 
-/// Answers of a server that the holder has put on probe.
+/// Answers of a server on probe, and failed answers of any server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OutcomeLine {
     pub server: ServerKey,
@@ -120,29 +136,40 @@
 /// Message of an entry to the account holder; carries demand, returns and reports in one batch.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntryMessage {
+    #[serde(rename = "e")]
     pub epoch: EpochNumber,
     /// Counts up with every full report; older grants are void then.
+    #[serde(rename = "s")]
     pub session: u64,
     /// Counts up with every message; the holder echoes it, which dates the lease.
+    #[serde(rename = "q")]
     pub sequence: u64,
     /// Credits received in this session; the holder subtracts what is still on the way.
+    #[serde(rename = "r")]
     pub received: u64,
     /// Requests started since the previous message; the measure of recent demand.
+    #[serde(rename = "t")]
     pub started: u32,
     /// Idle credits after the returns of this message.
+    #[serde(rename = "i")]
     pub idle: u32,
     /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
+    #[serde(rename = "h")]
     pub has_demand: bool,
+    #[serde(rename = "d")]
     pub demand: Vec<DemandLine>,
+    #[serde(rename = "x")]
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
+    #[serde(rename = "p")]
     pub report: Option<Vec<HeldLine>>,
     /// Servers the entry has ejected and wants no credits of.
+    #[serde(rename = "a")]
     pub avoided: Vec<ServerKey>,
     /// Servers whose answers look bad to the entry now; replaces the earlier statement.
     #[serde(default)]
     pub suspects: Vec<SuspectLine>,
-    /// Answers on probe credits since the previous message.
+    /// Answers on probe credits and failed answers since the previous message.
     #[serde(default)]
     pub outcomes: Vec<OutcomeLine>,
 }
@@ -150,16 +177,24 @@
 /// Message of the account holder to one entry. Without lines it only renews the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HolderMessage {
+    #[serde(rename = "e")]
     pub epoch: EpochNumber,
+    #[serde(rename = "s")]
     pub session: u64,
     /// Sequence of the newest message received; the lease runs from the time it was sent.
+    #[serde(rename = "k")]
     pub acknowledged: u64,
+    #[serde(rename = "l")]
     pub lease: Duration,
     /// Idle credits that the entry may keep until they are recalled.
+    #[serde(rename = "p")]
     pub keep: u32,
     /// Few slots are unused: credits above `keep` go back with the next message.
+    #[serde(rename = "c")]
     pub is_scarce: bool,
+    #[serde(rename = "g")]
     pub grants: Vec<CreditLine>,
+    #[serde(rename = "r")]
     pub recalls: Vec<RecallLine>,
     /// Servers on probe: each credit of the grants goes back after one request, with its outcome.
     #[serde(default)]
@@ -167,6 +202,11 @@
 }
 
 impl EntryMessage {
+    /// Whether the message tells of work, not of a lease renewal only.
+    pub fn is_urgent(&self) -> bool {
+        self.started > 0 || !self.demand.is_empty() || !self.returns.is_empty()
+    }
+
     /// Size on the wire in bytes, estimated from the encoded size of each part.
     pub fn wire_bytes(&self) -> u32 {
         const MESSAGE_BYTES: usize = 200;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
 use async_std::task;
 use futures_util::future::{Either, select};
 use futures_util::{FutureExt, pin_mut};
@@ -20,6 +19,7 @@
 use super::relay::{RelayOutcome, relay_response};
 use super::runtime::{ServiceRuntime, SlotPermit};
 use crate::credit::{ServerKey, WorkClass};
+use crate::deadline::within;
 use crate::http::{
     BodyFraming, CallerConnection, CheckoutError, HttpError, RequestBody, RequestHead,
     ServerConnection,
@@ -88,6 +88,7 @@
     head: RequestHead,
 ) -> Result<bool, HttpError> {
     let started = Instant::now();
+    context.count_request();
     let request_id = request_id(context, &head);
     let mut body = RequestBody::new(&head);
     let keep_alive = keeps_connection(&head, context.is_stopping());
@@ -396,7 +397,7 @@
     deadline: Instant,
 ) -> Result<Vec<u8>, RequestEnd> {
     let left = deadline.saturating_duration_since(Instant::now());
-    match timeout(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
+    match within(left, caller.read_whole_body(body, REPLAY_BYTES)).await {
         Ok(Ok(content)) => Ok(content),
         Ok(Err(error)) => Err(caller_failure(error)),
         Err(_) => {
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
-use async_std::future::timeout;
 
 use super::answer::FailureReason;
 use super::exchange::AttemptFailure;
@@ -16,6 +15,7 @@
     CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
     WorkClass, server_key,
 };
+use crate::deadline::within;
 use crate::directory::{LifeState, ServerAnnouncement, ServiceKey};
 use crate::http::CheckoutError;
 use crate::ids::{EpochNumber, ProcessName, ServerId, ZoneName};
@@ -182,7 +182,7 @@
         };
         let left = deadline.saturating_duration_since(Instant::now());
         let mut wait = QueuedWait { runtime: self, class, receiver, is_over: false };
-        let result = timeout(left, wait.receiver.recv()).await;
+        let result = within(left, wait.receiver.recv()).await;
         wait.is_over = result.is_ok();
         match result {
             Ok(Ok(permit)) => Ok(permit),
