Let the runtime test wait for the pause after a failure

The pause is intended. The test now waits until the server takes work again and still requires that every slot is free then, so a lost slot fails it as before.

--- a/tests/runtime.rs
+++ b/tests/runtime.rs
@@ -166,9 +166,21 @@
     }
     set_server(&runtime, "s1", LifeState::Ready);
     runtime.change_settings(settings(policy, SLOTS));
+    if matches!(end, PermitEnd::FinishFailed) {
+        wait_for_pause(&runtime);
+    }
     assert_idle(&runtime);
 }
 
+/// Waits until a server that just failed takes work again; with credits it pauses for a moment.
+fn wait_for_pause(runtime: &Arc<ServiceRuntime>) {
+    let end = deadline();
+    while runtime.acquire(SHORT, &[], end).now_or_never().is_none() {
+        assert!(Instant::now() < end, "the slots stay unused after a failure");
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Guards against a slot that stays free while a request waits for it.
 #[parameterized(
     baseline = { "least_in_flight" },
