Send demand at most every 2 ms and repeat it every 10 ms

Cause: 1.7 messages per request at 85 % load. Change: message_gap 1 -> 2 ms, demand_repeat 5 -> 10 ms; options for both in policy_bench. The wait for a slot did not get smaller; fewer messages and a smaller wait pull against each other.

--- a/examples/policy_bench/main.rs
+++ b/examples/policy_bench/main.rs
@@ -1,7 +1,7 @@
 //! Compares the policies with an ideal shared queue over the same arrivals and service times.
 //!
 //! Usage: `policy_bench [--sigma 1.0] [--seeds 1,2,3] [--scenario NAME] [--policy NAME,...]
-//! [--ahead PERCENT] [--idle-hold-us N]`.
+//! [--ahead PERCENT] [--idle-hold-us N] [--gap-us N] [--repeat-us N]`.
 //! Simulated time; one service, 13 entries, 15 servers of 6 slots, messages between entries and
 //! the account holder take 0.5 ms, load reports are 1 s old, requests reach servers at once.
 
--- a/examples/policy_bench/options.rs
+++ b/examples/policy_bench/options.rs
@@ -24,5 +24,11 @@
     if let Some(micros) = number("--idle-hold-us") {
         settings.idle_hold = Duration::from_micros(micros.into());
     }
+    if let Some(micros) = number("--gap-us") {
+        settings.message_gap = Duration::from_micros(micros.into());
+    }
+    if let Some(micros) = number("--repeat-us") {
+        settings.demand_repeat = Duration::from_micros(micros.into());
+    }
     settings
 }
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -34,8 +34,11 @@
             idle_hold: Duration::from_millis(2),
             report_interval: Duration::from_millis(500),
             report_repeat: Duration::from_millis(50),
-            message_gap: Duration::from_millis(1),
-            demand_repeat: Duration::from_millis(5),
+            // Twice the way to the holder and back; 1 ms costs 0.15 messages more per request at
+            // 85 % load and saves 0.4 ms of the wait at p90.
+            message_gap: Duration::from_millis(2),
+            // The holder remembers demand; the repeat only corrects its age and deadline.
+            demand_repeat: Duration::from_millis(10),
         }
     }
 }
