--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -45,7 +45,7 @@
 const MAX_DEVIATION: f64 = 3.0;
 /// Scores from this part of the limit on are reported. Latency scores of healthy servers reach
 /// half of the limit in under one percent of the time; a failure alone is 35 percent.
-const REPORTED_LATENCY: f64 = 0.3;
+const REPORTED_LATENCY: f64 = 0.5;
 const REPORTED_FAILURE: f64 = 0.3;
 /// With more failures than this in the whole service, a failure is no sign against one server;
 /// pauses would then only slow down a service that fails as a whole.
