--- a/tests/credit.rs
+++ b/tests/credit.rs
@@ -4,10 +4,10 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::credit::{
-    AccountBook, AccountEvent, AccountSettings, CreditLine, CreditWallet, DemandLine, EntryMessage,
-    HeldCredit, HeldLine, HolderMessage, LiveEntry, OutcomeLine, ServerKey, ServerLimit,
-    SuspectLine, SuspectReason, WaitingWork, WalletEvent, WalletServer, WalletSettings, WorkClass,
-    fallback_share, server_key,
+    AccountBook, AccountEvent, AccountSettings, AnswerVerdict, CreditLine, CreditWallet,
+    DemandLine, EntryMessage, HeldCredit, HeldLine, HolderMessage, LiveEntry, OutcomeLine,
+    ServerKey, ServerLimit, SuspectLine, SuspectReason, WaitingWork, WalletEvent, WalletServer,
+    WalletSettings, WorkClass, fallback_share, server_key,
 };
 use curranthollow::ids::ProcessName;
 use yare::parameterized;
@@ -219,6 +219,29 @@
         entry.start_waiting(self.now);
     }
 
+    /// Ends a request with an answer of which the wallet judges the server.
+    fn answer(&mut self, name: &ProcessName, verdict: AnswerVerdict) {
+        let entry = self.entries.get_mut(name).expect("the entry is known");
+        let Some(credit) = entry.running.pop() else {
+            return;
+        };
+        entry.wallet.finish(self.now, credit, verdict);
+        entry.start_waiting(self.now);
+    }
+
+    /// The entry suspects servers by chance, `percent` of them on average.
+    fn suspect(&mut self, name: &ProcessName, percent: u32) {
+        let mut suspects = Vec::new();
+        for server in &self.servers {
+            if self.random.u32(..100) < percent {
+                let (server, strength) = (server.server, self.random.u8(30..=100));
+                suspects.push(SuspectLine { server, reason: SuspectReason::Slow, strength });
+            }
+        }
+        let entry = self.entries.get_mut(name).expect("the entry is known");
+        entry.wallet.handle(self.now, WalletEvent::SuspectsChanged(suspects));
+    }
+
     fn settle(&mut self, rounds: usize) {
         self.settle_by(rounds, MILLISECOND);
     }
@@ -391,6 +414,61 @@
     }
 }
 
+/// Guards against credits above the slots while servers are closed, probed and opened again,
+/// and against servers that stay capped after their answers have become good.
+#[parameterized(first = { 51 }, second = { 52 }, third = { 53 })]
+fn suspicions_keep_slots(seed: u64) {
+    const VERDICTS: [AnswerVerdict; 5] = [
+        AnswerVerdict::Good,
+        AnswerVerdict::Neutral,
+        AnswerVerdict::Slow,
+        AnswerVerdict::Failed,
+        AnswerVerdict::CommonFailure,
+    ];
+    let mut capped = 0;
+    for round in 0..10 {
+        let mut world = CreditWorld::new(seed * 1000 + round, 5, &[6, 6, 4, 1]);
+        world.settle(5);
+        for step in 0..1500 {
+            let name = world.pick_name();
+            match world.random.u32(..200) {
+                0..60 => world.request(&name, WorkClass::Short),
+                60..65 => world.request(&name, WorkClass::Long),
+                65..120 => {
+                    let verdict = VERDICTS[world.random.usize(..VERDICTS.len())];
+                    world.answer(&name, verdict);
+                }
+                120..140 => world.deliver_up(&name),
+                140..160 => world.deliver_down(&name),
+                160..175 => world.tick_entry(&name),
+                175..180 => world.suspect(&name, 20),
+                180..185 => world.feed(AccountEvent::Tick),
+                185..186 => world.cut(&name),
+                186..190 => world.join(&name),
+                _ => world.now += MILLISECOND * 2,
+            }
+            world.check_slots(step);
+            capped += world.book.capped().len();
+        }
+        for name in world.names() {
+            world.join(&name);
+            world.suspect(&name, 0);
+        }
+        for step in 0..400 {
+            for name in world.names() {
+                world.answer(&name, AnswerVerdict::Good);
+                world.request(&name, WorkClass::Short);
+            }
+            world.settle_by(1, MILLISECOND * 25);
+            world.check_slots(step);
+        }
+        assert!(world.book.capped().is_empty(), "round {round}: {:?}", world.book.capped());
+        world.settle(60);
+        world.check_no_idle_slot();
+    }
+    assert!(capped > 0, "no server was ever closed");
+}
+
 /// Guards against a dead entry's credits that come back too early or never.
 #[test]
 fn credits_of_dead_entry_return_after_lease() {
