Stop the grant search early when no server has a free slot

Cause: with no free slot each waiting entry was searched for again and remembered in a list that later searches compared by name; the sum of an entry's credits was computed anew for each entry at each event. Change: an entry that avoids no server and finds none ends the search for its class; the sum is kept with the entry.

--- a/src/credit/account.rs
+++ b/src/credit/account.rs
@@ -235,6 +235,7 @@
             return;
         };
         let before = std::mem::replace(&mut entry.held, held);
+        entry.held_total = entry.held.values().sum();
         for ((server, class), count) in before {
             let account = self.servers.entry(server).or_insert_with(ServerAccount::empty);
             account.subtract(class, count);
@@ -301,6 +302,7 @@
         // A count above what is on the books would free slots that others hold.
         let count = line.count.min(*held);
         *held -= count;
+        entry.held_total -= count;
         if *held == 0 {
             entry.held.remove(&(line.server, line.class));
         }
--- a/src/credit/account_grant.rs
+++ b/src/credit/account_grant.rs
@@ -14,9 +14,16 @@
     /// Grants free slots to waiting work, oldest first, until no grant is possible.
     pub(super) fn grant_demand(&mut self, now: Instant) {
         let mut blocked: Vec<(ProcessName, WorkClass)> = Vec::new();
-        while let Some((name, class)) = self.oldest_waiting(now, &blocked) {
+        let mut exhausted = [false; 2];
+        while let Some((name, class)) = self.oldest_waiting(now, &blocked, exhausted) {
             let Some(server) = self.best_server(&name, class) else {
-                blocked.push((name, class));
+                // An entry that avoids no server finds none only if nobody can.
+                let avoids = self.entries.get(&name).is_some_and(|entry| !entry.avoided.is_empty());
+                if avoids {
+                    blocked.push((name, class));
+                } else {
+                    exhausted[class.index()] = true;
+                }
                 continue;
             };
             self.grant(&name, server, class);
@@ -32,10 +39,14 @@
         &self,
         now: Instant,
         blocked: &[(ProcessName, WorkClass)],
+        exhausted: [bool; 2],
     ) -> Option<(ProcessName, WorkClass)> {
         let mut best: Option<(Instant, &ProcessName, WorkClass)> = None;
         for (name, entry) in &self.entries {
             for class in WorkClass::ALL {
+                if exhausted[class.index()] {
+                    continue;
+                }
                 let Some(since) = entry.waiting_since(now, class) else {
                     continue;
                 };
@@ -76,6 +87,7 @@
         };
         account.add(class, 1);
         *entry.held.entry((server, class)).or_insert(0) += 1;
+        entry.held_total += 1;
         entry.granted += 1;
         let is_probing = account.cap.is_probing();
         let message = entry.message(self.epoch);
@@ -171,7 +183,7 @@
                 // Only the same class is compared: a credit for short work cannot carry long work.
                 let gap = self.settings.fairness_gap;
                 let is_younger = oldest.is_some_and(|oldest| own > oldest + gap);
-                count = u32::from(is_younger && entry.recalled == 0 && entry.total_held() > 1);
+                count = u32::from(is_younger && entry.recalled == 0 && entry.held_total > 1);
             }
             if count == 0 {
                 continue;
@@ -195,10 +207,10 @@
         let mut names = Vec::new();
         for (name, entry) in &self.entries {
             let is_asked = entry.standing != EntryStanding::Reported || entry.recalled > 0;
-            if is_asked || entry.waiting_since(now, SHORT).is_some() || entry.total_held() == 0 {
+            if is_asked || entry.waiting_since(now, SHORT).is_some() || entry.held_total == 0 {
                 continue;
             }
-            names.push((Reverse(entry.total_held()), name.clone()));
+            names.push((Reverse(entry.held_total), name.clone()));
         }
         names.sort();
         for (_, name) in names.into_iter().take(missing as usize) {
--- a/src/credit/account_state.rs
+++ b/src/credit/account_state.rs
@@ -31,6 +31,8 @@
     pub(super) acknowledged: u64,
     pub(super) expires: Instant,
     pub(super) held: BTreeMap<(ServerKey, WorkClass), u32>,
+    /// Sum of `held`, kept because it is read for each entry at each event.
+    pub(super) held_total: u32,
     pub(super) granted: u64,
     pub(super) received: u64,
     pub(super) idle: u32,
@@ -80,6 +82,7 @@
             acknowledged: 0,
             expires: now,
             held: BTreeMap::new(),
+            held_total: 0,
             granted: 0,
             received: 0,
             idle: 0,
@@ -117,10 +120,6 @@
         WorkClass::ALL.iter().filter_map(|class| self.held.get(&(server, *class))).sum()
     }
 
-    pub(super) fn total_held(&self) -> u32 {
-        self.held.values().sum()
-    }
-
     /// Estimated arrival of the oldest work not yet granted: arrivals count as evenly spread.
     pub(super) fn waiting_since(&self, now: Instant, class: WorkClass) -> Option<Instant> {
         let demand = self.demand[class.index()]?;
