--- a/examples/bench/system.rs
+++ b/examples/bench/system.rs
@@ -195,9 +195,9 @@
         Ok(())
     }
 
-    fn client(&self) -> OperatorClient {
+    fn client(&self, token: &str) -> OperatorClient {
         let addresses = self.controls.iter().map(|control| control.operator).collect();
-        OperatorClient::new(addresses, Some(ROOT_TOKEN.into()), START_TIME)
+        OperatorClient::new(addresses, Some(token.into()), START_TIME)
     }
 
     /// Creates a team's branch or replaces its document; returns the time until it was accepted.
@@ -209,6 +209,8 @@
     ) -> anyhow::Result<Duration> {
         self.changes += 1;
         let create = base == 0;
+        // The root token creates a branch; afterwards the branch takes the team's token only.
+        let token = if create { ROOT_TOKEN } else { TEAM_TOKEN };
         let change = ChangeRequest {
             action: if create { ChangeVerb::Create } else { ChangeVerb::Replace },
             base_version: base,
@@ -218,7 +220,7 @@
             team_token_sha256: create.then(|| token_sha256(TEAM_TOKEN).into()),
         };
         let started = Instant::now();
-        let reply = self.client().change(&change).await?;
+        let reply = self.client(token).change(&change).await?;
         if reply.outcome != OutcomeName::Accepted {
             bail!("settings not accepted: {:?} {:?}", reply.reason, reply.errors);
         }
