Add anti-entropy, rest while idle, meter account holders

Cause: a lost change of a server was never found again; the control thread of an entry woke every 2 ms; idle wallets renewed twice a second; messages of account holders were not metered. Change: every 5 s an entry compares the root digest with one linked process; buckets, services and summaries follow only when it differs, at most 256 items a second. The thread ticks every 20 ms after 500 ms without requests or credits on the move; the first request wakes it, and demand is sent at once as before. A wallet without work and credits for 3 s renews each 950 ms. Account holders charge a MeasureBudget; the measure_* and link metrics are fed. Empty lists are left out of credit messages. Ruled out: giving all credits back and falling silent, as the holder reserves the fallback share of a silent entry.

--- a/src/control/process.rs
+++ b/src/control/process.rs
@@ -1,5 +1,7 @@
 //! Control thread of a control process: formation, leases, directory and links.
 
+mod directory_link;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -17,10 +19,7 @@
 use crate::consensus::Role;
 use crate::consensus::formation::{ClusterFormation, FormationAction, FormationEvent};
 use crate::consensus::host::{GroupNotice, GroupStatus, HostHandle};
-use crate::directory::{
-    CompactHeartbeat, DirectoryAction, DirectoryEvent, DirectoryLimits, ServerDirectory,
-};
-use crate::entry::choose_peers;
+use crate::directory::{DirectoryEvent, DirectoryLimits, ServerDirectory, SyncExchange};
 use crate::ids::{MemberId, ProcessName, SettingsRevision, TermNumber};
 use crate::link::{GrantLease, HelloMessage, LinkEvent, LinkHub, ProcessRole, WireMessage};
 use crate::settings::SettingsStore;
@@ -99,6 +98,7 @@
     term: TermNumber,
     is_leader: bool,
     directory: ServerDirectory,
+    exchange: SyncExchange,
     entries: BTreeSet<ProcessName>,
     controls: BTreeSet<ProcessName>,
     tracked: BTreeMap<ChangeNumber, Sender<bool>>,
@@ -145,6 +145,7 @@
             term: 0,
             is_leader: false,
             directory: ServerDirectory::new(DirectoryLimits::default()),
+            exchange: SyncExchange::new(now),
             entries: BTreeSet::new(),
             controls: BTreeSet::new(),
             tracked: BTreeMap::new(),
@@ -285,10 +286,8 @@
             WireMessage::Announce(batch) => {
                 self.directory_event(DirectoryEvent::Relayed(batch));
             }
-            WireMessage::Heartbeats(packed) => match CompactHeartbeat::unpack(&packed) {
-                Ok(beats) => self.directory_event(DirectoryEvent::Heartbeats { from, beats }),
-                Err(error) => log::warn!(peer:% = from, error:%; "heartbeats ignored"),
-            },
+            WireMessage::Heartbeats(packed) => self.receive_heartbeats(from, &packed),
+            WireMessage::DirectorySync(step) => self.receive_sync(&from, &step),
             WireMessage::DirectoryAnswer(batch) => {
                 self.directory_event(DirectoryEvent::Answered(batch));
             }
@@ -300,20 +299,6 @@
         }
     }
 
-    fn directory_event(&mut self, event: DirectoryEvent) {
-        for action in self.directory.handle(Instant::now(), event) {
-            let DirectoryAction::Ask { peer, request } = action else {
-                continue;
-            };
-            let asked = match peer {
-                Some(peer) => vec![peer],
-                None => choose_peers(&self.entries, fastrand::u64(..)),
-            };
-            let to = asked.iter().map(|name| &**name);
-            self.hub.send_all(to, WireMessage::DirectoryRequest(request));
-        }
-    }
-
     fn is_current_leader(&self, name: &ProcessName) -> bool {
         let leader = self.leader.and_then(|member| self.routes.name_of(member));
         leader.as_ref() == Some(name)
--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -113,15 +113,15 @@
     /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
     #[serde(rename = "h")]
     pub has_demand: bool,
-    #[serde(rename = "d")]
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<DemandLine>,
-    #[serde(rename = "x")]
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
-    #[serde(rename = "p")]
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Vec<HeldLine>>,
     /// Servers the entry has ejected and wants no credits of.
-    #[serde(rename = "a")]
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub avoided: Vec<ServerKey>,
 }
 
@@ -143,13 +143,21 @@
     /// Few slots are unused: credits above `keep` go back with the next message.
     #[serde(rename = "c")]
     pub is_scarce: bool,
-    #[serde(rename = "g")]
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub grants: Vec<CreditLine>,
-    #[serde(rename = "r")]
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub recalls: Vec<RecallLine>,
 }
 
 impl EntryMessage {
+    /// Whether it does more than renew the lease.
+    pub fn moves_credits(&self) -> bool {
+        self.started > 0
+            || self.report.is_some()
+            || !self.demand.is_empty()
+            || !self.returns.is_empty()
+    }
+
     /// Size on the wire in bytes, estimated from the encoded size of each part.
     pub fn wire_bytes(&self) -> u32 {
         const MESSAGE_BYTES: usize = 200;
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -20,6 +20,10 @@
     pub idle_hold: Duration,
     /// A message is sent at least this often, which renews the lease.
     pub report_interval: Duration,
+    /// The same for a wallet without work and credits for `idle_after`; a second one reaches the
+    /// holder within `CREDIT_LEASE` when one is lost.
+    pub idle_interval: Duration,
+    pub idle_after: Duration,
     /// An unanswered report is repeated after this time.
     pub report_repeat: Duration,
     /// New demand and returns are sent at most this often; recalled credits go back at once.
@@ -33,6 +37,8 @@
         Self {
             idle_hold: Duration::from_millis(2),
             report_interval: Duration::from_millis(500),
+            idle_interval: Duration::from_millis(950),
+            idle_after: Duration::from_secs(3),
             report_repeat: Duration::from_millis(50),
             message_gap: Duration::from_millis(1),
             demand_repeat: Duration::from_millis(5),
@@ -122,6 +128,7 @@
     pub(super) owed_any: u32,
     pub(super) owed_until: Instant,
     pub(super) last_sent: Option<Instant>,
+    pub(super) active_at: Instant,
     pub(super) last_demand: [u32; 2],
     pub(super) has_returns: bool,
 }
@@ -154,6 +161,7 @@
             owed_any: 0,
             owed_until: now,
             last_sent: None,
+            active_at: now,
             last_demand: [0; 2],
             has_returns: false,
         }
--- a/src/credit/wallet_report.rs
+++ b/src/credit/wallet_report.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::wallet::{CreditWallet, WaitingWork};
-use super::wallet_state::{WalletMode, demand_lines};
+use super::wallet_state::{ServerCredits, WalletMode, demand_lines};
 use super::{CreditLine, EntryMessage, HeldLine, ServerKey, WorkClass};
 
 /// Sent messages whose times are kept for dating the lease; without a time the lease stays as is.
@@ -83,10 +83,20 @@
         let has_demand = counts != [0; 2];
         let has_more = counts[0] > self.last_demand[0] || counts[1] > self.last_demand[1];
         let has_changed = has_demand || self.last_demand != [0; 2];
+        let is_active =
+            has_demand || self.started > 0 || !self.servers.iter().all(ServerCredits::is_empty);
+        if is_active {
+            self.active_at = now;
+        }
+        let is_idle = now.saturating_duration_since(self.active_at) >= self.settings.idle_after;
+        let renewal = match is_idle {
+            true => self.settings.idle_interval,
+            false => self.settings.report_interval,
+        };
         let is_low = self.keep > 0 && self.idle_total * 2 <= self.keep && self.started > 0;
         let is_due = (has_more || self.has_returns) && elapsed >= self.settings.message_gap
             || (has_changed || is_low) && elapsed >= self.settings.demand_repeat
-            || elapsed >= self.settings.report_interval;
+            || elapsed >= renewal;
         if !is_due {
             return None;
         }
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -6,6 +6,7 @@
 //! their arrival.
 
 mod announcement;
+mod exchange;
 mod expiry;
 mod heartbeat;
 mod sync;
@@ -18,6 +19,7 @@
     AnnouncedState, LifeEvent, LifeState, RelayedAnnouncement, ServerAnnouncement, ServiceKey,
     next_state,
 };
+pub use exchange::{DirectorySync, SYNC_INTERVAL, SYNC_ITEMS, SyncExchange, SyncReply};
 pub use heartbeat::{
     ASK_AFTER, CompactHeartbeat, DirectoryRequest, HeartbeatError, RELAY_QUIET, REQUEST_LIMIT,
 };
--- a/src/directory/announcement.rs
+++ b/src/directory/announcement.rs
@@ -95,7 +95,9 @@
 /// A service within its team.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ServiceKey {
+    #[serde(rename = "t")]
     pub team: TeamName,
+    #[serde(rename = "s")]
     pub service: ServiceName,
 }
 
--- a/src/entry/accounts.rs
+++ b/src/entry/accounts.rs
@@ -12,6 +12,13 @@
 use crate::directory::ServiceKey;
 use crate::ids::{EpochNumber, ProcessName};
 use crate::link::LiveEntry;
+use crate::route::{MeasureBudget, MeasureCounters, MeasureLimits};
+
+/// Size of a usual message to an entry, for which the measuring budget must have room at a tick.
+const TYPICAL_MESSAGE_BYTES: u32 = 256;
+
+/// Limits until those of the settings are known.
+const UNLIMITED: MeasureLimits = MeasureLimits { messages_per_second: 1e9, bytes_per_second: 1e12 };
 
 /// Accounts held by one entry.
 #[derive(Default)]
@@ -23,6 +30,7 @@
 struct HeldAccount {
     book: AccountBook,
     servers: Vec<ServerLimit>,
+    measure: MeasureBudget,
 }
 
 /// Chooses the account holder of a service by rendezvous hashing.
@@ -69,6 +77,7 @@
         let account = self.books.entry(service.clone()).or_insert_with(|| HeldAccount {
             book: AccountBook::new(now, AccountSettings::default()),
             servers: Vec::new(),
+            measure: MeasureBudget::new(now, UNLIMITED),
         });
         let mut entries = Vec::with_capacity(live.len());
         for entry in live {
@@ -80,9 +89,17 @@
         let mut actions = account.book.handle(now, AccountEvent::EpochChanged { epoch, entries });
         account.servers = servers.clone();
         actions.extend(account.book.handle(now, AccountEvent::ServersChanged(servers)));
+        charge(now, account, &actions);
         self.collect(service, actions);
     }
 
+    /// Takes the limits of a service's messages from its settings.
+    pub fn change_limits(&mut self, service: &ServiceKey, limits: MeasureLimits) {
+        if let Some(account) = self.books.get_mut(service) {
+            account.measure.change_limits(limits);
+        }
+    }
+
     /// Gives up the account of a service.
     pub fn release(&mut self, service: &ServiceKey) {
         self.books.remove(service);
@@ -109,6 +126,7 @@
         }
         account.servers = servers.clone();
         let actions = account.book.handle(now, AccountEvent::ServersChanged(servers));
+        charge(now, account, &actions);
         self.collect(service, actions);
     }
 
@@ -125,6 +143,7 @@
         };
         let event = AccountEvent::Message { entry: entry.clone(), message };
         let actions = account.book.handle(now, event);
+        charge(now, account, &actions);
         self.collect(service, actions);
     }
 
@@ -140,7 +159,20 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Instant) {
-        self.for_all(now, &AccountEvent::Tick);
+        for (service, account) in &mut self.books {
+            // Without room no message may arise, as credits travel in them; what is due waits.
+            if !account.measure.has_room(now, TYPICAL_MESSAGE_BYTES) {
+                continue;
+            }
+            let actions = account.book.handle(now, AccountEvent::Tick);
+            charge(now, account, &actions);
+            self.actions.extend(actions.into_iter().map(|action| (service.clone(), action)));
+        }
+    }
+
+    /// What the account of a service has cost so far.
+    pub fn counters(&self, service: &ServiceKey) -> MeasureCounters {
+        self.books.get(service).map(|account| account.measure.counters()).unwrap_or_default()
     }
 
     /// Messages that are due since the last call.
@@ -150,9 +182,9 @@
 
     fn for_all(&mut self, now: Instant, event: &AccountEvent) {
         for (service, account) in &mut self.books {
-            for action in account.book.handle(now, event.clone()) {
-                self.actions.push((service.clone(), action));
-            }
+            let actions = account.book.handle(now, event.clone());
+            charge(now, account, &actions);
+            self.actions.extend(actions.into_iter().map(|action| (service.clone(), action)));
         }
     }
 
@@ -162,3 +194,10 @@
         }
     }
 }
+
+/// Charges messages that must go out.
+fn charge(now: Instant, account: &mut HeldAccount, actions: &[AccountAction]) {
+    for action in actions {
+        account.measure.charge(now, action.message.wire_bytes());
+    }
+}
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -66,6 +66,10 @@
     phase: Mutex<Box<str>>,
     stopping: AtomicBool,
     open_requests: AtomicUsize,
+    /// Those of `open_requests` that are for servers.
+    server_requests: AtomicUsize,
+    /// The control thread ticks at a low rate and is to be woken by the next request.
+    is_resting: AtomicBool,
     next_request: AtomicU64,
 }
 
@@ -111,6 +115,8 @@
             phase: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
             open_requests: AtomicUsize::new(0),
+            server_requests: AtomicUsize::new(0),
+            is_resting: AtomicBool::new(false),
             next_request: AtomicU64::new(0),
         })
     }
@@ -185,6 +191,32 @@
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Counts a request for a server until the returned value is dropped, and wakes a resting control
+    /// thread.
+    pub fn start_request(self: &Arc<Self>) -> ServerRequest {
+        // Ordered against `rest`: either this sees the flag, or that sees the request.
+        self.server_requests.fetch_add(1, Ordering::SeqCst);
+        if self.is_resting.load(Ordering::SeqCst) && self.is_resting.swap(false, Ordering::SeqCst) {
+            let _ = self.inbox.try_send(ControlInput::Wake);
+        }
+        ServerRequest { context: Arc::clone(self) }
+    }
+
+    /// Number of open requests for servers.
+    pub fn server_requests(&self) -> usize {
+        self.server_requests.load(Ordering::SeqCst)
+    }
+
+    /// Asks for a `Wake` at the next request; `false` when a request is open already.
+    pub fn rest(&self) -> bool {
+        self.is_resting.store(true, Ordering::SeqCst);
+        let is_idle = self.server_requests() == 0;
+        if !is_idle {
+            self.is_resting.store(false, Ordering::SeqCst);
+        }
+        is_idle
+    }
+
     /// Makes a request id that is unique in the system.
     pub fn next_request_id(&self) -> Box<str> {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
@@ -233,3 +265,14 @@
         self.context.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Count of one open request for a server.
+pub struct ServerRequest {
+    context: Arc<EntryContext>,
+}
+
+impl Drop for ServerRequest {
+    fn drop(&mut self) {
+        self.context.server_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,5 +1,7 @@
 //! Control thread of an entry: settings, lease, directory, credit accounts and links.
 
+mod directory_link;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,23 +10,32 @@
 use futures_util::future::{Either, select};
 use futures_util::pin_mut;
 
+pub use self::directory_link::choose_peers;
 use super::accounts::{AccountSet, holder_of};
 use super::context::{EntryContext, ServiceTable};
 use super::lease::{LeaseClient, LeaseInput, RenewalAction};
 use super::runtime::{RuntimeIdentity, ServiceRuntime};
 use crate::credit::EntryMessage;
 use crate::directory::{
-    CompactHeartbeat, DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState,
-    ServerAnnouncement, ServerDirectory, ServiceKey, ServiceSummary,
+    DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement, ServerDirectory, ServiceKey,
+    SyncExchange,
 };
 use crate::ids::{EpochNumber, ProcessName};
 use crate::link::{
     GrantLease, HelloMessage, LinkEvent, LinkHub, LiveEntry, ProcessRole, RenewLease, WireMessage,
 };
 use crate::settings::{InstalledSettings, SettingsDelta, SettingsTree};
+use crate::timer::TimerService;
+
+/// Interval of all periodic work of the control thread while there are requests or credits move.
+const TICK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// Interval while nothing of that kind happens. Leases, heartbeats and relays have deadlines of 50 ms
+/// and more.
+const REST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Interval of all periodic work of the control thread.
-pub const TICK_INTERVAL: Duration = Duration::from_millis(2);
+/// Time without requests or credits on the move after which the thread rests.
+const REST_AFTER: Duration = Duration::from_millis(500);
 
 /// Interval at which the directory looks for late heartbeats when nothing waits to be relayed.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(50);
@@ -32,9 +43,6 @@
 /// Interval at which slow start and metrics are brought up to date.
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Peers that are asked about servers that have fallen silent.
-const ASKED_PEERS: usize = 2;
-
 /// Input of the control thread.
 pub enum ControlInput {
     /// Something happened on a link.
@@ -43,6 +51,8 @@
     Announced(ServerAnnouncement),
     /// A wallet of this process has a message for the account holder.
     Credit(ServiceKey, EntryMessage),
+    /// The first request after a time without any.
+    Wake,
     /// Asks for the state as JSON.
     Dump(Sender<serde_json::Value>),
     /// The process stops; answers when the control leader was told.
@@ -56,6 +66,7 @@
     lease: LeaseClient,
     installed: InstalledSettings,
     directory: ServerDirectory,
+    exchange: SyncExchange,
     accounts: AccountSet,
     epoch: EpochNumber,
     live: Vec<LiveEntry>,
@@ -65,6 +76,7 @@
     relayed: BTreeMap<ProcessName, u64>,
     directory_due: Instant,
     slow_due: Instant,
+    active_until: Instant,
     is_leaving: bool,
     /// A new session was started since the lease lapsed.
     has_new_session: bool,
@@ -86,6 +98,7 @@
             lease: LeaseClient::new(controls, seed, now),
             installed: InstalledSettings::new(),
             directory: ServerDirectory::new(DirectoryLimits::default()),
+            exchange: SyncExchange::new(now),
             epoch: 0,
             live: Vec::new(),
             peers: BTreeSet::new(),
@@ -93,13 +106,16 @@
             relayed: BTreeMap::new(),
             directory_due: now,
             slow_due: now,
+            active_until: now + REST_AFTER,
             is_leaving: false,
             has_new_session: false,
         }
     }
 
     /// Processes inputs and ticks until the input channel closes.
-    pub async fn run(mut self, inputs: Receiver<ControlInput>, ticks: Receiver<Instant>) {
+    pub async fn run(mut self, inputs: Receiver<ControlInput>, timers: TimerService) {
+        let mut interval = TICK_INTERVAL;
+        let mut ticks = timers.every(interval);
         loop {
             let input = inputs.recv();
             let tick = ticks.recv();
@@ -109,9 +125,27 @@
                 Either::Right((Ok(_), _)) => self.tick(Instant::now()),
                 Either::Left((Err(_), _)) | Either::Right((Err(_), _)) => return,
             }
+            let next = self.next_interval();
+            if next != interval {
+                interval = next;
+                ticks = timers.every(interval);
+            }
         }
     }
 
+    fn next_interval(&mut self) -> Duration {
+        let now = Instant::now();
+        if self.context.server_requests() > 0 {
+            self.active_until = now + REST_AFTER;
+        }
+        if now >= self.active_until && self.context.rest() { REST_INTERVAL } else { TICK_INTERVAL }
+    }
+
+    /// Keeps the short interval for some time.
+    fn note_activity(&mut self, now: Instant) {
+        self.active_until = now + REST_AFTER;
+    }
+
     fn process(&mut self, input: ControlInput) {
         let now = Instant::now();
         match input {
@@ -120,6 +154,10 @@
                 self.directory_event(now, DirectoryEvent::Announced(announcement));
             }
             ControlInput::Credit(service, message) => self.route_credit(now, &service, message),
+            ControlInput::Wake => {
+                self.note_activity(now);
+                self.tick(now);
+            }
             ControlInput::Dump(reply) => {
                 let _ = reply.try_send(self.dump(now));
             }
@@ -151,6 +189,7 @@
         self.deliver_grants();
         if now >= self.slow_due {
             self.slow_due = now + SLOW_INTERVAL;
+            self.start_sync(now);
             self.refresh(now, &table);
         }
     }
@@ -171,6 +210,10 @@
         };
         metrics.lease_seconds.set(left);
         metrics.set_traffic(self.hub.traffic());
+        for runtime in table.all() {
+            let account = self.accounts.counters(runtime.key());
+            metrics.set_measure(runtime.key(), runtime.measure_counters().plus(account));
+        }
         self.deliver_grants();
     }
 
@@ -191,7 +234,6 @@
             }
             ProcessRole::Entry => {
                 self.peers.insert(hello.name.clone());
-                // A new peer learns every server at once; later ones reach it as they announce.
                 self.send_directory(now, &hello.name);
                 self.accounts.entry_connected(now, &hello.name);
                 self.renew(now, LeaseInput::PeerUp(hello.name));
@@ -200,16 +242,6 @@
         self.change_holders();
     }
 
-    fn send_directory(&self, now: Instant, peer: &str) {
-        for (service, _) in self.directory.service_digests() {
-            let nothing = ServiceSummary { service, servers: Vec::new() };
-            let batch = self.directory.missing_from(now, &nothing);
-            if !batch.is_empty() {
-                self.hub.send(peer, WireMessage::DirectoryAnswer(batch));
-            }
-        }
-    }
-
     fn link_down(&mut self, now: Instant, name: ProcessName) {
         self.controls.remove(&name);
         if self.peers.remove(&name) {
@@ -236,23 +268,16 @@
             WireMessage::Announce(batch) => {
                 self.directory_event(now, DirectoryEvent::Relayed(batch));
             }
-            WireMessage::Heartbeats(packed) => match CompactHeartbeat::unpack(&packed) {
-                Ok(beats) => {
-                    let from = from.clone();
-                    self.directory_event(now, DirectoryEvent::Heartbeats { from, beats });
-                }
-                Err(error) => log::warn!(peer:% = from, error:%; "heartbeats ignored"),
-            },
-            WireMessage::DirectoryRequest(request) => {
-                let answer = self.directory.answer(now, &request);
-                if !answer.is_empty() {
-                    self.hub.send(from, WireMessage::DirectoryAnswer(answer));
-                }
-            }
+            WireMessage::Heartbeats(packed) => self.receive_heartbeats(now, from, &packed),
+            WireMessage::DirectoryRequest(request) => self.answer_request(now, from, &request),
+            WireMessage::DirectorySync(step) => self.receive_sync(now, from, &step),
             WireMessage::DirectoryAnswer(batch) => {
                 self.directory_event(now, DirectoryEvent::Answered(batch));
             }
             WireMessage::CreditRequest { service, message } => {
+                if message.moves_credits() {
+                    self.note_activity(now);
+                }
                 self.accounts.receive(now, &service, from, message);
                 self.deliver_grants();
             }
@@ -416,42 +441,6 @@
         }
     }
 
-    fn directory_event(&mut self, now: Instant, event: DirectoryEvent) {
-        let actions = self.directory.handle(now, event);
-        let table = self.context.table();
-        for action in actions {
-            match action {
-                DirectoryAction::Relay(batch) => {
-                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
-                    self.hub.send_all(to, WireMessage::Announce(batch));
-                }
-                DirectoryAction::RelayBeats(beats) => {
-                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
-                    let packed = CompactHeartbeat::pack(&beats);
-                    self.hub.send_all(to, WireMessage::Heartbeats(packed));
-                }
-                DirectoryAction::Ask { peer: Some(peer), request } => {
-                    self.hub.send(&peer, WireMessage::DirectoryRequest(request));
-                }
-                DirectoryAction::Ask { peer: None, request } => {
-                    let asked = choose_peers(&self.peers, self.context.random());
-                    let to = asked.iter().map(|name| &**name);
-                    self.hub.send_all(to, WireMessage::DirectoryRequest(request));
-                }
-                DirectoryAction::ServerChanged { from, to, announcement } => {
-                    self.change_server(now, &table, from, to, &announcement);
-                }
-                DirectoryAction::LoadReported { announcement } => {
-                    let runtime = table.runtime(&announcement.team, &announcement.service);
-                    if let Some(runtime) = runtime {
-                        runtime.note_report(&announcement);
-                    }
-                }
-            }
-        }
-        self.deliver_grants();
-    }
-
     fn change_server(
         &mut self,
         now: Instant,
@@ -484,7 +473,9 @@
             let is_own = holder == self.context.name;
             if is_own {
                 let servers = runtime.server_limits(now);
-                self.accounts.hold(now, runtime.key(), self.epoch, &self.live, servers);
+                let key = runtime.key();
+                self.accounts.hold(now, key, self.epoch, &self.live, servers);
+                self.accounts.change_limits(key, runtime.measure_limits());
             } else {
                 self.accounts.release(runtime.key());
             }
@@ -580,9 +571,3 @@
         })
     }
 }
-
-/// Chooses peers that are asked about silent servers, others each time.
-pub fn choose_peers(peers: &BTreeSet<ProcessName>, random: u64) -> Vec<ProcessName> {
-    let start = random as usize % peers.len().max(1);
-    peers.iter().cycle().skip(start).take(ASKED_PEERS.min(peers.len())).cloned().collect()
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -37,7 +37,7 @@
 use thiserror::Error;
 
 use self::context::ContextParts;
-use self::control::{EntryControl, TICK_INTERVAL};
+use self::control::EntryControl;
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
 use crate::http::HttpLimits;
@@ -141,10 +141,10 @@
         });
         let timers = TimerService::start();
         let control = EntryControl::new(Arc::clone(&context), hub.clone(), controls, now);
-        let ticks = timers.every(TICK_INTERVAL);
+        let control_timers = timers.clone();
         thread::Builder::new()
             .name("control".to_owned())
-            .spawn(move || task::block_on(control.run(inputs, ticks)))
+            .spawn(move || task::block_on(control.run(inputs, control_timers)))
             .map_err(EntryError::Thread)?;
         for _ in 0..LATE_SETTLERS {
             task::spawn(settle_dropped(Arc::clone(&context), settlements.clone()));
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -452,6 +452,11 @@
         self.lock().open
     }
 
+    /// Limits of what measuring and credits may cost.
+    pub fn measure_limits(&self) -> MeasureLimits {
+        measure_limits(&self.lock().settings)
+    }
+
     /// What measuring and credits have cost so far.
     pub fn measure_counters(&self) -> MeasureCounters {
         self.lock().measure.counters()
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -136,7 +136,10 @@
     match head.path() {
         HEALTH_PATH => answer_health(context, connection, &head).await,
         ANNOUNCE_PATH => receive_announcement(context, connection, &head).await,
-        _ => serve_request(context, connection, head).await,
+        _ => {
+            let _request = context.start_request();
+            serve_request(context, connection, head).await
+        }
     }
 }
 
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -50,7 +50,7 @@
 
 /// Frame as it is decoded; after another version the rest is not read.
 enum DecodedFrame {
-    Known(WireFrame),
+    Known(Box<WireFrame>),
     Other(u16),
 }
 
@@ -83,7 +83,8 @@
             region = fields.next_element()?.ok_or_else(|| missing("region"))?;
             from = fields.next_element()?.ok_or_else(|| missing("name"))?;
         }
-        Ok(DecodedFrame::Known(WireFrame { version, region, from, message }))
+        let frame = WireFrame { version, region, from, message };
+        Ok(DecodedFrame::Known(Box::new(frame)))
     }
 }
 
@@ -114,7 +115,7 @@
             bytes,
             NESTING_DEPTH,
         ) {
-            Ok(DecodedFrame::Known(frame)) => Ok(frame),
+            Ok(DecodedFrame::Known(frame)) => Ok(*frame),
             Ok(DecodedFrame::Other(version)) => Err(FrameError::Version(version)),
             Err(error) => Err(FrameError::Malformed(error.to_string().into())),
         }
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -6,7 +6,7 @@
 use crate::consensus::formation::FormationMessage;
 use crate::consensus::message::RaftMessage;
 use crate::credit::{EntryMessage, HolderMessage};
-use crate::directory::{DirectoryRequest, RelayedAnnouncement, ServiceKey};
+use crate::directory::{DirectoryRequest, DirectorySync, RelayedAnnouncement, ServiceKey};
 use crate::ids::{EpochNumber, GroupId, MemberId, ProcessName, SettingsRevision, ZoneName};
 use crate::settings::SettingsDelta;
 
@@ -201,6 +201,9 @@
     /// Servers that the receiving process lacks.
     #[serde(rename = "v")]
     DirectoryAnswer(Vec<RelayedAnnouncement>),
+    /// Step of anti-entropy between two directories.
+    #[serde(rename = "y")]
+    DirectorySync(DirectorySync),
     /// Entry to the account holder of a service.
     #[serde(rename = "c")]
     CreditRequest {
--- a/src/link/traffic.rs
+++ b/src/link/traffic.rs
@@ -5,7 +5,7 @@
 use super::WireMessage;
 
 /// Names of the kinds in the order of [`kind_index`].
-const KIND_NAMES: [&str; 20] = [
+const KIND_NAMES: [&str; 21] = [
     "hello",
     "ping",
     "pong",
@@ -26,6 +26,7 @@
     "heartbeats",
     "directory_request",
     "directory_answer",
+    "directory_sync",
 ];
 
 /// Number of kinds.
@@ -126,5 +127,6 @@
         WireMessage::Heartbeats(_) => 17,
         WireMessage::DirectoryRequest(_) => 18,
         WireMessage::DirectoryAnswer(_) => 19,
+        WireMessage::DirectorySync(_) => 20,
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,7 +11,9 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::directory::ServiceKey;
 use crate::link::LinkTraffic;
+use crate::route::MeasureCounters;
 
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 16] = [
@@ -169,6 +171,20 @@
         );
     }
 
+    /// Takes over the totals of one service's measuring and credit messages.
+    pub fn set_measure(&self, service: &ServiceKey, counters: MeasureCounters) {
+        let labels =
+            ServiceLabels { team: service.team.to_string(), service: service.service.to_string() };
+        let totals = [
+            (&self.measure_messages, counters.messages_spent),
+            (&self.measure_bytes, counters.bytes_spent),
+            (&self.measure_suppressed, counters.messages_suppressed),
+        ];
+        for (family, total) in totals {
+            family.get_or_create(&labels).inner().store(total, Ordering::Relaxed);
+        }
+    }
+
     /// Takes over the totals of the links.
     pub fn set_traffic(&self, traffic: &LinkTraffic) {
         for line in traffic.lines() {
--- a/src/route/measure.rs
+++ b/src/route/measure.rs
@@ -21,6 +21,18 @@
     pub bytes_suppressed: u64,
 }
 
+impl MeasureCounters {
+    /// Returns the sums of two totals.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            messages_spent: self.messages_spent + other.messages_spent,
+            bytes_spent: self.bytes_spent + other.bytes_spent,
+            messages_suppressed: self.messages_suppressed + other.messages_suppressed,
+            bytes_suppressed: self.bytes_suppressed + other.bytes_suppressed,
+        }
+    }
+}
+
 /// Token buckets for messages and bytes. Over any time `t` at most
 /// `limit * (t + 500 ms)` is spent. A limit under two messages per second admits none.
 #[derive(Debug)]
