--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -156,21 +156,21 @@
     /// Whether `demand` replaces what the holder knows; otherwise that stays as it is.
     #[serde(rename = "h")]
     pub has_demand: bool,
-    #[serde(rename = "d")]
+    #[serde(rename = "d", default, skip_serializing_if = "Vec::is_empty")]
     pub demand: Vec<DemandLine>,
-    #[serde(rename = "x")]
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub returns: Vec<CreditLine>,
     /// All credits held; present in the first message of a session.
-    #[serde(rename = "p")]
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Vec<HeldLine>>,
     /// Servers the entry has ejected and wants no credits of.
-    #[serde(rename = "a")]
+    #[serde(rename = "a", default, skip_serializing_if = "Vec::is_empty")]
     pub avoided: Vec<ServerKey>,
     /// Servers whose answers look bad to the entry now; replaces the earlier statement.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<SuspectLine>,
     /// Answers on probe credits and failed answers since the previous message.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<OutcomeLine>,
 }
 
@@ -192,19 +192,22 @@
     /// Few slots are unused: credits above `keep` go back with the next message.
     #[serde(rename = "c")]
     pub is_scarce: bool,
-    #[serde(rename = "g")]
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
     pub grants: Vec<CreditLine>,
-    #[serde(rename = "r")]
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub recalls: Vec<RecallLine>,
     /// Servers on probe: each credit of the grants goes back after one request, with its outcome.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub probes: Vec<ServerKey>,
 }
 
 impl EntryMessage {
-    /// Whether the message tells of work, not of a lease renewal only.
-    pub fn is_urgent(&self) -> bool {
-        self.started > 0 || !self.demand.is_empty() || !self.returns.is_empty()
+    /// Whether it does more than renew the lease.
+    pub fn moves_credits(&self) -> bool {
+        self.started > 0
+            || self.report.is_some()
+            || !self.demand.is_empty()
+            || !self.returns.is_empty()
     }
 
     /// Size on the wire in bytes, estimated from the encoded size of each part.
--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -20,6 +20,10 @@
     pub idle_hold: Duration,
     /// A message is sent at least this often, which renews the lease.
     pub report_interval: Duration,
+    /// The same for a wallet without work and credits for `idle_after`; a second one reaches the
+    /// holder within `CREDIT_LEASE` when one is lost.
+    pub idle_interval: Duration,
+    pub idle_after: Duration,
     /// An unanswered report is repeated after this time.
     pub report_repeat: Duration,
     /// New demand and returns are sent at most this often; recalled credits go back at once.
@@ -33,6 +37,8 @@
         Self {
             idle_hold: Duration::from_millis(2),
             report_interval: Duration::from_millis(500),
+            idle_interval: Duration::from_millis(950),
+            idle_after: Duration::from_secs(3),
             report_repeat: Duration::from_millis(50),
             // Twice the way to the holder and back; 1 ms costs 0.15 messages more per request at
             // 85 % load and saves 0.4 ms of the wait at p90.
@@ -127,6 +133,7 @@
     pub(super) owed_any: u32,
     pub(super) owed_until: Instant,
     pub(super) last_sent: Option<Instant>,
+    pub(super) active_at: Instant,
     pub(super) last_demand: [u32; 2],
     /// Long work that waited at the last tick, less what has started since.
     pub(super) waiting_long: u32,
@@ -164,6 +171,7 @@
             owed_any: 0,
             owed_until: now,
             last_sent: None,
+            active_at: now,
             last_demand: [0; 2],
             waiting_long: 0,
             has_returns: false,
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,37 +1,42 @@
 //! Control thread of an entry: settings, lease, directory, credit accounts and links.
 
+mod directory_link;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
+use futures_util::future::{Either, select};
+use futures_util::pin_mut;
 
+pub use self::directory_link::choose_peers;
 use super::accounts::{AccountSet, holder_of};
 use super::context::{EntryContext, ServiceTable};
 use super::lease::{LeaseClient, LeaseInput, RenewalAction};
 use super::runtime::{RuntimeIdentity, ServiceRuntime};
 use super::warm::{PoolKeeper, WARM_INTERVAL};
 use crate::credit::EntryMessage;
-use crate::deadline::{LimitPassed, within};
 use crate::directory::{
-    CompactHeartbeat, DirectoryAction, DirectoryEvent, DirectoryLimits, LifeState,
-    ServerAnnouncement, ServerDirectory, ServiceKey, ServiceSummary,
+    DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement, ServerDirectory, ServiceKey,
+    SyncExchange,
 };
 use crate::ids::{EpochNumber, ProcessName};
 use crate::link::{
     GrantLease, HelloMessage, LinkEvent, LinkHub, LiveEntry, ProcessRole, RenewLease, WireMessage,
 };
 use crate::settings::{InstalledSettings, SettingsDelta, SettingsTree};
+use crate::timer::TimerService;
 
-/// Interval of all periodic work of the control thread while there is traffic.
+/// Interval of all periodic work of the control thread while there are requests or credits move.
 const TICK_INTERVAL: Duration = Duration::from_millis(2);
 
-/// Interval of all periodic work while there is no traffic. Leases and heartbeats allow for it.
-const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval while nothing of that kind happens. Leases, heartbeats and relays have deadlines of 50 ms
+/// and more.
+const REST_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time after the last sign of traffic in which ticks stay frequent. Wallets return idle credits
-/// within it.
-const TRAFFIC_MEMORY: Duration = Duration::from_millis(200);
+/// Time without requests or credits on the move after which the thread rests.
+const REST_AFTER: Duration = Duration::from_millis(500);
 
 /// Interval at which the directory looks for late heartbeats when nothing waits to be relayed.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(50);
@@ -39,9 +44,6 @@
 /// Interval at which slow start and metrics are brought up to date.
 const SLOW_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Peers that are asked about servers that have fallen silent.
-const ASKED_PEERS: usize = 2;
-
 /// Input of the control thread.
 pub enum ControlInput {
     /// Something happened on a link.
@@ -50,6 +52,8 @@
     Announced(ServerAnnouncement),
     /// A wallet of this process has a message for the account holder.
     Credit(ServiceKey, EntryMessage),
+    /// The first request after a time without any.
+    Wake,
     /// Asks for the state as JSON.
     Dump(Sender<serde_json::Value>),
     /// The process stops; answers when the control leader was told.
@@ -63,6 +67,7 @@
     lease: LeaseClient,
     installed: InstalledSettings,
     directory: ServerDirectory,
+    exchange: SyncExchange,
     accounts: AccountSet,
     epoch: EpochNumber,
     live: Vec<LiveEntry>,
@@ -74,10 +79,7 @@
     slow_due: Instant,
     pool_keeper: PoolKeeper,
     warm_due: Instant,
-    /// Until then ticks are frequent.
-    frequent_until: Instant,
-    /// Requests counted at the last tick.
-    requests: u64,
+    active_until: Instant,
     is_leaving: bool,
     /// A new session was started since the lease lapsed.
     has_new_session: bool,
@@ -99,6 +101,7 @@
             lease: LeaseClient::new(controls, seed, now),
             installed: InstalledSettings::new(),
             directory: ServerDirectory::new(DirectoryLimits::default()),
+            exchange: SyncExchange::new(now),
             epoch: 0,
             live: Vec::new(),
             peers: BTreeSet::new(),
@@ -108,42 +111,44 @@
             slow_due: now,
             pool_keeper: PoolKeeper::new(),
             warm_due: now,
-            frequent_until: now,
-            requests: 0,
+            active_until: now + REST_AFTER,
             is_leaving: false,
             has_new_session: false,
         }
     }
 
-    /// Processes inputs and ticks until the process has stopped or the input channel closes.
-    pub async fn run(mut self, inputs: Receiver<ControlInput>) {
-        let mut tick_due = Instant::now() + TICK_INTERVAL;
-        while !self.context.is_stopped() {
-            let left = tick_due.saturating_duration_since(Instant::now());
-            match within(left, inputs.recv()).await {
-                Ok(Ok(input)) => self.process(input),
-                Ok(Err(_)) => return,
-                Err(LimitPassed) => (),
+    /// Processes inputs and ticks until the input channel closes.
+    pub async fn run(mut self, inputs: Receiver<ControlInput>, timers: TimerService) {
+        let mut interval = TICK_INTERVAL;
+        let mut ticks = timers.every(interval);
+        loop {
+            let input = inputs.recv();
+            let tick = ticks.recv();
+            pin_mut!(input, tick);
+            match select(input, tick).await {
+                Either::Left((Ok(input), _)) => self.process(input),
+                Either::Right((Ok(_), _)) => self.tick(Instant::now()),
+                Either::Left((Err(_), _)) | Either::Right((Err(_), _)) => return,
             }
-            let now = Instant::now();
-            // Checked after each input as well, so that a full queue does not delay the ticks.
-            if now >= tick_due {
-                self.tick(now);
-            }
-            tick_due = tick_due.min(now + self.tick_interval(now));
-            if now >= tick_due {
-                tick_due = now + self.tick_interval(now);
+            let next = self.next_interval();
+            if next != interval {
+                interval = next;
+                ticks = timers.every(interval);
             }
         }
     }
 
-    fn tick_interval(&self, now: Instant) -> Duration {
-        if now < self.frequent_until { TICK_INTERVAL } else { IDLE_TICK_INTERVAL }
+    fn next_interval(&mut self) -> Duration {
+        let now = Instant::now();
+        if self.context.server_requests() > 0 {
+            self.active_until = now + REST_AFTER;
+        }
+        if now >= self.active_until && self.context.rest() { REST_INTERVAL } else { TICK_INTERVAL }
     }
 
-    /// Notes traffic of callers, here or at an entry whose credits are accounted here.
-    fn note_traffic(&mut self, now: Instant) {
-        self.frequent_until = now + TRAFFIC_MEMORY;
+    /// Keeps the short interval for some time.
+    fn note_activity(&mut self, now: Instant) {
+        self.active_until = now + REST_AFTER;
     }
 
     fn process(&mut self, input: ControlInput) {
@@ -153,11 +158,10 @@
             ControlInput::Announced(announcement) => {
                 self.directory_event(now, DirectoryEvent::Announced(announcement));
             }
-            ControlInput::Credit(service, message) => {
-                if message.is_urgent() {
-                    self.note_traffic(now);
-                }
-                self.route_credit(now, &service, message);
+            ControlInput::Credit(service, message) => self.route_credit(now, &service, message),
+            ControlInput::Wake => {
+                self.note_activity(now);
+                self.tick(now);
             }
             ControlInput::Dump(reply) => {
                 let _ = reply.try_send(self.dump(now));
@@ -176,11 +180,6 @@
     }
 
     fn tick(&mut self, now: Instant) {
-        let requests = self.context.request_count();
-        if requests != self.requests || self.context.open_requests() > 0 {
-            self.requests = requests;
-            self.note_traffic(now);
-        }
         self.renew(now, LeaseInput::Tick);
         let relay_due = self.directory.relay_due().is_some_and(|due| now >= due);
         if relay_due || now >= self.directory_due {
@@ -195,6 +194,7 @@
         self.deliver_grants();
         if now >= self.slow_due {
             self.slow_due = now + SLOW_INTERVAL;
+            self.start_sync(now);
             self.refresh(now, &table);
         }
     }
@@ -219,6 +219,10 @@
         };
         metrics.lease_seconds.set(left);
         metrics.set_traffic(self.hub.traffic());
+        for runtime in table.all() {
+            let account = self.accounts.counters(runtime.key());
+            metrics.set_measure(runtime.key(), runtime.measure_counters().plus(account));
+        }
         self.deliver_grants();
     }
 
@@ -239,7 +243,6 @@
             }
             ProcessRole::Entry => {
                 self.peers.insert(hello.name.clone());
-                // A new peer learns every server at once; later ones reach it as they announce.
                 self.send_directory(now, &hello.name);
                 self.accounts.entry_connected(now, &hello.name);
                 self.renew(now, LeaseInput::PeerUp(hello.name));
@@ -248,16 +251,6 @@
         self.change_holders();
     }
 
-    fn send_directory(&self, now: Instant, peer: &str) {
-        for (service, _) in self.directory.service_digests() {
-            let nothing = ServiceSummary { service, servers: Vec::new() };
-            let batch = self.directory.missing_from(now, &nothing);
-            if !batch.is_empty() {
-                self.hub.send(peer, WireMessage::DirectoryAnswer(batch));
-            }
-        }
-    }
-
     fn link_down(&mut self, now: Instant, name: ProcessName) {
         self.controls.remove(&name);
         if self.peers.remove(&name) {
@@ -284,25 +277,15 @@
             WireMessage::Announce(batch) => {
                 self.directory_event(now, DirectoryEvent::Relayed(batch));
             }
-            WireMessage::Heartbeats(packed) => match CompactHeartbeat::unpack(&packed) {
-                Ok(beats) => {
-                    let from = from.clone();
-                    self.directory_event(now, DirectoryEvent::Heartbeats { from, beats });
-                }
-                Err(error) => log::warn!(peer:% = from, error:%; "heartbeats ignored"),
-            },
-            WireMessage::DirectoryRequest(request) => {
-                let answer = self.directory.answer(now, &request);
-                if !answer.is_empty() {
-                    self.hub.send(from, WireMessage::DirectoryAnswer(answer));
-                }
-            }
+            WireMessage::Heartbeats(packed) => self.receive_heartbeats(now, from, &packed),
+            WireMessage::DirectoryRequest(request) => self.answer_request(now, from, &request),
+            WireMessage::DirectorySync(step) => self.receive_sync(now, from, &step),
             WireMessage::DirectoryAnswer(batch) => {
                 self.directory_event(now, DirectoryEvent::Answered(batch));
             }
             WireMessage::CreditRequest { service, message } => {
-                if message.is_urgent() {
-                    self.note_traffic(now);
+                if message.moves_credits() {
+                    self.note_activity(now);
                 }
                 self.accounts.receive(now, &service, from, message);
                 self.deliver_grants();
@@ -467,42 +450,6 @@
         }
     }
 
-    fn directory_event(&mut self, now: Instant, event: DirectoryEvent) {
-        let actions = self.directory.handle(now, event);
-        let table = self.context.table();
-        for action in actions {
-            match action {
-                DirectoryAction::Relay(batch) => {
-                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
-                    self.hub.send_all(to, WireMessage::Announce(batch));
-                }
-                DirectoryAction::RelayBeats(beats) => {
-                    let to = self.peers.iter().chain(&self.controls).map(|name| &**name);
-                    let packed = CompactHeartbeat::pack(&beats);
-                    self.hub.send_all(to, WireMessage::Heartbeats(packed));
-                }
-                DirectoryAction::Ask { peer: Some(peer), request } => {
-                    self.hub.send(&peer, WireMessage::DirectoryRequest(request));
-                }
-                DirectoryAction::Ask { peer: None, request } => {
-                    let asked = choose_peers(&self.peers, self.context.random());
-                    let to = asked.iter().map(|name| &**name);
-                    self.hub.send_all(to, WireMessage::DirectoryRequest(request));
-                }
-                DirectoryAction::ServerChanged { from, to, announcement } => {
-                    self.change_server(now, &table, from, to, &announcement);
-                }
-                DirectoryAction::LoadReported { announcement } => {
-                    let runtime = table.runtime(&announcement.team, &announcement.service);
-                    if let Some(runtime) = runtime {
-                        runtime.note_report(&announcement);
-                    }
-                }
-            }
-        }
-        self.deliver_grants();
-    }
-
     fn change_server(
         &mut self,
         now: Instant,
@@ -535,7 +482,9 @@
             let is_own = holder == self.context.name;
             if is_own {
                 let servers = runtime.server_limits(now);
-                self.accounts.hold(now, runtime.key(), self.epoch, &self.live, servers);
+                let key = runtime.key();
+                self.accounts.hold(now, key, self.epoch, &self.live, servers);
+                self.accounts.change_limits(key, runtime.measure_limits());
             } else {
                 self.accounts.release(runtime.key());
             }
@@ -631,9 +580,3 @@
         })
     }
 }
-
-/// Chooses peers that are asked about silent servers, others each time.
-pub fn choose_peers(peers: &BTreeSet<ProcessName>, random: u64) -> Vec<ProcessName> {
-    let start = random as usize % peers.len().max(1);
-    peers.iter().cycle().skip(start).take(ASKED_PEERS.min(peers.len())).cloned().collect()
-}
--- a/src/link/frame.rs
+++ b/src/link/frame.rs
@@ -83,7 +83,8 @@
             region = fields.next_element()?.ok_or_else(|| missing("region"))?;
             from = fields.next_element()?.ok_or_else(|| missing("name"))?;
         }
-        Ok(DecodedFrame::Known(Box::new(WireFrame { version, region, from, message })))
+        let frame = WireFrame { version, region, from, message };
+        Ok(DecodedFrame::Known(Box::new(frame)))
     }
 }
 
