Split the entry's large files by job

Permits, the data of a service, request plans, the dump, the services of the control thread and WebSocket frames have files of their own now. Announcement errors carry the schema error instead of its text.

--- a/src/entry/announce.rs
+++ b/src/entry/announce.rs
@@ -7,7 +7,7 @@
 use crate::directory::{AnnouncedState, ServerAnnouncement};
 use crate::generated::announcement::{AnnouncedState as WireState, AnnouncementDocument};
 use crate::http::{CallerConnection, HttpError, RequestBody, RequestHead, ResponseHead};
-use crate::schema::SchemaCheck;
+use crate::schema::{SchemaCheck, SchemaError};
 use crate::settings::{token_matches, token_sha256};
 
 /// Largest announcement in bytes.
@@ -18,8 +18,12 @@
 enum AnnounceError {
     #[error("announcements are sent by POST")]
     Method,
+    #[error("the body is not UTF-8")]
+    NotText,
     #[error("the body is not a valid announcement: {0}")]
-    Document(Box<str>),
+    Document(Box<SchemaError>),
+    #[error("the body is not a valid announcement")]
+    Unreadable,
     #[error("no settings are in force yet")]
     NoSettings,
     #[error("the token is wrong for this team, or the team does not exist")]
@@ -34,7 +38,7 @@
     fn status(&self) -> u16 {
         match self {
             Self::Method => 405,
-            Self::Document(_) => 400,
+            Self::NotText | Self::Document(_) | Self::Unreadable => 400,
             Self::Token => 403,
             Self::Service => 404,
             Self::NoSettings | Self::Overloaded => 503,
@@ -93,14 +97,12 @@
 }
 
 fn parse(content: &[u8]) -> Result<AnnouncementDocument, AnnounceError> {
-    let text =
-        std::str::from_utf8(content).map_err(|_| AnnounceError::Document("not UTF-8".into()))?;
-    let describe =
-        |error: &crate::schema::SchemaError| AnnounceError::Document(error.to_string().into());
-    let document = SchemaCheck::announcement().validate(text, "").map_err(|errors| {
-        errors.first().map_or(AnnounceError::Document("invalid".into()), describe)
-    })?;
-    document.read().map_err(|error| describe(&error))
+    let text = std::str::from_utf8(content).map_err(|_| AnnounceError::NotText)?;
+    let first = |errors: Vec<SchemaError>| match errors.into_iter().next() {
+        Some(error) => AnnounceError::Document(Box::new(error)),
+        None => AnnounceError::Unreadable,
+    };
+    SchemaCheck::announcement().parse(text).map_err(first)
 }
 
 /// Token of an `Authorization: Bearer` header.
@@ -114,8 +116,7 @@
     context: &EntryContext,
     document: AnnouncementDocument,
 ) -> Result<ServerAnnouncement, AnnounceError> {
-    let address = document.address.parse();
-    let address = address.map_err(|_| AnnounceError::Document("address".into()))?;
+    let address = document.address.parse().map_err(|_| AnnounceError::Unreadable)?;
     let slots = u32::try_from(document.slots.get()).unwrap_or(u32::MAX);
     let running = u32::try_from(document.load.unwrap_or(0)).unwrap_or(u32::MAX);
     Ok(ServerAnnouncement {
--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -12,12 +12,12 @@
 use super::answer::FailureReason;
 use super::context::EntryContext;
 use super::exchange::{AttemptFailure, OpenResponse, RequestPayload, exchange};
+use super::permit::SlotPermit;
+use super::plan::{RequestPlan, forward_head};
 use super::relay::{RelayOutcome, collect_body, prepare_head, relay_response};
 use super::request::{
-    RequestEnd, RequestPlan, acquire, caller_failure, connect_server, describe, finish_connection,
-    forward_head, process_full,
+    RequestEnd, acquire, caller_failure, connect_server, describe, finish_connection, process_full,
 };
-use super::runtime::SlotPermit;
 use crate::claim::digest::request_digest;
 use crate::claim::guard::{
     ClaimResolution, GrantedClaim, OfferedClaim, SendPermit, UnclaimedRequest,
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -1,6 +1,8 @@
 //! Control thread of an entry: settings, lease, directory, credit accounts and links.
 
 mod directory_link;
+mod dump;
+mod services;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -14,18 +16,16 @@
 use super::accounts::{AccountSet, holder_of};
 use super::context::{EntryContext, ServiceTable};
 use super::lease::{LeaseClient, LeaseInput, RenewalAction};
-use super::runtime::{RuntimeIdentity, ServiceRuntime};
 use super::warm::{PoolKeeper, WARM_INTERVAL};
 use crate::credit::EntryMessage;
 use crate::directory::{
-    DirectoryEvent, DirectoryLimits, LifeState, ServerAnnouncement, ServerDirectory, ServiceKey,
-    SyncExchange,
+    DirectoryEvent, DirectoryLimits, ServerAnnouncement, ServerDirectory, ServiceKey, SyncExchange,
 };
 use crate::ids::{EpochNumber, ProcessName};
 use crate::link::{
     GrantLease, HelloMessage, LinkEvent, LinkHub, LiveEntry, ProcessRole, RenewLease, WireMessage,
 };
-use crate::settings::{InstalledSettings, SettingsDelta, SettingsTree};
+use crate::settings::{InstalledSettings, SettingsDelta};
 use crate::timer::TimerService;
 
 /// Interval of all periodic work of the control thread while there are requests or credits move.
@@ -396,104 +396,6 @@
         }
     }
 
-    /// Publishes new settings; services that stay keep their running state.
-    fn publish(&mut self, tree: Arc<SettingsTree>) {
-        let now = Instant::now();
-        let old = self.context.table();
-        let mut table = ServiceTable { tree: Some(Arc::clone(&tree)), ..Default::default() };
-        let mut added = Vec::new();
-        for (team, settings) in &tree.teams {
-            let services = table.runtimes.entry(team.clone()).or_default();
-            for (service, settings) in &settings.services {
-                let runtime = match old.runtime(team, service) {
-                    Some(runtime) => {
-                        runtime.change_settings(Arc::clone(settings));
-                        runtime
-                    }
-                    None => {
-                        let key = ServiceKey { team: team.clone(), service: service.clone() };
-                        let identity = self.runtime_identity();
-                        let runtime = ServiceRuntime::new(key, Arc::clone(settings), identity, now);
-                        added.push(Arc::clone(&runtime));
-                        runtime
-                    }
-                };
-                services.insert(service.clone(), runtime);
-            }
-        }
-        self.context.publish(table);
-        for runtime in added {
-            self.fill(now, &runtime);
-        }
-        let table = self.context.table();
-        self.accounts.retain(|key| table.runtime(&key.team, &key.service).is_some());
-        self.change_holders();
-    }
-
-    /// Gives a new service the servers that the directory knows already.
-    fn fill(&self, now: Instant, runtime: &Arc<ServiceRuntime>) {
-        for record in self.directory.servers(runtime.key()) {
-            runtime.change_server(now, &record.announcement, record.life);
-        }
-    }
-
-    fn runtime_identity(&self) -> RuntimeIdentity {
-        let inbox = self.context.inbox.clone();
-        RuntimeIdentity {
-            name: self.context.name.clone(),
-            availability_zone: self.context.availability_zone.clone(),
-            seed: self.context.random(),
-            // A full queue loses the message; the wallet repeats demand and reports.
-            outbox: Box::new(move |service, message| {
-                let _ = inbox.try_send(ControlInput::Credit(service.clone(), message));
-            }),
-        }
-    }
-
-    fn change_server(
-        &mut self,
-        now: Instant,
-        table: &ServiceTable,
-        from: Option<LifeState>,
-        to: LifeState,
-        announcement: &ServerAnnouncement,
-    ) {
-        if from != Some(to) {
-            log::info!(
-                team:% = announcement.team, service:% = announcement.service,
-                server:% = announcement.server, from:? = from, to:? = to; "server state"
-            );
-        }
-        let Some(runtime) = table.runtime(&announcement.team, &announcement.service) else {
-            return;
-        };
-        runtime.change_server(now, announcement, to);
-        self.accounts.change_servers(now, runtime.key(), || runtime.server_limits(now));
-    }
-
-    /// Assigns the account of each service to an entry of the current list.
-    fn change_holders(&mut self) {
-        let now = Instant::now();
-        let names: Vec<ProcessName> = self.live.iter().map(|entry| entry.name.clone()).collect();
-        for runtime in self.context.table().all() {
-            let Some(holder) = holder_of(runtime.key(), &self.live) else {
-                continue;
-            };
-            let is_own = holder == self.context.name;
-            if is_own {
-                let servers = runtime.server_limits(now);
-                let key = runtime.key();
-                self.accounts.hold(now, key, self.epoch, &self.live, servers);
-                self.accounts.change_limits(key, runtime.measure_limits());
-            } else {
-                self.accounts.release(runtime.key());
-            }
-            let reachable = is_own || self.peers.contains(&holder);
-            runtime.change_holder(self.epoch, names.clone(), reachable);
-        }
-        self.deliver_grants();
-    }
-
     /// Sends a wallet's message to the holder of the account, which may be this process.
     fn route_credit(&mut self, now: Instant, service: &ServiceKey, message: EntryMessage) {
         let Some(holder) = holder_of(service, &self.live) else {
@@ -523,60 +425,4 @@
             self.hub.send(&action.entry, message);
         }
     }
-
-    fn dump(&self, now: Instant) -> serde_json::Value {
-        let mut services = serde_json::Map::new();
-        for runtime in self.context.table().all() {
-            let key = runtime.key();
-            let name = format!("{}/{}", key.team, key.service);
-            services.insert(name, self.dump_service(runtime));
-        }
-        serde_json::json!({
-            "name": self.context.name,
-            "role": "entry",
-            "region": self.context.region,
-            "availability_zone": self.context.availability_zone,
-            "state": self.context.phase(),
-            "session": self.context.session(),
-            "settings_revision": self.installed.revision(),
-            "cluster": self.installed.cluster().map(|cluster| format!("{cluster:016x}")),
-            "lease_valid": self.lease.is_valid(now),
-            "leader": self.lease.leader(),
-            "epoch": self.epoch,
-            "live_entries": self.live,
-            "peers": self.peers,
-            "controls": self.controls,
-            "open_requests": self.context.open_requests(),
-            "open_claim_calls": self.context.claims.open_calls(),
-            "directory": format!("{:?}", self.directory.counters()),
-            "services": services,
-        })
-    }
-
-    fn dump_service(&self, runtime: &ServiceRuntime) -> serde_json::Value {
-        let mut servers = Vec::new();
-        for view in runtime.servers() {
-            let counts = self.context.pool.counts(view.address);
-            servers.push(serde_json::json!({
-                "id": view.id,
-                "address": view.address,
-                "availability_zone": view.availability_zone,
-                "state": format!("{:?}", view.life).to_lowercase(),
-                "slots": view.slots,
-                "connections_open": counts.open,
-                "connections_idle": counts.idle,
-            }));
-        }
-        let counters = runtime.measure_counters();
-        serde_json::json!({
-            "holder": holder_of(runtime.key(), &self.live),
-            "own_count": runtime.is_own_count(),
-            "open": runtime.open(),
-            "waiting": runtime.waiting(),
-            "measure_messages": counters.messages_spent,
-            "measure_bytes": counters.bytes_spent,
-            "measure_suppressed": counters.messages_suppressed,
-            "servers": servers,
-        })
-    }
 }
--- a/src/entry/hedge.rs
+++ b/src/entry/hedge.rs
@@ -9,8 +9,9 @@
 
 use super::context::EntryContext;
 use super::exchange::{AttemptFailure, OpenResponse, RequestPayload};
-use super::request::{RequestPlan, attempt_once};
-use super::runtime::SlotPermit;
+use super::permit::SlotPermit;
+use super::plan::RequestPlan;
+use super::request::attempt_once;
 use crate::credit::{ServerKey, WorkClass};
 use crate::http::{CallerConnection, RequestHead};
 
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -1,15 +1,18 @@
 //! Running state of one service on one entry: servers, credits and waiting requests.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 
 use super::answer::FailureReason;
-use super::exchange::AttemptFailure;
-use super::request::RequestPlan;
+use super::permit::SlotPermit;
+use super::plan::RequestPlan;
+use super::runtime_state::{
+    QueueTicket, RuntimeState, ServerView, admission_settings, measure_limits, pool_settings,
+    retry_settings,
+};
 use super::warm::WarmTarget;
 use crate::credit::{
     CreditWallet, EntryMessage, HolderMessage, ServerKey, ServerLimit, WalletEvent, WalletSettings,
@@ -17,18 +20,13 @@
 };
 use crate::deadline::within;
 use crate::directory::{LifeState, ServerAnnouncement, ServiceKey};
-use crate::http::CheckoutError;
-use crate::ids::{EpochNumber, ProcessName, ServerId, ZoneName};
+use crate::ids::{EpochNumber, ProcessName, ZoneName};
 use crate::route::{
-    AdmissionQueue, AdmissionRefusal, AdmissionSettings, FailedAttempt, HealthSettings,
-    MeasureBudget, MeasureCounters, MeasureLimits, PickOutcome, PickedServer, PoolServer,
-    PoolSettings, RetryBudget, RetryDecision, RetrySettings, RoutePolicy, ServerPool,
+    AdmissionQueue, AdmissionRefusal, FailedAttempt, MeasureBudget, MeasureCounters, MeasureLimits,
+    PickOutcome, PickedServer, RetryBudget, RetryDecision, ServerPool,
 };
 use crate::settings::{SelectionPolicy, ServiceSettings};
 
-/// Size of a usual message to the account holder, for which the measuring budget must have room.
-const TYPICAL_MESSAGE_BYTES: u32 = 256;
-
 /// Where messages to the account holder go.
 pub type CreditOutbox = Box<dyn Fn(&ServiceKey, EntryMessage) + Send + Sync>;
 
@@ -51,93 +49,6 @@
     state: Mutex<RuntimeState>,
 }
 
-struct RuntimeState {
-    settings: Arc<ServiceSettings>,
-    servers: BTreeMap<ServerKey, ServerView>,
-    pool: ServerPool,
-    wallet: CreditWallet,
-    queue: AdmissionQueue<QueueTicket>,
-    retry: RetryBudget,
-    measure: MeasureBudget,
-    live_entries: usize,
-    /// Epoch and live entries, and whether the account holder can be reached.
-    holder: Option<(EpochNumber, Vec<ProcessName>, bool)>,
-    open: usize,
-}
-
-/// A server as this entry uses it.
-#[derive(Clone, Debug)]
-pub struct ServerView {
-    /// Announced name.
-    pub id: ServerId,
-    /// Address for requests.
-    pub address: SocketAddr,
-    /// Availability zone of the server.
-    pub availability_zone: ZoneName,
-    /// Slots that it announced.
-    pub slots: u32,
-    /// Connections that it announced.
-    pub connections: u32,
-    /// Life-cycle state.
-    pub life: LifeState,
-    /// When this entry saw the server become ready; `None` for one that it met ready.
-    pub ready_since: Option<Instant>,
-}
-
-/// Queued request that waits for a permit.
-struct QueueTicket {
-    excluded: Vec<ServerKey>,
-    grant: Sender<SlotPermit>,
-}
-
-/// Right to occupy one slot of a server; given back when finished or dropped.
-pub struct SlotPermit {
-    runtime: Arc<ServiceRuntime>,
-    picked: Option<PickedServer>,
-    server: ServerKey,
-}
-
-impl SlotPermit {
-    /// Key of the server.
-    pub fn server(&self) -> ServerKey {
-        self.server
-    }
-
-    /// Ends the attempt and tells whether the server failed.
-    pub fn finish(mut self, failed: bool) {
-        if let Some(picked) = self.picked.take() {
-            self.runtime.finish(picked, failed);
-        }
-    }
-
-    /// Ends an attempt that was given up because another one answered first.
-    pub fn finish_slow(mut self) {
-        if let Some(picked) = self.picked.take() {
-            self.runtime.finish_slow(picked);
-        }
-    }
-
-    /// Ends an attempt that yielded no response head.
-    pub fn finish_failed(self, failure: &AttemptFailure) {
-        match failure {
-            // The caller's failure and a full connection pool say nothing about the server.
-            AttemptFailure::CallerFailed(_)
-            | AttemptFailure::NotOffered(CheckoutError::LimitReached | CheckoutError::ServerGone) => {
-                drop(self)
-            }
-            _ => self.finish(true),
-        }
-    }
-}
-
-impl Drop for SlotPermit {
-    fn drop(&mut self) {
-        if let Some(picked) = self.picked.take() {
-            self.runtime.cancel(picked);
-        }
-    }
-}
-
 impl ServiceRuntime {
     /// Creates the state of a service without servers.
     pub fn new(
@@ -233,7 +144,7 @@
         SlotPermit { runtime: Arc::clone(self), picked: Some(picked), server }
     }
 
-    fn finish(self: &Arc<Self>, picked: PickedServer, failed: bool) {
+    pub(super) fn finish(self: &Arc<Self>, picked: PickedServer, failed: bool) {
         let now = Instant::now();
         let mut guard = self.lock();
         let state = &mut *guard;
@@ -247,7 +158,7 @@
         self.grant_waiting(guard, now);
     }
 
-    fn finish_slow(self: &Arc<Self>, picked: PickedServer) {
+    pub(super) fn finish_slow(self: &Arc<Self>, picked: PickedServer) {
         let now = Instant::now();
         let mut guard = self.lock();
         let state = &mut *guard;
@@ -258,7 +169,7 @@
         self.grant_waiting(guard, now);
     }
 
-    fn cancel(self: &Arc<Self>, picked: PickedServer) {
+    pub(super) fn cancel(self: &Arc<Self>, picked: PickedServer) {
         let now = Instant::now();
         let mut guard = self.lock();
         let state = &mut *guard;
@@ -593,186 +504,3 @@
         drop(removed);
     }
 }
-
-impl RuntimeState {
-    fn usable_servers(&self) -> usize {
-        self.servers.values().filter(|view| view.is_usable()).count()
-    }
-
-    /// This entry's share of the connections that the server accepts.
-    fn connection_share(&self, view: &ServerView) -> usize {
-        let total = view.connections.min(self.settings.servers.connections) as usize;
-        (total / self.live_entries).max(1)
-    }
-
-    /// Sends demand, returns and lease renewals unless the measuring budget is spent.
-    fn tick_wallet(&mut self, now: Instant) -> Option<EntryMessage> {
-        if !self.measure.has_room(now, TYPICAL_MESSAGE_BYTES) {
-            return None;
-        }
-        let waiting = match self.uses_credits() {
-            true => self.queue.waiting(),
-            false if self.holds_credits() => Default::default(),
-            false => return None,
-        };
-        let message = self.wallet.handle(now, WalletEvent::Tick(waiting))?;
-        self.measure.charge(now, message.wire_bytes());
-        Some(message)
-    }
-
-    fn uses_credits(&self) -> bool {
-        self.settings.policy == SelectionPolicy::Credits
-    }
-
-    fn holds_credits(&self) -> bool {
-        self.servers.keys().any(|server| self.wallet.held(*server) > 0)
-    }
-
-    /// Starts a new session with the account holder after a time without credits.
-    ///
-    /// Others may hold credits for all slots, so no work starts by own count before the answer.
-    /// Requests that still run under the other policy are on no account until they finish.
-    fn resume_credits(&mut self, now: Instant) -> Option<EntryMessage> {
-        let (epoch, live, reachable) = self.holder.clone()?;
-        if !reachable {
-            return None;
-        }
-        self.wallet.handle(now, WalletEvent::HolderUnreachable);
-        self.wallet.handle(now, WalletEvent::HolderChanged { epoch, live })
-    }
-
-    /// Exchanges a server that the request has tried for another one with a free slot.
-    fn respect_exclusions(
-        &mut self,
-        now: Instant,
-        picked: PickedServer,
-        excluded: &[ServerKey],
-    ) -> PickedServer {
-        if !excluded.contains(&picked.server) {
-            return picked;
-        }
-        let class = picked.class;
-        match self.pool.pick(now, class, excluded, &mut self.wallet) {
-            PickOutcome::Start(other) => {
-                self.pool.cancel(now, picked, &mut self.wallet);
-                other
-            }
-            PickOutcome::Wait | PickOutcome::NoServer => picked,
-        }
-    }
-
-    fn replace_settings(&mut self, now: Instant, settings: Arc<ServiceSettings>) {
-        self.measure.change_limits(measure_limits(&settings));
-        self.pool.change_settings(pool_settings(&settings));
-        self.retry.change_settings(now, retry_settings(&settings));
-        self.queue.change_settings(admission_settings(&settings));
-        self.settings = settings;
-    }
-
-    fn change_view(&mut self, now: Instant, announcement: &ServerAnnouncement, life: LifeState) {
-        let key = server_key(&announcement.server);
-        if life == LifeState::Gone {
-            self.servers.remove(&key);
-            return;
-        }
-        let previous = self.servers.get(&key);
-        let was_starting = previous.is_some_and(|view| view.life == LifeState::Starting);
-        let ready_since = match previous {
-            _ if was_starting && life == LifeState::Ready => Some(now),
-            Some(view) => view.ready_since,
-            None => None,
-        };
-        let view = ServerView {
-            id: announcement.server.clone(),
-            address: announcement.address,
-            availability_zone: announcement.availability_zone.clone(),
-            slots: announcement.slots,
-            connections: announcement.connections,
-            life,
-            ready_since,
-        };
-        self.servers.insert(key, view);
-    }
-
-    /// Passes the servers on to pool and wallet.
-    fn announce_servers(&mut self, now: Instant) -> Option<EntryMessage> {
-        let limits = &self.settings.servers;
-        let mut servers = Vec::with_capacity(self.servers.len());
-        for (key, view) in &self.servers {
-            if view.life == LifeState::Starting {
-                continue;
-            }
-            servers.push(PoolServer {
-                server: *key,
-                zone: view.availability_zone.clone(),
-                slots: view.slots.min(limits.slots),
-                connections: view.connections.min(limits.connections),
-                ready_since: view.ready_since,
-                draining: view.life == LifeState::Draining,
-            });
-        }
-        let live = u32::try_from(self.live_entries).unwrap_or(u32::MAX);
-        self.pool.set_servers(servers, live);
-        let mut servers = self.pool.wallet_servers(now);
-        if !self.uses_credits() {
-            // The wallet returns credits that no request uses.
-            for server in &mut servers {
-                server.draining = true;
-            }
-        }
-        let event = WalletEvent::ServersChanged(servers);
-        self.wallet.handle(now, event)
-    }
-
-    fn drain_queue(&mut self) -> AdmissionQueue<QueueTicket> {
-        let settings = admission_settings(&self.settings);
-        std::mem::replace(&mut self.queue, AdmissionQueue::new(settings))
-    }
-}
-
-impl ServerView {
-    /// Whether the server may receive new work.
-    ///
-    /// A suspect server stays in use: responses show sooner than heartbeats whether it works.
-    pub fn is_usable(&self) -> bool {
-        matches!(self.life, LifeState::Ready | LifeState::Suspect)
-    }
-}
-
-fn pool_settings(settings: &ServiceSettings) -> PoolSettings {
-    PoolSettings {
-        policy: match settings.policy {
-            SelectionPolicy::Random => RoutePolicy::Random,
-            SelectionPolicy::RoundRobin => RoutePolicy::RoundRobin,
-            SelectionPolicy::LeastInFlight => RoutePolicy::LeastInFlight,
-            SelectionPolicy::TwoChoices => RoutePolicy::TwoChoices,
-            SelectionPolicy::Credits => RoutePolicy::Credits,
-        },
-        slow_start: settings.drain.slow_start,
-        health: HealthSettings::default(),
-    }
-}
-
-fn admission_settings(settings: &ServiceSettings) -> AdmissionSettings {
-    let limit = settings.servers.queue as usize;
-    AdmissionSettings { limits: [limit, limit], ..AdmissionSettings::default() }
-}
-
-fn retry_settings(settings: &ServiceSettings) -> RetrySettings {
-    let rule = &settings.retry;
-    RetrySettings {
-        max_attempts: rule.attempts,
-        budget_fraction: f64::from(rule.budget_percent) / 100.0,
-        backoff_base: rule.backoff_min,
-        backoff_limit: rule.backoff_max,
-        hedge_quantile: rule.hedge_quantile.unwrap_or(1.0),
-        ..RetrySettings::default()
-    }
-}
-
-fn measure_limits(settings: &ServiceSettings) -> MeasureLimits {
-    MeasureLimits {
-        messages_per_second: f64::from(settings.measure.messages_per_second),
-        bytes_per_second: settings.measure.bytes_per_second as f64,
-    }
-}
--- a/src/link/hub.rs
+++ b/src/link/hub.rs
@@ -11,18 +11,15 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use futures_util::future::{Either, select};
-use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::stream::SplitStream;
 use futures_util::{SinkExt, StreamExt};
 use thiserror::Error;
-use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
-use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use super::socket::{LinkStream, decode, socket_config, write_frames};
 use super::traffic::kind_index;
-use super::{
-    FRAME_BYTES, FrameError, HelloMessage, LinkTraffic, WIRE_VERSION, WireFrame, WireMessage,
-};
+use super::{FrameError, HelloMessage, LinkTraffic, WIRE_VERSION, WireFrame, WireMessage};
 use crate::ids::{ProcessName, RegionName};
 
 /// Frames that may wait on one link; further ones are dropped and must be resent by their owner.
@@ -47,8 +44,6 @@
 /// Inbound connections that may exist at once, handshakes included.
 const INBOUND_LINKS: usize = 512;
 
-type LinkStream = WebSocketStream<Compat<TcpStream>>;
-
 /// What a process is on the link network.
 #[derive(Clone, Debug)]
 pub struct LinkConfig {
@@ -339,7 +334,7 @@
             return;
         };
         let (sink, source) = socket.split();
-        let writer = task::spawn(write_frames(sink, receiver, stream));
+        let writer = task::spawn(write_frames(sink, receiver, stream, PONG_TIMEOUT));
         log::info!(peer:% = name, role:% = hello.role.as_str(); "link open");
         if self.shared.events.send(LinkEvent::Up(hello)).await.is_ok() {
             let error = self.read_frames(source, &sender, &name, dialled).await;
@@ -484,40 +479,6 @@
     }
 }
 
-/// Sends queued frames; frames that wait together share one flush.
-async fn write_frames(
-    mut sink: SplitSink<LinkStream, Message>,
-    receiver: Receiver<Vec<u8>>,
-    stream: TcpStream,
-) {
-    while let Ok(bytes) = receiver.recv().await {
-        let batch = async {
-            sink.feed(Message::Binary(bytes.into())).await?;
-            while let Ok(bytes) = receiver.try_recv() {
-                sink.feed(Message::Binary(bytes.into())).await?;
-            }
-            sink.flush().await
-        };
-        if !matches!(timeout(PONG_TIMEOUT, batch).await, Ok(Ok(()))) {
-            break;
-        }
-    }
-    // Ends the reader as well.
-    let _ = stream.shutdown(std::net::Shutdown::Both);
-}
-
-fn socket_config() -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(FRAME_BYTES)).max_frame_size(Some(FRAME_BYTES))
-}
-
-fn decode(message: &Message) -> Result<Option<WireFrame>, FrameError> {
-    match message {
-        Message::Binary(bytes) => WireFrame::decode(bytes).map(Some),
-        Message::Text(_) => Err(FrameError::Malformed("text message".into())),
-        _ => Ok(None),
-    }
-}
-
 fn log_closed(peer: &str, error: &LinkError) {
     log::warn!(peer, error:%; "link closed");
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -6,6 +6,7 @@
 mod frame;
 mod hub;
 mod message;
+mod socket;
 mod traffic;
 
 pub use frame::{FRAME_BYTES, FrameError, WIRE_VERSION, WireFrame};
