--- a/src/credit/mod.rs
+++ b/src/credit/mod.rs
@@ -6,6 +6,7 @@
 mod account_state;
 pub mod wallet;
 mod wallet_report;
+mod wallet_settings;
 mod wallet_state;
 
 use std::time::Duration;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod operator;
 mod permit;
 mod plan;
+mod queued_wait;
 mod relay;
 mod request;
 mod runtime;
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -9,6 +9,7 @@
 use super::answer::FailureReason;
 use super::permit::SlotPermit;
 use super::plan::RequestPlan;
+use super::queued_wait::QueuedWait;
 use super::runtime_state::{
     QueueTicket, RuntimeState, ServerView, admission_settings, measure_limits, pool_settings,
     retry_settings,
@@ -466,7 +467,7 @@
         self.lock().wallet.is_own_count()
     }
 
-    fn lock(&self) -> MutexGuard<'_, RuntimeState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, RuntimeState> {
         self.state.lock().expect("no holder of the runtime lock panics")
     }
 
@@ -481,26 +482,3 @@
     Started(SlotPermit),
     Queued(Receiver<SlotPermit>),
 }
-
-/// Wait of a queued request; a request that gives up leaves the queue and returns its permit.
-struct QueuedWait<'a> {
-    runtime: &'a Arc<ServiceRuntime>,
-    class: WorkClass,
-    receiver: Receiver<SlotPermit>,
-    /// The ticket has left the queue.
-    is_over: bool,
-}
-
-impl Drop for QueuedWait<'_> {
-    fn drop(&mut self) {
-        if self.is_over {
-            return;
-        }
-        self.receiver.close();
-        // A permit may have arrived between the last look and the close.
-        drop(self.receiver.try_recv());
-        let is_closed = |ticket: &QueueTicket| ticket.grant.is_closed();
-        let removed = self.runtime.lock().queue.remove(self.class, is_closed);
-        drop(removed);
-    }
-}
