Answer refused bodies of announcements and of the health page

Cause: an error while the body of such a page was read went up as an error of the connection, which was closed without an answer; found while the two copies of the response code were joined. Ruled out: answering in serve_connection, because a timeout there can also come from the middle of a response. Change: both pages use one module, which answers with the status of the error.

--- a/src/entry/announce.rs
+++ b/src/entry/announce.rs
@@ -4,9 +4,10 @@
 
 use super::context::EntryContext;
 use super::control::ControlInput;
+use super::page;
 use crate::directory::{AnnouncedState, ServerAnnouncement};
 use crate::generated::announcement::{AnnouncedState as WireState, AnnouncementDocument};
-use crate::http::{CallerConnection, HttpError, RequestBody, RequestHead, ResponseHead};
+use crate::http::{CallerConnection, HttpError, RequestHead};
 use crate::schema::{SchemaCheck, SchemaError};
 use crate::settings::{token_matches, token_sha256};
 
@@ -52,8 +53,10 @@
     connection: &mut CallerConnection,
     head: &RequestHead,
 ) -> Result<bool, HttpError> {
-    let mut body = RequestBody::new(head);
-    let content = connection.read_whole_body(&mut body, ANNOUNCEMENT_BYTES).await?;
+    let Some(content) = page::read_body(connection, head, ANNOUNCEMENT_BYTES).await? else {
+        context.metrics.count_event("announcement_refused");
+        return Ok(false);
+    };
     let (status, text) = match accept(context, head, &content) {
         Ok(()) => (202, String::from("accepted\n")),
         Err(error) => {
@@ -62,14 +65,7 @@
             (error.status(), format!("{error}\n"))
         }
     };
-    let keep_alive = head.keep_alive() && !context.is_stopping();
-    let mut response = ResponseHead::new(status);
-    let _ = response.headers.append("content-type", b"text/plain");
-    if !keep_alive {
-        let _ = response.headers.append("connection", b"close");
-    }
-    connection.respond(head, response, text.as_bytes()).await?;
-    Ok(keep_alive)
+    page::send_text(context, connection, head, status, &text).await
 }
 
 fn accept(
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod lease;
 mod operator;
+mod page;
 mod permit;
 mod plan;
 mod queued_wait;
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -13,8 +13,9 @@
 use super::announce::receive_announcement;
 use super::answer::malformed_response;
 use super::context::EntryContext;
+use super::page;
 use super::request::serve_request;
-use crate::http::{CallerConnection, HttpError, RequestBody, RequestHead, ResponseHead};
+use crate::http::{CallerConnection, HttpError, RequestHead};
 
 /// Path of the health page for the platform's balancer.
 pub const HEALTH_PATH: &str = "/.curranthollow/health";
@@ -137,18 +138,12 @@
     connection: &mut CallerConnection,
     head: &RequestHead,
 ) -> Result<bool, HttpError> {
-    let mut body = RequestBody::new(head);
-    connection.read_whole_body(&mut body, 0).await?;
+    if page::read_body(connection, head, 0).await?.is_none() {
+        return Ok(false);
+    }
     let (status, text) = match context.is_healthy(Instant::now()) {
         true => (200, "ready\n"),
         false => (503, "not ready\n"),
     };
-    let keep_alive = head.keep_alive() && !context.is_stopping();
-    let mut response = ResponseHead::new(status);
-    let _ = response.headers.append("content-type", b"text/plain");
-    if !keep_alive {
-        let _ = response.headers.append("connection", b"close");
-    }
-    connection.respond(head, response, text.as_bytes()).await?;
-    Ok(keep_alive)
+    page::send_text(context, connection, head, status, text).await
 }
--- a/tests/entry_wire.rs
+++ b/tests/entry_wire.rs
@@ -133,6 +133,19 @@
     assert_eq!(statuses(&response), [status], "{response}");
 }
 
+/// Guards against pages that close the connection without an answer when the body is refused.
+#[parameterized(
+    oversized_announcement = { "POST /.curranthollow/announce", 5000, "413" },
+    body_on_health_page = { "POST /.curranthollow/health", 1, "413" },
+)]
+fn refused_body_is_answered(line: &str, size: usize, status: &str) {
+    let body = "x".repeat(size);
+    let request = format!("{line} HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n{body}");
+    let response = send(&SYSTEM, request.as_bytes());
+    assert_eq!(statuses(&response), [status], "{response}");
+    assert!(response.contains("connection: close\r\n"), "{response}");
+}
+
 const VALID: &str = r#"{"team":"try","service":"hello","server":"extra","address":"127.0.0.1:1",
     "availability_zone":"zone-1","slots":1,"connections":1,"state":"gone","incarnation":1,
     "sequence":1}"#;
