Send refusals from one place and remove unused functions

Found on the last read of the change: the traffic and the operator port each built the response to a malformed request and closed the connection by hand; both now call CallerConnection::refuse. The pages of an entry use keeps_connection, which existed. supports_chunks, is_mass_suspicion and running_of had no caller and no test.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -96,26 +96,19 @@
 }
 
 async fn refuse(
-    mut connection: CallerConnection,
+    connection: CallerConnection,
     head: Option<RequestHead>,
     error: HttpError,
 ) -> Result<(), HttpError> {
     let Some(status) = error.request_status() else {
         return Err(error);
     };
-    let mut output = Vec::new();
-    let mut refusal = ResponseHead::new(status);
     let text = if head.is_some_and(|head| &*head.method == "HEAD") {
         String::new()
     } else {
         format!("{error}\n")
     };
-    let _ = refusal.headers.append("connection", b"close");
-    let _ = refusal.headers.append("content-length", text.len().to_string().as_bytes());
-    refusal.write_to(&mut output);
-    output.extend_from_slice(text.as_bytes());
-    connection.write(&output).await?;
-    connection.close_lingering().await;
+    connection.refuse(ResponseHead::new(status), text.as_bytes()).await?;
     Err(error)
 }
 
--- a/src/claim/store.rs
+++ b/src/claim/store.rs
@@ -185,18 +185,6 @@
         }
     }
 
-    /// Returns the attempts that a session holds as running, for comparison with the entry's own
-    /// list: a claim that the entry doesn't know was granted after it had stopped waiting.
-    pub fn running_of(
-        &self,
-        holder: &HolderSession,
-    ) -> impl Iterator<Item = (ClaimNumber, u64)> + use<'_> {
-        let running = self.holders.get(holder).into_iter().flat_map(|holder| &holder.running);
-        running.filter_map(|(number, identity)| {
-            self.claims.get(identity).map(|record| (*number, record.attempt))
-        })
-    }
-
     /// Returns the sessions that hold running claims; a leader compares them with the live leases.
     pub fn running_sessions(&self) -> impl Iterator<Item = &HolderSession> {
         let sessions = self.holders.iter().filter(|(_, holder)| !holder.running.is_empty());
--- a/src/directory.rs
+++ b/src/directory.rs
@@ -259,11 +259,6 @@
         self.server_count
     }
 
-    /// Returns whether more than half of the service's servers are late.
-    pub fn is_mass_suspicion(&self, service: &ServiceKey) -> bool {
-        self.services.get(service).is_some_and(|entry| entry.mass_suspicion)
-    }
-
     fn hear_item(
         &mut self,
         now: Instant,
--- a/src/entry/page.rs
+++ b/src/entry/page.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::answer::keeps_connection;
 use super::context::EntryContext;
 use crate::http::{CallerConnection, HttpError, RequestBody, RequestHead, ResponseHead};
 
@@ -35,7 +36,7 @@
     status: u16,
     text: &str,
 ) -> Result<bool, HttpError> {
-    let keep_alive = head.keep_alive() && !context.is_stopping();
+    let keep_alive = keeps_connection(head, context.is_stopping());
     send(connection, head, status, text, keep_alive).await?;
     Ok(keep_alive)
 }
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -101,21 +101,15 @@
     connection.next_head().await
 }
 
-async fn refuse(context: &Arc<EntryContext>, mut connection: CallerConnection, error: &HttpError) {
+async fn refuse(context: &Arc<EntryContext>, connection: CallerConnection, error: &HttpError) {
     context.metrics.count_event(error.code());
     let request_id = context.next_request_id();
     log::info!(request_id:%, peer:% = connection.peer(), code = error.code(), error:%; "request refused");
     let Some((head, content)) = malformed_response(error, &request_id) else {
         return;
     };
-    let mut output = Vec::new();
-    let mut head = head;
-    let _ = head.headers.append("content-length", content.len().to_string().as_bytes());
-    head.write_to(&mut output);
-    output.extend_from_slice(&content);
-    if connection.write(&output).await.is_ok() {
-        connection.close_lingering().await;
-    }
+    // The caller may have closed the connection already.
+    let _ = connection.refuse(head, &content).await;
 }
 
 async fn dispatch(
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -9,8 +9,8 @@
 use super::head::HeadScanner;
 use super::stream::limited;
 use super::{
-    BodyDecoder, BodyFraming, BufferedStream, HttpError, HttpLimits, HttpVersion, RequestHead,
-    ResponseHead, encode_chunk, encode_last_chunk,
+    BodyDecoder, BodyFraming, BufferedStream, HttpError, HttpLimits, RequestHead, ResponseHead,
+    encode_chunk, encode_last_chunk,
 };
 
 /// Empty lines that are skipped before a request line (RFC 9112, section 2.2).
@@ -212,16 +212,23 @@
         }
     }
 
-    /// Reports whether a response may be sent in chunks to a caller of this version.
-    pub fn supports_chunks(version: HttpVersion) -> bool {
-        version == HttpVersion::Http11
-    }
-
     /// Time without progress after which a transfer is given up.
     pub fn stall_timeout(&self) -> Duration {
         self.limits.stall_timeout
     }
 
+    /// Sends a refusal whose request was not read whole, and closes the connection.
+    pub async fn refuse(mut self, mut head: ResponseHead, body: &[u8]) -> Result<(), HttpError> {
+        let _ = head.headers.set("connection", b"close");
+        let _ = head.headers.set("content-length", body.len().to_string().as_bytes());
+        let mut output = Vec::with_capacity(512 + body.len());
+        head.write_to(&mut output);
+        output.extend_from_slice(body);
+        self.write(&output).await?;
+        self.close_lingering().await;
+        Ok(())
+    }
+
     /// Closes after a refusal without losing the response on the way.
     pub async fn close_lingering(self) {
         self.stream.close_lingering().await;
