--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -141,10 +141,7 @@
 pub fn malformed_response(error: &HttpError, request_id: &str) -> Option<(ResponseHead, Vec<u8>)> {
     let status = error.request_status()?;
     let message = error.to_string();
-    let (mut head, body) =
-        json_failure(status, error.code(), RunState::NotRun, &message, request_id);
-    let _ = head.headers.append("connection", b"close");
-    Some((head, body))
+    Some(json_failure(status, error.code(), RunState::NotRun, &message, request_id))
 }
 
 fn json_failure(
