--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -254,6 +254,14 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// When the next [`RaftEvent::Tick`] has something to do, unless an event comes before.
+    pub fn next_deadline(&self) -> Instant {
+        match self.role {
+            Role::Leader => self.next_heartbeat,
+            _ => self.election_deadline,
+        }
+    }
+
     pub fn role(&self) -> Role {
         self.role
     }
--- /dev/null
+++ b/src/fleet/control/core.rs
@@ -0,0 +1,537 @@
+//! State of a control member: consensus, replicated state, calls that wait, servers heard.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{oneshot, watch};
+
+use super::disk::{self, DiskJob, DiskReport, FLEET_GROUP};
+use super::peers::PeerLinks;
+use crate::consensus::members::MemberChange;
+use crate::consensus::message::{EntryBody, LogEntry, RaftMessage, SharedSnapshot};
+use crate::consensus::node::Proposal;
+use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
+use crate::fleet::announcement::IncarnationStart;
+use crate::fleet::link::{CallOutcome, ForwardCall, FreshNotice, LinkMessage};
+use crate::fleet::placement::{self, JoinRequests};
+use crate::fleet::state::{FleetCommand, FleetState};
+use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber};
+use crate::{log_info, log_warn};
+
+/// Entries applied between two snapshots.
+const SNAPSHOT_ENTRIES: u64 = 512;
+
+/// A forwarded call without a reply is given up after this time.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Heartbeat intervals without a heartbeat after which a server counts as silent.
+const SILENT_HEARTBEATS: u32 = 4;
+
+/// Interval at which followers report servers, and the leader looks for silent ones.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Longest time between two ticks of the consensus.
+const MAX_TICK: Duration = Duration::from_millis(200);
+
+/// Who waits for the outcome of a consensus request.
+enum CallWaiter {
+    Local(oneshot::Sender<CallOutcome>),
+    Remote { to: ProcessName, request: u64 },
+    Membership,
+}
+
+/// When a server was heard last, here or by a member that reported it.
+struct HeardServer {
+    started: IncarnationStart,
+    at: Instant,
+}
+
+/// Control member; all its state is used on one thread.
+pub struct ControlCore {
+    name: ProcessName,
+    survivable_losses: usize,
+    heartbeat: Duration,
+    seeds: Vec<SocketAddr>,
+    member: MemberId,
+    node: RaftNode,
+    state: FleetState,
+    applied: LogIndex,
+    snapshot_index: LogIndex,
+    disk: Sender<DiskJob>,
+    peers: Rc<PeerLinks>,
+    revision: watch::Sender<LogIndex>,
+    last_request: u64,
+    /// Requests that the consensus has not taken yet.
+    requests: BTreeMap<u64, CallWaiter>,
+    /// Requests in the log, with the term of their entry.
+    logged: BTreeMap<LogIndex, (TermNumber, CallWaiter)>,
+    /// Calls that were passed to the leader.
+    forwards: BTreeMap<u64, (Instant, oneshot::Sender<CallOutcome>)>,
+    joins: JoinRequests,
+    heard: BTreeMap<ServerId, HeardServer>,
+    unreported: BTreeMap<ServerId, IncarnationStart>,
+    leader_since: Option<Instant>,
+    leader_heard: Option<Instant>,
+    next_report: Instant,
+    entries: u32,
+}
+
+/// Shared handle; borrowed only between two waits.
+pub type SharedCore = Rc<RefCell<ControlCore>>;
+
+/// What the core is made of.
+pub struct CoreParts {
+    pub name: ProcessName,
+    pub survivable_losses: usize,
+    pub heartbeat: Duration,
+    pub seeds: Vec<SocketAddr>,
+    pub member: MemberId,
+    pub node: RaftNode,
+    pub state: FleetState,
+    pub snapshot_index: LogIndex,
+    pub disk: Sender<DiskJob>,
+    pub peers: Rc<PeerLinks>,
+}
+
+impl ControlCore {
+    pub fn new(parts: CoreParts, now: Instant) -> Self {
+        Self {
+            name: parts.name,
+            survivable_losses: parts.survivable_losses,
+            heartbeat: parts.heartbeat,
+            seeds: parts.seeds,
+            member: parts.member,
+            node: parts.node,
+            applied: parts.snapshot_index,
+            state: parts.state,
+            snapshot_index: parts.snapshot_index,
+            disk: parts.disk,
+            peers: parts.peers,
+            revision: watch::Sender::new(parts.snapshot_index),
+            last_request: 0,
+            requests: BTreeMap::new(),
+            logged: BTreeMap::new(),
+            forwards: BTreeMap::new(),
+            joins: JoinRequests::new(),
+            heard: BTreeMap::new(),
+            unreported: BTreeMap::new(),
+            leader_since: None,
+            leader_heard: None,
+            next_report: now,
+            entries: 0,
+        }
+    }
+
+    pub fn state(&self) -> &FleetState {
+        &self.state
+    }
+
+    pub fn applied(&self) -> LogIndex {
+        self.applied
+    }
+
+    /// Tells when the replicated state advances.
+    pub fn subscribe(&self) -> watch::Receiver<LogIndex> {
+        self.revision.subscribe()
+    }
+
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+    }
+
+    pub fn add_entry(&mut self) {
+        self.entries += 1;
+    }
+
+    pub fn remove_entry(&mut self) {
+        self.entries -= 1;
+    }
+
+    /// Text of the metrics page.
+    pub fn metrics(&self) -> String {
+        let leads = u8::from(self.node.role() == Role::Leader);
+        let (term, voters) = (self.node.term(), self.node.members().voters().count());
+        let (servers, version) = (self.state.servers().len(), self.state.document().version);
+        let (applied, entries) = (self.applied, self.entries);
+        format!(
+            "# TYPE control_leads gauge\ncontrol_leads {leads}\n\
+             # TYPE control_term gauge\ncontrol_term {term}\n\
+             # TYPE control_applied_index gauge\ncontrol_applied_index {applied}\n\
+             # TYPE control_voters gauge\ncontrol_voters {voters}\n\
+             # TYPE control_document_version gauge\ncontrol_document_version {version}\n\
+             # TYPE control_servers gauge\ncontrol_servers {servers}\n\
+             # TYPE control_entries gauge\ncontrol_entries {entries}\n# EOF\n"
+        )
+    }
+
+    /// What entries are told about this member at `now`.
+    pub fn fresh_notice(&self, now: Instant) -> FreshNotice {
+        let leader_age = match self.node.role() {
+            Role::Leader => Some(Duration::ZERO),
+            _ => self.leader_heard.map(|heard| now.duration_since(heard)),
+        };
+        let set = self.node.members();
+        let voters = set.members.values().filter(|record| record.voter);
+        let members = voters.filter_map(|record| record.name.parse().ok()).collect();
+        FreshNotice { leader_age, members, entries: self.entries }
+    }
+
+    /// When [`Self::tick`] is due next.
+    pub fn next_tick(&self, now: Instant) -> Instant {
+        let due = self.node.next_deadline().min(now + MAX_TICK);
+        due.max(now + Duration::from_millis(5))
+    }
+
+    pub fn tick(&mut self, now: Instant) {
+        self.handle(now, RaftEvent::Tick);
+        self.forwards.retain(|_, (asked, _)| now.duration_since(*asked) < FORWARD_TIMEOUT);
+        self.place_members(now);
+        if now >= self.next_report {
+            self.next_report = now + REPORT_INTERVAL;
+            self.report_servers(now);
+            self.ask_to_join();
+        }
+    }
+
+    /// Asks for a change of the state; the outcome comes when it is decided.
+    pub fn propose(
+        &mut self,
+        now: Instant,
+        command: &FleetCommand,
+    ) -> oneshot::Receiver<CallOutcome> {
+        self.call(now, ForwardCall::Propose(command.encode()))
+    }
+
+    /// Asks for an index that covers everything acknowledged before.
+    pub fn read_index(&mut self, now: Instant) -> oneshot::Receiver<CallOutcome> {
+        self.call(now, ForwardCall::ReadIndex)
+    }
+
+    fn call(&mut self, now: Instant, call: ForwardCall) -> oneshot::Receiver<CallOutcome> {
+        let (reply, outcome) = oneshot::channel();
+        self.last_request += 1;
+        let request = self.last_request;
+        if self.node.role() == Role::Leader {
+            self.start_call(now, request, call, CallWaiter::Local(reply));
+            return outcome;
+        }
+        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
+        let Some(leader) = leader else {
+            let _ = reply.send(CallOutcome::Refused);
+            return outcome;
+        };
+        self.forwards.insert(request, (now, reply));
+        self.peers.send(leader, &LinkMessage::Forward { request, call });
+        outcome
+    }
+
+    fn start_call(&mut self, now: Instant, request: u64, call: ForwardCall, waiter: CallWaiter) {
+        self.requests.insert(request, waiter);
+        let event = match call {
+            ForwardCall::Propose(payload) => {
+                RaftEvent::Propose(vec![Proposal { request, payload }])
+            }
+            ForwardCall::ReadIndex => RaftEvent::ConfirmLeadership { request },
+        };
+        self.handle(now, event);
+    }
+
+    /// Processes a message from the member `from`.
+    pub fn on_message(&mut self, now: Instant, from: &ProcessName, message: LinkMessage) {
+        match message {
+            LinkMessage::Raft(message) => self.on_raft(now, message),
+            LinkMessage::Join { member } => {
+                self.joins.insert(from.clone(), (member, now));
+                self.place_members(now);
+            }
+            LinkMessage::Forward { request, call } => {
+                self.last_request += 1;
+                let waiter = CallWaiter::Remote { to: from.clone(), request };
+                if self.node.role() == Role::Leader {
+                    self.start_call(now, self.last_request, call, waiter);
+                } else {
+                    self.answer(waiter, CallOutcome::Refused);
+                }
+            }
+            LinkMessage::Reply { request, outcome } => {
+                if let Some((_, reply)) = self.forwards.remove(&request) {
+                    let _ = reply.send(outcome);
+                }
+            }
+            LinkMessage::Seen(servers) => {
+                for (server, started) in servers {
+                    self.hear(now, &server, started);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn on_raft(&mut self, now: Instant, message: RaftMessage) {
+        self.handle(now, RaftEvent::Message(message));
+        if self.node.role() == Role::Follower && self.node.leader().is_some() {
+            self.leader_heard = Some(now);
+        }
+        if !self.joins.is_empty() || self.node.role() == Role::Leader {
+            self.place_members(now);
+        }
+    }
+
+    /// Notes the heartbeat of a server that said nothing new.
+    pub fn hear_server(&mut self, now: Instant, server: &ServerId, started: IncarnationStart) {
+        self.hear(now, server, started);
+        self.unreported.insert(server.clone(), started);
+    }
+
+    fn hear(&mut self, now: Instant, server: &ServerId, started: IncarnationStart) {
+        let heard = HeardServer { started, at: now };
+        self.heard.insert(server.clone(), heard);
+    }
+
+    pub fn on_disk(&mut self, now: Instant, report: DiskReport) {
+        let saved = matches!(report, DiskReport::Saved { .. });
+        let event = match report {
+            DiskReport::Appended { sequence } => RaftEvent::Persisted { sequence },
+            DiskReport::Saved { snapshot, installed: false } => RaftEvent::SnapshotSaved(snapshot),
+            DiskReport::Saved { snapshot, installed: true } => {
+                self.restore(&snapshot);
+                RaftEvent::SnapshotInstalled(snapshot)
+            }
+        };
+        self.handle(now, event);
+        if saved {
+            // Queued behind the truncation that belongs to an installed snapshot.
+            let _ = self.disk.send(DiskJob::Prune);
+        }
+    }
+
+    /// Gives leadership away before a planned stop.
+    pub fn hand_over(&mut self, now: Instant) {
+        self.handle(now, RaftEvent::Transfer { to: None });
+    }
+
+    fn handle(&mut self, now: Instant, event: RaftEvent) {
+        for action in self.node.handle(now, event) {
+            self.perform(now, action);
+        }
+    }
+
+    fn perform(&mut self, now: Instant, action: RaftAction) {
+        match action {
+            RaftAction::Persist { .. } => {
+                // The thread ends only with the process.
+                let _ = disk::append_job(action).map(|job| self.disk.send(job));
+            }
+            RaftAction::Send(message) => {
+                if let Some(address) = self.address_of(message.to) {
+                    self.peers.send(address, &LinkMessage::Raft(message));
+                }
+            }
+            RaftAction::Commit(entries) => self.apply(entries),
+            RaftAction::Accepted { request, term, index } => {
+                if let Some(waiter) = self.requests.remove(&request) {
+                    self.logged.insert(index, (term, waiter));
+                }
+            }
+            RaftAction::Refused { request, .. } => {
+                if let Some(waiter) = self.requests.remove(&request) {
+                    self.answer(waiter, CallOutcome::Refused);
+                }
+            }
+            RaftAction::LeadershipConfirmed { request, index } => {
+                if let Some(waiter) = self.requests.remove(&request) {
+                    self.answer(waiter, CallOutcome::Done { index });
+                }
+            }
+            RaftAction::InstallSnapshot(snapshot) => {
+                let _ = self.disk.send(DiskJob::Snapshot { snapshot, installed: true });
+            }
+            RaftAction::RoleChanged { role, term, leader } => {
+                self.on_role(now, role, term, leader);
+            }
+        }
+    }
+
+    fn on_role(&mut self, now: Instant, role: Role, term: TermNumber, leader: Option<MemberId>) {
+        let leader = leader.unwrap_or(0);
+        log_info!("role_changed", "role={role:?} term={term} leader={leader:016x}");
+        if role == Role::Leader {
+            self.leader_since.get_or_insert(now);
+            return;
+        }
+        self.leader_since = None;
+        for (_, waiter) in std::mem::take(&mut self.logged).into_values() {
+            self.answer(waiter, CallOutcome::Unknown);
+        }
+    }
+
+    fn answer(&self, waiter: CallWaiter, outcome: CallOutcome) {
+        match waiter {
+            // The receiver has given up when the send fails.
+            CallWaiter::Local(reply) => {
+                let _ = reply.send(outcome);
+            }
+            CallWaiter::Remote { to, request } => {
+                if let Ok(address) = to.parse() {
+                    self.peers.send(address, &LinkMessage::Reply { request, outcome });
+                }
+            }
+            CallWaiter::Membership => {}
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<LogEntry>) {
+        for entry in entries {
+            self.applied = entry.index;
+            self.state.advance(entry.index);
+            if let EntryBody::Payload(payload) = &entry.body {
+                match FleetCommand::decode(payload) {
+                    Ok(command) => self.state.apply(entry.index, command),
+                    Err(error) => {
+                        log_warn!("command_skipped", "index={} error=\"{error}\"", entry.index)
+                    }
+                }
+            }
+            let Some((term, waiter)) = self.logged.remove(&entry.index) else { continue };
+            let same = term == entry.term;
+            let done = CallOutcome::Done { index: entry.index };
+            self.answer(waiter, if same { done } else { CallOutcome::Unknown });
+        }
+        self.revision.send_replace(self.applied);
+        if self.applied - self.snapshot_index >= SNAPSHOT_ENTRIES {
+            self.save_snapshot();
+        }
+    }
+
+    fn save_snapshot(&mut self) {
+        let data = self.state.snapshot();
+        let Some(snapshot) = self.node.snapshot_at(self.applied, data) else { return };
+        self.snapshot_index = self.applied;
+        let snapshot = Arc::new(snapshot);
+        let _ = self.disk.send(DiskJob::Snapshot { snapshot, installed: false });
+    }
+
+    fn restore(&mut self, snapshot: &SharedSnapshot) {
+        match FleetState::restore(&snapshot.data) {
+            Ok(mut state) => {
+                state.advance(snapshot.index);
+                self.state = state;
+                self.applied = snapshot.index;
+                self.snapshot_index = snapshot.index;
+                self.revision.send_replace(self.applied);
+                log_info!("snapshot_installed", "index={}", snapshot.index);
+            }
+            Err(error) => log_warn!("snapshot_unreadable", "error=\"{error}\""),
+        }
+    }
+
+    fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
+        let record = self.node.members().members.get(&member);
+        if let Some(record) = record {
+            return record.name.parse().ok();
+        }
+        let mut joins = self.joins.iter();
+        let (name, _) = joins.find(|(_, (joining, _))| *joining == member)?;
+        name.parse().ok()
+    }
+
+    fn place_members(&mut self, now: Instant) {
+        let change = placement::next_change(&self.node, &self.joins, self.survivable_losses, now);
+        let Some(change) = change else { return };
+        self.last_request += 1;
+        let request = self.last_request;
+        self.requests.insert(request, CallWaiter::Membership);
+        self.handle(now, RaftEvent::ChangeMembers { request, change: change.clone() });
+        let accepted = !self.requests.contains_key(&request) && self.logged.values().any(|_| true);
+        if accepted {
+            log_info!("members_changed", "change=\"{}\"", describe(&change));
+        }
+    }
+
+    /// A member that no list has asks the members it knows of.
+    fn ask_to_join(&mut self) {
+        if self.node.members().contains(self.member) {
+            return;
+        }
+        let known = self.node.members().members.values();
+        let mut addresses: Vec<SocketAddr> =
+            known.filter_map(|record| record.name.parse().ok()).collect();
+        addresses.extend(&self.seeds);
+        addresses.sort();
+        addresses.dedup();
+        for address in addresses {
+            if *address.to_string() == *self.name {
+                continue;
+            }
+            self.peers.send(address, &LinkMessage::Join { member: self.member });
+        }
+    }
+
+    fn report_servers(&mut self, now: Instant) {
+        let unreported = std::mem::take(&mut self.unreported);
+        if self.node.role() == Role::Leader {
+            return self.propose_silence(now);
+        }
+        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
+        if let Some(leader) = leader
+            && !unreported.is_empty()
+        {
+            self.peers.send(leader, &LinkMessage::Seen(unreported.into_iter().collect()));
+        }
+    }
+
+    fn propose_silence(&mut self, now: Instant) {
+        let limit = self.heartbeat * SILENT_HEARTBEATS;
+        let Some(since) = self.leader_since else { return };
+        let mut silent = Vec::new();
+        let mut heard = Vec::new();
+        for (server, record) in self.state.servers() {
+            let started = record.announcement.started;
+            let last = self.heard.get(server).filter(|heard| heard.started == started);
+            // A new leader knows only what was reported since it leads.
+            let age = now.duration_since(last.map_or(since, |heard| heard.at.max(since)));
+            if age > limit && !record.silent {
+                silent.push((server.clone(), started));
+            } else if record.silent && last.is_some() && age < limit {
+                heard.push((server.clone(), started));
+            }
+        }
+        self.heard.retain(|server, _| self.state.servers().contains_key(server));
+        // When most servers fall silent together the fault is on this side.
+        if silent.len() * 2 > self.state.servers().len() {
+            silent.clear();
+        }
+        for (servers, silence) in [(silent, true), (heard, false)] {
+            if servers.is_empty() {
+                continue;
+            }
+            log_info!(
+                "servers_silent",
+                "silent={silence} count={} first={}",
+                servers.len(),
+                servers[0].0
+            );
+            let command =
+                if silence { FleetCommand::Silent(servers) } else { FleetCommand::Heard(servers) };
+            self.last_request += 1;
+            let call = ForwardCall::Propose(command.encode());
+            self.start_call(now, self.last_request, call, CallWaiter::Membership);
+        }
+    }
+}
+
+fn describe(change: &MemberChange) -> String {
+    match change {
+        MemberChange::AddLearner { member, name } => format!("add {member:016x} {name}"),
+        MemberChange::Promote { member } => format!("promote {member:016x}"),
+        MemberChange::Remove { member } => format!("remove {member:016x}"),
+    }
+}
+
+/// The one group that the consensus messages name.
+pub const GROUP: u32 = FLEET_GROUP;
--- /dev/null
+++ b/src/fleet/control/followers.rs
@@ -0,0 +1,112 @@
+//! Accepted links: entries that follow the state, and messages of other members.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use super::core::SharedCore;
+use crate::fleet::link::{self, LinkError, LinkMessage, LinkReader, LinkWriter};
+use crate::ids::{LogIndex, ProcessName};
+use crate::{log_info, log_warn};
+
+/// Interval of notices to an entry.
+const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time for one frame to leave; an entry that takes longer dials again.
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An accepted connection that says nothing for this long is closed.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept, for instance without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts links for as long as the process runs.
+pub async fn serve(listener: TcpListener, core: SharedCore) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_link(stream, Rc::clone(&core)));
+            }
+            Err(error) => {
+                log_warn!("accept_failed", "listener=link error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_link(stream: TcpStream, core: SharedCore) {
+    let Ok((writer, mut reader)) = link::accept(stream).await else { return };
+    let Ok(Ok(hello)) = timeout(HELLO_TIMEOUT, reader.receive()).await else { return };
+    match hello {
+        LinkMessage::Member { name } => {
+            let _ = serve_member(writer, reader, &core, &name).await;
+        }
+        LinkMessage::Follow { name, revision } => {
+            core.borrow_mut().add_entry();
+            log_info!("entry_link_open", "entry={name} revision={revision}");
+            let error = serve_entry(writer, reader, &core, revision).await.err();
+            core.borrow_mut().remove_entry();
+            let reason = error.map_or_else(String::new, |error| error.to_string());
+            log_info!("entry_link_lost", "entry={name} error=\"{reason}\"");
+        }
+        _ => {}
+    }
+}
+
+async fn serve_member(
+    mut writer: LinkWriter,
+    mut reader: LinkReader,
+    core: &SharedCore,
+    name: &ProcessName,
+) -> Result<(), LinkError> {
+    let pong = link::encode(&LinkMessage::Pong);
+    loop {
+        match reader.receive().await? {
+            LinkMessage::Ping => writer.send(pong.clone()).await?,
+            message => core.borrow_mut().on_message(Instant::now(), name, message),
+        }
+    }
+}
+
+/// Sends every change and a notice at intervals until the link fails.
+async fn serve_entry(
+    mut writer: LinkWriter,
+    mut reader: LinkReader,
+    core: &SharedCore,
+    mut sent: LogIndex,
+) -> Result<(), LinkError> {
+    let mut changes = core.borrow().subscribe();
+    let mut next_notice = Instant::now();
+    loop {
+        let update = {
+            let core = core.borrow();
+            (core.applied() > sent).then(|| core.state().update_since(sent))
+        };
+        if let Some(update) = update {
+            sent = update.to;
+            send(&mut writer, &LinkMessage::Update(update)).await?;
+        }
+        let now = Instant::now();
+        if now >= next_notice {
+            next_notice = now + NOTICE_INTERVAL;
+            let notice = core.borrow().fresh_notice(now);
+            send(&mut writer, &LinkMessage::Fresh(notice)).await?;
+        }
+        tokio::select! {
+            changed = changes.changed() => changed.map_err(|_| LinkError::Closed)?,
+            message = reader.receive() => {
+                message?;
+            }
+            () = sleep(next_notice.saturating_duration_since(now)) => {}
+        }
+    }
+}
+
+async fn send(writer: &mut LinkWriter, message: &LinkMessage) -> Result<(), LinkError> {
+    let frame = link::encode(message);
+    timeout(SEND_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)?
+}
--- /dev/null
+++ b/src/fleet/control/operator.rs
@@ -0,0 +1,262 @@
+//! HTTP calls of servers and operators at a control member.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout, timeout_at};
+
+use super::core::SharedCore;
+use crate::fleet::announcement::{ServerAnnouncement, ServerState};
+use crate::fleet::dialect::{OperatorCall, WireDialect};
+use crate::fleet::document::RouteDocument;
+use crate::fleet::link::{self, CallOutcome};
+use crate::fleet::state::FleetCommand;
+use crate::fleet::stream::HttpStream;
+use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
+use crate::ids::ServerId;
+use crate::{log_info, log_routine, log_warn};
+
+/// Largest body of a call.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
+/// Servers and operators call another member after one second without an answer.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Connections that are open at the same time.
+const MAX_CONNECTIONS: usize = 1500;
+
+/// Pause after a failed accept, for instance without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause before a read looks again whether the own state has reached the confirmed index.
+const APPLY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Answer to one call.
+struct CallAnswer {
+    status: u16,
+    body: Vec<u8>,
+}
+
+/// Serves calls on all accepted connections.
+pub struct OperatorService {
+    core: SharedCore,
+    dialect: Rc<dyn WireDialect>,
+    limits: HttpLimits,
+}
+
+impl OperatorService {
+    pub fn new(core: SharedCore, dialect: Rc<dyn WireDialect>) -> Rc<Self> {
+        let idle_timeout = Duration::from_secs(30);
+        let limits = HttpLimits { idle_timeout, ..HttpLimits::default() };
+        Rc::new(Self { core, dialect, limits })
+    }
+
+    /// Accepts connections for as long as the process runs.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log_warn!("accept_failed", "listener=operator error=\"{error}\"");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            if Rc::strong_count(&self) > MAX_CONNECTIONS || link::prepare_socket(&stream).is_err() {
+                continue;
+            }
+            let service = Rc::clone(&self);
+            tokio::task::spawn_local(async move { service.serve_connection(stream).await });
+        }
+    }
+
+    async fn serve_connection(&self, stream: TcpStream) {
+        let mut stream = HttpStream::new(stream);
+        loop {
+            let read = timeout(self.limits.idle_timeout, self.read_call(&mut stream));
+            let (head, body) = match read.await {
+                Ok(Ok(Some(call))) => call,
+                Ok(Err(error)) => {
+                    let Some(status) = error.request_status() else { return };
+                    let body = self.dialect.error_body(&error.to_string());
+                    let _ = stream.write(&self.encode(&CallAnswer { status, body }, false)).await;
+                    return stream.close().await;
+                }
+                Ok(Ok(None)) | Err(_) => return,
+            };
+            let keep = head.keep_alive();
+            let answer = self.answer(&head, &body).await;
+            if stream.write(&self.encode(&answer, keep)).await.is_err() {
+                return;
+            }
+            if !keep {
+                return stream.close().await;
+            }
+        }
+    }
+
+    async fn read_call(
+        &self,
+        stream: &mut HttpStream,
+    ) -> Result<Option<(RequestHead, Vec<u8>)>, HttpError> {
+        let Some(head) = stream.read_request(&self.limits).await? else { return Ok(None) };
+        if head.expects_continue() {
+            stream.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
+        let mut body = Vec::new();
+        let mut decoder = BodyDecoder::new(head.framing);
+        if !stream.read_body(&mut decoder, &mut body, MAX_BODY_BYTES).await? {
+            return Err(HttpError::BodyTooLarge(MAX_BODY_BYTES as u64));
+        }
+        Ok(Some((head, body)))
+    }
+
+    fn encode(&self, answer: &CallAnswer, keep: bool) -> Vec<u8> {
+        let mut head = ResponseHead::new(answer.status);
+        let length = answer.body.len().to_string();
+        let connection: &[u8] = if keep { b"keep-alive" } else { b"close" };
+        let kind = self.dialect.content_type().as_bytes();
+        let fields: [(&str, &[u8]); 3] = [
+            ("content-type", kind),
+            ("content-length", length.as_bytes()),
+            ("connection", connection),
+        ];
+        for (name, value) in fields {
+            // The values contain no control characters.
+            let _ = head.headers.append(name, value);
+        }
+        let mut output = Vec::with_capacity(answer.body.len() + 160);
+        head.write_to(&mut output);
+        output.extend_from_slice(&answer.body);
+        output
+    }
+
+    fn failure(&self, status: u16, message: &str) -> CallAnswer {
+        CallAnswer { status, body: self.dialect.error_body(message) }
+    }
+
+    fn success(&self) -> CallAnswer {
+        CallAnswer { status: 200, body: b"{}".to_vec() }
+    }
+
+    async fn answer(&self, head: &RequestHead, body: &[u8]) -> CallAnswer {
+        match self.dialect.operator_call(&head.method, head.path()) {
+            OperatorCall::Announce(server) => self.announce(server, body).await,
+            OperatorCall::Leave(server) => self.leave(server, body).await,
+            OperatorCall::PutDocument => self.put_document(body).await,
+            OperatorCall::GetDocument => self.get_document().await,
+            OperatorCall::Unknown => self.failure(404, "no such call"),
+        }
+    }
+
+    async fn announce(&self, server: ServerId, body: &[u8]) -> CallAnswer {
+        let said = match self.dialect.parse_announcement(body) {
+            Ok(said) => said,
+            Err(error) => {
+                log_warn!("announcement_refused", "server={server} error=\"{error}\"");
+                return self.failure(400, &error.to_string());
+            }
+        };
+        let now = Instant::now();
+        let named = (server, said);
+        if !self.core.borrow().state().is_news(&named) {
+            return self.heartbeat(now, &named.0, &named.1);
+        }
+        let (server, said) = named;
+        let (started, state) = (said.started, said.state);
+        log_info!(
+            "server_announced",
+            "server={server} service={} address={} state={state:?} started={started} sequence={}",
+            said.service,
+            said.address,
+            said.sequence
+        );
+        self.core.borrow_mut().hear_server(now, &server, started);
+        let command = FleetCommand::Announce(server, said);
+        self.commit(&command).await
+    }
+
+    /// Answers a heartbeat that says nothing new.
+    fn heartbeat(&self, now: Instant, server: &ServerId, said: &ServerAnnouncement) -> CallAnswer {
+        let mut core = self.core.borrow_mut();
+        let known = core.state().servers().get(server).map(|record| &record.announcement);
+        let known = known.filter(|known| known.started == said.started);
+        // A statement from before the drain may still arrive; only the newest state is confirmed.
+        let alive = known
+            .is_some_and(|known| said.state == ServerState::Ready || known.state == said.state);
+        if alive {
+            core.hear_server(now, server, said.started);
+        }
+        self.success()
+    }
+
+    async fn leave(&self, server: ServerId, body: &[u8]) -> CallAnswer {
+        let started = self.dialect.parse_leave(body);
+        log_info!("server_leaves", "server={server} started={started:?}");
+        self.commit(&FleetCommand::Leave(server, started)).await
+    }
+
+    /// Replicates a command; success means that it is on the disks of a majority.
+    async fn commit(&self, command: &FleetCommand) -> CallAnswer {
+        let outcome = self.core.borrow_mut().propose(Instant::now(), command);
+        match self.wait(outcome).await {
+            Some(CallOutcome::Done { .. }) => self.success(),
+            Some(CallOutcome::Refused) => self.failure(503, "no leader; nothing was changed"),
+            Some(CallOutcome::Unknown) | None => self.failure(503, "the outcome is not known"),
+        }
+    }
+
+    async fn wait(&self, outcome: oneshot::Receiver<CallOutcome>) -> Option<CallOutcome> {
+        timeout(CALL_TIMEOUT, outcome).await.ok()?.ok()
+    }
+
+    async fn put_document(&self, body: &[u8]) -> CallAnswer {
+        let checked = self.dialect.parse_document(body).and_then(|document| {
+            document.check()?;
+            Ok(document)
+        });
+        let document = match checked {
+            Ok(document) => document,
+            Err(error) => {
+                log_warn!("document_refused", "bytes={} error=\"{error}\"", body.len());
+                return self.failure(400, &error.to_string());
+            }
+        };
+        let version = document.version;
+        let answer = self.commit(&put_command(document, body)).await;
+        log_info!(
+            "document_put",
+            "version={version} bytes={} status={} in_force={}",
+            body.len(),
+            answer.status,
+            self.core.borrow().state().document().version
+        );
+        answer
+    }
+
+    /// Answers with the newest document, or not at all: what a majority confirms is the newest.
+    async fn get_document(&self) -> CallAnswer {
+        let deadline = tokio::time::Instant::now() + CALL_TIMEOUT;
+        let outcome = self.core.borrow_mut().read_index(Instant::now());
+        let Ok(Ok(CallOutcome::Done { index })) = timeout_at(deadline, outcome).await else {
+            log_routine!("read_refused", "reason=no_majority");
+            return self.failure(503, "no majority confirms the newest document");
+        };
+        while self.core.borrow().applied() < index {
+            if tokio::time::Instant::now() >= deadline {
+                return self.failure(503, "this member is behind");
+            }
+            sleep(APPLY_PAUSE).await;
+        }
+        match self.core.borrow().state().text() {
+            Some(text) => CallAnswer { status: 200, body: text.to_vec() },
+            None => self.failure(503, "there is no document yet"),
+        }
+    }
+}
+
+fn put_command(document: RouteDocument, body: &[u8]) -> FleetCommand {
+    FleetCommand::PutDocument { document: Box::new(document), text: body.to_vec() }
+}
--- /dev/null
+++ b/src/fleet/dialect.rs
@@ -0,0 +1,85 @@
+//! Names and formats on the wire, as data that an adapter supplies.
+
+use super::announcement::{AnnouncementError, IncarnationStart, ServerAnnouncement};
+use super::document::{DocumentError, RouteDocument};
+use crate::ids::ServerId;
+
+/// Header names in lower case.
+#[derive(Debug, Clone, Copy)]
+pub struct HeaderNames {
+    /// Id of one try of a caller; servers echo it.
+    pub request_id: &'static str,
+    /// Milliseconds that the caller, or the entry, still waits.
+    pub deadline: &'static str,
+    /// Proof of the server that the response is its own.
+    pub signature: &'static str,
+    /// Server that a request is meant for.
+    pub expected_server: &'static str,
+    /// Load of a server.
+    pub load: &'static str,
+    /// Present when a server did not run the request.
+    pub not_run: &'static str,
+}
+
+/// Call on the operator's address of a control member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OperatorCall {
+    Announce(ServerId),
+    Leave(ServerId),
+    PutDocument,
+    GetDocument,
+    Unknown,
+}
+
+/// Translates between wire and product.
+pub trait WireDialect: 'static {
+    fn headers(&self) -> &HeaderNames;
+
+    /// Whether this is the readiness question of the balancer in front.
+    fn is_readiness(&self, method: &str, path: &str) -> bool;
+
+    /// Recognises a call by method and path.
+    fn operator_call(&self, method: &str, path: &str) -> OperatorCall;
+
+    /// Decodes a settings document; the result is not yet checked.
+    fn parse_document(&self, body: &[u8]) -> Result<RouteDocument, DocumentError>;
+
+    /// Decodes an announcement.
+    fn parse_announcement(&self, body: &[u8]) -> Result<ServerAnnouncement, AnnouncementError>;
+
+    /// Incarnation in the body of a leave call, if it has one.
+    fn parse_leave(&self, body: &[u8]) -> Option<IncarnationStart>;
+
+    /// Content type of bodies.
+    fn content_type(&self) -> &'static str {
+        "application/json"
+    }
+
+    /// Body that reports a failure.
+    fn error_body(&self, message: &str) -> Vec<u8>;
+}
+
+/// Load that a server tells in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ToldLoad {
+    pub running: u32,
+    pub waiting: u32,
+    pub slots: u32,
+    /// Duration of work at this moment in percent of the usual.
+    pub slowness: u32,
+}
+
+impl ToldLoad {
+    /// Reads `running,waiting,slots[,slowness]`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
+        let running = parts.next()?.ok()?;
+        let waiting = parts.next()?.ok()?;
+        let slots = parts.next()?.ok()?;
+        let slowness = match parts.next() {
+            Some(value) => value.ok()?,
+            None => 100,
+        };
+        Some(Self { running, waiting, slots, slowness })
+    }
+}
--- /dev/null
+++ b/src/fleet/entry/connections.rs
@@ -0,0 +1,86 @@
+//! Idle connections to servers.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::fleet::stream::{HttpStream, IdleState};
+use crate::ids::ServerId;
+
+/// Idle connections to one server; more would take the share of other entries.
+const MAX_IDLE: usize = 6;
+
+/// Idle time after which a connection is not used when the server names none.
+const DEFAULT_IDLE: Duration = Duration::from_secs(8);
+
+/// Part of the server's idle timeout that is used, since it may close at the same moment.
+const USED_PART: f64 = 0.7;
+
+struct IdleConnection {
+    stream: HttpStream,
+    address: SocketAddr,
+    since: Instant,
+    until: Instant,
+}
+
+/// Idle connections by server.
+#[derive(Default)]
+pub struct ConnectionStore {
+    idle: RefCell<BTreeMap<ServerId, Vec<IdleConnection>>>,
+}
+
+impl ConnectionStore {
+    /// Takes the connection that was used last, if it was idle for at most `max_idle`.
+    pub fn take(
+        &self,
+        now: Instant,
+        server: &ServerId,
+        address: SocketAddr,
+        max_idle: Duration,
+    ) -> Option<HttpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(server)?;
+        while let Some(mut connection) = connections.pop() {
+            let sound = connection.address == address
+                && now < connection.until
+                && connection.stream.idle_state() == IdleState::Quiet;
+            if !sound {
+                continue;
+            }
+            if now.duration_since(connection.since) > max_idle {
+                connections.push(connection);
+                return None;
+            }
+            return Some(connection.stream);
+        }
+        None
+    }
+
+    /// Keeps a connection; `timeout` is the server's own idle timeout.
+    pub fn put(
+        &self,
+        now: Instant,
+        server: &ServerId,
+        address: SocketAddr,
+        stream: HttpStream,
+        timeout: Option<Duration>,
+    ) {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(server.clone()).or_default();
+        if connections.len() >= MAX_IDLE {
+            connections.remove(0);
+        }
+        let kept = timeout.map_or(DEFAULT_IDLE, |timeout| timeout.mul_f64(USED_PART));
+        connections.push(IdleConnection { stream, address, since: now, until: now + kept });
+    }
+
+    /// Closes the connections to servers that are not kept, and those that are too old.
+    pub fn retain(&self, keep: impl Fn(&ServerId) -> bool) {
+        let now = Instant::now();
+        self.idle.borrow_mut().retain(|server, connections| {
+            connections.retain(|connection| now < connection.until);
+            keep(server) && !connections.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/src/fleet/entry/context.rs
@@ -0,0 +1,168 @@
+//! State that the connections of an entry share on its one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use tokio::sync::watch;
+
+use super::connections::ConnectionStore;
+use super::follow::FOLLOWED_MEMBERS;
+use super::metrics::EntryMetrics;
+use crate::fleet::balance::ServiceBalance;
+use crate::fleet::budget::RetryBudget;
+use crate::fleet::config::{EntryConfig, FleetConfig};
+use crate::fleet::dialect::WireDialect;
+use crate::fleet::link::FreshNotice;
+use crate::fleet::routes::RouteTable;
+use crate::fleet::update::{FleetUpdate, FollowedState};
+use crate::ids::ServiceName;
+use crate::log_info;
+
+/// Phase of an entry's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EntryPhase {
+    Serving,
+    /// Requests are served, connections end between requests.
+    Stopping,
+}
+
+/// Shared state of an entry.
+pub struct EntryContext {
+    pub name: Box<str>,
+    pub availability_zone: Box<str>,
+    pub config: EntryConfig,
+    pub dialect: Rc<dyn WireDialect>,
+    pub phase: watch::Sender<EntryPhase>,
+    pub connections: ConnectionStore,
+    pub metrics: EntryMetrics,
+    pub active_requests: Cell<u32>,
+    pub state: RefCell<FollowedState>,
+    pub random: RefCell<fastrand::Rng>,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    services: RefCell<BTreeMap<ServiceName, ServiceBalance>>,
+    budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    entries: Cell<u32>,
+}
+
+impl EntryContext {
+    pub fn new(
+        config: &FleetConfig,
+        entry: &EntryConfig,
+        dialect: Rc<dyn WireDialect>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            name: config.name.clone(),
+            availability_zone: config.availability_zone.clone(),
+            config: entry.clone(),
+            dialect,
+            phase: watch::Sender::new(EntryPhase::Serving),
+            connections: ConnectionStore::default(),
+            metrics: EntryMetrics::default(),
+            active_requests: Cell::new(0),
+            state: RefCell::default(),
+            random: RefCell::new(fastrand::Rng::new()),
+            table: RefCell::default(),
+            services: RefCell::default(),
+            budgets: RefCell::default(),
+            // Before a member tells the number, a share of a large fleet is assumed.
+            entries: Cell::new(64),
+        })
+    }
+
+    /// Routes in force; `None` before the first document.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Whether requests can be served.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && *self.phase.borrow() == EntryPhase::Serving
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        *self.phase.borrow() == EntryPhase::Stopping
+    }
+
+    /// Entries that share the budgets and the servers' connections.
+    pub fn entries(&self) -> u32 {
+        self.entries.get()
+    }
+
+    pub fn note_fresh(&self, notice: &FreshNotice) {
+        // Each entry follows some of the members, so a member sees a part of the entries.
+        let members = notice.members.len().max(1) as u32;
+        let followed = members.min(FOLLOWED_MEMBERS as u32);
+        self.entries.set((notice.entries * members).div_ceil(followed).max(1));
+    }
+
+    /// Runs `use_it` with the servers of a service.
+    pub fn with_service<T>(
+        &self,
+        service: &ServiceName,
+        use_it: impl FnOnce(&mut ServiceBalance) -> T,
+    ) -> T {
+        let mut services = self.services.borrow_mut();
+        if let Some(balance) = services.get_mut(service) {
+            return use_it(balance);
+        }
+        use_it(services.entry(service.clone()).or_default())
+    }
+
+    /// Runs `use_it` with the budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        use_it: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        if let Some(budget) = budgets.get_mut(service) {
+            return use_it(budget);
+        }
+        let limits = self.config.retry;
+        use_it(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits)))
+    }
+
+    /// Installs an update from a control member.
+    pub fn install(&self, now: Instant, update: FleetUpdate) {
+        let documents = update.head.is_some() || update.complete;
+        let routes = !update.routes.is_empty() || !update.removed_routes.is_empty();
+        let servers = !update.servers.is_empty() || !update.left.is_empty() || update.complete;
+        let mut state = self.state.borrow_mut();
+        if !state.apply(update) {
+            return;
+        }
+        if (documents || routes)
+            && let Some(document) = state.document()
+        {
+            log_info!(
+                "document_installed",
+                "version={} revision={}",
+                document.version,
+                state.revision()
+            );
+            self.metrics.document_version.set(document.version as i64);
+            *self.table.borrow_mut() = Some(Rc::new(RouteTable::of(document)));
+        }
+        if servers {
+            self.install_servers(now, &state);
+        }
+    }
+
+    fn install_servers(&self, now: Instant, state: &FollowedState) {
+        let mut services = self.services.borrow_mut();
+        let names = state.servers().values().map(|view| &view.announcement.service);
+        for name in names {
+            if !services.contains_key(name) {
+                services.insert(name.clone(), ServiceBalance::default());
+            }
+        }
+        for (name, balance) in services.iter_mut() {
+            let views = state.servers().iter();
+            let own = views.filter(|(_, view)| view.announcement.service == *name);
+            balance.update(now, &self.availability_zone, own);
+        }
+        self.connections.retain(|server| state.servers().contains_key(server));
+    }
+}
--- /dev/null
+++ b/src/fleet/entry/follow.rs
@@ -0,0 +1,155 @@
+//! Links to control members: finds them, follows the state and leaves members that are behind.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tokio::time::{sleep, timeout};
+
+use super::context::EntryContext;
+use crate::fleet::link::{self, LinkError, LinkMessage};
+use crate::log_info;
+
+/// Members that an entry follows. Any three of five include one of each majority.
+pub const FOLLOWED_MEMBERS: usize = 3;
+
+/// A member that says nothing for this long is left.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1100);
+
+/// A member that has not heard of a leader for this long is behind.
+const LEADER_AGE: Duration = Duration::from_millis(1200);
+
+/// Interval at which the set of links is looked at.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Pause before a member that failed is dialled again.
+const REDIAL_PAUSE: Duration = Duration::from_millis(600);
+
+/// Shared state of the links.
+pub struct FleetFollower {
+    context: Rc<EntryContext>,
+    seeds: RefCell<Vec<SocketAddr>>,
+    members: RefCell<Vec<SocketAddr>>,
+    /// Links that exist, with the moment at which each was last up to date.
+    links: RefCell<BTreeMap<SocketAddr, Option<Instant>>>,
+    failed: RefCell<BTreeMap<SocketAddr, Instant>>,
+    had_fresh: RefCell<bool>,
+}
+
+impl FleetFollower {
+    pub fn new(context: Rc<EntryContext>, seeds: Vec<SocketAddr>) -> Rc<Self> {
+        Rc::new(Self {
+            context,
+            seeds: RefCell::new(seeds),
+            members: RefCell::default(),
+            links: RefCell::default(),
+            failed: RefCell::default(),
+            had_fresh: RefCell::new(false),
+        })
+    }
+
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
+    /// Keeps links for as long as the process runs.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            let now = Instant::now();
+            for address in self.wanted(now) {
+                self.links.borrow_mut().insert(address, None);
+                tokio::task::spawn_local(Rc::clone(&self).run_link(address));
+            }
+            self.note_freshness(now);
+            let pause = if self.links.borrow().is_empty() { REDIAL_PAUSE } else { REVIEW_INTERVAL };
+            sleep(pause).await;
+        }
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        let links = self.links.borrow();
+        links.values().flatten().any(|at| now.duration_since(*at) < SILENCE_TIMEOUT)
+    }
+
+    fn note_freshness(&self, now: Instant) {
+        let fresh = self.is_fresh(now);
+        let before = self.had_fresh.replace(fresh);
+        if before != fresh {
+            let revision = self.context.state.borrow().revision();
+            let event = if fresh { "control_regained" } else { "control_lost" };
+            log_info!(event, "revision={revision} links={}", self.links.borrow().len());
+        }
+    }
+
+    /// Members to dial now: enough to follow, all known ones while none is up to date.
+    fn wanted(&self, now: Instant) -> Vec<SocketAddr> {
+        let links = self.links.borrow();
+        let mut failed = self.failed.borrow_mut();
+        failed.retain(|_, at| now.duration_since(*at) < REDIAL_PAUSE);
+        let members = self.members.borrow();
+        let fresh = self.is_fresh(now);
+        let mut known: BTreeSet<SocketAddr> = members.iter().copied().collect();
+        if known.is_empty() || !fresh {
+            known.extend(self.seeds.borrow().iter());
+        }
+        let limit = if fresh { FOLLOWED_MEMBERS } else { usize::MAX };
+        let room = limit.saturating_sub(links.len());
+        let mut free: Vec<SocketAddr> = known.into_iter().collect();
+        free.retain(|address| !links.contains_key(address) && !failed.contains_key(address));
+        self.context.random.borrow_mut().shuffle(&mut free);
+        free.truncate(room);
+        free
+    }
+
+    async fn run_link(self: Rc<Self>, address: SocketAddr) {
+        let error = self.follow(address).await.err();
+        self.links.borrow_mut().remove(&address);
+        self.failed.borrow_mut().insert(address, Instant::now());
+        if let Some(error) = error
+            && !matches!(error, LinkError::ConnectTimeout | LinkError::Io(_))
+        {
+            log_info!("member_left", "member={address} error=\"{error}\"");
+        }
+    }
+
+    async fn follow(&self, address: SocketAddr) -> Result<(), LinkError> {
+        let (mut writer, mut reader) = link::dial(address).await?;
+        let revision = self.context.state.borrow().revision();
+        let name = self.context.name.clone();
+        writer.send(link::encode(&LinkMessage::Follow { name, revision })).await?;
+        let started = Instant::now();
+        loop {
+            let received = timeout(SILENCE_TIMEOUT, reader.receive()).await;
+            match received.map_err(|_| LinkError::Silent)?? {
+                LinkMessage::Update(update) => self.context.install(Instant::now(), update),
+                LinkMessage::Fresh(notice) => {
+                    let now = Instant::now();
+                    let current = notice.leader_age.is_some_and(|age| age < LEADER_AGE);
+                    if current {
+                        self.links.borrow_mut().insert(address, Some(now));
+                        self.context.note_fresh(&notice);
+                        *self.members.borrow_mut() = notice.members;
+                        if self.has_surplus(address) {
+                            return Ok(());
+                        }
+                    } else if now.duration_since(started) > LEADER_AGE && self.is_fresh(now) {
+                        return Err(LinkError::Silent);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether this link is one too many: enough others are up to date.
+    fn has_surplus(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let links = self.links.borrow();
+        let fresh =
+            |at: &Option<Instant>| at.is_some_and(|at| now.duration_since(at) < SILENCE_TIMEOUT);
+        let before = links.range(..address).filter(|(_, at)| fresh(at)).count();
+        before >= FOLLOWED_MEMBERS
+    }
+}
--- /dev/null
+++ b/src/fleet/entry/mod.rs
@@ -0,0 +1,140 @@
+//! Entry: serves callers by the routes and servers that the control members tell.
+
+mod caller;
+mod connections;
+mod context;
+mod follow;
+mod metrics;
+mod request;
+mod send;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use self::context::{EntryContext, EntryPhase};
+use self::follow::FleetFollower;
+use super::config::{EntryConfig, FleetConfig};
+use super::dialect::WireDialect;
+use super::stream::HttpStream;
+use crate::http::{HttpLimits, RequestHead};
+use crate::{log_info, log_warn};
+
+/// Time that callers need to learn that a stopping entry takes no new connections.
+const REFUSAL_SPREAD: Duration = Duration::from_millis(2500);
+
+/// Time before the end of the grace at which the process ends, whatever still runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Interval at which a stopping entry looks whether it is idle.
+const STOP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Pause after a failed accept, for instance without free descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why an entry cannot run.
+#[derive(Debug, Error)]
+#[error("cannot listen on {address}: {error}")]
+pub struct EntryError {
+    pub address: SocketAddr,
+    pub error: std::io::Error,
+}
+
+/// Running entry.
+pub struct EntryProcess {
+    context: Rc<EntryContext>,
+    follower: Rc<FleetFollower>,
+}
+
+impl EntryProcess {
+    /// Listens and serves in the background.
+    pub async fn start(
+        config: &FleetConfig,
+        entry: &EntryConfig,
+        dialect: Rc<dyn WireDialect>,
+    ) -> Result<Self, EntryError> {
+        let context = EntryContext::new(config, entry, dialect);
+        let traffic = listen(entry.traffic).await?;
+        let readiness = listen(entry.readiness).await?;
+        let follower = FleetFollower::new(Rc::clone(&context), config.seeds.clone());
+        tokio::task::spawn_local(Rc::clone(&follower).run());
+        tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
+        tokio::task::spawn_local(serve_readiness(readiness, Rc::clone(&context)));
+        Ok(Self { context, follower })
+    }
+
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        self.follower.set_seeds(seeds);
+    }
+
+    /// Text of the metrics page.
+    pub fn metrics(&self) -> String {
+        self.context.metrics.encode()
+    }
+
+    /// Takes no new connections, finishes what runs and returns within `grace`.
+    pub async fn stop(&self, grace: Duration) {
+        let started = Instant::now();
+        self.context.phase.send_replace(EntryPhase::Stopping);
+        loop {
+            sleep(STOP_INTERVAL).await;
+            let elapsed = started.elapsed();
+            let idle = self.context.active_requests.get() == 0;
+            if (idle && elapsed >= REFUSAL_SPREAD) || elapsed + GRACE_MARGIN >= grace {
+                let active = self.context.active_requests.get();
+                log_info!("entry_stopped", "active={active} after_ms={}", elapsed.as_millis());
+                return;
+            }
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(address).await.map_err(|error| EntryError { address, error })
+}
+
+/// Answers the balancer's question whether this entry takes new connections.
+async fn serve_readiness(listener: TcpListener, context: Rc<EntryContext>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = Rc::clone(&context);
+                tokio::task::spawn_local(async move { answer_readiness(&context, stream).await });
+            }
+            Err(error) => {
+                log_warn!("accept_failed", "listener=readiness error=\"{error}\"");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer_readiness(context: &EntryContext, stream: TcpStream) {
+    let mut stream = HttpStream::new(stream);
+    let limits = HttpLimits::default();
+    loop {
+        let read = timeout(limits.head_timeout, stream.read_request(&limits)).await;
+        let Ok(Ok(Some(head))) = read else { return };
+        let answer = readiness_answer(context, &head);
+        if stream.write(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        if !head.keep_alive() {
+            return stream.close().await;
+        }
+    }
+}
+
+fn readiness_answer(context: &EntryContext, head: &RequestHead) -> &'static str {
+    if !context.dialect.is_readiness(&head.method, head.path()) {
+        return "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+    }
+    if context.is_ready() {
+        return "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    }
+    "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n"
+}
--- /dev/null
+++ b/src/fleet/entry/request.rs
@@ -0,0 +1,329 @@
+//! Handling of one request: route, choice of servers, repeated sends, and the answer.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::sleep_until;
+
+use super::context::EntryContext;
+use super::metrics::OutcomeLabel;
+use super::send::{self, OutgoingRequest, SendError, ServerResponse};
+use crate::fleet::document::{Repetition, RouteRule};
+use crate::fleet::routes::choose_target;
+use crate::http::RequestHead;
+use crate::ids::{ServerId, ServiceName};
+use crate::{log_info, log_routine};
+
+/// Tries of connections for one request, beyond the sends that its route allows.
+const MAX_CONNECTS: usize = 4;
+
+/// Longest pause that a refused caller is asked for.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Part of its time left that a caller spends on a pause.
+const RETRY_PART: f64 = 0.3;
+
+/// A second send starts when the first took this many times the mean latency.
+const HEDGE_FACTOR: f64 = 1.4;
+
+/// Bounds of that time in parts of the target latency.
+const HEDGE_PARTS: (f64, f64) = (0.25, 0.6);
+
+/// Repeated sends that are kept for failures.
+const HEDGE_RESERVE: f64 = 2.0;
+
+/// Complete request of a caller.
+pub struct CallerRequest {
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    pub received: Instant,
+}
+
+/// Answer to a caller.
+pub enum CallerAnswer {
+    Relay(Box<ServerResponse>),
+    Own(OwnAnswer),
+}
+
+/// Answer of the entry itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OwnAnswer {
+    pub status: u16,
+    pub reason: &'static str,
+    pub retry_after: Option<Duration>,
+}
+
+impl OwnAnswer {
+    fn of(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None }
+    }
+
+    /// The request has not run and will not; the caller may come back.
+    fn not_run(reason: &'static str, left: Duration) -> Self {
+        let retry_after = RETRY_AFTER.min(left.mul_f64(RETRY_PART));
+        Self { status: 503, reason, retry_after: Some(retry_after) }
+    }
+}
+
+type SendFuture = Pin<Box<dyn Future<Output = (ServerId, Result<ServerResponse, SendError>)>>>;
+
+/// Progress of one request.
+struct RequestRun {
+    context: Rc<EntryContext>,
+    request: Rc<OutgoingRequest>,
+    rule: Rc<RouteRule>,
+    started: Instant,
+    running: FuturesUnordered<SendFuture>,
+    tried: Vec<ServerId>,
+    sends: u32,
+    connects: usize,
+    may_have_run: bool,
+    hedged: bool,
+    /// Error response of a server, passed on when nothing better comes.
+    failure: Option<Box<ServerResponse>>,
+}
+
+/// Whether a request may run more than once, by its route.
+pub fn is_idempotent(context: &EntryContext, head: &RequestHead) -> bool {
+    let rule = context.table().and_then(|table| table.find(&head.host, head.path()));
+    rule.is_none_or(|rule| rule.repetition == Repetition::Idempotent)
+}
+
+/// Processes a request to its answer.
+pub async fn process(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
+    let received = caller.received;
+    let id = request_id(context, &caller.head);
+    let answer = dispatch(context, caller).await;
+    let elapsed = received.elapsed();
+    context.metrics.latency.observe(elapsed.as_secs_f64());
+    let outcome = match &answer {
+        CallerAnswer::Relay(response) => {
+            log_routine!(
+                "request_served",
+                "request={id} server={} status={} elapsed_ms={}",
+                response.server,
+                response.head.status,
+                elapsed.as_millis()
+            );
+            if response.head.status < 400 { "served" } else { "server_error" }
+        }
+        CallerAnswer::Own(own) => {
+            log_info!(
+                "request_refused",
+                "request={id} status={} reason=\"{}\" elapsed_ms={} revision={}",
+                own.status,
+                own.reason,
+                elapsed.as_millis(),
+                context.state.borrow().revision()
+            );
+            if own.status == 503 { "not_run" } else { "failed" }
+        }
+    };
+    context.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+    answer
+}
+
+/// Id of the request for logs.
+fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
+    let id = head.headers.get_str(context.dialect.headers().request_id).unwrap_or("-");
+    id.chars().filter(char::is_ascii_graphic).take(40).collect()
+}
+
+async fn dispatch(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
+    let Some(table) = context.table() else {
+        let answer = OwnAnswer::not_run("no settings document yet", Duration::from_secs(1));
+        return CallerAnswer::Own(answer);
+    };
+    let Some(rule) = table.find(&caller.head.host, caller.head.path()) else {
+        return CallerAnswer::Own(OwnAnswer::of(404, "no route"));
+    };
+    let deadline = caller.head.headers.get_str(context.dialect.headers().deadline);
+    let deadline = deadline.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
+    let limit = deadline.map_or(rule.timeout, |deadline| deadline.min(rule.timeout));
+    let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
+    let idempotent = rule.repetition == Repetition::Idempotent;
+    let end = caller.received + limit;
+    let request = OutgoingRequest::new(context, service, caller.head, caller.body, idempotent, end);
+    let run = RequestRun {
+        context: Rc::clone(context),
+        request: Rc::new(request),
+        rule,
+        started: caller.received,
+        running: FuturesUnordered::new(),
+        tried: Vec::new(),
+        sends: 0,
+        connects: 0,
+        may_have_run: false,
+        hedged: false,
+        failure: None,
+    };
+    run.finish().await
+}
+
+impl RequestRun {
+    async fn finish(mut self) -> CallerAnswer {
+        let now = Instant::now();
+        let service = self.request.service.clone();
+        self.context.with_budget(&service, |budget| budget.note_request(now));
+        if !self.start_send(now) {
+            return self.refuse("no server is available");
+        }
+        let hedge_at = self.hedge_time(now);
+        loop {
+            let hedge = hedge_at.filter(|_| !self.hedged && self.running.len() == 1);
+            let timer = hedge.unwrap_or(self.request.end).min(self.request.end);
+            tokio::select! {
+                biased;
+                Some((server, result)) = self.running.next() => {
+                    if let Some(answer) = self.on_result(&server, result) {
+                        return answer;
+                    }
+                }
+                () = sleep_until(timer.into()) => {
+                    let now = Instant::now();
+                    if now >= self.request.end {
+                        return self.time_out();
+                    }
+                    self.hedge(now);
+                }
+            }
+        }
+    }
+
+    /// Moment at which a second send starts if the first is not answered.
+    fn hedge_time(&self, now: Instant) -> Option<Instant> {
+        if !self.request.idempotent || self.rule.max_attempts < 2 {
+            return None;
+        }
+        let target = self.rule.target_latency;
+        let (least, most) = (target.mul_f64(HEDGE_PARTS.0), target.mul_f64(HEDGE_PARTS.1));
+        let mean =
+            self.context.with_service(&self.request.service, |balance| balance.mean_latency());
+        let wait = mean.map_or(most, |mean| mean.mul_f64(HEDGE_FACTOR).clamp(least, most));
+        Some(now + wait)
+    }
+
+    fn hedge(&mut self, now: Instant) {
+        self.hedged = true;
+        let entries = self.context.entries();
+        let left =
+            self.context.with_budget(&self.request.service, |budget| budget.left(now, entries));
+        if left >= HEDGE_RESERVE {
+            self.repeat(now);
+        }
+    }
+
+    /// Chooses a server and starts a send; false when there is none.
+    fn start_send(&mut self, now: Instant) -> bool {
+        let tried = &self.tried;
+        let random = &mut self.context.random.borrow_mut();
+        let chosen = self
+            .context
+            .with_service(&self.request.service, |balance| balance.choose(now, tried, random));
+        let Some(chosen) = chosen else { return false };
+        self.tried.push(chosen.server.clone());
+        self.sends += 1;
+        let (context, request) = (Rc::clone(&self.context), Rc::clone(&self.request));
+        self.running.push(Box::pin(send::send(context, request, chosen)));
+        true
+    }
+
+    /// Starts one more send if route, budget and servers allow it.
+    fn repeat(&mut self, now: Instant) -> bool {
+        if self.sends >= self.rule.max_attempts || now >= self.request.end {
+            return false;
+        }
+        let entries = self.context.entries();
+        let taken =
+            self.context.with_budget(&self.request.service, |budget| budget.take(now, entries));
+        if !taken || !self.start_send(now) {
+            return false;
+        }
+        self.context.metrics.repeated_sends.inc();
+        true
+    }
+
+    /// Handles the end of one send; returns the answer when the request is finished.
+    fn on_result(
+        &mut self,
+        server: &ServerId,
+        result: Result<ServerResponse, SendError>,
+    ) -> Option<CallerAnswer> {
+        let now = Instant::now();
+        let error = match result {
+            Ok(response) if response.head.status < 500 || !self.request.idempotent => {
+                return Some(CallerAnswer::Relay(Box::new(response)));
+            }
+            Ok(response) => {
+                self.may_have_run = true;
+                self.failure = Some(Box::new(response));
+                if !self.running.is_empty() || self.repeat(now) {
+                    return None;
+                }
+                return self.failure.take().map(CallerAnswer::Relay);
+            }
+            Err(error) => error,
+        };
+        let label = OutcomeLabel { outcome: error.label() };
+        self.context.metrics.sends.get_or_create(&label).inc();
+        log_routine!(
+            "send_failed",
+            "request={} server={server} sends={} elapsed_ms={} error=\"{error}\"",
+            self.id(),
+            self.sends,
+            now.duration_since(self.started).as_millis()
+        );
+        self.may_have_run |= error.may_have_run();
+        if !self.running.is_empty() {
+            return None;
+        }
+        if self.try_again(now, &error) {
+            return None;
+        }
+        if let Some(failure) = self.failure.take() {
+            return Some(CallerAnswer::Relay(failure));
+        }
+        if self.may_have_run {
+            return Some(CallerAnswer::Own(OwnAnswer::of(502, "the server's response is lost")));
+        }
+        Some(self.refuse("all servers that were tried refused"))
+    }
+
+    fn try_again(&mut self, now: Instant, error: &SendError) -> bool {
+        if !error.arrived() {
+            // Nothing reached a server, so this is no repeated send.
+            self.sends -= 1;
+            self.connects += 1;
+            return self.connects < MAX_CONNECTS && now < self.request.end && self.start_send(now);
+        }
+        if self.may_have_run && !self.request.idempotent {
+            return false;
+        }
+        self.repeat(now)
+    }
+
+    fn id(&self) -> String {
+        let id = self.request.request_id.as_deref().unwrap_or(b"-");
+        String::from_utf8_lossy(id).into_owned()
+    }
+
+    fn refuse(&self, reason: &'static str) -> CallerAnswer {
+        let left = self.request.end.saturating_duration_since(Instant::now());
+        CallerAnswer::Own(OwnAnswer::not_run(reason, left))
+    }
+
+    fn time_out(self) -> CallerAnswer {
+        if let Some(failure) = self.failure {
+            return CallerAnswer::Relay(failure);
+        }
+        // A send that is still running may have reached its server.
+        if self.may_have_run || !self.running.is_empty() {
+            return CallerAnswer::Own(OwnAnswer::of(504, "no response in time"));
+        }
+        self.refuse("the time is over before a server was reached")
+    }
+}
--- /dev/null
+++ b/src/fleet/entry/send.rs
@@ -0,0 +1,364 @@
+//! One send of a request to one server, and the checks on what comes back.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::context::EntryContext;
+use crate::fleet::balance::{ChosenServer, SendOutcome};
+use crate::fleet::dialect::ToldLoad;
+use crate::fleet::link;
+use crate::fleet::stream::HttpStream;
+use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
+use crate::ids::{ServerId, ServiceName};
+
+/// Time for a connection to a server; those in reach take a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Idle time after which a connection is not used for a request that must not be repeated.
+///
+/// A server may drop an idle connection without notice, and the request would be lost with it.
+const AT_MOST_ONCE_IDLE: Duration = Duration::from_millis(1500);
+
+/// Idle time after which a connection is not used for other requests.
+const IDEMPOTENT_IDLE: Duration = Duration::from_secs(7);
+
+/// Response bytes that are held until the body is complete, so that a broken one can be repeated.
+const HELD_BYTES: usize = 128 << 10;
+
+/// Responses to earlier requests that are skipped before the connection is given up.
+const MAX_FOREIGN_RESPONSES: usize = 2;
+
+/// Largest body of a response that is skipped.
+const MAX_SKIPPED_BYTES: usize = 1 << 20;
+
+/// Request as it is sent to any server.
+pub struct OutgoingRequest {
+    pub service: ServiceName,
+    pub method: Box<str>,
+    /// Request line and headers, without the ones that differ between sends.
+    head: Vec<u8>,
+    body: Vec<u8>,
+    pub request_id: Option<Box<[u8]>>,
+    pub idempotent: bool,
+    pub end: Instant,
+}
+
+/// Response that passed the checks.
+pub struct ServerResponse {
+    pub head: ResponseHead,
+    pub body: ServerBody,
+    pub server: ServerId,
+}
+
+/// Body of a response, held or still arriving.
+pub enum ServerBody {
+    Whole(Vec<u8>),
+    Arriving { held: Vec<u8>, stream: HttpStream, end: BodyEnd, framing: Option<BodyFraming> },
+}
+
+/// How the end of an arriving body is found.
+pub enum BodyEnd {
+    Framed(BodyDecoder),
+    /// The server closes its side.
+    Close,
+}
+
+/// Why a send brought no response to pass on.
+#[derive(Debug, Error)]
+pub enum SendError {
+    /// No byte left for the server.
+    #[error("not sent: {0}")]
+    NotSent(std::io::Error),
+    #[error("not sent: no connection within {} ms", CONNECT_TIMEOUT.as_millis())]
+    ConnectTimeout,
+    /// The server said that it did not run the request.
+    #[error("refused by the server with {status}")]
+    NotRun { status: u16 },
+    #[error("another server has the address")]
+    OtherServer,
+    #[error("the connection failed: {0}")]
+    Broken(#[from] HttpError),
+    #[error("the response cannot be trusted: {0}")]
+    Untrusted(&'static str),
+}
+
+impl SendError {
+    /// Whether the server may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Broken(_) | Self::Untrusted(_))
+    }
+
+    /// Whether the request reached the server.
+    pub fn arrived(&self) -> bool {
+        !matches!(self, Self::NotSent(_) | Self::ConnectTimeout)
+    }
+
+    fn outcome(&self) -> SendOutcome {
+        match self {
+            Self::NotSent(_) | Self::ConnectTimeout | Self::OtherServer => SendOutcome::Unreachable,
+            Self::NotRun { .. } => SendOutcome::Shed,
+            Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
+        }
+    }
+
+    /// Label for metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) | Self::ConnectTimeout => "not_sent",
+            Self::NotRun { .. } => "not_run",
+            Self::OtherServer => "other_server",
+            Self::Broken(_) => "broken",
+            Self::Untrusted(_) => "untrusted",
+        }
+    }
+}
+
+impl OutgoingRequest {
+    /// Prepares the request of a caller for `service`.
+    pub fn new(
+        context: &EntryContext,
+        service: ServiceName,
+        mut caller: RequestHead,
+        body: Vec<u8>,
+        idempotent: bool,
+        end: Instant,
+    ) -> Self {
+        let names = *context.dialect.headers();
+        let request_id = caller.headers.get(names.request_id).map(Into::into);
+        let chunked = caller.framing == BodyFraming::Chunked;
+        caller.headers.remove_hop_by_hop();
+        for name in [names.deadline, names.expected_server, "expect"] {
+            caller.headers.remove(name);
+        }
+        if chunked {
+            // The decimal length of a body contains no control characters.
+            let _ = caller.headers.set("content-length", body.len().to_string().as_bytes());
+        }
+        let mut head = Vec::with_capacity(512);
+        caller.write_to(&mut head);
+        // The blank line comes after the headers of one send.
+        head.truncate(head.len() - 2);
+        Self { service, method: caller.method, head, body, request_id, idempotent, end }
+    }
+
+    fn encode(&self, context: &EntryContext, server: &ServerId) -> Vec<u8> {
+        let names = context.dialect.headers();
+        let left = self.end.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        bytes.extend_from_slice(&self.head);
+        for (name, value) in [(names.deadline, &*left.to_string()), (names.expected_server, server)]
+        {
+            bytes.extend_from_slice(name.as_bytes());
+            bytes.extend_from_slice(b": ");
+            bytes.extend_from_slice(value.as_bytes());
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// Counts a send at the server until it ends, also when the send is cancelled.
+struct SendCount {
+    context: Rc<EntryContext>,
+    service: ServiceName,
+    server: ServerId,
+    started: Instant,
+    outcome: SendOutcome,
+}
+
+impl SendCount {
+    fn new(context: &Rc<EntryContext>, service: &ServiceName, server: &ServerId) -> Self {
+        context.with_service(service, |balance| balance.begin(server));
+        Self {
+            context: Rc::clone(context),
+            service: service.clone(),
+            server: server.clone(),
+            started: Instant::now(),
+            outcome: SendOutcome::Abandoned,
+        }
+    }
+}
+
+impl Drop for SendCount {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let elapsed = now.duration_since(self.started);
+        let closed = self.context.with_service(&self.service, |balance| {
+            let slow = balance.mean_latency().is_some_and(|mean| elapsed > mean);
+            if self.outcome == SendOutcome::Abandoned && slow {
+                // The response would have come later still.
+                balance.note_latency(now, &self.server, elapsed);
+            }
+            balance.end(now, &self.server, self.outcome, elapsed)
+        });
+        if closed {
+            crate::log_routine!(
+                "server_closed",
+                "service={} server={} outcome={:?}",
+                self.service,
+                self.server,
+                self.outcome
+            );
+        }
+    }
+}
+
+/// Sends the request to the chosen server.
+pub async fn send(
+    context: Rc<EntryContext>,
+    request: Rc<OutgoingRequest>,
+    chosen: ChosenServer,
+) -> (ServerId, Result<ServerResponse, SendError>) {
+    let mut count = SendCount::new(&context, &request.service, &chosen.server);
+    let result = exchange(&context, &request, &chosen).await;
+    count.outcome = match &result {
+        Ok(response) if response.head.status < 500 => SendOutcome::Success,
+        Ok(_) => SendOutcome::Failure,
+        Err(error) => error.outcome(),
+    };
+    (chosen.server, result)
+}
+
+async fn exchange(
+    context: &EntryContext,
+    request: &OutgoingRequest,
+    chosen: &ChosenServer,
+) -> Result<ServerResponse, SendError> {
+    let mut stream = connect(context, request, chosen).await?;
+    let limits = HttpLimits::default();
+    let bytes = request.encode(context, &chosen.server);
+    // From here on the server may have the request.
+    let whole = stream.write_unanswered(&bytes).await.map_err(HttpError::from)?;
+    let head = read_own_head(context, request, &mut stream, &limits).await?;
+    let now = Instant::now();
+    let names = context.dialect.headers();
+    if let Some(told) = head.headers.get_str(names.load).and_then(ToldLoad::parse) {
+        context.with_service(&request.service, |balance| {
+            balance.note_load(now, &chosen.server, told);
+        });
+    }
+    check_head(context, &head)?;
+    let framing = match BodyFraming::of_response(&request.method, &head) {
+        Ok(framing) => Some(framing),
+        Err(HttpError::UnframedResponse) => None,
+        Err(error) => return Err(error.into()),
+    };
+    let mut held = Vec::new();
+    let (complete, end) = match framing {
+        Some(framing) => {
+            let mut decoder = BodyDecoder::new(framing);
+            let complete = stream.read_body(&mut decoder, &mut held, HELD_BYTES).await?;
+            (complete, BodyEnd::Framed(decoder))
+        }
+        None => {
+            let complete = stream.read_to_close(&mut held, HELD_BYTES).await;
+            (complete.map_err(HttpError::from)?, BodyEnd::Close)
+        }
+    };
+    let server = chosen.server.clone();
+    if !complete {
+        let body = ServerBody::Arriving { held, stream, end, framing };
+        return Ok(ServerResponse { head, body, server });
+    }
+    if whole && framing.is_some() {
+        keep_connection(context, chosen, &head, stream);
+    }
+    Ok(ServerResponse { head, body: ServerBody::Whole(held), server })
+}
+
+async fn connect(
+    context: &EntryContext,
+    request: &OutgoingRequest,
+    chosen: &ChosenServer,
+) -> Result<HttpStream, SendError> {
+    let now = Instant::now();
+    let max_idle = if request.idempotent { IDEMPOTENT_IDLE } else { AT_MOST_ONCE_IDLE };
+    let idle = context.connections.take(now, &chosen.server, chosen.address, max_idle);
+    if let Some(stream) = idle {
+        return Ok(stream);
+    }
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
+    let stream = connected.map_err(|_| SendError::ConnectTimeout)?.map_err(SendError::NotSent)?;
+    link::prepare_socket(&stream).map_err(SendError::NotSent)?;
+    context.metrics.opened_connections.inc();
+    Ok(HttpStream::new(stream))
+}
+
+/// Reads the response to this request; late responses to earlier ones are skipped.
+async fn read_own_head(
+    context: &EntryContext,
+    request: &OutgoingRequest,
+    stream: &mut HttpStream,
+    limits: &HttpLimits,
+) -> Result<ResponseHead, SendError> {
+    let names = context.dialect.headers();
+    for _ in 0..=MAX_FOREIGN_RESPONSES {
+        let head = stream.read_response(limits).await?;
+        let echoed = head.headers.get(names.request_id);
+        let refused = head.status == 421 || head.headers.get(names.not_run).is_some();
+        match (echoed, &request.request_id) {
+            (Some(echoed), Some(own)) if echoed == &**own => return Ok(head),
+            (None, None) => return Ok(head),
+            (None, _) if refused => return Ok(head),
+            (None, _) => return Err(SendError::Untrusted("it does not name the request")),
+            (Some(_), _) => {}
+        }
+        let framing = BodyFraming::of_response(&request.method, &head)?;
+        let mut skipped = Vec::new();
+        let mut decoder = BodyDecoder::new(framing);
+        if !stream.read_body(&mut decoder, &mut skipped, MAX_SKIPPED_BYTES).await? {
+            break;
+        }
+    }
+    Err(SendError::Untrusted("it belongs to another request"))
+}
+
+fn check_head(context: &EntryContext, head: &ResponseHead) -> Result<(), SendError> {
+    let names = context.dialect.headers();
+    if head.status == 421 {
+        return Err(SendError::OtherServer);
+    }
+    if head.headers.get(names.not_run).is_some() {
+        return Err(SendError::NotRun { status: head.status });
+    }
+    if matches!(head.status, 408 | 429 | 503) {
+        // Passed on, these would promise that the request has not run.
+        return Err(SendError::Untrusted("a refusal that does not say whether the request ran"));
+    }
+    if head.headers.get("content-encoding").is_some() {
+        return Err(SendError::Untrusted("it is encoded, and no encoding was asked for"));
+    }
+    let success = (200..300).contains(&head.status);
+    if success && head.headers.get(names.signature).is_none() {
+        return Err(SendError::Untrusted("a success without the server's signature"));
+    }
+    Ok(())
+}
+
+fn keep_connection(
+    context: &EntryContext,
+    chosen: &ChosenServer,
+    head: &ResponseHead,
+    stream: HttpStream,
+) {
+    if !head.keep_alive() || !stream.buffered().is_empty() {
+        return;
+    }
+    let timeout = keep_alive_timeout(head);
+    let address = chosen.address;
+    context.connections.put(Instant::now(), &chosen.server, address, stream, timeout);
+}
+
+/// Idle timeout in whole seconds that the server names.
+fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
+    let value = head.headers.get_str("keep-alive")?;
+    let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
+    let (_, seconds) = parts.find(|(name, _)| name.trim() == "timeout")?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/fleet/event_log.rs
@@ -0,0 +1,126 @@
+//! Log lines on standard output: bounded, written by a thread of their own, never waited for.
+
+use std::fmt::{self, Write as _};
+use std::io::Write as _;
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Bytes that may wait for the writer; lines beyond are dropped and counted.
+const MAX_WAITING_BYTES: usize = 128 << 10;
+
+/// Lines are collected this long before they are written together.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Lines of successful requests and the like in one write interval.
+const MAX_ROUTINE_LINES: u32 = 4;
+
+#[derive(Default)]
+struct LogQueue {
+    bytes: Vec<u8>,
+    dropped: u64,
+    routine: u32,
+}
+
+struct LogWriter {
+    queue: Mutex<LogQueue>,
+    filled: Condvar,
+}
+
+static WRITER: OnceLock<Arc<LogWriter>> = OnceLock::new();
+
+/// Starts the writer. Later calls have no effect, and without one no line is written.
+pub fn start(output: impl std::io::Write + Send + 'static) {
+    let writer = Arc::new(LogWriter { queue: Mutex::default(), filled: Condvar::new() });
+    if WRITER.set(Arc::clone(&writer)).is_err() {
+        return;
+    }
+    std::thread::spawn(move || write_lines(&writer, output));
+}
+
+fn write_lines(writer: &LogWriter, mut output: impl std::io::Write) {
+    loop {
+        let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        while queue.bytes.is_empty() && queue.dropped == 0 {
+            queue = writer.filled.wait(queue).unwrap_or_else(|poisoned| poisoned.into_inner());
+        }
+        drop(queue);
+        std::thread::sleep(WRITE_INTERVAL);
+        let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut bytes = std::mem::take(&mut queue.bytes);
+        let dropped = std::mem::take(&mut queue.dropped);
+        queue.routine = 0;
+        drop(queue);
+        if dropped > 0 {
+            let _ = writeln!(bytes, "level=warn event=log_lines_dropped count={dropped}");
+        }
+        // A closed standard output must not end the process, and there is no place to report it.
+        let _ = output.write_all(&bytes);
+        let _ = output.flush();
+    }
+}
+
+/// Importance of a line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LineLevel {
+    /// Sampled: a request that went well.
+    Routine,
+    Info,
+    Warn,
+}
+
+/// Queues one line; `fields` are key=value pairs.
+pub fn write(level: LineLevel, event: &str, fields: fmt::Arguments<'_>) {
+    let Some(writer) = WRITER.get() else { return };
+    let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    if level == LineLevel::Routine {
+        queue.routine += 1;
+        if queue.routine > MAX_ROUTINE_LINES {
+            return;
+        }
+    }
+    if queue.bytes.len() >= MAX_WAITING_BYTES {
+        queue.dropped += 1;
+        return;
+    }
+    let name = match level {
+        LineLevel::Routine => "debug",
+        LineLevel::Info => "info",
+        LineLevel::Warn => "warn",
+    };
+    let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut line = String::with_capacity(160);
+    let _ = writeln!(line, "time={:.3} level={name} event={event} {fields}", time.as_secs_f64());
+    let wake = queue.bytes.is_empty();
+    queue.bytes.extend_from_slice(line.as_bytes());
+    drop(queue);
+    if wake {
+        writer.filled.notify_one();
+    }
+}
+
+/// Queues an `info` line.
+#[macro_export]
+macro_rules! log_info {
+    ($event:expr, $($fields:tt)*) => {
+        $crate::fleet::event_log::write(
+            $crate::fleet::event_log::LineLevel::Info, $event, format_args!($($fields)*))
+    };
+}
+
+/// Queues a `warn` line.
+#[macro_export]
+macro_rules! log_warn {
+    ($event:expr, $($fields:tt)*) => {
+        $crate::fleet::event_log::write(
+            $crate::fleet::event_log::LineLevel::Warn, $event, format_args!($($fields)*))
+    };
+}
+
+/// Queues a sampled line.
+#[macro_export]
+macro_rules! log_routine {
+    ($event:expr, $($fields:tt)*) => {
+        $crate::fleet::event_log::write(
+            $crate::fleet::event_log::LineLevel::Routine, $event, format_args!($($fields)*))
+    };
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,22 @@
+//! Fleet mode: members found from seeds, one settings document replaced as a whole, entries that
+//! follow the control members and route by host and path.
+//!
+//! Every process of this mode runs its sockets, timers and state on one thread. The names on the wire
+//! come from a [`dialect::WireDialect`].
+
+pub mod announcement;
+pub mod balance;
+pub mod budget;
+pub mod config;
+pub mod control;
+pub mod dialect;
+pub mod document;
+pub mod entry;
+pub mod event_log;
+pub mod link;
+pub mod placement;
+pub mod process;
+pub mod routes;
+pub mod state;
+pub mod stream;
+pub mod update;
--- /dev/null
+++ b/src/fleet/routes.rs
@@ -0,0 +1,63 @@
+//! Look-up of the route of a request by host and longest path prefix.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use super::document::{CallerLimits, DocumentVersion, RouteDocument, RouteRule, ServiceRule};
+use crate::ids::ServiceName;
+
+/// Routes of one document, shared by the requests that began under it.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    pub version: DocumentVersion,
+    pub limits: CallerLimits,
+    pub services: BTreeMap<ServiceName, ServiceRule>,
+    hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<RouteRule>>>,
+}
+
+impl RouteTable {
+    pub fn of(document: &RouteDocument) -> Self {
+        let mut hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<RouteRule>>> = BTreeMap::new();
+        for ((host, prefix), rule) in &document.routes {
+            let host = host.to_ascii_lowercase().into_boxed_str();
+            hosts.entry(host).or_default().insert(prefix.clone(), Rc::new(rule.clone()));
+        }
+        Self {
+            version: document.version,
+            limits: document.limits.clone(),
+            services: document.services.clone(),
+            hosts,
+        }
+    }
+
+    /// Rule with the longest prefix that begins `path`; prefixes end with a slash.
+    pub fn find(&self, host: &str, path: &str) -> Option<Rc<RouteRule>> {
+        let prefixes = self.hosts.get(host)?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(rule) = prefixes.get(&path[..=slash]) {
+                return Some(Rc::clone(rule));
+            }
+            end = slash;
+        }
+        None
+    }
+}
+
+/// Chooses the service of one request in proportion to the weights.
+pub fn choose_target<'a>(rule: &'a RouteRule, random: &mut fastrand::Rng) -> &'a ServiceName {
+    let sum: f64 = rule.targets.iter().map(|(_, weight)| weight).sum();
+    let mut point = random.f64() * sum;
+    let mut chosen = &rule.targets[0].0;
+    for (service, weight) in &rule.targets {
+        if *weight <= 0.0 {
+            continue;
+        }
+        chosen = service;
+        point -= weight;
+        if point < 0.0 {
+            break;
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/src/fleet/state.rs
@@ -0,0 +1,274 @@
+//! Replicated state: the document in force and the servers that announced themselves.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::announcement::{IncarnationStart, NamedAnnouncement, ServerAnnouncement, ServerState};
+use super::document::{RouteDocument, RouteKey, RouteRule};
+use super::update::{DocumentHead, FleetUpdate, ServerView};
+use crate::ids::{LogIndex, ServerId};
+
+/// Removed items that are remembered; a follower that is further behind gets everything.
+const MAX_TOMBSTONES: usize = 4096;
+
+/// Change of the state, replicated in the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum FleetCommand {
+    /// `text` is the document as the operator sent it.
+    PutDocument {
+        document: Box<RouteDocument>,
+        #[serde(with = "serde_bytes")]
+        text: Vec<u8>,
+    },
+    Announce(ServerId, ServerAnnouncement),
+    /// The incarnation that leaves; `None` is the one that is known.
+    Leave(ServerId, Option<IncarnationStart>),
+    /// Servers that were silent for too long, with the incarnation that was meant.
+    Silent(Vec<(ServerId, IncarnationStart)>),
+    /// Servers that were silent and are heard again.
+    Heard(Vec<(ServerId, IncarnationStart)>),
+}
+
+/// A replicated payload or snapshot that cannot be decoded.
+#[derive(Debug, Error)]
+#[error("replicated state cannot be decoded: {0}")]
+pub struct StateError(Box<str>);
+
+/// One server as it is known.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerRecord {
+    pub announcement: ServerAnnouncement,
+    /// No heartbeat reached the control members for some time.
+    pub silent: bool,
+    changed: LogIndex,
+}
+
+/// State after all commands up to `revision`.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct FleetState {
+    revision: LogIndex,
+    document: RouteDocument,
+    #[serde(with = "serde_bytes")]
+    text: Vec<u8>,
+    head_changed: LogIndex,
+    route_changes: BTreeMap<RouteKey, LogIndex>,
+    removed_routes: BTreeMap<RouteKey, LogIndex>,
+    servers: BTreeMap<ServerId, ServerRecord>,
+    /// Servers that left, with the incarnation that never returns.
+    left: BTreeMap<ServerId, (IncarnationStart, LogIndex)>,
+    /// A follower with a lower revision gets everything.
+    complete_from: LogIndex,
+}
+
+impl FleetCommand {
+    pub fn encode(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
+        bytes
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Self, StateError> {
+        ciborium::from_reader(bytes).map_err(|error| StateError(error.to_string().into()))
+    }
+}
+
+impl FleetState {
+    pub fn snapshot(&self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
+        bytes
+    }
+
+    pub fn restore(bytes: &[u8]) -> Result<Self, StateError> {
+        ciborium::from_reader(bytes).map_err(|error| StateError(error.to_string().into()))
+    }
+
+    pub fn revision(&self) -> LogIndex {
+        self.revision
+    }
+
+    pub fn document(&self) -> &RouteDocument {
+        &self.document
+    }
+
+    /// Document as the operator sent it; `None` before the first one.
+    pub fn text(&self) -> Option<&[u8]> {
+        (self.head_changed > 0).then_some(&self.text)
+    }
+
+    pub fn servers(&self) -> &BTreeMap<ServerId, ServerRecord> {
+        &self.servers
+    }
+
+    /// Whether this incarnation of `server` has left.
+    pub fn has_left(&self, server: &ServerId, started: IncarnationStart) -> bool {
+        self.left.get(server).is_some_and(|(left, _)| started <= *left)
+    }
+
+    /// Notes that the log reached `index` without a command.
+    pub fn advance(&mut self, index: LogIndex) {
+        self.revision = self.revision.max(index);
+    }
+
+    /// Applies the command at `index`.
+    pub fn apply(&mut self, index: LogIndex, command: FleetCommand) {
+        self.advance(index);
+        match command {
+            FleetCommand::PutDocument { document, text } => self.put(index, *document, text),
+            FleetCommand::Announce(server, said) => self.announce(index, server, said),
+            FleetCommand::Leave(server, started) => self.leave(index, &server, started),
+            FleetCommand::Silent(servers) => self.set_silent(index, servers, true),
+            FleetCommand::Heard(servers) => self.set_silent(index, servers, false),
+        }
+        self.bound_tombstones();
+    }
+
+    fn put(&mut self, index: LogIndex, document: RouteDocument, text: Vec<u8>) {
+        if self.head_changed > 0 && document.version <= self.document.version {
+            return;
+        }
+        for (key, rule) in &document.routes {
+            if self.document.routes.get(key) == Some(rule) {
+                continue;
+            }
+            self.route_changes.insert(key.clone(), index);
+            self.removed_routes.remove(key);
+        }
+        for key in self.document.routes.keys() {
+            if document.routes.contains_key(key) {
+                continue;
+            }
+            self.route_changes.remove(key);
+            self.removed_routes.insert(key.clone(), index);
+        }
+        self.document = document;
+        self.text = text;
+        self.head_changed = index;
+    }
+
+    fn announce(&mut self, index: LogIndex, server: ServerId, mut said: ServerAnnouncement) {
+        if self.has_left(&server, said.started) {
+            return;
+        }
+        if let Some(known) = self.servers.get(&server) {
+            if !said.supersedes(&known.announcement) {
+                return;
+            }
+            let same_start = known.announcement.started == said.started;
+            if same_start && known.announcement.state == ServerState::Draining {
+                // A server that began to drain never takes new work again in this incarnation.
+                said.state = ServerState::Draining;
+            }
+        }
+        let holders = self.servers.iter().filter(|(other, record)| {
+            **other != server && record.announcement.address == said.address
+        });
+        let holders: Vec<_> =
+            holders.map(|(id, record)| (id.clone(), record.announcement.started)).collect();
+        if holders.iter().any(|(_, started)| *started > said.started) {
+            // A late statement of a server whose address has a newer owner.
+            return;
+        }
+        for (holder, started) in holders {
+            self.leave(index, &holder, Some(started));
+        }
+        let record = ServerRecord { announcement: said, silent: false, changed: index };
+        self.servers.insert(server, record);
+    }
+
+    fn leave(&mut self, index: LogIndex, server: &ServerId, started: Option<IncarnationStart>) {
+        let known = self.servers.get(server).map(|record| record.announcement.started);
+        let Some(started) = started.or(known) else { return };
+        if known.is_some_and(|known| known <= started) {
+            self.servers.remove(server);
+        }
+        let last = self.left.get(server).map_or(0, |(last, _)| *last);
+        self.left.insert(server.clone(), (started.max(last), index));
+    }
+
+    fn set_silent(
+        &mut self,
+        index: LogIndex,
+        servers: Vec<(ServerId, IncarnationStart)>,
+        silent: bool,
+    ) {
+        for (server, started) in servers {
+            let Some(record) = self.servers.get_mut(&server) else { continue };
+            if record.announcement.started != started || record.silent == silent {
+                continue;
+            }
+            record.silent = silent;
+            record.changed = index;
+        }
+    }
+
+    fn bound_tombstones(&mut self) {
+        while self.left.len() > MAX_TOMBSTONES {
+            let Some((server, index)) = oldest(self.left.iter().map(|(id, (_, at))| (id, at)))
+            else {
+                return;
+            };
+            self.left.remove(&server);
+            self.complete_from = self.complete_from.max(index);
+        }
+        while self.removed_routes.len() > MAX_TOMBSTONES {
+            let Some((key, index)) = oldest(self.removed_routes.iter()) else { return };
+            self.removed_routes.remove(&key);
+            self.complete_from = self.complete_from.max(index);
+        }
+    }
+
+    /// What a follower at revision `from` needs to reach the present revision.
+    pub fn update_since(&self, from: LogIndex) -> FleetUpdate {
+        let complete = from == 0 || from < self.complete_from;
+        let since = if complete { 0 } else { from };
+        let routes = self.route_changes.iter().filter(|(_, changed)| **changed > since);
+        let rule_of = |key: &RouteKey| -> Option<(RouteKey, RouteRule)> {
+            Some((key.clone(), self.document.routes.get(key)?.clone()))
+        };
+        let removed = self.removed_routes.iter().filter(|(_, changed)| **changed > since);
+        let servers = self.servers.iter().filter(|(_, record)| record.changed > since);
+        let left = self.left.iter().filter(|(_, (_, changed))| *changed > since);
+        let head = DocumentHead {
+            version: self.document.version,
+            limits: self.document.limits.clone(),
+            services: self.document.services.clone(),
+        };
+        FleetUpdate {
+            from: since,
+            to: self.revision,
+            complete,
+            head: (self.head_changed > since).then_some(head),
+            routes: routes.filter_map(|(key, _)| rule_of(key)).collect(),
+            removed_routes: removed.map(|(key, _)| key.clone()).collect(),
+            servers: servers.map(|(id, record)| (id.clone(), ServerView::of(record))).collect(),
+            left: left.map(|(id, (started, _))| (id.clone(), *started)).collect(),
+        }
+    }
+
+    /// Whether an announcement must be replicated, or says nothing new.
+    pub fn is_news(&self, named: &NamedAnnouncement) -> bool {
+        let (server, said) = named;
+        if self.has_left(server, said.started) {
+            return false;
+        }
+        match self.servers.get(server) {
+            Some(known) => {
+                let known = &known.announcement;
+                let undrains = said.started == known.started
+                    && known.state == ServerState::Draining
+                    && said.state == ServerState::Ready;
+                said.supersedes(known) && said.differs(known) && !undrains
+            }
+            None => true,
+        }
+    }
+}
+
+fn oldest<'a, K: Clone + 'a>(
+    items: impl Iterator<Item = (&'a K, &'a LogIndex)>,
+) -> Option<(K, LogIndex)> {
+    items.min_by_key(|(_, index)| **index).map(|(key, index)| (key.clone(), *index))
+}
--- /dev/null
+++ b/src/fleet/update.rs
@@ -0,0 +1,107 @@
+//! State as an entry follows it, and the updates that carry it there.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::announcement::{IncarnationStart, ServerAnnouncement};
+use super::document::{
+    CallerLimits, DocumentVersion, RouteDocument, RouteKey, RouteRule, ServiceRule,
+};
+use super::state::ServerRecord;
+use crate::ids::{LogIndex, ServerId, ServiceName};
+
+/// Parts of a document that travel as a whole.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct DocumentHead {
+    pub version: DocumentVersion,
+    pub limits: CallerLimits,
+    pub services: BTreeMap<ServiceName, ServiceRule>,
+}
+
+/// One server in an update.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerView {
+    pub announcement: ServerAnnouncement,
+    pub silent: bool,
+}
+
+impl ServerView {
+    pub fn of(record: &ServerRecord) -> Self {
+        Self { announcement: record.announcement.clone(), silent: record.silent }
+    }
+}
+
+/// Changes between two revisions.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetUpdate {
+    pub from: LogIndex,
+    pub to: LogIndex,
+    /// The update replaces everything.
+    pub complete: bool,
+    pub head: Option<DocumentHead>,
+    pub routes: Vec<(RouteKey, RouteRule)>,
+    pub removed_routes: Vec<RouteKey>,
+    pub servers: Vec<(ServerId, ServerView)>,
+    pub left: Vec<(ServerId, IncarnationStart)>,
+}
+
+/// State of an entry.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct FollowedState {
+    revision: LogIndex,
+    document: Option<RouteDocument>,
+    servers: BTreeMap<ServerId, ServerView>,
+}
+
+impl FollowedState {
+    pub fn revision(&self) -> LogIndex {
+        self.revision
+    }
+
+    /// Document in force; `None` before the first one arrived.
+    pub fn document(&self) -> Option<&RouteDocument> {
+        self.document.as_ref()
+    }
+
+    pub fn servers(&self) -> &BTreeMap<ServerId, ServerView> {
+        &self.servers
+    }
+
+    /// Installs an update and returns whether the state advanced.
+    ///
+    /// Updates come over several links from members that are not equally far. One that ends at or
+    /// before the own revision is old, and one that begins after it has a gap; both change nothing.
+    pub fn apply(&mut self, update: FleetUpdate) -> bool {
+        if update.to <= self.revision || (!update.complete && update.from > self.revision) {
+            return false;
+        }
+        self.revision = update.to;
+        if update.complete {
+            self.servers.clear();
+            if let Some(document) = &mut self.document {
+                document.routes.clear();
+            }
+        }
+        if let Some(head) = update.head {
+            let document = self.document.get_or_insert_default();
+            document.version = head.version;
+            document.limits = head.limits;
+            document.services = head.services;
+        }
+        if let Some(document) = &mut self.document {
+            for key in &update.removed_routes {
+                document.routes.remove(key);
+            }
+            document.routes.extend(update.routes);
+        }
+        for (server, started) in &update.left {
+            let known = self.servers.get(server);
+            if known.is_some_and(|known| known.announcement.started <= *started) {
+                self.servers.remove(server);
+            }
+        }
+        self.servers.extend(update.servers);
+        true
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demo;
 pub mod directory;
 pub mod entry;
+pub mod fleet;
 pub mod generated;
 pub mod http;
 pub mod ids;
