Answer the leader at the address its messages come from

Cause: a new learner has no member list, so its refusal of the first append had no address to go to and it never caught up; the cluster stayed at three voters and lost its majority with two disks. Ruled out: a lost vote (no election was due).

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -73,6 +73,8 @@
     /// Calls that were passed to the leader.
     forwards: BTreeMap<u64, (Instant, oneshot::Sender<CallOutcome>)>,
     joins: JoinRequests,
+    /// Where messages came from; a new learner has no list with the leader's address yet.
+    addresses: BTreeMap<MemberId, SocketAddr>,
     heard: BTreeMap<ServerId, HeardServer>,
     unreported: BTreeMap<ServerId, IncarnationStart>,
     leader_since: Option<Instant>,
@@ -118,6 +120,7 @@
             logged: BTreeMap::new(),
             forwards: BTreeMap::new(),
             joins: JoinRequests::new(),
+            addresses: BTreeMap::new(),
             heard: BTreeMap::new(),
             unreported: BTreeMap::new(),
             leader_since: None,
@@ -244,7 +247,12 @@
     /// Processes a message from the member `from`.
     pub fn on_message(&mut self, now: Instant, from: &ProcessName, message: LinkMessage) {
         match message {
-            LinkMessage::Raft(message) => self.on_raft(now, message),
+            LinkMessage::Raft(message) => {
+                if let Ok(address) = from.parse() {
+                    self.addresses.insert(message.from, address);
+                }
+                self.on_raft(now, message);
+            }
             LinkMessage::Join { member } => {
                 self.joins.insert(from.clone(), (member, now));
                 self.place_members(now);
@@ -435,9 +443,7 @@
         if let Some(record) = record {
             return record.name.parse().ok();
         }
-        let mut joins = self.joins.iter();
-        let (name, _) = joins.find(|(_, (joining, _))| *joining == member)?;
-        name.parse().ok()
+        self.addresses.get(&member).copied()
     }
 
     fn place_members(&mut self, now: Instant) {
@@ -446,9 +452,9 @@
         self.last_request += 1;
         let request = self.last_request;
         self.requests.insert(request, CallWaiter::Membership);
+        let before = self.node.last_index();
         self.handle(now, RaftEvent::ChangeMembers { request, change: change.clone() });
-        let accepted = !self.requests.contains_key(&request) && self.logged.values().any(|_| true);
-        if accepted {
+        if self.node.last_index() > before {
             log_info!("members_changed", "change=\"{}\"", describe(&change));
         }
     }
