Process pipelined requests of a connection at the same time

Ruled out: slow connects (they take 1 to 2 ms). Answers still leave in order; a request that runs at most once waits for those before it.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -1,10 +1,12 @@
 //! Connections of callers: requests in order, answers in order, and the close.
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use super::context::EntryContext;
 use super::request::{self, CallerAnswer, CallerRequest, OwnAnswer};
@@ -18,6 +20,12 @@
 /// Bytes of further requests that are kept while one is processed.
 const PIPELINE_BYTES: usize = 64 << 10;
 
+/// Requests of one connection that are processed at the same time.
+const MAX_PIPELINED: usize = 16;
+
+/// Longer than any request takes.
+const UNLIMITED: Duration = Duration::from_secs(3600);
+
 /// Largest request body that is held for a server.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
@@ -55,14 +63,15 @@
 }
 
 async fn serve_connection(context: &Rc<EntryContext>, stream: TcpStream) {
-    let mut stream = HttpStream::new(stream);
-    loop {
-        match serve_request(context, &mut stream).await {
-            Ok(()) => {}
-            Err(ConnectionEnd::Drop) => return,
-            Err(ConnectionEnd::Close) => return stream.close().await,
-        }
-    }
+    let connection = CallerConnection {
+        context: Rc::clone(context),
+        stream: HttpStream::new(stream),
+        partial: None,
+        waiting: None,
+        running: VecDeque::new(),
+        last: false,
+    };
+    connection.serve().await;
 }
 
 fn http_limits(limits: &CallerLimits) -> HttpLimits {
@@ -74,117 +83,256 @@
     }
 }
 
-/// Counts a request from its head to its answer.
-struct ActiveRequest<'a>(&'a EntryContext);
+/// Request whose body is still arriving.
+struct PartialRequest {
+    head: RequestHead,
+    received: Instant,
+    decoder: BodyDecoder,
+    body: Vec<u8>,
+}
 
-impl<'a> ActiveRequest<'a> {
-    fn new(context: &'a EntryContext) -> Self {
-        context.active_requests.set(context.active_requests.get() + 1);
-        Self(context)
-    }
+/// Request in process; dropping it gives up what may be given up.
+struct RunningRequest {
+    task: JoinHandle<CallerAnswer>,
+    method: Box<str>,
+    keep: bool,
+    idempotent: bool,
 }
 
-impl Drop for ActiveRequest<'_> {
+impl Drop for RunningRequest {
     fn drop(&mut self) {
-        self.0.active_requests.set(self.0.active_requests.get() - 1);
+        // What runs at most once is left to its end; a server may be in the middle of it.
+        if self.idempotent {
+            self.task.abort();
+        }
     }
 }
 
-/// Reads one request and answers it; `Ok` keeps the connection.
-async fn serve_request(
-    context: &Rc<EntryContext>,
-    stream: &mut HttpStream,
-) -> Result<(), ConnectionEnd> {
-    let limits = context.table().map(|table| table.limits.clone()).unwrap_or_default();
-    let limits = http_limits(&limits);
-    wait_for_request(context, stream, &limits).await?;
-    let _active = ActiveRequest::new(context);
-    let head = match timeout(limits.head_timeout, stream.read_request(&limits)).await {
-        Ok(Ok(Some(head))) => head,
-        Ok(Ok(None)) => return Err(ConnectionEnd::Drop),
-        Ok(Err(error)) => return refuse_malformed(context, stream, &error).await,
-        Err(_) => {
-            return refuse_malformed(context, stream, &HttpError::Timeout("reading a head")).await;
-        }
-    };
-    let received = Instant::now();
-    let body = match timeout(limits.stall_timeout, read_body(stream, &head)).await {
-        Ok(Ok(body)) => body,
-        Ok(Err(error)) => return refuse_malformed(context, stream, &error).await,
-        Err(_) => {
-            return refuse_malformed(context, stream, &HttpError::Timeout("reading a body")).await;
-        }
-    };
-    let method = head.method.clone();
-    let keep = head.keep_alive();
-    let idempotent = request::is_idempotent(context, &head);
-    let caller = CallerRequest { head, body, received };
-    let answer = {
-        let mut work = std::pin::pin!(request::process(context, caller));
-        tokio::select! {
-            answer = &mut work => answer,
-            () = stream.closed(PIPELINE_BYTES) => {
-                if !idempotent {
-                    // The server may be at work on something that must not be left half done.
-                    let _ = work.await;
+/// Connection of a caller. Requests that arrive together are processed together; the answers leave
+/// in the order of the requests.
+struct CallerConnection {
+    context: Rc<EntryContext>,
+    stream: HttpStream,
+    partial: Option<Box<PartialRequest>>,
+    /// Request that is processed when all before it are answered.
+    waiting: Option<CallerRequest>,
+    running: VecDeque<RunningRequest>,
+    /// No further request is read.
+    last: bool,
+}
+
+/// What happened on a connection.
+enum CallerEvent {
+    Request(CallerRequest),
+    Answer(CallerAnswer),
+    Left,
+    Malformed(HttpError),
+    Idle,
+    Stopping,
+}
+
+impl CallerConnection {
+    async fn serve(mut self) {
+        loop {
+            let event = self.next_event().await;
+            let result = match event {
+                CallerEvent::Request(request) => {
+                    self.take_request(request);
+                    Ok(())
                 }
-                return Err(ConnectionEnd::Drop);
+                CallerEvent::Answer(answer) => self.answer(answer).await,
+                CallerEvent::Left => Err(ConnectionEnd::Drop),
+                CallerEvent::Malformed(error) => self.refuse(&error).await,
+                CallerEvent::Idle => Err(ConnectionEnd::Close),
+                CallerEvent::Stopping => {
+                    self.last = true;
+                    if self.is_idle() { Err(ConnectionEnd::Close) } else { Ok(()) }
+                }
+            };
+            match result {
+                Ok(()) => {}
+                Err(ConnectionEnd::Drop) => return,
+                Err(ConnectionEnd::Close) => return self.stream.close().await,
             }
         }
-    };
-    let keep = keep && !context.is_stopping();
-    match answer {
-        CallerAnswer::Own(own) => write_own(stream, &own, keep).await?,
-        CallerAnswer::Relay(response) => relay(stream, *response, &method, keep).await?,
     }
-    if keep { Ok(()) } else { Err(ConnectionEnd::Close) }
-}
 
-/// Waits for the first byte of a request; connections end here when the entry stops.
-async fn wait_for_request(
-    context: &EntryContext,
-    stream: &mut HttpStream,
-    limits: &HttpLimits,
-) -> Result<(), ConnectionEnd> {
-    if !stream.buffered().is_empty() {
-        return Ok(());
+    fn is_idle(&self) -> bool {
+        let nothing_read = self.partial.is_none() && self.stream.buffered().is_empty();
+        self.running.is_empty() && self.waiting.is_none() && nothing_read
     }
-    let mut phase = context.phase.subscribe();
-    let first_byte = timeout(limits.idle_timeout, stream.fill());
-    let filled = if context.is_stopping() {
-        // A new connection may still bring one request.
-        first_byte.await
-    } else {
+
+    async fn next_event(&mut self) -> CallerEvent {
+        let limits = self.context.table().map(|table| table.limits.clone()).unwrap_or_default();
+        let limits = http_limits(&limits);
+        let room = self.waiting.is_none() && self.running.len() < MAX_PIPELINED;
+        // Behind a request that runs at most once nothing is started before its answer.
+        let reads = !self.last && room && self.running.iter().all(|running| running.idempotent);
+        let stopping = self.context.is_stopping();
+        let may_stop = !stopping && !self.last;
+        let wait = self.read_timeout(&limits);
+        let mut phase = self.context.phase.subscribe();
+        let running = self.running.front_mut();
         tokio::select! {
             biased;
-            filled = first_byte => filled,
-            _ = phase.changed() => return Err(ConnectionEnd::Close),
+            answer = answer_of(running) => CallerEvent::Answer(answer),
+            read = read_or_watch(&mut self.stream, &mut self.partial, &limits, reads) => match read {
+                Ok(Some(request)) => CallerEvent::Request(request),
+                Ok(None) | Err(HttpError::Truncated | HttpError::Io(_)) => CallerEvent::Left,
+                Err(error) => CallerEvent::Malformed(error),
+            },
+            _ = phase.changed(), if may_stop => CallerEvent::Stopping,
+            () = sleep(wait.0) => match wait.1 {
+                Some(what) => CallerEvent::Malformed(HttpError::Timeout(what)),
+                None => CallerEvent::Idle,
+            },
         }
-    };
-    match filled {
-        Ok(Ok(count)) if count > 0 => Ok(()),
-        Ok(_) => Err(ConnectionEnd::Drop),
-        Err(_) => Err(ConnectionEnd::Close),
+    }
+
+    /// How long the caller may take now, and what it is late with then.
+    fn read_timeout(&self, limits: &HttpLimits) -> (Duration, Option<&'static str>) {
+        if !self.running.is_empty() {
+            return (UNLIMITED, None);
+        }
+        if self.partial.is_some() {
+            return (limits.stall_timeout, Some("reading a body"));
+        }
+        if !self.stream.buffered().is_empty() {
+            return (limits.head_timeout, Some("reading a head"));
+        }
+        (limits.idle_timeout, None)
+    }
+
+    fn take_request(&mut self, request: CallerRequest) {
+        let idempotent = request::is_idempotent(&self.context, &request.head);
+        if !idempotent && !self.running.is_empty() {
+            self.waiting = Some(request);
+            return;
+        }
+        self.start(request, idempotent);
+    }
+
+    fn start(&mut self, request: CallerRequest, idempotent: bool) {
+        let method = request.head.method.clone();
+        let keep = request.head.keep_alive();
+        // A connection that ends takes no further request whose answer would be lost.
+        self.last |= !keep || self.context.is_stopping();
+        let active = ActiveRequest::new(&self.context);
+        let context = Rc::clone(&self.context);
+        let task = tokio::task::spawn_local(async move {
+            let answer = request::process(&context, request).await;
+            drop(active);
+            answer
+        });
+        self.running.push_back(RunningRequest { task, method, keep, idempotent });
+    }
+
+    async fn answer(&mut self, answer: CallerAnswer) -> Result<(), ConnectionEnd> {
+        let Some(running) = self.running.pop_front() else { return Ok(()) };
+        let _active = ActiveRequest::new(&self.context);
+        self.last |= self.context.is_stopping() && self.waiting.is_none();
+        let ends = self.last && self.running.is_empty() && self.waiting.is_none();
+        let keep = running.keep && !ends;
+        match answer {
+            CallerAnswer::Own(own) => write_own(&mut self.stream, &own, keep).await?,
+            CallerAnswer::Relay(response) => {
+                relay(&mut self.stream, *response, &running.method, keep).await?;
+            }
+        }
+        if !keep {
+            return Err(ConnectionEnd::Close);
+        }
+        if self.running.is_empty()
+            && let Some(request) = self.waiting.take()
+        {
+            self.start(request, false);
+        }
+        Ok(())
+    }
+
+    /// Answers a malformed request when all before it are answered.
+    async fn refuse(&mut self, error: &HttpError) -> Result<(), ConnectionEnd> {
+        while let Some(front) = self.running.front_mut() {
+            let answer = answer_of(Some(front)).await;
+            self.answer(answer).await?;
+        }
+        refuse_malformed(&self.context, &mut self.stream, error).await
+    }
+}
+
+/// Waits for the answer of the first request; for ever when there is none.
+async fn answer_of(running: Option<&mut RunningRequest>) -> CallerAnswer {
+    let Some(running) = running else { return std::future::pending().await };
+    match (&mut running.task).await {
+        Ok(answer) => answer,
+        Err(_) => CallerAnswer::Own(OwnAnswer {
+            status: 502,
+            reason: "the request was given up",
+            retry_after: None,
+        }),
     }
 }
 
-async fn read_body(stream: &mut HttpStream, head: &RequestHead) -> Result<Vec<u8>, HttpError> {
-    let mut body = Vec::new();
-    if head.framing == BodyFraming::Empty {
-        return Ok(body);
+/// Counts a request until its answer has left.
+struct ActiveRequest(Rc<EntryContext>);
+
+impl ActiveRequest {
+    fn new(context: &Rc<EntryContext>) -> Self {
+        context.active_requests.set(context.active_requests.get() + 1);
+        Self(Rc::clone(context))
     }
-    let limit = MAX_BODY_BYTES as u64;
-    if head.framing.declared_size().is_some_and(|size| size > limit) {
-        return Err(HttpError::BodyTooLarge(limit));
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.0.active_requests.set(self.0.active_requests.get() - 1);
+    }
+}
+
+/// Reads the next request, or only watches for the caller's leave.
+async fn read_or_watch(
+    stream: &mut HttpStream,
+    partial: &mut Option<Box<PartialRequest>>,
+    limits: &HttpLimits,
+    reads: bool,
+) -> Result<Option<CallerRequest>, HttpError> {
+    if reads {
+        return read_request(stream, partial, limits).await;
     }
-    if head.expects_continue() {
-        stream.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+    stream.closed(PIPELINE_BYTES).await;
+    Ok(None)
+}
+
+/// Reads one request. Cancelling loses nothing: what has arrived stays in `partial` and the stream.
+async fn read_request(
+    stream: &mut HttpStream,
+    partial: &mut Option<Box<PartialRequest>>,
+    limits: &HttpLimits,
+) -> Result<Option<CallerRequest>, HttpError> {
+    if partial.is_none() {
+        let Some(head) = stream.read_request(limits).await? else { return Ok(None) };
+        let limit = MAX_BODY_BYTES as u64;
+        if head.framing.declared_size().is_some_and(|size| size > limit) {
+            return Err(HttpError::BodyTooLarge(limit));
+        }
+        let expects = head.framing != BodyFraming::Empty && head.expects_continue();
+        let (decoder, received) = (BodyDecoder::new(head.framing), Instant::now());
+        *partial = Some(Box::new(PartialRequest { head, received, decoder, body: Vec::new() }));
+        if expects {
+            stream.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        }
     }
-    let mut decoder = BodyDecoder::new(head.framing);
-    if stream.read_body(&mut decoder, &mut body, MAX_BODY_BYTES).await? {
-        return Ok(body);
+    if let Some(request) = partial {
+        let complete =
+            stream.read_body(&mut request.decoder, &mut request.body, MAX_BODY_BYTES).await?;
+        if !complete {
+            return Err(HttpError::BodyTooLarge(MAX_BODY_BYTES as u64));
+        }
     }
-    Err(HttpError::BodyTooLarge(limit))
+    Ok(partial.take().map(|request| {
+        let PartialRequest { head, received, body, .. } = *request;
+        CallerRequest { head, body, received }
+    }))
 }
 
 async fn refuse_malformed(
