Measure a server's load on its health page right before a send

Ruled out: connects, queues at the entry, servers that differ for good (medians 80 to 104 ms). An entry now asks the health page on the connection that it is about to use and takes the first server with room, at most four.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -85,6 +85,8 @@
     pub in_flight: u32,
     /// Age of the load that it told last.
     pub told_age: Option<Duration>,
+    /// Whether the load that it told last leaves room.
+    pub has_room: bool,
     pub cost: f64,
 }
 
@@ -178,6 +180,7 @@
             address: load.address,
             in_flight: load.in_flight,
             told_age: load.told.map(|(_, at, _)| now.duration_since(at)),
+            has_room: load.told.is_none_or(|(told, ..)| told.has_room()),
             cost,
         })
     }
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -15,6 +15,8 @@
     pub signature: &'static str,
     /// Server that a request is meant for.
     pub expected_server: &'static str,
+    /// Server that answers.
+    pub server_id: &'static str,
     /// Load of a server.
     pub load: &'static str,
     /// Present when a server did not run the request.
@@ -69,7 +71,17 @@
     pub slowness: u32,
 }
 
+/// Slowness up to which a server counts as undisturbed, in percent of the usual.
+const UNDISTURBED: u32 = 150;
+
 impl ToldLoad {
+    /// Whether one more request would be worked on at once and at the usual speed.
+    ///
+    /// A slot is left free, because servers slow down when they are nearly full.
+    pub fn has_room(&self) -> bool {
+        self.slowness <= UNDISTURBED && self.running + self.waiting + 1 < self.slots
+    }
+
     /// Reads `running,waiting,slots[,slowness]`.
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -10,14 +10,14 @@
 use super::connections::ConnectionStore;
 use super::follow::FOLLOWED_MEMBERS;
 use super::metrics::EntryMetrics;
-use crate::fleet::balance::ServiceBalance;
+use crate::fleet::balance::{ChosenServer, ServiceBalance};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
 use crate::fleet::dialect::WireDialect;
 use crate::fleet::link::FreshNotice;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::update::{FleetUpdate, FollowedState};
-use crate::ids::ServiceName;
+use crate::ids::{ServerId, ServiceName};
 use crate::log_info;
 
 /// Phase of an entry's life.
@@ -110,6 +110,19 @@
         use_it(services.entry(service.clone()).or_default())
     }
 
+    /// Chooses a server by what is known.
+    pub fn choose(&self, service: &ServiceName, tried: &[ServerId]) -> Option<ChosenServer> {
+        let random = &mut self.random.borrow_mut();
+        self.with_service(service, |balance| balance.choose(Instant::now(), tried, random))
+    }
+
+    /// Path of the health page of a service.
+    pub fn health_path(&self, service: &ServiceName) -> Option<Box<str>> {
+        let table = self.table.borrow();
+        let rule = table.as_ref()?.services.get(service)?;
+        rule.health_path.starts_with('/').then(|| rule.health_path.clone())
+    }
+
     /// Runs `use_it` with the budget of a service.
     pub fn with_budget<T>(
         &self,
--- /dev/null
+++ b/src/fleet/entry/measure.rs
@@ -0,0 +1,177 @@
+//! Choice of a server with a look at its load at this moment.
+//!
+//! A server's load changes within tens of milliseconds, and an entry sees only a part of the traffic,
+//! so what servers told with earlier responses is mostly too old. The health page tells the load
+//! within one or two milliseconds, on the connection that the request will use. It also shows that
+//! the connection and the server are alive, which matters most for what must not be sent twice.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::context::EntryContext;
+use super::metrics::OutcomeLabel;
+use crate::fleet::balance::{ChosenServer, SendOutcome};
+use crate::fleet::dialect::ToldLoad;
+use crate::fleet::link;
+use crate::fleet::stream::HttpStream;
+use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits};
+use crate::ids::{ServerId, ServiceName};
+
+/// A load that was told within this time is not asked for again.
+const FRESH_LOAD: Duration = Duration::from_millis(25);
+
+/// Time for one measurement; a server that takes longer is not chosen.
+const MEASURE_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Time for a connection to a server; those in reach take a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Servers that are measured for one send.
+const MAX_MEASURED: usize = 4;
+
+/// Idle time after which a connection is not used.
+const MAX_IDLE: Duration = Duration::from_secs(7);
+
+/// Largest body of a health page.
+const MAX_PAGE_BYTES: usize = 16 << 10;
+
+/// Why a measurement brought no load.
+#[derive(Debug, Error)]
+pub enum MeasureError {
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    #[error("no answer within {} ms", MEASURE_TIMEOUT.as_millis())]
+    Timeout,
+    #[error("no connection within {} ms", CONNECT_TIMEOUT.as_millis())]
+    ConnectTimeout,
+    #[error("the answer cannot be read: {0}")]
+    Broken(#[from] HttpError),
+    #[error("another server has the address")]
+    OtherServer,
+}
+
+/// Chooses a server for `service` that is not in `tried`, with an open connection where one was made.
+pub async fn choose_server(
+    context: &Rc<EntryContext>,
+    service: &ServiceName,
+    tried: &[ServerId],
+) -> Option<ChosenServer> {
+    let mut rejected = tried.to_vec();
+    for _ in 0..MAX_MEASURED {
+        let chosen = context.choose(service, &rejected)?;
+        if chosen.told_age.is_some_and(|age| age < FRESH_LOAD) {
+            if chosen.has_room {
+                return Some(chosen);
+            }
+            rejected.push(chosen.server);
+            continue;
+        }
+        match measure(context, service, &chosen).await {
+            Ok(Some(told)) if !told.has_room() => {}
+            Ok(_) => return Some(chosen),
+            Err(error) => note_failure(context, service, &chosen, &error),
+        }
+        rejected.push(chosen.server);
+    }
+    // None has room; the measured ones are known well now, so the cost decides.
+    context.choose(service, tried)
+}
+
+fn note_failure(
+    context: &EntryContext,
+    service: &ServiceName,
+    chosen: &ChosenServer,
+    error: &MeasureError,
+) {
+    let now = Instant::now();
+    context.with_service(service, |balance| {
+        balance.begin(&chosen.server);
+        balance.end(now, &chosen.server, SendOutcome::Unreachable, Duration::ZERO);
+    });
+    crate::log_routine!(
+        "server_unreachable",
+        "service={service} server={} error=\"{error}\"",
+        chosen.server
+    );
+}
+
+/// Asks the server for its load; `None` when it tells none.
+async fn measure(
+    context: &EntryContext,
+    service: &ServiceName,
+    chosen: &ChosenServer,
+) -> Result<Option<ToldLoad>, MeasureError> {
+    let Some(path) = context.health_path(service) else { return Ok(None) };
+    let mut stream = connect(context, chosen).await?;
+    let label = OutcomeLabel { outcome: "measured" };
+    context.metrics.sends.get_or_create(&label).inc();
+    let question = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", chosen.address);
+    let asked = ask(context, &mut stream, &question, chosen);
+    let answer = timeout(MEASURE_TIMEOUT, asked).await.map_err(|_| MeasureError::Timeout)??;
+    let now = Instant::now();
+    if let Some(told) = answer.told {
+        context.with_service(service, |balance| balance.note_load(now, &chosen.server, told));
+    }
+    if answer.keep {
+        let address = chosen.address;
+        context.connections.put(now, &chosen.server, address, stream, answer.idle_timeout);
+    }
+    Ok(answer.told)
+}
+
+/// What a health page told.
+struct HealthAnswer {
+    told: Option<ToldLoad>,
+    keep: bool,
+    idle_timeout: Option<Duration>,
+}
+
+async fn ask(
+    context: &EntryContext,
+    stream: &mut HttpStream,
+    question: &str,
+    chosen: &ChosenServer,
+) -> Result<HealthAnswer, MeasureError> {
+    let names = context.dialect.headers();
+    stream.write(question.as_bytes()).await.map_err(HttpError::from)?;
+    let head = stream.read_response(&HttpLimits::default()).await?;
+    if head.headers.get(names.request_id).is_some() {
+        // A late response to an earlier request; the connection is not used again.
+        return Err(HttpError::UnexpectedBytes.into());
+    }
+    let framing = BodyFraming::of_response("GET", &head)?;
+    let mut page = Vec::new();
+    let mut decoder = BodyDecoder::new(framing);
+    let whole = stream.read_body(&mut decoder, &mut page, MAX_PAGE_BYTES).await?;
+    let server = head.headers.get(names.server_id);
+    if server.is_some_and(|server| server != chosen.server.as_bytes()) {
+        return Err(MeasureError::OtherServer);
+    }
+    Ok(HealthAnswer {
+        told: head.headers.get_str(names.load).and_then(ToldLoad::parse),
+        keep: whole && head.keep_alive() && stream.buffered().is_empty(),
+        idle_timeout: head.keep_alive_timeout(),
+    })
+}
+
+/// Takes an idle connection to the server, or opens one.
+pub async fn connect(
+    context: &EntryContext,
+    chosen: &ChosenServer,
+) -> Result<HttpStream, MeasureError> {
+    let now = Instant::now();
+    let idle = context.connections.take(now, &chosen.server, chosen.address, MAX_IDLE);
+    if let Some(stream) = idle {
+        return Ok(stream);
+    }
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
+    let connected = connected.map_err(|_| MeasureError::ConnectTimeout)?;
+    let stream = connected.map_err(MeasureError::Connect)?;
+    link::prepare_socket(&stream).map_err(MeasureError::Connect)?;
+    context.metrics.opened_connections.inc();
+    Ok(HttpStream::new(stream))
+}
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod context;
 mod follow;
+mod measure;
 mod metrics;
 mod request;
 mod send;
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -11,11 +11,11 @@
 
 use super::context::EntryContext;
 use super::metrics::OutcomeLabel;
-use super::send::{self, OutgoingRequest, SendError, ServerResponse};
+use super::send::{self, OutgoingRequest, SendError, ServerResponse, TriedServers};
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::routes::choose_target;
 use crate::http::RequestHead;
-use crate::ids::{ServerId, ServiceName};
+use crate::ids::ServiceName;
 use crate::{log_info, log_routine};
 
 /// Tries of connections for one request, beyond the sends that its route allows.
@@ -69,7 +69,7 @@
     }
 }
 
-type SendFuture = Pin<Box<dyn Future<Output = (ServerId, Result<ServerResponse, SendError>)>>>;
+type SendFuture = Pin<Box<dyn Future<Output = Result<ServerResponse, SendError>>>>;
 
 /// Progress of one request.
 struct RequestRun {
@@ -78,7 +78,7 @@
     rule: Rc<RouteRule>,
     started: Instant,
     running: FuturesUnordered<SendFuture>,
-    tried: Vec<ServerId>,
+    tried: TriedServers,
     sends: u32,
     connects: usize,
     may_have_run: bool,
@@ -154,7 +154,7 @@
         rule,
         started: caller.received,
         running: FuturesUnordered::new(),
-        tried: Vec::new(),
+        tried: TriedServers::default(),
         sends: 0,
         connects: 0,
         may_have_run: false,
@@ -169,17 +169,15 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.note_request(now));
-        if !self.start_send(now) {
-            return self.refuse("no server is available");
-        }
+        self.start_send();
         let hedge_at = self.hedge_time(now);
         loop {
             let hedge = hedge_at.filter(|_| !self.hedged && self.running.len() == 1);
             let timer = hedge.unwrap_or(self.request.end).min(self.request.end);
             tokio::select! {
                 biased;
-                Some((server, result)) = self.running.next() => {
-                    if let Some(answer) = self.on_result(&server, result) {
+                Some(result) = self.running.next() => {
+                    if let Some(answer) = self.on_result(result) {
                         return answer;
                     }
                 }
@@ -217,19 +215,12 @@
         }
     }
 
-    /// Chooses a server and starts a send; false when there is none.
-    fn start_send(&mut self, now: Instant) -> bool {
-        let tried = &self.tried;
-        let random = &mut self.context.random.borrow_mut();
-        let chosen = self
-            .context
-            .with_service(&self.request.service, |balance| balance.choose(now, tried, random));
-        let Some(chosen) = chosen else { return false };
-        self.tried.push(chosen.server.clone());
+    /// Starts a send to a server that was not tried yet.
+    fn start_send(&mut self) {
         self.sends += 1;
         let (context, request) = (Rc::clone(&self.context), Rc::clone(&self.request));
-        self.running.push(Box::pin(send::send(context, request, chosen)));
-        true
+        let tried = Rc::clone(&self.tried);
+        self.running.push(Box::pin(send::send(context, request, tried)));
     }
 
     /// Starts one more send if route, budget and servers allow it.
@@ -240,19 +231,16 @@
         let entries = self.context.entries();
         let taken =
             self.context.with_budget(&self.request.service, |budget| budget.take(now, entries));
-        if !taken || !self.start_send(now) {
+        if !taken {
             return false;
         }
+        self.start_send();
         self.context.metrics.repeated_sends.inc();
         true
     }
 
     /// Handles the end of one send; returns the answer when the request is finished.
-    fn on_result(
-        &mut self,
-        server: &ServerId,
-        result: Result<ServerResponse, SendError>,
-    ) -> Option<CallerAnswer> {
+    fn on_result(&mut self, result: Result<ServerResponse, SendError>) -> Option<CallerAnswer> {
         let now = Instant::now();
         let error = match result {
             Ok(response) if response.head.status < 500 || !self.request.idempotent => {
@@ -272,8 +260,9 @@
         self.context.metrics.sends.get_or_create(&label).inc();
         log_routine!(
             "send_failed",
-            "request={} server={server} sends={} elapsed_ms={} error=\"{error}\"",
+            "request={} server={} sends={} elapsed_ms={} error=\"{error}\"",
             self.id(),
+            self.tried.borrow().last().map_or("-", |server| server),
             self.sends,
             now.duration_since(self.started).as_millis()
         );
@@ -298,7 +287,13 @@
             // Nothing reached a server, so this is no repeated send.
             self.sends -= 1;
             self.connects += 1;
-            return self.connects < MAX_CONNECTS && now < self.request.end && self.start_send(now);
+            let again = self.connects < MAX_CONNECTS
+                && now < self.request.end
+                && !matches!(error, SendError::NoServer);
+            if again {
+                self.start_send();
+            }
+            return again;
         }
         if self.may_have_run && !self.request.idempotent {
             return false;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,31 +1,19 @@
 //! One send of a request to one server, and the checks on what comes back.
 
+use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use thiserror::Error;
-use tokio::net::TcpStream;
-use tokio::time::timeout;
 
 use super::context::EntryContext;
+use super::measure::{self, MeasureError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ToldLoad;
-use crate::fleet::link;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 
-/// Time for a connection to a server; those in reach take a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Idle time after which a connection is not used for a request that must not be repeated.
-///
-/// A server may drop an idle connection without notice, and the request would be lost with it.
-const AT_MOST_ONCE_IDLE: Duration = Duration::from_millis(1500);
-
-/// Idle time after which a connection is not used for other requests.
-const IDEMPOTENT_IDLE: Duration = Duration::from_secs(7);
-
 /// Response bytes that are held until the body is complete, so that a broken one can be repeated.
 const HELD_BYTES: usize = 128 << 10;
 
@@ -72,9 +60,10 @@
 pub enum SendError {
     /// No byte left for the server.
     #[error("not sent: {0}")]
-    NotSent(std::io::Error),
-    #[error("not sent: no connection within {} ms", CONNECT_TIMEOUT.as_millis())]
-    ConnectTimeout,
+    NotSent(MeasureError),
+    /// No server may be used.
+    #[error("not sent: no server is available")]
+    NoServer,
     /// The server said that it did not run the request.
     #[error("refused by the server with {status}")]
     NotRun { status: u16 },
@@ -94,12 +83,12 @@
 
     /// Whether the request reached the server.
     pub fn arrived(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::ConnectTimeout)
+        !matches!(self, Self::NotSent(_) | Self::NoServer)
     }
 
     fn outcome(&self) -> SendOutcome {
         match self {
-            Self::NotSent(_) | Self::ConnectTimeout | Self::OtherServer => SendOutcome::Unreachable,
+            Self::NotSent(_) | Self::NoServer | Self::OtherServer => SendOutcome::Unreachable,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -108,7 +97,7 @@
     /// Label for metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) | Self::ConnectTimeout => "not_sent",
+            Self::NotSent(_) | Self::NoServer => "not_sent",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken(_) => "broken",
@@ -209,12 +198,19 @@
     }
 }
 
-/// Sends the request to the chosen server.
+/// Servers to which a request was sent, shared by its sends.
+pub type TriedServers = Rc<RefCell<Vec<ServerId>>>;
+
+/// Chooses a server and sends the request to it.
 pub async fn send(
     context: Rc<EntryContext>,
     request: Rc<OutgoingRequest>,
-    chosen: ChosenServer,
-) -> (ServerId, Result<ServerResponse, SendError>) {
+    tried: TriedServers,
+) -> Result<ServerResponse, SendError> {
+    let before = tried.borrow().clone();
+    let chosen = measure::choose_server(&context, &request.service, &before).await;
+    let chosen = chosen.ok_or(SendError::NoServer)?;
+    tried.borrow_mut().push(chosen.server.clone());
     let mut count = SendCount::new(&context, &request.service, &chosen.server);
     let result = exchange(&context, &request, &chosen).await;
     count.outcome = match &result {
@@ -222,7 +218,7 @@
         Ok(_) => SendOutcome::Failure,
         Err(error) => error.outcome(),
     };
-    (chosen.server, result)
+    result
 }
 
 async fn exchange(
@@ -230,7 +226,7 @@
     request: &OutgoingRequest,
     chosen: &ChosenServer,
 ) -> Result<ServerResponse, SendError> {
-    let mut stream = connect(context, request, chosen).await?;
+    let mut stream = measure::connect(context, chosen).await.map_err(SendError::NotSent)?;
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server);
     // From here on the server may have the request.
@@ -272,24 +268,6 @@
     Ok(ServerResponse { head, body: ServerBody::Whole(held), server })
 }
 
-async fn connect(
-    context: &EntryContext,
-    request: &OutgoingRequest,
-    chosen: &ChosenServer,
-) -> Result<HttpStream, SendError> {
-    let now = Instant::now();
-    let max_idle = if request.idempotent { IDEMPOTENT_IDLE } else { AT_MOST_ONCE_IDLE };
-    let idle = context.connections.take(now, &chosen.server, chosen.address, max_idle);
-    if let Some(stream) = idle {
-        return Ok(stream);
-    }
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
-    let stream = connected.map_err(|_| SendError::ConnectTimeout)?.map_err(SendError::NotSent)?;
-    link::prepare_socket(&stream).map_err(SendError::NotSent)?;
-    context.metrics.opened_connections.inc();
-    Ok(HttpStream::new(stream))
-}
-
 /// Reads the response to this request; late responses to earlier ones are skipped.
 async fn read_own_head(
     context: &EntryContext,
@@ -350,15 +328,7 @@
     if !head.keep_alive() || !stream.buffered().is_empty() {
         return;
     }
-    let timeout = keep_alive_timeout(head);
+    let timeout = head.keep_alive_timeout();
     let address = chosen.address;
     context.connections.put(Instant::now(), &chosen.server, address, stream, timeout);
 }
-
-/// Idle timeout in whole seconds that the server names.
-fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
-    let value = head.headers.get_str("keep-alive")?;
-    let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
-    let (_, seconds) = parts.find(|(name, _)| name.trim() == "timeout")?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -17,6 +17,7 @@
     deadline: "x-request-deadline",
     signature: "x-server-signature",
     expected_server: "x-server-id",
+    server_id: "x-own-server-id",
     load: "x-server-load",
     not_run: "x-not-run",
 };
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -1,5 +1,7 @@
 //! Request and response heads.
 
+use std::time::Duration;
+
 use super::{BodyFraming, HeaderList, HttpError, HttpLimits};
 
 /// Version of a message; other versions are refused.
@@ -169,6 +171,14 @@
         keep_alive(self.version, &self.headers)
     }
 
+    /// Idle timeout in whole seconds that the server names.
+    pub fn keep_alive_timeout(&self) -> Option<Duration> {
+        let value = self.headers.get_str("keep-alive")?;
+        let mut parts = value.split(',').filter_map(|part| part.trim().split_once('='));
+        let (_, seconds) = parts.find(|(name, _)| name.trim() == "timeout")?;
+        seconds.trim().parse().ok().map(Duration::from_secs)
+    }
+
     /// Writes the head in wire form as an HTTP/1.1 response.
     pub fn write_to(&self, output: &mut Vec<u8>) {
         output.extend_from_slice(format!("HTTP/1.1 {} ", self.status).as_bytes());
