--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -40,7 +40,7 @@
 const WARMUP_FACTOR: f64 = 1.8;
 
 /// Cost of another availability zone, in parts of one unit of work.
-const REMOTE_COST: f64 = 0.03;
+const REMOTE_COST: f64 = 0.5;
 
 /// Differences below this do not decide, so that entries with the same view spread.
 const RANDOM_COST: f64 = 0.08;
