--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -27,6 +27,10 @@
 /// First time for which a failing server is left alone; it doubles with each failure.
 const FIRST_CLOSURE: Duration = Duration::from_millis(400);
 
+/// First time for which a server is left alone whose health page did not answer; it doubles too.
+/// A disturbance by neighbours lasts about this long.
+const UNANSWERED_CLOSURE: Duration = Duration::from_millis(100);
+
 /// Longest time for which a failing server is left alone.
 const LONGEST_CLOSURE: Duration = Duration::from_secs(4);
 
@@ -51,6 +55,8 @@
     Success,
     /// The server refused and did not run the request.
     Shed,
+    /// The health page did not answer in time: the server is full, disturbed or gone.
+    Unanswered,
     /// The connection could not be opened, or the server is another one.
     Unreachable,
     /// An error response, a broken or a missing response.
@@ -73,6 +79,8 @@
     told: Option<(ToldLoad, Instant, u32)>,
     latency: Option<(f64, Instant)>,
     failures: u32,
+    /// Health pages in a row without an answer.
+    unanswered: u32,
     closed_until: Option<Instant>,
     last_success: Option<Instant>,
 }
@@ -126,6 +134,7 @@
                 told: None,
                 latency: None,
                 failures: 0,
+                unanswered: 0,
                 closed_until: None,
                 last_success: None,
             });
@@ -233,6 +242,7 @@
         match outcome {
             SendOutcome::Success => {
                 load.failures = 0;
+                load.unanswered = 0;
                 load.closed_until = None;
                 load.last_success = Some(now);
                 self.note_latency(now, server, elapsed);
@@ -243,6 +253,12 @@
                 load.closed_until = Some(now + FIRST_CLOSURE / 2);
                 true
             }
+            SendOutcome::Unanswered => {
+                load.unanswered += 1;
+                let doublings = load.unanswered.min(5) - 1;
+                load.closed_until = Some(now + UNANSWERED_CLOSURE * (1 << doublings));
+                true
+            }
             SendOutcome::Unreachable | SendOutcome::Failure => {
                 load.failures += 1;
                 let enough =
@@ -279,6 +295,7 @@
         let mean = self.mean_slowness.get_or_insert(1.0);
         *mean += (slowness - *mean) * SERVICE_WEIGHT;
         if let Some(load) = self.servers.get_mut(server) {
+            load.unanswered = 0;
             load.told = Some((told, now, load.in_flight));
         }
     }
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -24,8 +24,9 @@
 /// A load that was told within this time is not asked for again.
 const FRESH_LOAD: Duration = Duration::from_millis(25);
 
-/// Time for one measurement; a server that takes longer is not chosen.
-const MEASURE_TIMEOUT: Duration = Duration::from_millis(60);
+/// Time for one measurement. The page of a server with a free slot takes 2 to 8 ms; one that takes
+/// longer is full or disturbed.
+const MEASURE_TIMEOUT: Duration = Duration::from_millis(25);
 
 /// Time for a connection to a server; those in reach take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -88,9 +89,14 @@
     error: &MeasureError,
 ) {
     let now = Instant::now();
+    let outcome = match error {
+        // A full server lets the page wait as long as any request.
+        MeasureError::Timeout => SendOutcome::Unanswered,
+        _ => SendOutcome::Unreachable,
+    };
     context.with_service(service, |balance| {
         balance.begin(&chosen.server);
-        balance.end(now, &chosen.server, SendOutcome::Unreachable, Duration::ZERO);
+        balance.end(now, &chosen.server, outcome, Duration::ZERO);
     });
     crate::log_routine!(
         "server_unreachable",
