--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -55,11 +55,21 @@
     OtherServer,
 }
 
-/// Chooses a server for `service` that is not in `tried`, with an open connection where one was made.
+/// What to do when no measured server has room.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrowdedChoice {
+    /// Take the server with the lowest cost.
+    Cheapest,
+    /// Take none: a second send would only add to the queue in which the first one waits.
+    Nothing,
+}
+
+/// Chooses a server for `service` that is not in `tried`.
 pub async fn choose_server(
     context: &Rc<EntryContext>,
     service: &ServiceName,
     tried: &[ServerId],
+    crowded: CrowdedChoice,
 ) -> Option<ChosenServer> {
     let mut rejected = tried.to_vec();
     for _ in 0..MAX_MEASURED {
@@ -79,7 +89,10 @@
         rejected.push(chosen.server);
     }
     // None has room; the measured ones are known well now, so the cost decides.
-    context.choose(service, tried)
+    match crowded {
+        CrowdedChoice::Cheapest => context.choose(service, tried),
+        CrowdedChoice::Nothing => None,
+    }
 }
 
 fn note_failure(
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep_until;
 
 use super::context::EntryContext;
+use super::measure::CrowdedChoice;
 use super::metrics::OutcomeLabel;
 use super::send::{self, OutgoingRequest, SendError, ServerResponse, TriedServers};
 use crate::fleet::document::{Repetition, RouteRule};
@@ -169,7 +170,7 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.note_request(now));
-        self.start_send();
+        self.start_send(CrowdedChoice::Cheapest);
         let hedge_at = self.hedge_time(now);
         loop {
             let hedge = hedge_at.filter(|_| !self.hedged && self.running.len() == 1);
@@ -211,20 +212,20 @@
         let left =
             self.context.with_budget(&self.request.service, |budget| budget.left(now, entries));
         if left >= HEDGE_RESERVE {
-            self.repeat(now);
+            self.repeat(now, CrowdedChoice::Nothing);
         }
     }
 
     /// Starts a send to a server that was not tried yet.
-    fn start_send(&mut self) {
+    fn start_send(&mut self, crowded: CrowdedChoice) {
         self.sends += 1;
         let (context, request) = (Rc::clone(&self.context), Rc::clone(&self.request));
         let tried = Rc::clone(&self.tried);
-        self.running.push(Box::pin(send::send(context, request, tried)));
+        self.running.push(Box::pin(send::send(context, request, tried, crowded)));
     }
 
     /// Starts one more send if route, budget and servers allow it.
-    fn repeat(&mut self, now: Instant) -> bool {
+    fn repeat(&mut self, now: Instant, crowded: CrowdedChoice) -> bool {
         if self.sends >= self.rule.max_attempts || now >= self.request.end {
             return false;
         }
@@ -234,7 +235,7 @@
         if !taken {
             return false;
         }
-        self.start_send();
+        self.start_send(crowded);
         self.context.metrics.repeated_sends.inc();
         true
     }
@@ -249,13 +250,18 @@
             Ok(response) => {
                 self.may_have_run = true;
                 self.failure = Some(Box::new(response));
-                if !self.running.is_empty() || self.repeat(now) {
+                if !self.running.is_empty() || self.repeat(now, CrowdedChoice::Cheapest) {
                     return None;
                 }
                 return self.failure.take().map(CallerAnswer::Relay);
             }
             Err(error) => error,
         };
+        if matches!(error, SendError::NoServer) && !self.running.is_empty() {
+            // A second send that found no room.
+            self.sends -= 1;
+            return None;
+        }
         let label = OutcomeLabel { outcome: error.label() };
         self.context.metrics.sends.get_or_create(&label).inc();
         log_routine!(
@@ -291,14 +297,14 @@
                 && now < self.request.end
                 && !matches!(error, SendError::NoServer);
             if again {
-                self.start_send();
+                self.start_send(CrowdedChoice::Cheapest);
             }
             return again;
         }
         if self.may_have_run && !self.request.idempotent {
             return false;
         }
-        self.repeat(now)
+        self.repeat(now, CrowdedChoice::Cheapest)
     }
 
     fn id(&self) -> String {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::context::EntryContext;
-use super::measure::{self, MeasureError};
+use super::measure::{self, CrowdedChoice, MeasureError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ToldLoad;
 use crate::fleet::stream::HttpStream;
@@ -206,9 +206,10 @@
     context: Rc<EntryContext>,
     request: Rc<OutgoingRequest>,
     tried: TriedServers,
+    crowded: CrowdedChoice,
 ) -> Result<ServerResponse, SendError> {
     let before = tried.borrow().clone();
-    let chosen = measure::choose_server(&context, &request.service, &before).await;
+    let chosen = measure::choose_server(&context, &request.service, &before, crowded).await;
     let chosen = chosen.ok_or(SendError::NoServer)?;
     tried.borrow_mut().push(chosen.server.clone());
     let mut count = SendCount::new(&context, &request.service, &chosen.server);
