--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -7,8 +7,13 @@
 pub struct RaftConfig {
     /// Shortest election timeout; each is drawn between this and twice this.
     pub election_timeout: Duration,
+    /// Like `election_timeout`, for the first election after a start: a member that starts has heard
+    /// no leader, and a pre-vote does not disturb one that exists.
+    pub first_election_timeout: Duration,
     /// Interval of heartbeats, well below the election timeout.
     pub heartbeat_interval: Duration,
+    /// Tells followers at once what is committed, not with the next heartbeat.
+    pub announce_commits: bool,
     /// Entry bytes in one append message; one entry may exceed it.
     pub max_append_bytes: usize,
     /// Append messages to one member that wait for an answer.
@@ -33,7 +38,9 @@
     fn default() -> Self {
         Self {
             election_timeout: Duration::from_millis(500),
+            first_election_timeout: Duration::from_millis(500),
             heartbeat_interval: Duration::from_millis(100),
+            announce_commits: false,
             max_append_bytes: 256 << 10,
             max_in_flight: 16,
             max_uncommitted_entries: 8192,
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -227,7 +227,9 @@
             persist: PersistQueue::default(),
             actions: Vec::new(),
         };
-        node.reset_election_deadline();
+        let shortest = node.config.first_election_timeout;
+        let spread = node.random.u64(0..shortest.as_micros().max(1) as u64);
+        node.election_deadline = now + shortest + Duration::from_micros(spread);
         node
     }
 
--- a/src/consensus/replicate.rs
+++ b/src/consensus/replicate.rs
@@ -267,6 +267,9 @@
             return;
         }
         self.set_commit(index);
+        if self.config.announce_commits {
+            self.send_heartbeats();
+        }
         self.start_round();
         self.leave_when_removed();
     }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -35,6 +35,10 @@
 /// Shortest election timeout. It covers a slow sync and the queue of a small machine.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Shortest election timeout after a start. When all members were lost together, entries that were
+/// lost too serve nothing until a leader is elected.
+const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(80);
+
 /// Interval of the leader's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -165,7 +169,9 @@
     };
     let raft = RaftConfig {
         election_timeout: ELECTION_TIMEOUT,
+        first_election_timeout: FIRST_ELECTION_TIMEOUT,
         heartbeat_interval: HEARTBEAT_INTERVAL,
+        announce_commits: true,
         ..RaftConfig::default()
     };
     let now = Instant::now();
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -27,6 +27,9 @@
 /// Pause before a member that failed is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(600);
 
+/// The same while no member is up to date.
+const LOST_REDIAL_PAUSE: Duration = Duration::from_millis(80);
+
 /// Shared state of the links.
 pub struct FleetFollower {
     context: Rc<EntryContext>,
@@ -63,7 +66,7 @@
                 tokio::task::spawn_local(Rc::clone(&self).run_link(address));
             }
             self.note_freshness(now);
-            let pause = if self.links.borrow().is_empty() { REDIAL_PAUSE } else { REVIEW_INTERVAL };
+            let pause = if self.is_fresh(now) { REVIEW_INTERVAL } else { LOST_REDIAL_PAUSE };
             sleep(pause).await;
         }
     }
@@ -87,9 +90,10 @@
     fn wanted(&self, now: Instant) -> Vec<SocketAddr> {
         let links = self.links.borrow();
         let mut failed = self.failed.borrow_mut();
-        failed.retain(|_, at| now.duration_since(*at) < REDIAL_PAUSE);
         let members = self.members.borrow();
         let fresh = self.is_fresh(now);
+        let pause = if fresh { REDIAL_PAUSE } else { LOST_REDIAL_PAUSE };
+        failed.retain(|_, at| now.duration_since(*at) < pause);
         let mut known: BTreeSet<SocketAddr> = members.iter().copied().collect();
         if known.is_empty() || !fresh {
             known.extend(self.seeds.borrow().iter());
