--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -15,6 +15,9 @@
 /// Time after which a told number of requests says little.
 const LOAD_MEMORY: Duration = Duration::from_millis(400);
 
+/// Time for which a server that told of no free slot is taken to be full.
+const SLOT_MEMORY: Duration = Duration::from_millis(60);
+
 /// Weight of the newest latency in the mean of a server.
 const SERVER_WEIGHT: f64 = 0.3;
 
@@ -95,6 +98,8 @@
     pub told_age: Option<Duration>,
     /// Whether the load that it told last leaves room.
     pub has_room: bool,
+    /// Whether it had a free slot, as far as that is known and not too old.
+    pub has_slot: bool,
     pub cost: f64,
 }
 
@@ -190,6 +195,9 @@
             in_flight: load.in_flight,
             told_age: load.told.map(|(_, at, _)| now.duration_since(at)),
             has_room: load.told.is_none_or(|(told, ..)| told.has_room()),
+            has_slot: load.told.is_none_or(|(told, at, _)| {
+                now.duration_since(at) > SLOT_MEMORY || told.has_slot()
+            }),
             cost,
         })
     }
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -82,6 +82,11 @@
         self.slowness <= UNDISTURBED && self.running + self.waiting + 1 < self.slots
     }
 
+    /// Whether one more request would be worked on at once.
+    pub fn has_slot(&self) -> bool {
+        self.running + self.waiting < self.slots
+    }
+
     /// Reads `running,waiting,slots[,slowness]`.
     pub fn parse(text: &str) -> Option<Self> {
         let mut parts = text.split(',').map(|part| part.trim().parse::<u32>());
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -10,7 +10,7 @@
 
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::context::EntryContext;
 use super::metrics::OutcomeLabel;
@@ -32,7 +32,13 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Servers that are measured for one send.
-const MAX_MEASURED: usize = 4;
+const FIRST_MEASURED: usize = 3;
+
+/// Servers that are measured after a pause. Each health page takes some milliseconds of a slot.
+const MORE_MEASURED: usize = 2;
+
+/// Pause before a crowded service is looked at again.
+const CROWDED_PAUSE: Duration = Duration::from_millis(20);
 
 /// Idle time after which a connection is not used.
 const MAX_IDLE: Duration = Duration::from_secs(7);
@@ -58,13 +64,16 @@
 /// What to do when no measured server has room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrowdedChoice {
-    /// Take the server with the lowest cost.
-    Cheapest,
+    /// Look again after a pause, then take a server with a free slot.
+    LookAgain,
     /// Take none: a second send would only add to the queue in which the first one waits.
     Nothing,
 }
 
 /// Chooses a server for `service` that is not in `tried`.
+///
+/// A server without a free slot is not chosen. Servers slow down when they are nearly full, so what
+/// is pushed into a crowded service makes all its requests late; a refusal brings the caller back.
 pub async fn choose_server(
     context: &Rc<EntryContext>,
     service: &ServiceName,
@@ -72,8 +81,26 @@
     crowded: CrowdedChoice,
 ) -> Option<ChosenServer> {
     let mut rejected = tried.to_vec();
-    for _ in 0..MAX_MEASURED {
-        let chosen = context.choose(service, &rejected)?;
+    let found = find_room(context, service, &mut rejected, FIRST_MEASURED).await;
+    if found.is_some() || crowded == CrowdedChoice::Nothing {
+        return found;
+    }
+    sleep(CROWDED_PAUSE).await;
+    let mut rejected = tried.to_vec();
+    let found = find_room(context, service, &mut rejected, MORE_MEASURED).await;
+    found.or_else(|| context.choose(service, tried).filter(|chosen| chosen.has_slot))
+}
+
+/// Measures servers in the order of their cost until one has room.
+async fn find_room(
+    context: &Rc<EntryContext>,
+    service: &ServiceName,
+    rejected: &mut Vec<ServerId>,
+    limit: usize,
+) -> Option<ChosenServer> {
+    let mut measured = 0;
+    while measured < limit {
+        let chosen = context.choose(service, rejected)?;
         if chosen.told_age.is_some_and(|age| age < FRESH_LOAD) {
             if chosen.has_room {
                 return Some(chosen);
@@ -81,6 +108,7 @@
             rejected.push(chosen.server);
             continue;
         }
+        measured += 1;
         match measure(context, service, &chosen).await {
             Ok(Some(told)) if !told.has_room() => {}
             Ok(_) => return Some(chosen),
@@ -88,11 +116,7 @@
         }
         rejected.push(chosen.server);
     }
-    // None has room; the measured ones are known well now, so the cost decides.
-    match crowded {
-        CrowdedChoice::Cheapest => context.choose(service, tried),
-        CrowdedChoice::Nothing => None,
-    }
+    None
 }
 
 fn note_failure(
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -22,8 +22,12 @@
 /// Tries of connections for one request, beyond the sends that its route allows.
 const MAX_CONNECTS: usize = 4;
 
-/// Longest pause that a refused caller is asked for.
-const RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Pause that a refused caller is asked for, in parts of the target latency: it can still be served
+/// within that when it comes back.
+const RETRY_AFTER: f64 = 0.25;
+
+/// The same before the first document.
+const START_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Part of its time left that a caller spends on a pause.
 const RETRY_PART: f64 = 0.3;
@@ -64,8 +68,8 @@
     }
 
     /// The request has not run and will not; the caller may come back.
-    fn not_run(reason: &'static str, left: Duration) -> Self {
-        let retry_after = RETRY_AFTER.min(left.mul_f64(RETRY_PART));
+    fn not_run(reason: &'static str, pause: Duration, left: Duration) -> Self {
+        let retry_after = pause.min(left.mul_f64(RETRY_PART));
         Self { status: 503, reason, retry_after: Some(retry_after) }
     }
 }
@@ -136,7 +140,11 @@
 
 async fn dispatch(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
     let Some(table) = context.table() else {
-        let answer = OwnAnswer::not_run("no settings document yet", Duration::from_secs(1));
+        let answer = OwnAnswer::not_run(
+            "no settings document yet",
+            START_RETRY_AFTER,
+            Duration::from_secs(1),
+        );
         return CallerAnswer::Own(answer);
     };
     let Some(rule) = table.find(&caller.head.host, caller.head.path()) else {
@@ -170,7 +178,7 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.note_request(now));
-        self.start_send(CrowdedChoice::Cheapest);
+        self.start_send(CrowdedChoice::LookAgain);
         let hedge_at = self.hedge_time(now);
         loop {
             let hedge = hedge_at.filter(|_| !self.hedged && self.running.len() == 1);
@@ -250,7 +258,7 @@
             Ok(response) => {
                 self.may_have_run = true;
                 self.failure = Some(Box::new(response));
-                if !self.running.is_empty() || self.repeat(now, CrowdedChoice::Cheapest) {
+                if !self.running.is_empty() || self.repeat(now, CrowdedChoice::LookAgain) {
                     return None;
                 }
                 return self.failure.take().map(CallerAnswer::Relay);
@@ -285,6 +293,9 @@
         if self.may_have_run {
             return Some(CallerAnswer::Own(OwnAnswer::of(502, "the server's response is lost")));
         }
+        if matches!(error, SendError::NoServer) {
+            return Some(self.refuse("no server has room"));
+        }
         Some(self.refuse("all servers that were tried refused"))
     }
 
@@ -297,14 +308,14 @@
                 && now < self.request.end
                 && !matches!(error, SendError::NoServer);
             if again {
-                self.start_send(CrowdedChoice::Cheapest);
+                self.start_send(CrowdedChoice::LookAgain);
             }
             return again;
         }
         if self.may_have_run && !self.request.idempotent {
             return false;
         }
-        self.repeat(now, CrowdedChoice::Cheapest)
+        self.repeat(now, CrowdedChoice::LookAgain)
     }
 
     fn id(&self) -> String {
@@ -314,7 +325,8 @@
 
     fn refuse(&self, reason: &'static str) -> CallerAnswer {
         let left = self.request.end.saturating_duration_since(Instant::now());
-        CallerAnswer::Own(OwnAnswer::not_run(reason, left))
+        let pause = self.rule.target_latency.mul_f64(RETRY_AFTER);
+        CallerAnswer::Own(OwnAnswer::not_run(reason, pause, left))
     }
 
     fn time_out(self) -> CallerAnswer {
