--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -1,1 +1,167 @@
-//! x
+//! Replicated state and the copy that an entry follows.
+
+use std::time::Duration;
+
+use curranthollow::fleet::announcement::{ServerAnnouncement, ServerState};
+use curranthollow::fleet::document::{CallerLimits, Repetition};
+use curranthollow::fleet::document::{RouteDocument, RouteRule, ServiceRule};
+use curranthollow::fleet::state::{FleetCommand, FleetState};
+use curranthollow::fleet::update::FollowedState;
+use yare::parameterized;
+
+fn said(port: u16, state: ServerState, started: u64, sequence: u64) -> ServerAnnouncement {
+    ServerAnnouncement {
+        service: "rounds".into(),
+        address: ([127, 0, 0, 1], port).into(),
+        availability_zone: "a".into(),
+        slots: 4,
+        state,
+        warmup: Duration::ZERO,
+        started,
+        sequence,
+    }
+}
+
+fn state_after(commands: impl IntoIterator<Item = FleetCommand>) -> FleetState {
+    let mut state = FleetState::default();
+    for (index, command) in (1..).zip(commands) {
+        state.apply(index, command);
+    }
+    state
+}
+
+fn announce(server: &str, said: ServerAnnouncement) -> FleetCommand {
+    FleetCommand::Announce(server.into(), said)
+}
+
+use ServerState::{Draining, Ready};
+
+/// Guards against late and reordered statements that bring a server back.
+#[parameterized(
+    late_ready_after_drain = { vec![("s", said(1, Draining, 5, 9)), ("s", said(1, Ready, 5, 8))], Some(Draining) },
+    ready_again_after_drain = { vec![("s", said(1, Draining, 5, 9)), ("s", said(1, Ready, 5, 10))], Some(Draining) },
+    new_incarnation_after_drain = { vec![("s", said(1, Draining, 5, 9)), ("s", said(1, Ready, 6, 1))], Some(Ready) },
+    late_earlier_incarnation = { vec![("s", said(1, Ready, 6, 1)), ("s", said(1, Draining, 5, 90))], Some(Ready) },
+    address_has_a_newer_owner = { vec![("s", said(1, Ready, 5, 1)), ("t", said(1, Ready, 6, 1))], None },
+    late_owner_of_the_address = { vec![("t", said(1, Ready, 6, 1)), ("s", said(1, Ready, 5, 1))], None },
+)]
+fn the_newest_statement_holds(
+    said: Vec<(&str, ServerAnnouncement)>,
+    expected: Option<ServerState>,
+) {
+    let state = state_after(said.into_iter().map(|(server, said)| announce(server, said)));
+    let record = state.servers().get("s");
+    assert_eq!(record.map(|record| record.announcement.state), expected);
+}
+
+/// Guards against a heartbeat that arrives after the server has left.
+#[test]
+fn a_server_that_left_returns_only_in_a_new_incarnation() {
+    let leave = FleetCommand::Leave("s".into(), None);
+    let mut state = state_after([announce("s", said(1, Ready, 5, 1)), leave]);
+    assert!(!state.is_news(&("s".into(), said(1, Ready, 5, 2))));
+    state.apply(3, announce("s", said(1, Ready, 5, 2)));
+    assert!(state.servers().is_empty());
+    state.apply(4, announce("s", said(1, Ready, 6, 1)));
+    assert!(state.servers().contains_key("s"));
+}
+
+fn random_document(random: &mut fastrand::Rng, version: u64) -> RouteDocument {
+    let mut document = RouteDocument { version, ..RouteDocument::default() };
+    let service = ServiceRule { health_path: "/h".into(), max_connections: 10 };
+    document.services.insert("rounds".into(), service);
+    document.limits = CallerLimits::default();
+    for route in 0..8 {
+        if random.bool() {
+            continue;
+        }
+        let rule = RouteRule {
+            name: format!("r{route}").into(),
+            repetition: Repetition::Idempotent,
+            timeout: Duration::from_millis(random.u64(1..3)),
+            target_latency: Duration::from_millis(1),
+            max_attempts: 2,
+            priority: 0,
+            targets: vec![("rounds".into(), 1.0)],
+        };
+        document.routes.insert(("h".into(), format!("/{route}/").into()), rule);
+    }
+    document
+}
+
+fn random_command(random: &mut fastrand::Rng) -> FleetCommand {
+    let server = format!("s{}", random.u32(0..6)).into_boxed_str();
+    match random.u32(0..10) {
+        0..=2 => {
+            let version = random.u64(1..200);
+            let document = Box::new(random_document(random, version));
+            FleetCommand::PutDocument { document, text: version.to_string().into_bytes() }
+        }
+        3..=6 => {
+            let state = if random.bool() { Ready } else { Draining };
+            let (port, started) = (random.u16(1..5), random.u64(1..4));
+            announce(&server, said(port, state, started, random.u64(1..9)))
+        }
+        7 => FleetCommand::Leave(server, random.bool().then(|| random.u64(1..4))),
+        8 => FleetCommand::Silent(vec![(server, random.u64(1..4))]),
+        _ => FleetCommand::Heard(vec![(server, random.u64(1..4))]),
+    }
+}
+
+/// Guards against an entry that ends up elsewhere than the members, or goes back to an older state,
+/// when updates of several links are lost, repeated and reordered.
+#[test]
+fn followers_reach_the_state_and_never_go_back() {
+    for seed in 0..200 {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut state = FleetState::default();
+        let mut entry = FollowedState::default();
+        let mut on_the_way = Vec::new();
+        let mut newest = 0;
+        for index in 1..60 {
+            state.apply(index, random_command(&mut random));
+            let from = if random.u32(0..4) == 0 { 0 } else { entry.revision() };
+            on_the_way.push(state.update_since(from));
+            if random.bool() {
+                continue;
+            }
+            let update = on_the_way[random.usize(0..on_the_way.len())].clone();
+            let before = entry.revision();
+            entry.apply(update);
+            assert!(entry.revision() >= before, "seed {seed}");
+            let version = entry.document().map_or(0, |document| document.version);
+            assert!(version >= newest, "seed {seed}: version {version} after {newest}");
+            newest = version;
+        }
+        entry.apply(state.update_since(entry.revision()));
+        let restored = FleetState::restore(&state.snapshot()).expect("a snapshot can be read");
+        assert_eq!(restored, state, "seed {seed}");
+        assert_eq!(entry.revision(), state.revision(), "seed {seed}");
+        if state.text().is_some() {
+            assert_eq!(entry.document(), Some(state.document()), "seed {seed}");
+        }
+        let own: Vec<_> =
+            entry.servers().iter().map(|(id, view)| (id, &view.announcement)).collect();
+        let all = state.servers().iter();
+        let all: Vec<_> = all.map(|(id, record)| (id, &record.announcement)).collect();
+        assert_eq!(own, all, "seed {seed}");
+    }
+}
+
+/// Guards against replicated bytes that panic the member that reads them.
+#[test]
+fn malformed_commands_and_snapshots_are_errors() {
+    let mut random = fastrand::Rng::with_seed(11);
+    let sound = announce("s", said(1, Ready, 1, 1)).encode();
+    for _ in 0..2000 {
+        let mut bytes = sound.clone();
+        for _ in 0..random.usize(1..4) {
+            let place = random.usize(0..bytes.len());
+            bytes[place] = random.u8(..);
+        }
+        bytes.truncate(random.usize(0..=bytes.len()));
+        // Either outcome is right; only a panic is not.
+        let _ = FleetCommand::decode(&bytes);
+        let _ = FleetState::restore(&bytes);
+    }
+}
