--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -25,8 +25,9 @@
 /// Unacknowledged data older than this ends a connection, because a cut connection reports nothing.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Longest time for a connection and its handshake.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest time for a connection and its handshake. The first packet to a machine that has no power
+/// yet is lost and repeated after a second only, so a new dial is faster.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// Call that a control member passes to the leader.
 #[derive(Debug, Clone, Serialize, Deserialize)]
