--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -79,7 +79,12 @@
     ///
     /// A slot is left free, because servers slow down when they are nearly full.
     pub fn has_room(&self) -> bool {
-        self.slowness <= UNDISTURBED && self.running + self.waiting + 1 < self.slots
+        !self.is_disturbed() && self.running + self.waiting + 1 < self.slots
+    }
+
+    /// Whether work takes much longer than usual, for instance because of neighbours.
+    pub fn is_disturbed(&self) -> bool {
+        self.slowness > UNDISTURBED
     }
 
     /// Whether one more request would be worked on at once.
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -31,11 +31,14 @@
 /// Time for a connection to a server; those in reach take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Servers that are measured for one send.
-const FIRST_MEASURED: usize = 3;
+/// Servers that are measured for one send; up to four in ten may be disturbed at the same time.
+const MAX_MEASURED: usize = 6;
 
-/// Servers that are measured after a pause. Each health page takes some milliseconds of a slot.
-const MORE_MEASURED: usize = 2;
+/// Full servers after which the service counts as crowded.
+const FIRST_FULL: usize = 3;
+
+/// The same after a pause. Each health page takes some milliseconds of a slot.
+const MORE_FULL: usize = 2;
 
 /// Pause before a crowded service is looked at again.
 const CROWDED_PAUSE: Duration = Duration::from_millis(20);
@@ -81,25 +84,28 @@
     crowded: CrowdedChoice,
 ) -> Option<ChosenServer> {
     let mut rejected = tried.to_vec();
-    let found = find_room(context, service, &mut rejected, FIRST_MEASURED).await;
+    let found = find_room(context, service, &mut rejected, FIRST_FULL).await;
     if found.is_some() || crowded == CrowdedChoice::Nothing {
         return found;
     }
     sleep(CROWDED_PAUSE).await;
     let mut rejected = tried.to_vec();
-    let found = find_room(context, service, &mut rejected, MORE_MEASURED).await;
+    let found = find_room(context, service, &mut rejected, MORE_FULL).await;
     found.or_else(|| context.choose(service, tried).filter(|chosen| chosen.has_slot))
 }
 
 /// Measures servers in the order of their cost until one has room.
+///
+/// A disturbed server says nothing of the others, a full one shows that the service is crowded; then
+/// more questions would only take more of its slots.
 async fn find_room(
     context: &Rc<EntryContext>,
     service: &ServiceName,
     rejected: &mut Vec<ServerId>,
-    limit: usize,
+    max_full: usize,
 ) -> Option<ChosenServer> {
-    let mut measured = 0;
-    while measured < limit {
+    let (mut measured, mut full) = (0, 0);
+    while measured < MAX_MEASURED && full < max_full {
         let chosen = context.choose(service, rejected)?;
         if chosen.told_age.is_some_and(|age| age < FRESH_LOAD) {
             if chosen.has_room {
@@ -110,9 +116,12 @@
         }
         measured += 1;
         match measure(context, service, &chosen).await {
-            Ok(Some(told)) if !told.has_room() => {}
+            Ok(Some(told)) if !told.has_room() => full += usize::from(!told.is_disturbed()),
             Ok(_) => return Some(chosen),
-            Err(error) => note_failure(context, service, &chosen, &error),
+            Err(error) => {
+                full += usize::from(matches!(error, MeasureError::Timeout));
+                note_failure(context, service, &chosen, &error);
+            }
         }
         rejected.push(chosen.server);
     }
