--- a/src/cli.rs
+++ b/src/cli.rs
@@ -26,6 +26,8 @@
     Entry(DaemonArguments),
     /// Run a settings and claims process.
     Control(DaemonArguments),
+    /// Run a process of a fleet: members found from seeds, routes by host and path.
+    Fleet(DaemonArguments),
     /// Run all roles in one process on loopback, with stand-in servers.
     Try(TryArguments),
     /// Validate a process config or a settings document.
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -19,6 +20,7 @@
 use crate::control::{ControlListeners, ControlProcess};
 use crate::demo::DemoSystem;
 use crate::entry::{EntryListeners, EntryProcess};
+use crate::fleet::{self, native::NativeDialect};
 use crate::generated::operator::{ChangeReply, ChangeRequest, ChangeVerb, OutcomeName};
 use crate::http::{HeaderList, send_request};
 use crate::life_cycle::StateChart;
@@ -48,6 +50,7 @@
     match command {
         CliCommand::Entry(arguments) => run_entry(&arguments.config),
         CliCommand::Control(arguments) => run_control(&arguments.config),
+        CliCommand::Fleet(arguments) => run_fleet(&arguments.config),
         CliCommand::Try(arguments) => run_try(arguments.port),
         CliCommand::Check { file } => run_check(&file),
         CliCommand::Settings(command) => task::block_on(run_settings(command)),
@@ -56,6 +59,14 @@
     }
 }
 
+fn run_fleet(path: &Path) -> Result<ExitCode> {
+    let config = fleet::file::read_config(path)?;
+    let path = path.to_owned();
+    let reader = Box::new(move || fleet::file::read_config(&path).ok());
+    fleet::process::run(config, Rc::new(NativeDialect), reader)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Exit code that belongs to a failure.
 pub fn exit_code_of(error: &anyhow::Error) -> ExitCode {
     if error.is::<ConfigError>() {
--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -7,8 +7,8 @@
 pub struct RaftConfig {
     /// Shortest election timeout; each is drawn between this and twice this.
     pub election_timeout: Duration,
-    /// Like `election_timeout`, for the first election after a start: a member that starts has heard
-    /// no leader, and a pre-vote does not disturb one that exists.
+    /// Like `election_timeout`, until a leader is known for the first time after a start: a pre-vote
+    /// does not disturb a leader that exists, and a split vote is repeated soon.
     pub first_election_timeout: Duration,
     /// Interval of heartbeats, well below the election timeout.
     pub heartbeat_interval: Duration,
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -90,6 +90,7 @@
 
     fn become_leader(&mut self) {
         self.role = Role::Leader;
+        self.knew_leader = true;
         self.leader = Some(self.member);
         self.incoming = None;
         self.transfer = None;
@@ -201,6 +202,7 @@
             self.become_follower(self.hard.term, Some(from));
         }
         self.leader_heard = Some(self.now);
+        self.knew_leader = true;
         self.reset_election_deadline();
         match body {
             MessageBody::Append { prev_index, prev_term, commit, round, entries } => {
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -124,6 +124,8 @@
     pub(super) commit: LogIndex,
     pub(super) election_deadline: Instant,
     pub(super) leader_heard: Option<Instant>,
+    /// Whether a leader was known since the start.
+    pub(super) knew_leader: bool,
     pub(super) votes: BTreeSet<MemberId>,
     /// Persist number that makes the own vote durable.
     pub(super) own_vote: Option<u64>,
@@ -214,6 +216,7 @@
             commit: index,
             election_deadline: now,
             leader_heard: None,
+            knew_leader: false,
             votes: BTreeSet::new(),
             own_vote: None,
             progress: BTreeMap::new(),
@@ -227,9 +230,7 @@
             persist: PersistQueue::default(),
             actions: Vec::new(),
         };
-        let shortest = node.config.first_election_timeout;
-        let spread = node.random.u64(0..shortest.as_micros().max(1) as u64);
-        node.election_deadline = now + shortest + Duration::from_micros(spread);
+        node.reset_election_deadline();
         node
     }
 
@@ -481,7 +482,10 @@
     }
 
     pub(super) fn reset_election_deadline(&mut self) {
-        let shortest = self.config.election_timeout;
+        let shortest = match self.knew_leader {
+            true => self.config.election_timeout,
+            false => self.config.first_election_timeout,
+        };
         let spread = self.random.u64(0..shortest.as_micros().max(1) as u64);
         self.election_deadline = self.now + shortest + Duration::from_micros(spread);
     }
--- /dev/null
+++ b/src/fleet/file.rs
@@ -0,0 +1,111 @@
+//! Config file of a process in fleet mode: JSON with comments, checked before anything starts.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use serde::Deserialize;
+use thiserror::Error;
+
+use super::config::{ControlConfig, EntryConfig, FleetConfig, FleetRole, RetryLimits};
+use crate::units::parse_duration;
+
+/// Why a config file cannot be used.
+#[derive(Debug, Error)]
+pub enum FileError {
+    #[error("{path}: {error}")]
+    Read { path: PathBuf, error: std::io::Error },
+    #[error("{path}: {message}")]
+    Format { path: PathBuf, message: Box<str> },
+    #[error("{field}: `{text}` is no duration such as 250ms or 6s")]
+    Duration { field: &'static str, text: Box<str> },
+    #[error("exactly one of `entry` and `control` is needed")]
+    Role,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FleetFile {
+    name: Box<str>,
+    availability_zone: Box<str>,
+    seeds: Vec<SocketAddr>,
+    grace: Box<str>,
+    metrics: Option<SocketAddr>,
+    entry: Option<EntryPart>,
+    control: Option<ControlPart>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EntryPart {
+    traffic: SocketAddr,
+    readiness: SocketAddr,
+    retry_ratio: f64,
+    retry_slack: u32,
+    retry_window: Box<str>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ControlPart {
+    operator: SocketAddr,
+    link: SocketAddr,
+    data_folder: PathBuf,
+    form: bool,
+    survivable_losses: usize,
+    heartbeat: Box<str>,
+}
+
+/// Reads and checks a config file.
+pub fn read_config(path: &Path) -> Result<FleetConfig, FileError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| FileError::Read { path: path.to_owned(), error })?;
+    let file: FleetFile =
+        jsonc_parser::parse_to_serde_value(&text, &Default::default()).map_err(|error| {
+            FileError::Format { path: path.to_owned(), message: error.to_string().into() }
+        })?;
+    file.into_config()
+}
+
+impl FleetFile {
+    fn into_config(self) -> Result<FleetConfig, FileError> {
+        let role = match (self.entry, self.control) {
+            (Some(entry), None) => FleetRole::Entry(entry.into_config()?),
+            (None, Some(control)) => FleetRole::Control(control.into_config()?),
+            _ => return Err(FileError::Role),
+        };
+        Ok(FleetConfig {
+            name: self.name,
+            availability_zone: self.availability_zone,
+            seeds: self.seeds,
+            grace: duration("grace", &self.grace)?,
+            metrics: self.metrics,
+            role,
+        })
+    }
+}
+
+impl EntryPart {
+    fn into_config(self) -> Result<EntryConfig, FileError> {
+        let window = duration("entry.retry_window", &self.retry_window)?;
+        let retry = RetryLimits { ratio: self.retry_ratio, slack: self.retry_slack, window };
+        Ok(EntryConfig { traffic: self.traffic, readiness: self.readiness, retry })
+    }
+}
+
+impl ControlPart {
+    fn into_config(self) -> Result<ControlConfig, FileError> {
+        Ok(ControlConfig {
+            operator: self.operator,
+            link: self.link,
+            data_folder: self.data_folder,
+            form: self.form,
+            survivable_losses: self.survivable_losses,
+            heartbeat: duration("control.heartbeat", &self.heartbeat)?,
+        })
+    }
+}
+
+fn duration(field: &'static str, text: &str) -> Result<Duration, FileError> {
+    parse_duration(text).ok_or_else(|| FileError::Duration { field, text: text.into() })
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod entry;
 pub mod event_log;
+pub mod file;
 pub mod link;
 pub mod native;
 pub mod placement;
--- a/tests/consensus/behaviour.rs
+++ b/tests/consensus/behaviour.rs
@@ -199,3 +199,36 @@
     node.handle(later, RaftEvent::Persisted { sequence: 2 });
     assert_eq!(node.commit(), 1);
 }
+
+/// Guards against long waits after a start of all members, and against short timeouts later, with
+/// which a slow disk would look like a lost leader.
+#[test]
+fn elections_are_repeated_soon_until_a_leader_is_known() {
+    use curranthollow::consensus::members::MemberSet;
+    use curranthollow::consensus::message::{MessageBody, RaftMessage};
+    use curranthollow::consensus::node::RestartState;
+    use std::time::{Duration, Instant};
+
+    let first = Duration::from_millis(80);
+    let config = RaftConfig { first_election_timeout: first, ..RaftConfig::default() };
+    let normal = config.election_timeout;
+    let mut now = Instant::now();
+    let initial = MemberSet::of_voters([(1, "a".into()), (2, "b".into()), (3, "c".into())]);
+    let state = RestartState { initial, ..RestartState::default() };
+    let mut node = RaftNode::new(config, 0, 1, 5, now, state);
+    for _ in 0..5 {
+        assert!(node.next_deadline() < now + first * 2);
+        now = node.next_deadline();
+        node.handle(now, RaftEvent::Tick);
+    }
+    let body = MessageBody::Append {
+        prev_index: 0,
+        prev_term: 0,
+        commit: 0,
+        round: 0,
+        entries: Vec::new(),
+    };
+    let message = RaftMessage { group: 0, from: 2, to: 1, term: 1, body };
+    node.handle(now, RaftEvent::Message(message));
+    assert!(node.next_deadline() >= now + normal);
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,4 +5,5 @@
 mod entry;
 mod harness;
 mod members;
+mod soak;
 mod state;
