--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -10,9 +10,9 @@
 
 use tokio::sync::{oneshot, watch};
 
-use super::disk::{self, DiskJob, DiskReport, FLEET_GROUP};
+use super::disk::{self, DiskJob, DiskReport};
+use super::heard::HeardServers;
 use super::peers::PeerLinks;
-use crate::consensus::members::MemberChange;
 use crate::consensus::message::{EntryBody, LogEntry, RaftMessage, SharedSnapshot};
 use crate::consensus::node::Proposal;
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
@@ -29,9 +29,6 @@
 /// A forwarded call without a reply is given up after this time.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Heartbeat intervals without a heartbeat after which a server counts as silent.
-const SILENT_HEARTBEATS: u32 = 4;
-
 /// Interval at which followers report servers, and the leader looks for silent ones.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
@@ -41,14 +38,12 @@
 /// Who waits for the outcome of a consensus request.
 enum CallWaiter {
     Local(oneshot::Sender<CallOutcome>),
-    Remote { to: ProcessName, request: u64 },
-    Membership,
-}
-
-/// When a server was heard last, here or by a member that reported it.
-struct HeardServer {
-    started: IncarnationStart,
-    at: Instant,
+    Remote {
+        to: ProcessName,
+        request: u64,
+    },
+    /// Nobody; what is missing is proposed again.
+    Nobody,
 }
 
 /// Control member; all its state is used on one thread.
@@ -75,8 +70,7 @@
     joins: JoinRequests,
     /// Where messages came from; a new learner has no list with the leader's address yet.
     addresses: BTreeMap<MemberId, SocketAddr>,
-    heard: BTreeMap<ServerId, HeardServer>,
-    unreported: BTreeMap<ServerId, IncarnationStart>,
+    heard: HeardServers,
     leader_since: Option<Instant>,
     leader_heard: Option<Instant>,
     next_report: Instant,
@@ -121,8 +115,7 @@
             forwards: BTreeMap::new(),
             joins: JoinRequests::new(),
             addresses: BTreeMap::new(),
-            heard: BTreeMap::new(),
-            unreported: BTreeMap::new(),
+            heard: HeardServers::default(),
             leader_since: None,
             leader_heard: None,
             next_report: now,
@@ -270,7 +263,7 @@
             }
             LinkMessage::Seen(servers) => {
                 for (server, started) in servers {
-                    self.hear(now, &server, started);
+                    self.heard.note_report(now, &server, started);
                 }
             }
             _ => {}
@@ -300,15 +293,9 @@
         }
     }
 
-    /// Notes the heartbeat of a server that said nothing new.
+    /// Notes the heartbeat of a server.
     pub fn hear_server(&mut self, now: Instant, server: &ServerId, started: IncarnationStart) {
-        self.hear(now, server, started);
-        self.unreported.insert(server.clone(), started);
-    }
-
-    fn hear(&mut self, now: Instant, server: &ServerId, started: IncarnationStart) {
-        let heard = HeardServer { started, at: now };
-        self.heard.insert(server.clone(), heard);
+        self.heard.note(now, server, started);
     }
 
     pub fn on_disk(&mut self, now: Instant, report: DiskReport) {
@@ -399,7 +386,7 @@
                     self.peers.send(address, &LinkMessage::Reply { request, outcome });
                 }
             }
-            CallWaiter::Membership => {}
+            CallWaiter::Nobody => {}
         }
     }
 
@@ -461,11 +448,11 @@
         let Some(change) = change else { return };
         self.last_request += 1;
         let request = self.last_request;
-        self.requests.insert(request, CallWaiter::Membership);
+        self.requests.insert(request, CallWaiter::Nobody);
         let before = self.node.last_index();
         self.handle(now, RaftEvent::ChangeMembers { request, change: change.clone() });
         if self.node.last_index() > before {
-            log_info!("members_changed", "change=\"{}\"", describe(&change));
+            log_info!("members_changed", "change=\"{}\"", placement::describe(&change));
         }
     }
 
@@ -490,65 +477,28 @@
     }
 
     fn report_servers(&mut self, now: Instant) {
-        let unreported = std::mem::take(&mut self.unreported);
-        if self.node.role() == Role::Leader {
-            return self.propose_silence(now);
+        let unreported = self.heard.take_unreported();
+        if let Some(since) = self.leader_since {
+            return self.propose_silence(now, since);
         }
         let leader = self.node.leader().and_then(|leader| self.address_of(leader));
         if let Some(leader) = leader
             && !unreported.is_empty()
         {
-            self.peers.send(leader, &LinkMessage::Seen(unreported.into_iter().collect()));
+            self.peers.send(leader, &LinkMessage::Seen(unreported));
         }
     }
 
-    fn propose_silence(&mut self, now: Instant) {
-        let limit = self.heartbeat * SILENT_HEARTBEATS;
-        let Some(since) = self.leader_since else { return };
-        let mut silent = Vec::new();
-        let mut heard = Vec::new();
-        for (server, record) in self.state.servers() {
-            let started = record.announcement.started;
-            let last = self.heard.get(server).filter(|heard| heard.started == started);
-            // A new leader knows only what was reported since it leads.
-            let age = now.duration_since(last.map_or(since, |heard| heard.at.max(since)));
-            if age > limit && !record.silent {
-                silent.push((server.clone(), started));
-            } else if record.silent && last.is_some() && age < limit {
-                heard.push((server.clone(), started));
-            }
-        }
-        self.heard.retain(|server, _| self.state.servers().contains_key(server));
-        // When most servers fall silent together the fault is on this side.
-        if silent.len() * 2 > self.state.servers().len() {
-            silent.clear();
-        }
-        for (servers, silence) in [(silent, true), (heard, false)] {
-            if servers.is_empty() {
-                continue;
+    fn propose_silence(&mut self, now: Instant, since: Instant) {
+        for command in self.heard.changes(now, since, self.heartbeat, &self.state) {
+            if let FleetCommand::Silent(servers) | FleetCommand::Heard(servers) = &command {
+                let silent = matches!(command, FleetCommand::Silent(_));
+                let (count, first) = (servers.len(), &servers[0].0);
+                log_info!("servers_silent", "silent={silent} count={count} first={first}");
             }
-            log_info!(
-                "servers_silent",
-                "silent={silence} count={} first={}",
-                servers.len(),
-                servers[0].0
-            );
-            let command =
-                if silence { FleetCommand::Silent(servers) } else { FleetCommand::Heard(servers) };
             self.last_request += 1;
             let call = ForwardCall::Propose(command.encode());
-            self.start_call(now, self.last_request, call, CallWaiter::Membership);
+            self.start_call(now, self.last_request, call, CallWaiter::Nobody);
         }
     }
 }
-
-fn describe(change: &MemberChange) -> String {
-    match change {
-        MemberChange::AddLearner { member, name } => format!("add {member:016x} {name}"),
-        MemberChange::Promote { member } => format!("promote {member:016x}"),
-        MemberChange::Remove { member } => format!("remove {member:016x}"),
-    }
-}
-
-/// The one group that the consensus messages name.
-pub const GROUP: u32 = FLEET_GROUP;
--- a/src/fleet/control/disk.rs
+++ b/src/fleet/control/disk.rs
@@ -3,7 +3,7 @@
 //! A disk that stalls delays only this thread. A disk that fails is tried again until it works: the
 //! folder is opened anew, and the jobs that were not acknowledged are written once more.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
@@ -180,6 +180,3 @@
     let batch = LogBatch { group: FLEET_GROUP, hard_state, truncate_from, entries };
     Some(DiskJob::Append { sequence, batch })
 }
-
-/// Member list of the formation by name.
-pub type InitialMembers = BTreeMap<Box<str>, MemberId>;
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -3,6 +3,7 @@
 mod core;
 pub mod disk;
 mod followers;
+mod heard;
 mod operator;
 mod peers;
 
@@ -176,7 +177,7 @@
     };
     let now = Instant::now();
     let seed = fastrand::u64(..);
-    let node = RaftNode::new(raft, core::GROUP, identity.member, seed, now, restart);
+    let node = RaftNode::new(raft, disk::FLEET_GROUP, identity.member, seed, now, restart);
     let report = Box::new(move |report| {
         // The receiver lives as long as the process.
         let _ = reports.send(report);
--- a/src/fleet/placement.rs
+++ b/src/fleet/placement.rs
@@ -94,3 +94,12 @@
     }
     None
 }
+
+/// A change as log lines show it.
+pub fn describe(change: &MemberChange) -> String {
+    match change {
+        MemberChange::AddLearner { member, name } => format!("add {member:016x} {name}"),
+        MemberChange::Promote { member } => format!("promote {member:016x}"),
+        MemberChange::Remove { member } => format!("remove {member:016x}"),
+    }
+}
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -63,6 +63,14 @@
 }
 
 impl FleetCommand {
+    /// Whether the command names no server.
+    pub fn is_empty(&self) -> bool {
+        match self {
+            Self::Silent(servers) | Self::Heard(servers) => servers.is_empty(),
+            Self::PutDocument { .. } | Self::Announce(..) | Self::Leave(..) => false,
+        }
+    }
+
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = Vec::new();
         ciborium::into_writer(self, &mut bytes).expect("writing to memory does not fail");
