--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -12,6 +12,7 @@
 
 use super::disk::{self, DiskJob, DiskReport};
 use super::heard::HeardServers;
+use super::metrics::MemberFigures;
 use super::peers::PeerLinks;
 use crate::consensus::message::{EntryBody, LogEntry, RaftMessage, SharedSnapshot};
 use crate::consensus::node::Proposal;
@@ -148,21 +149,17 @@
         self.entries -= 1;
     }
 
-    /// Text of the metrics page.
-    pub fn metrics(&self) -> String {
-        let leads = u8::from(self.node.role() == Role::Leader);
-        let (term, voters) = (self.node.term(), self.node.members().voters().count());
-        let (servers, version) = (self.state.servers().len(), self.state.document().version);
-        let (applied, entries) = (self.applied, self.entries);
-        format!(
-            "# TYPE control_leads gauge\ncontrol_leads {leads}\n\
-             # TYPE control_term gauge\ncontrol_term {term}\n\
-             # TYPE control_applied_index gauge\ncontrol_applied_index {applied}\n\
-             # TYPE control_voters gauge\ncontrol_voters {voters}\n\
-             # TYPE control_document_version gauge\ncontrol_document_version {version}\n\
-             # TYPE control_servers gauge\ncontrol_servers {servers}\n\
-             # TYPE control_entries gauge\ncontrol_entries {entries}\n# EOF\n"
-        )
+    /// What the metrics page shows.
+    pub fn figures(&self) -> MemberFigures {
+        MemberFigures {
+            leads: self.node.role() == Role::Leader,
+            term: self.node.term(),
+            voters: self.node.members().voters().count(),
+            applied: self.applied,
+            document_version: self.state.document().version,
+            servers: self.state.servers().len(),
+            entries: self.entries,
+        }
     }
 
     /// What entries are told about this member at `now`.
@@ -403,9 +400,8 @@
                 }
             }
             let Some((term, waiter)) = self.logged.remove(&entry.index) else { continue };
-            let same = term == entry.term;
             let done = CallOutcome::Done { index: entry.index };
-            self.answer(waiter, if same { done } else { CallOutcome::Unknown });
+            self.answer(waiter, if term == entry.term { done } else { CallOutcome::Unknown });
         }
         self.revision.send_replace(self.applied);
         if self.applied - self.snapshot_index >= SNAPSHOT_ENTRIES {
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod disk;
 mod followers;
 mod heard;
+mod metrics;
 mod operator;
 mod peers;
 
@@ -88,7 +89,7 @@
 
     /// Text of the metrics page.
     pub fn metrics(&self) -> String {
-        self.core.borrow().metrics()
+        self.core.borrow().figures().encode()
     }
 
     /// Gives leadership away.
