Let each entry prefer some servers

Ruled out: pools that are too small (at most 164 descriptors). A cost that is drawn for each pair of entry and server brings an entry back to the same servers; different entries prefer others, and a crowded server still loses.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -49,6 +49,10 @@
 /// Cost of another availability zone, in parts of one unit of work.
 const REMOTE_COST: f64 = 0.5;
 
+/// Largest part by which an entry prefers some servers to others, drawn for each pair. Entries that
+/// come back to the same servers use their connections again; different entries prefer others.
+const PREFERENCE_COST: f64 = 0.3;
+
 /// Differences below this do not decide, so that entries with the same view spread.
 const RANDOM_COST: f64 = 0.08;
 
@@ -74,6 +78,8 @@
     address: SocketAddr,
     slots: u32,
     local: bool,
+    /// Cost by which this entry prefers other servers.
+    preference: f64,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
@@ -118,6 +124,7 @@
     pub fn update<'a>(
         &mut self,
         now: Instant,
+        entry: &str,
         zone: &str,
         views: impl Iterator<Item = (&'a ServerId, &'a ServerView)>,
     ) {
@@ -130,6 +137,7 @@
             let mut load = known.unwrap_or_else(|| ServerLoad {
                 address: said.address,
                 slots: said.slots,
+                preference: PREFERENCE_COST * preference(entry, server),
                 local: *said.availability_zone == *zone,
                 state: said.state,
                 silent: view.silent,
@@ -225,7 +233,7 @@
         let occupied = (f64::from(load.in_flight) + others + 1.0) / slots;
         let queue = 1.0 + 0.4 * occupied + 3.0 * (occupied - 0.9).max(0.0);
         let distance = if load.local { 0.0 } else { REMOTE_COST };
-        slowness / usual * history * warmup * queue + distance
+        slowness / usual * history * warmup * queue + distance + load.preference
     }
 
     /// Counts a send to `server`.
@@ -318,6 +326,16 @@
     }
 }
 
+/// Number from 0 to 1 that is the same for each pair of entry and server (FNV-1a).
+fn preference(entry: &str, server: &str) -> f64 {
+    let bytes = entry.bytes().chain([0]).chain(server.bytes());
+    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    // The low bits of the product mix best in the upper half.
+    (hash >> 32) as f64 / f64::from(u32::MAX)
+}
+
 /// Part that is left of a value after `age`.
 fn decay(age: Duration, memory: Duration) -> f64 {
     (-age.as_secs_f64() / memory.as_secs_f64()).exp()
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -174,7 +174,7 @@
         for (name, balance) in services.iter_mut() {
             let views = state.servers().iter();
             let own = views.filter(|(_, view)| view.announcement.service == *name);
-            balance.update(now, &self.availability_zone, own);
+            balance.update(now, &self.name, &self.availability_zone, own);
         }
         self.connections.retain(|server| state.servers().contains_key(server));
     }
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -27,7 +27,7 @@
 
 fn balance(now: Instant, views: &ServerViews) -> ServiceBalance {
     let mut balance = ServiceBalance::default();
-    balance.update(now, "a", views.iter());
+    balance.update(now, "e", "a", views.iter());
     balance
 }
 
@@ -127,7 +127,7 @@
     balance.begin(&"s1".into());
     balance.end(now, &"s1".into(), SendOutcome::Unreachable, Duration::ZERO);
     views.insert("s1".into(), view("a", ServerState::Ready, 2));
-    balance.update(now, "a", views.iter());
+    balance.update(now, "e", "a", views.iter());
     let random = &mut fastrand::Rng::with_seed(1);
     let found = (0..50)
         .any(|_| balance.choose(now, &[], random).is_some_and(|chosen| *chosen.server == *"s1"));
@@ -147,3 +147,24 @@
     let told = ToldLoad::parse(text);
     assert_eq!(told.map(|told| (told.running, told.waiting, told.slots, told.slowness)), expected);
 }
+
+/// Guards against entries that all prefer the same servers, and against an entry whose sends spread
+/// over so many servers that it must open a connection for each.
+#[test]
+fn each_entry_prefers_servers_of_its_own() {
+    let now = Instant::now();
+    let views: ServerViews = (0..100)
+        .map(|number| (format!("s{number}").into(), view("a", ServerState::Ready, 1)))
+        .collect();
+    let random = &mut fastrand::Rng::with_seed(9);
+    let mut all = std::collections::BTreeSet::new();
+    for entry in 0..40 {
+        let mut balance = ServiceBalance::default();
+        balance.update(now, &format!("e{entry}"), "a", views.iter());
+        let sends = (0..100).filter_map(|_| balance.choose(now, &[], random));
+        let own: std::collections::BTreeSet<_> = sends.map(|chosen| chosen.server).collect();
+        assert!(own.len() <= 45, "entry {entry} uses {} of 100 servers", own.len());
+        all.extend(own);
+    }
+    assert!(all.len() >= 95, "all entries together use {} of 100 servers", all.len());
+}
