Mix the preference of an entry for a server over all bits

Cause: the new test found an entry that used 62 of 100 servers: FNV-1a alone leaves names that differ at their end close together, so all of them had nearly the same preference. A finalizer mixes them. The tests of closures and incarnations took two equally liked servers for granted; they now fill the other server, so that only a closure can keep requests away (as strict: the closed server must not be chosen even beside a full one).

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -326,13 +326,17 @@
     }
 }
 
-/// Number from 0 to 1 that is the same for each pair of entry and server (FNV-1a).
+/// Number from 0 to 1 that is the same for each pair of entry and server: FNV-1a, then the finalizer of
+/// MurmurHash3, because names that differ at their end alone differ in few bits before it.
 fn preference(entry: &str, server: &str) -> f64 {
     let bytes = entry.bytes().chain([0]).chain(server.bytes());
-    let hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+    let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
-    // The low bits of the product mix best in the upper half.
+    for factor in [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53] {
+        hash = (hash ^ (hash >> 33)).wrapping_mul(factor);
+    }
+    hash ^= hash >> 33;
     (hash >> 32) as f64 / f64::from(u32::MAX)
 }
 
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -36,6 +36,13 @@
     balance.choose(now, &[], random).map(|chosen| chosen.server.into_string())
 }
 
+/// Fills all slots of a server.
+fn occupy(balance: &mut ServiceBalance, server: &str) {
+    for _ in 0..6 {
+        balance.begin(&server.into());
+    }
+}
+
 fn two_servers() -> ServerViews {
     BTreeMap::from([
         ("s1".into(), view("a", ServerState::Ready, 1)),
@@ -65,6 +72,8 @@
         balance.begin(&"s1".into());
         balance.end(now, &"s1".into(), outcome, Duration::from_millis(1));
     }
+    // The other server is full, so only the closure keeps requests away from this one.
+    occupy(&mut balance, "s2");
     let random = &mut fastrand::Rng::with_seed(3);
     for _ in 0..50 {
         let server = balance.choose(now, &[], random).map(|chosen| chosen.server);
@@ -112,9 +121,7 @@
     ]);
     let mut balance = balance(now, &views);
     assert_eq!(chosen(&balance, now).as_deref(), Some("near"));
-    for _ in 0..6 {
-        balance.begin(&"near".into());
-    }
+    occupy(&mut balance, "near");
     assert_eq!(chosen(&balance, now).as_deref(), Some("far"));
 }
 
@@ -128,6 +135,7 @@
     balance.end(now, &"s1".into(), SendOutcome::Unreachable, Duration::ZERO);
     views.insert("s1".into(), view("a", ServerState::Ready, 2));
     balance.update(now, "e", "a", views.iter());
+    occupy(&mut balance, "s2");
     let random = &mut fastrand::Rng::with_seed(1);
     let found = (0..50)
         .any(|_| balance.choose(now, &[], random).is_some_and(|chosen| *chosen.server == *"s1"));
