--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -94,7 +94,7 @@
     unproved_refusal = { ServerStep::Answer(UNPROVED_503) },
 )]
 fn an_idempotent_request_is_sent_again(step: ServerStep) {
-    let first = ScriptedServer::start(&[step.clone()]);
+    let first = ScriptedServer::start(std::slice::from_ref(&step));
     let second = ScriptedServer::start(&[step]);
     let third = ScriptedServer::start(&[]);
     let system = TestSystem::start(&[first.address, second.address, third.address]);
