Give logs their inputs and metrics their series

Change: series by service with a bound of 32, process figures (log lines, link traffic, loop delay), disk times, quorum; the causes of refusals, chosen servers and repeated sends in the log. Tests: tests/fleet_process/metrics_page.rs (failed before: the series did not exist).

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -153,6 +153,7 @@
     pub fn figures(&self) -> MemberFigures {
         MemberFigures {
             leads: self.node.role() == Role::Leader,
+            has_leader: self.node.leader().is_some(),
             term: self.node.term(),
             voters: self.node.members().voters().count(),
             applied: self.applied,
--- a/src/fleet/control/disk.rs
+++ b/src/fleet/control/disk.rs
@@ -6,7 +6,9 @@
 use std::collections::VecDeque;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+use prometheus_client::metrics::histogram::Histogram;
 
 use crate::consensus::RaftAction;
 use crate::consensus::message::SharedSnapshot;
@@ -77,9 +79,14 @@
 }
 
 /// Starts the thread and returns its queue.
-pub fn start(folder: PathBuf, storage: LogStorage, report: ReportSink) -> Sender<DiskJob> {
+pub fn start(
+    folder: PathBuf,
+    storage: LogStorage,
+    times: Histogram,
+    report: ReportSink,
+) -> Sender<DiskJob> {
     let (sender, jobs) = channel();
-    let disk = DiskThread { folder, storage: Some(storage), report };
+    let disk = DiskThread { folder, storage: Some(storage), times, report };
     std::thread::spawn(move || disk.run(&jobs));
     sender
 }
@@ -87,6 +94,8 @@
 struct DiskThread {
     folder: PathBuf,
     storage: Option<LogStorage>,
+    /// Seconds from the start of a job to its end, repairs included.
+    times: Histogram,
     report: ReportSink,
 }
 
@@ -105,6 +114,7 @@
     /// Does one piece of work, however often the disk must be opened for it.
     fn finish(&mut self, mut work: DiskJob) {
         let mut failures = 0_u32;
+        let started = Instant::now();
         loop {
             match self.attempt(&work) {
                 Ok(()) => break,
@@ -119,6 +129,7 @@
             rewrite_from_start(&mut work);
             std::thread::sleep(REPAIR_INTERVAL);
         }
+        self.times.observe(started.elapsed().as_secs_f64());
         if failures > 0 {
             log_info!("disk_regained", "failures={failures}");
         }
--- a/src/fleet/control/metrics.rs
+++ b/src/fleet/control/metrics.rs
@@ -1,12 +1,19 @@
-//! Metrics page of a control member.
+//! Gauges and histograms of a control member.
+
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
 
 use crate::fleet::document::DocumentVersion;
+use crate::fleet::process_metrics::{self, PROCESS_METRICS};
 use crate::ids::{LogIndex, TermNumber};
 
 /// State of a member in figures.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemberFigures {
     pub leads: bool,
+    /// Whether a leader with a majority is known.
+    pub has_leader: bool,
     pub term: TermNumber,
     pub voters: usize,
     pub applied: LogIndex,
@@ -17,21 +24,31 @@
 }
 
 impl MemberFigures {
-    /// Text in the OpenMetrics format.
-    pub fn encode(&self) -> String {
+    /// Text in the OpenMetrics format, with the times of the disk.
+    pub fn encode(&self, disk: &Histogram) -> String {
+        let mut registry = Registry::with_prefix("control");
+        PROCESS_METRICS.register(&mut registry);
+        registry.register("disk_seconds", "Time of a write with its sync", disk.clone());
         let gauges = [
-            ("leads", u64::from(self.leads)),
-            ("term", self.term),
-            ("voters", self.voters as u64),
-            ("applied_index", self.applied),
-            ("document_version", self.document_version),
-            ("servers", self.servers as u64),
-            ("entries", u64::from(self.entries)),
+            ("leads", "Whether this member leads", u64::from(self.leads)),
+            ("has_leader", "Whether a leader is known", u64::from(self.has_leader)),
+            ("term", "Term of the log", self.term),
+            ("voters", "Members that vote", self.voters as u64),
+            ("applied_index", "Newest applied entry of the log", self.applied),
+            ("document_version", "Version of the document held", self.document_version),
+            ("servers", "Servers that are announced", self.servers as u64),
+            ("entries", "Entries that follow this member", u64::from(self.entries)),
         ];
-        let mut text = String::new();
-        for (name, value) in gauges {
-            text.push_str(&format!("# TYPE control_{name} gauge\ncontrol_{name} {value}\n"));
+        for (name, help, value) in gauges {
+            let gauge: Gauge = Gauge::default();
+            gauge.set(value.cast_signed());
+            registry.register(name, help, gauge);
         }
-        text + "# EOF\n"
+        process_metrics::encode(&registry)
     }
 }
+
+/// Times of writes, from 0.5 ms to 4 s.
+pub fn disk_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.0005, 2.0, 14))
+}
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use prometheus_client::metrics::histogram::Histogram;
 use sha2::{Digest, Sha256};
 use thiserror::Error;
 use tokio::net::TcpListener;
@@ -26,6 +27,7 @@
 use self::peers::PeerLinks;
 use super::config::{ControlConfig, FleetConfig};
 use super::dialect::WireDialect;
+use super::process_metrics::PROCESS_METRICS;
 use super::state::{FleetState, StateError};
 use crate::consensus::members::MemberSet;
 use crate::consensus::node::RestartState;
@@ -62,6 +64,7 @@
 /// Running control member.
 pub struct ControlProcess {
     core: SharedCore,
+    disk_times: Histogram,
 }
 
 impl ControlProcess {
@@ -73,14 +76,15 @@
     ) -> Result<Self, ControlError> {
         let disk = open_disk(config, control).await;
         let (reports, report_queue) = mpsc::unbounded_channel();
-        let core = build_core(config, control, disk, reports)?;
+        let disk_times = metrics::disk_histogram();
+        let core = build_core(config, control, disk, reports, disk_times.clone())?;
         let links = listen(control.link).await?;
         let calls = listen(control.operator).await?;
         tokio::task::spawn_local(run_timers(Rc::clone(&core)));
         tokio::task::spawn_local(follow_disk(Rc::clone(&core), report_queue));
         tokio::task::spawn_local(followers::serve(links, Rc::clone(&core)));
         tokio::task::spawn_local(OperatorService::new(Rc::clone(&core), dialect).serve(calls));
-        Ok(Self { core })
+        Ok(Self { core, disk_times })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -89,7 +93,7 @@
 
     /// Text of the metrics page.
     pub fn metrics(&self) -> String {
-        self.core.borrow().figures().encode()
+        self.core.borrow().figures().encode(&self.disk_times)
     }
 
     /// Gives leadership away.
@@ -143,6 +147,7 @@
     control: &ControlConfig,
     disk: OpenedDisk,
     reports: mpsc::UnboundedSender<DiskReport>,
+    disk_times: Histogram,
 ) -> Result<SharedCore, ControlError> {
     let OpenedDisk { storage, identity, recovered } = disk;
     let name = control.link.to_string().into_boxed_str();
@@ -192,7 +197,7 @@
         node,
         state,
         snapshot_index,
-        disk: disk::start(control.data_folder.clone(), storage, report),
+        disk: disk::start(control.data_folder.clone(), storage, disk_times, report),
         peers: PeerLinks::new(name),
     };
     Ok(Rc::new(RefCell::new(ControlCore::new(parts, now))))
@@ -203,6 +208,7 @@
         core.borrow_mut().tick(Instant::now());
         let next = core.borrow().next_tick(Instant::now());
         sleep_until(next.into()).await;
+        PROCESS_METRICS.note_timer(next, Instant::now());
     }
 }
 
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use super::context::{EntryContext, EntryPhase};
+use super::metrics::GaugeGuard;
 use super::reader::{ReadEvent, RequestReader};
 use super::relay::{ConnectionEnd, relay, write_own};
 use super::request::{self, CallerAnswer, CallerRequest, OwnAnswer};
@@ -51,6 +52,7 @@
 }
 
 async fn serve_connection(context: &Rc<EntryContext>, stream: TcpStream) {
+    let _open = GaugeGuard::new(context.metrics.caller_connections.clone());
     let connection = CallerConnection {
         context: Rc::clone(context),
         stream: HttpStream::new(stream),
@@ -220,11 +222,7 @@
     let Some(running) = running else { return std::future::pending().await };
     match (&mut running.task).await {
         Ok(answer) => answer,
-        Err(_) => CallerAnswer::Own(OwnAnswer {
-            status: 502,
-            reason: "the request was given up",
-            retry_after: None,
-        }),
+        Err(_) => CallerAnswer::Own(OwnAnswer::of(502, "the request was given up")),
     }
 }
 
@@ -251,7 +249,7 @@
 ) -> Result<(), ConnectionEnd> {
     let Some(status) = error.request_status() else { return Err(ConnectionEnd::Drop) };
     log_info!("request_malformed", "entry={} status={status} error=\"{error}\"", context.name);
-    let own = OwnAnswer { status, reason: "malformed request", retry_after: None };
+    let own = OwnAnswer::of(status, "malformed request");
     write_own(stream, &own, false).await?;
     Err(ConnectionEnd::Close)
 }
--- a/src/fleet/entry/connections.rs
+++ b/src/fleet/entry/connections.rs
@@ -75,6 +75,11 @@
         connections.push(IdleConnection { stream, address, since: now, until: now + kept });
     }
 
+    /// Idle connections to all servers.
+    pub fn len(&self) -> usize {
+        self.idle.borrow().values().map(Vec::len).sum()
+    }
+
     /// Closes the connections to servers that are not kept, and those that are too old.
     pub fn retain(&self, keep: impl Fn(&ServerId) -> bool) {
         let now = Instant::now();
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -10,6 +10,7 @@
 
 use super::context::EntryContext;
 use crate::fleet::link::{self, LinkError, LinkMessage};
+use crate::fleet::process_metrics::PROCESS_METRICS;
 use crate::log_info;
 
 /// Members that an entry follows. Any three of five include one of each majority.
@@ -68,12 +69,18 @@
             self.note_freshness(now);
             let pause = if self.is_fresh(now) { REVIEW_INTERVAL } else { LOST_REDIAL_PAUSE };
             sleep(pause).await;
+            PROCESS_METRICS.note_timer(now + pause, Instant::now());
         }
     }
 
-    fn is_fresh(&self, now: Instant) -> bool {
+    /// Links to members that are up to date.
+    pub fn fresh_members(&self, now: Instant) -> usize {
         let links = self.links.borrow();
-        links.values().flatten().any(|at| now.duration_since(*at) < SILENCE_TIMEOUT)
+        links.values().flatten().filter(|at| now.duration_since(**at) < SILENCE_TIMEOUT).count()
+    }
+
+    fn is_fresh(&self, now: Instant) -> bool {
+        self.fresh_members(now) > 0
     }
 
     fn note_freshness(&self, now: Instant) {
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -13,7 +13,6 @@
 use tokio::time::{sleep, timeout};
 
 use super::context::EntryContext;
-use super::metrics::OutcomeLabel;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ToldLoad;
 use crate::fleet::link;
@@ -64,6 +63,16 @@
     OtherServer,
 }
 
+/// What the search for a server with room met.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Error)]
+#[error("{asked} servers asked, {full} full, {disturbed} disturbed, {unanswered} without answer")]
+pub struct LookCounts {
+    asked: u32,
+    full: u32,
+    disturbed: u32,
+    unanswered: u32,
+}
+
 /// What to do when no measured server has room.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrowdedChoice {
@@ -82,16 +91,21 @@
     service: &ServiceName,
     tried: &[ServerId],
     crowded: CrowdedChoice,
-) -> Option<ChosenServer> {
+) -> Result<ChosenServer, LookCounts> {
+    let mut counts = LookCounts::default();
     let mut rejected = tried.to_vec();
-    let found = find_room(context, service, &mut rejected, FIRST_FULL).await;
-    if found.is_some() || crowded == CrowdedChoice::Nothing {
-        return found;
+    let found = find_room(context, service, &mut rejected, FIRST_FULL, &mut counts).await;
+    if let Some(found) = found {
+        return Ok(found);
+    }
+    if crowded == CrowdedChoice::Nothing {
+        return Err(counts);
     }
     sleep(CROWDED_PAUSE).await;
     let mut rejected = tried.to_vec();
-    let found = find_room(context, service, &mut rejected, MORE_FULL).await;
-    found.or_else(|| context.choose(service, tried).filter(|chosen| chosen.has_slot))
+    let found = find_room(context, service, &mut rejected, MORE_FULL, &mut counts).await;
+    let found = found.or_else(|| context.choose(service, tried).filter(|chosen| chosen.has_slot));
+    found.ok_or(counts)
 }
 
 /// Measures servers in the order of their cost until one has room.
@@ -103,6 +117,7 @@
     service: &ServiceName,
     rejected: &mut Vec<ServerId>,
     max_full: usize,
+    counts: &mut LookCounts,
 ) -> Option<ChosenServer> {
     let (mut measured, mut full) = (0, 0);
     while measured < MAX_MEASURED && full < max_full {
@@ -115,11 +130,17 @@
             continue;
         }
         measured += 1;
+        counts.asked += 1;
         match measure(context, service, &chosen).await {
-            Ok(Some(told)) if !told.has_room() => full += usize::from(!told.is_disturbed()),
+            Ok(Some(told)) if !told.has_room() => {
+                full += usize::from(!told.is_disturbed());
+                counts.disturbed += u32::from(told.is_disturbed());
+                counts.full += u32::from(!told.is_disturbed());
+            }
             Ok(_) => return Some(chosen),
             Err(error) => {
                 full += usize::from(matches!(error, MeasureError::Timeout));
+                counts.unanswered += 1;
                 note_failure(context, service, &chosen, &error);
             }
         }
@@ -140,13 +161,16 @@
         MeasureError::Timeout => SendOutcome::Unanswered,
         _ => SendOutcome::Unreachable,
     };
-    context.with_service(service, |balance| {
+    let closed = context.with_service(service, |balance| {
         balance.begin(&chosen.server);
-        balance.end(now, &chosen.server, outcome, Duration::ZERO);
+        balance.end(now, &chosen.server, outcome, Duration::ZERO)
     });
+    if closed {
+        context.metrics.note_closure(service);
+    }
     crate::log_routine!(
         "server_unreachable",
-        "service={service} server={} error=\"{error}\"",
+        "service={service} server={} closed={closed} error=\"{error}\"",
         chosen.server
     );
 }
@@ -158,9 +182,8 @@
     chosen: &ChosenServer,
 ) -> Result<Option<ToldLoad>, MeasureError> {
     let Some(path) = context.health_path(service) else { return Ok(None) };
-    let mut stream = connect(context, chosen).await?;
-    let label = OutcomeLabel { outcome: "measured" };
-    context.metrics.sends.get_or_create(&label).inc();
+    let mut stream = connect(context, service, chosen).await?;
+    context.metrics.note_send(service, "measured");
     let question = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", chosen.address);
     let asked = ask(context, &mut stream, &question, chosen);
     let answer = timeout(MEASURE_TIMEOUT, asked).await.map_err(|_| MeasureError::Timeout)??;
@@ -213,6 +236,7 @@
 /// Takes an idle connection to the server, or opens one.
 pub async fn connect(
     context: &EntryContext,
+    service: &ServiceName,
     chosen: &ChosenServer,
 ) -> Result<HttpStream, MeasureError> {
     let now = Instant::now();
@@ -224,6 +248,6 @@
     let connected = connected.map_err(|_| MeasureError::ConnectTimeout)?;
     let stream = connected.map_err(MeasureError::Connect)?;
     link::prepare_socket(&stream, link::USER_TIMEOUT).map_err(MeasureError::Connect)?;
-    context.metrics.opened_connections.inc();
+    context.metrics.note_opened_connection(service);
     Ok(HttpStream::new(stream))
 }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -1,69 +1,181 @@
 //! Counters and histograms of an entry.
 
+use std::collections::BTreeSet;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-/// Label of a count by outcome.
+use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
+
+/// Services that have series of their own; the others share the label `other`.
+const MAX_SERVICES: usize = 32;
+
+/// Label of requests that belong to no service.
+const NO_SERVICE: &str = "none";
+
+/// Label of a count by service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabel {
+    pub service: Box<str>,
+}
+
+/// Label of a count by service and outcome.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct OutcomeLabel {
+    pub service: Box<str>,
     pub outcome: &'static str,
 }
 
+/// Adds one to a gauge for as long as it exists.
+pub struct GaugeGuard(Gauge);
+
+impl GaugeGuard {
+    pub fn new(gauge: Gauge) -> Self {
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// What an entry counts.
 pub struct EntryMetrics {
-    pub requests: Family<OutcomeLabel, Counter<u64, AtomicU64>>,
-    pub sends: Family<OutcomeLabel, Counter<u64, AtomicU64>>,
-    pub repeated_sends: Counter<u64, AtomicU64>,
-    pub opened_connections: Counter<u64, AtomicU64>,
-    pub latency: Histogram,
+    requests: Family<OutcomeLabel, SharedCounter>,
+    sends: Family<OutcomeLabel, SharedCounter>,
+    latency: Family<ServiceLabel, Histogram>,
+    in_flight: Family<ServiceLabel, Gauge>,
+    repeated_sends: Family<ServiceLabel, SharedCounter>,
+    budget_exhausted: Family<ServiceLabel, SharedCounter>,
+    server_closures: Family<ServiceLabel, SharedCounter>,
+    opened_connections: Family<ServiceLabel, SharedCounter>,
+    pub idle_connections: Gauge,
+    pub caller_connections: Gauge,
     pub document_version: Gauge,
-    registry: Mutex<Registry>,
+    pub revision: Gauge,
+    pub fresh_members: Gauge,
+    services: Mutex<BTreeSet<Box<str>>>,
+    registry: Registry,
+}
+
+fn latency_histogram() -> Histogram {
+    // From 5 ms to 10 s.
+    Histogram::new(exponential_buckets(0.005, 2.0, 12))
 }
 
 impl Default for EntryMetrics {
     fn default() -> Self {
-        let requests = Family::default();
-        let sends = Family::default();
-        let repeated_sends = Counter::default();
-        let opened_connections = Counter::default();
-        // From 5 ms to 10 s.
-        let latency = Histogram::new(exponential_buckets(0.005, 2.0, 12));
-        let document_version = Gauge::default();
-        let mut registry = Registry::with_prefix("entry");
-        registry.register("requests", "Requests by outcome", requests.clone());
-        registry.register("sends", "Sends to servers by outcome", sends.clone());
-        registry.register("repeated_sends", "Sends beyond the first", repeated_sends.clone());
-        let opened = opened_connections.clone();
-        registry.register("server_connections", "Connections opened to servers", opened);
-        registry.register("latency_seconds", "Time from head to response", latency.clone());
-        let version = document_version.clone();
-        registry.register("document_version", "Version of the document in force", version);
-        Self {
-            requests,
-            sends,
-            repeated_sends,
-            opened_connections,
-            latency,
-            document_version,
-            registry: Mutex::new(registry),
-        }
+        let mut metrics = Self {
+            requests: Family::default(),
+            sends: Family::default(),
+            latency: Family::new_with_constructor(latency_histogram),
+            in_flight: Family::default(),
+            repeated_sends: Family::default(),
+            budget_exhausted: Family::default(),
+            server_closures: Family::default(),
+            opened_connections: Family::default(),
+            idle_connections: Gauge::default(),
+            caller_connections: Gauge::default(),
+            document_version: Gauge::default(),
+            revision: Gauge::default(),
+            fresh_members: Gauge::default(),
+            services: Mutex::default(),
+            registry: Registry::with_prefix("entry"),
+        };
+        metrics.register();
+        metrics
     }
 }
 
 impl EntryMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        PROCESS_METRICS.register(registry);
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        registry.register("sends", "Sends to servers by outcome", self.sends.clone());
+        registry.register("latency_seconds", "Time from head to response", self.latency.clone());
+        registry.register("in_flight", "Requests in process", self.in_flight.clone());
+        let repeated = self.repeated_sends.clone();
+        registry.register("repeated_sends", "Sends beyond the first", repeated);
+        let exhausted = self.budget_exhausted.clone();
+        registry.register("budget_exhausted", "Repeated sends without budget", exhausted);
+        let closures = self.server_closures.clone();
+        registry.register("server_closures", "Servers left alone after failures", closures);
+        let opened = self.opened_connections.clone();
+        registry.register("server_connections", "Connections opened to servers", opened);
+        let gauges = [
+            ("idle_connections", "Idle connections to servers", &self.idle_connections),
+            ("caller_connections", "Connections of callers", &self.caller_connections),
+            ("document_version", "Version of the document in force", &self.document_version),
+            ("revision", "Revision of the state that is followed", &self.revision),
+            ("fresh_members", "Links to members that are up to date", &self.fresh_members),
+        ];
+        for (name, help, gauge) in gauges {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+
+    /// Label of a service; at most [`MAX_SERVICES`] have one of their own.
+    fn label(&self, service: Option<&str>) -> Box<str> {
+        let Some(service) = service else { return NO_SERVICE.into() };
+        let mut services = self.services.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        if services.contains(service) {
+            return service.into();
+        }
+        if services.len() >= MAX_SERVICES {
+            return "other".into();
+        }
+        services.insert(service.into());
+        service.into()
+    }
+
+    /// Counts a finished request.
+    pub fn note_request(&self, service: Option<&str>, outcome: &'static str, elapsed: Duration) {
+        let service = self.label(service);
+        let label = ServiceLabel { service: service.clone() };
+        self.latency.get_or_create(&label).observe(elapsed.as_secs_f64());
+        self.requests.get_or_create(&OutcomeLabel { service, outcome }).inc();
+    }
+
+    /// Counts a send to a server, or a look at its load.
+    pub fn note_send(&self, service: &str, outcome: &'static str) {
+        let service = self.label(Some(service));
+        self.sends.get_or_create(&OutcomeLabel { service, outcome }).inc();
+    }
+
+    /// Counts a send beyond the first, or one for which the budget is used up.
+    pub fn note_repeat(&self, service: &str, allowed: bool) {
+        let family = if allowed { &self.repeated_sends } else { &self.budget_exhausted };
+        family.get_or_create(&self.service_label(service)).inc();
+    }
+
+    pub fn note_closure(&self, service: &str) {
+        self.server_closures.get_or_create(&self.service_label(service)).inc();
+    }
+
+    pub fn note_opened_connection(&self, service: &str) {
+        self.opened_connections.get_or_create(&self.service_label(service)).inc();
+    }
+
+    /// Number of requests of a service that are in process.
+    pub fn in_flight(&self, service: &str) -> Gauge {
+        self.in_flight.get_or_create(&self.service_label(service)).clone()
+    }
+
+    fn service_label(&self, service: &str) -> ServiceLabel {
+        ServiceLabel { service: self.label(Some(service)) }
+    }
+
     /// All metrics in the OpenMetrics text format.
     pub fn encode(&self) -> String {
-        let mut text = String::new();
-        let registry = self.registry.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        // Writing to a string does not fail.
-        let _ = prometheus_client::encoding::text::encode(&mut text, &registry);
-        text
+        process_metrics::encode(&self.registry)
     }
 }
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -76,7 +76,11 @@
 
     /// Text of the metrics page.
     pub fn metrics(&self) -> String {
-        self.context.metrics.encode()
+        let metrics = &self.context.metrics;
+        metrics.idle_connections.set(self.context.connections.len() as i64);
+        metrics.revision.set(self.context.state.borrow().revision().cast_signed());
+        metrics.fresh_members.set(self.follower.fresh_members(Instant::now()) as i64);
+        metrics.encode()
     }
 
     /// Takes no new connections, finishes what runs and returns within `grace`.
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -11,7 +11,7 @@
 
 use super::context::EntryContext;
 use super::measure::CrowdedChoice;
-use super::metrics::OutcomeLabel;
+use super::metrics::GaugeGuard;
 use super::send::{self, OutgoingRequest, SendError, ServerResponse, TriedServers};
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::routes::choose_target;
@@ -55,22 +55,29 @@
 }
 
 /// Answer of the entry itself.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug)]
 pub struct OwnAnswer {
     pub status: u16,
     pub reason: &'static str,
     pub retry_after: Option<Duration>,
+    /// End of the last send, for logs.
+    pub cause: Option<SendError>,
 }
 
 impl OwnAnswer {
-    fn of(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
+    /// Answer that promises nothing, or that the request itself was wrong.
+    pub fn of(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None, cause: None }
     }
 
     /// The request has not run and will not; the caller may come back.
     fn not_run(reason: &'static str, pause: Duration, left: Duration) -> Self {
         let retry_after = pause.min(left.mul_f64(RETRY_PART));
-        Self { status: 503, reason, retry_after: Some(retry_after) }
+        Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
+    }
+
+    fn caused_by(self, cause: SendError) -> CallerAnswer {
+        CallerAnswer::Own(Self { cause: Some(cause), ..self })
     }
 }
 
@@ -102,10 +109,29 @@
 pub async fn process(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
     let received = caller.received;
     let id = request_id(context, &caller.head);
-    let answer = dispatch(context, caller).await;
-    let elapsed = received.elapsed();
-    context.metrics.latency.observe(elapsed.as_secs_f64());
-    let outcome = match &answer {
+    let run = match prepare(context, caller, id.clone()) {
+        Ok(run) => run,
+        Err(own) => {
+            let answer = CallerAnswer::Own(own);
+            note_end(context, &id, None, received.elapsed(), &answer);
+            return answer;
+        }
+    };
+    let service = run.request.service.clone();
+    let _in_flight = GaugeGuard::new(context.metrics.in_flight(&service));
+    let answer = run.finish().await;
+    note_end(context, &id, Some(&service), received.elapsed(), &answer);
+    answer
+}
+
+fn note_end(
+    context: &EntryContext,
+    id: &str,
+    service: Option<&str>,
+    elapsed: Duration,
+    answer: &CallerAnswer,
+) {
+    let outcome = match answer {
         CallerAnswer::Relay(response) => {
             log_routine!(
                 "request_served",
@@ -117,9 +143,12 @@
             if response.head.status < 400 { "served" } else { "server_error" }
         }
         CallerAnswer::Own(own) => {
+            let cause = own.cause.as_ref().map(ToString::to_string).unwrap_or_default();
             log_info!(
                 "request_refused",
-                "request={id} status={} reason=\"{}\" elapsed_ms={} revision={}",
+                "request={id} service={} status={} reason=\"{}\" cause=\"{cause}\" elapsed_ms={} \
+                 revision={}",
+                service.unwrap_or("-"),
                 own.status,
                 own.reason,
                 elapsed.as_millis(),
@@ -128,8 +157,7 @@
             if own.status == 503 { "not_run" } else { "failed" }
         }
     };
-    context.metrics.requests.get_or_create(&OutcomeLabel { outcome }).inc();
-    answer
+    context.metrics.note_request(service, outcome, elapsed);
 }
 
 /// Id of the request for logs.
@@ -138,30 +166,35 @@
     id.chars().filter(char::is_ascii_graphic).take(40).collect()
 }
 
-async fn dispatch(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
+/// Finds the route and the service of a request; the error is the answer when there is none.
+fn prepare(
+    context: &Rc<EntryContext>,
+    caller: CallerRequest,
+    id: Box<str>,
+) -> Result<RequestRun, OwnAnswer> {
     let Some(table) = context.table() else {
-        let answer = OwnAnswer::not_run(
+        return Err(OwnAnswer::not_run(
             "no settings document yet",
             START_RETRY_AFTER,
             Duration::from_secs(1),
-        );
-        return CallerAnswer::Own(answer);
+        ));
     };
     let Some(rule) = table.find(&caller.head.host, caller.head.path()) else {
-        return CallerAnswer::Own(OwnAnswer::of(404, "no route"));
+        return Err(OwnAnswer::of(404, "no route"));
     };
     let deadline = caller.head.headers.get_str(context.dialect.headers().deadline);
     let deadline = deadline.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
     let limit = deadline.map_or(rule.timeout, |deadline| deadline.min(rule.timeout));
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
     let idempotent = rule.repetition == Repetition::Idempotent;
-    let end = caller.received + limit;
-    let request = OutgoingRequest::new(context, service, caller.head, caller.body, idempotent, end);
-    let run = RequestRun {
+    let (started, end) = (caller.received, caller.received + limit);
+    let request =
+        OutgoingRequest::new(context, id, service, caller.head, caller.body, idempotent, end);
+    Ok(RequestRun {
         context: Rc::clone(context),
         request: Rc::new(request),
         rule,
-        started: caller.received,
+        started,
         running: FuturesUnordered::new(),
         tried: TriedServers::default(),
         sends: 0,
@@ -169,8 +202,7 @@
         may_have_run: false,
         hedged: false,
         failure: None,
-    };
-    run.finish().await
+    })
 }
 
 impl RequestRun {
@@ -238,14 +270,22 @@
             return false;
         }
         let entries = self.context.entries();
-        let taken =
-            self.context.with_budget(&self.request.service, |budget| budget.take(now, entries));
-        if !taken {
-            return false;
+        let (left, taken) = self.context.with_budget(&self.request.service, |budget| {
+            (budget.left(now, entries), budget.take(now, entries))
+        });
+        log_info!(
+            "send_repeated",
+            "request={} service={} sends={} elapsed_ms={} allowed={taken} budget_left={left:.1}",
+            self.request.id,
+            self.request.service,
+            self.sends,
+            now.duration_since(self.started).as_millis()
+        );
+        self.context.metrics.note_repeat(&self.request.service, taken);
+        if taken {
+            self.start_send(crowded);
         }
-        self.start_send(crowded);
-        self.context.metrics.repeated_sends.inc();
-        true
+        taken
     }
 
     /// Handles the end of one send; returns the answer when the request is finished.
@@ -265,21 +305,22 @@
             }
             Err(error) => error,
         };
-        if matches!(error, SendError::NoServer) && !self.running.is_empty() {
+        if matches!(error, SendError::NoServer(_)) && !self.running.is_empty() {
             // A second send that found no room.
             self.sends -= 1;
             return None;
         }
-        let label = OutcomeLabel { outcome: error.label() };
-        self.context.metrics.sends.get_or_create(&label).inc();
-        log_routine!(
-            "send_failed",
-            "request={} server={} sends={} elapsed_ms={} error=\"{error}\"",
-            self.id(),
-            self.tried.borrow().last().map_or("-", |server| server),
-            self.sends,
-            now.duration_since(self.started).as_millis()
-        );
+        self.context.metrics.note_send(&self.request.service, error.label());
+        if !matches!(error, SendError::NoServer(_)) {
+            log_info!(
+                "send_failed",
+                "request={} server={} sends={} elapsed_ms={} error=\"{error}\"",
+                self.request.id,
+                self.tried.borrow().last().map_or("-", |server| server),
+                self.sends,
+                now.duration_since(self.started).as_millis()
+            );
+        }
         self.may_have_run |= error.may_have_run();
         if !self.running.is_empty() {
             return None;
@@ -290,13 +331,14 @@
         if let Some(failure) = self.failure.take() {
             return Some(CallerAnswer::Relay(failure));
         }
-        if self.may_have_run {
-            return Some(CallerAnswer::Own(OwnAnswer::of(502, "the server's response is lost")));
-        }
-        if matches!(error, SendError::NoServer) {
-            return Some(self.refuse("no server has room"));
-        }
-        Some(self.refuse("all servers that were tried refused"))
+        let own = if self.may_have_run {
+            OwnAnswer::of(502, "the server's response is lost")
+        } else if matches!(error, SendError::NoServer(_)) {
+            self.refuse("no server has room")
+        } else {
+            self.refuse("all servers that were tried refused")
+        };
+        Some(own.caused_by(error))
     }
 
     fn try_again(&mut self, now: Instant, error: &SendError) -> bool {
@@ -306,7 +348,7 @@
             self.connects += 1;
             let again = self.connects < MAX_CONNECTS
                 && now < self.request.end
-                && !matches!(error, SendError::NoServer);
+                && !matches!(error, SendError::NoServer(_));
             if again {
                 self.start_send(CrowdedChoice::LookAgain);
             }
@@ -318,15 +360,10 @@
         self.repeat(now, CrowdedChoice::LookAgain)
     }
 
-    fn id(&self) -> String {
-        let id = self.request.request_id.as_deref().unwrap_or(b"-");
-        String::from_utf8_lossy(id).into_owned()
-    }
-
-    fn refuse(&self, reason: &'static str) -> CallerAnswer {
+    fn refuse(&self, reason: &'static str) -> OwnAnswer {
         let left = self.request.end.saturating_duration_since(Instant::now());
         let pause = self.rule.target_latency.mul_f64(RETRY_AFTER);
-        CallerAnswer::Own(OwnAnswer::not_run(reason, pause, left))
+        OwnAnswer::not_run(reason, pause, left)
     }
 
     fn time_out(self) -> CallerAnswer {
@@ -337,6 +374,6 @@
         if self.may_have_run || !self.running.is_empty() {
             return CallerAnswer::Own(OwnAnswer::of(504, "no response in time"));
         }
-        self.refuse("the time is over before a server was reached")
+        CallerAnswer::Own(self.refuse("the time is over before a server was reached"))
     }
 }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 
 use super::context::EntryContext;
-use super::measure::{self, CrowdedChoice, MeasureError};
+use super::measure::{self, CrowdedChoice, LookCounts, MeasureError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ToldLoad;
 use crate::fleet::stream::HttpStream;
@@ -25,6 +25,8 @@
 
 /// Request as it is sent to any server.
 pub struct OutgoingRequest {
+    /// Id for logs.
+    pub id: Box<str>,
     pub service: ServiceName,
     pub method: Box<str>,
     /// Request line and headers, without the ones that differ between sends.
@@ -61,9 +63,9 @@
     /// No byte left for the server.
     #[error("not sent: {0}")]
     NotSent(MeasureError),
-    /// No server may be used.
-    #[error("not sent: no server is available")]
-    NoServer,
+    /// No server has room.
+    #[error("not sent: {0}")]
+    NoServer(LookCounts),
     /// The server said that it did not run the request.
     #[error("refused by the server with {status}")]
     NotRun { status: u16 },
@@ -83,12 +85,12 @@
 
     /// Whether the request reached the server.
     pub fn arrived(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoServer)
+        !matches!(self, Self::NotSent(_) | Self::NoServer(_))
     }
 
     fn outcome(&self) -> SendOutcome {
         match self {
-            Self::NotSent(_) | Self::NoServer | Self::OtherServer => SendOutcome::Unreachable,
+            Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -97,7 +99,7 @@
     /// Label for metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) | Self::NoServer => "not_sent",
+            Self::NotSent(_) | Self::NoServer(_) => "not_sent",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken(_) => "broken",
@@ -110,6 +112,7 @@
     /// Prepares the request of a caller for `service`.
     pub fn new(
         context: &EntryContext,
+        id: Box<str>,
         service: ServiceName,
         mut caller: RequestHead,
         body: Vec<u8>,
@@ -131,7 +134,7 @@
         caller.write_to(&mut head);
         // The blank line comes after the headers of one send.
         head.truncate(head.len() - 2);
-        Self { service, method: caller.method, head, body, request_id, idempotent, end }
+        Self { id, service, method: caller.method, head, body, request_id, idempotent, end }
     }
 
     fn encode(&self, context: &EntryContext, server: &ServerId) -> Vec<u8> {
@@ -187,6 +190,7 @@
             balance.end(now, &self.server, self.outcome, elapsed)
         });
         if closed {
+            self.context.metrics.note_closure(&self.service);
             crate::log_routine!(
                 "server_closed",
                 "service={} server={} outcome={:?}",
@@ -210,7 +214,17 @@
 ) -> Result<ServerResponse, SendError> {
     let before = tried.borrow().clone();
     let chosen = measure::choose_server(&context, &request.service, &before, crowded).await;
-    let chosen = chosen.ok_or(SendError::NoServer)?;
+    let chosen = chosen.map_err(SendError::NoServer)?;
+    crate::log_routine!(
+        "server_chosen",
+        "request={} service={} server={} in_flight={} told_age_ms={} cost={:.2}",
+        request.id,
+        request.service,
+        chosen.server,
+        chosen.in_flight,
+        chosen.told_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
+        chosen.cost
+    );
     tried.borrow_mut().push(chosen.server.clone());
     let mut count = SendCount::new(&context, &request.service, &chosen.server);
     let result = exchange(&context, &request, &chosen).await;
@@ -227,7 +241,8 @@
     request: &OutgoingRequest,
     chosen: &ChosenServer,
 ) -> Result<ServerResponse, SendError> {
-    let mut stream = measure::connect(context, chosen).await.map_err(SendError::NotSent)?;
+    let mut stream =
+        measure::connect(context, &request.service, chosen).await.map_err(SendError::NotSent)?;
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server);
     // From here on the server may have the request.
--- a/src/fleet/event_log.rs
+++ b/src/fleet/event_log.rs
@@ -5,6 +5,8 @@
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use super::process_metrics::PROCESS_METRICS;
+
 /// Bytes that may wait for the writer; lines beyond are dropped and counted.
 const MAX_WAITING_BYTES: usize = 128 << 10;
 
@@ -80,8 +82,10 @@
     }
     if queue.bytes.len() >= MAX_WAITING_BYTES {
         queue.dropped += 1;
+        PROCESS_METRICS.log_lines_dropped.inc();
         return;
     }
+    PROCESS_METRICS.log_lines.inc();
     let name = match level {
         LineLevel::Routine => "debug",
         LineLevel::Info => "info",
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -15,6 +15,7 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 use super::announcement::IncarnationStart;
+use super::process_metrics::PROCESS_METRICS;
 use super::update::FleetUpdate;
 use crate::consensus::message::RaftMessage;
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId};
@@ -176,6 +177,8 @@
 
 impl LinkWriter {
     pub async fn send(&mut self, frame: LinkFrame) -> Result<(), LinkError> {
+        PROCESS_METRICS.link_frames_sent.inc();
+        PROCESS_METRICS.link_bytes_sent.inc_by(frame.len() as u64);
         Ok(self.0.send(Message::Binary(frame)).await?)
     }
 }
@@ -186,6 +189,8 @@
         loop {
             let Some(message) = self.0.next().await else { return Err(LinkError::Closed) };
             let Message::Binary(bytes) = message? else { continue };
+            PROCESS_METRICS.link_frames_received.inc();
+            PROCESS_METRICS.link_bytes_received.inc_by(bytes.len() as u64);
             return ciborium::from_reader(&bytes[..]).map_err(|_| LinkError::Malformed);
         }
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod native;
 pub mod placement;
 pub mod process;
+mod process_metrics;
 pub mod routes;
 pub mod state;
 pub mod stream;
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -7,4 +7,5 @@
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
 mod harness;
+mod metrics_page;
 mod soak;
