Send the first state of an entry as rows, once

Members encoded each update again for each of 85 followers.

Ruled out: the election (leader 110 ms after the third member's start) and the dials.

Change: servers travel as rows (the test's state takes under 24 KB), a complete update leaves out what is gone, one member is asked for the first state and the others for what came after it, and a member encodes each update once.

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -18,7 +18,7 @@
 use crate::consensus::node::Proposal;
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
 use crate::fleet::announcement::IncarnationStart;
-use crate::fleet::link::{CallOutcome, ForwardCall, FreshNotice, LinkMessage};
+use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshNotice, LinkFrame, LinkMessage};
 use crate::fleet::placement::{self, JoinRequests};
 use crate::fleet::state::{FleetCommand, FleetState};
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber};
@@ -61,6 +61,8 @@
     disk: Sender<DiskJob>,
     peers: Rc<PeerLinks>,
     revision: watch::Sender<LogIndex>,
+    /// Encoded updates to the present revision, by the revision of the follower.
+    updates: BTreeMap<LogIndex, LinkFrame>,
     last_request: u64,
     /// Requests that the consensus has not taken yet.
     requests: BTreeMap<u64, CallWaiter>,
@@ -110,6 +112,7 @@
             disk: parts.disk,
             peers: parts.peers,
             revision: watch::Sender::new(parts.snapshot_index),
+            updates: BTreeMap::new(),
             last_request: 0,
             requests: BTreeMap::new(),
             logged: BTreeMap::new(),
@@ -132,6 +135,22 @@
         self.applied
     }
 
+    /// Encoded update for a follower at revision `from`, with the revision to which it leads;
+    /// `None` when there is nothing new.
+    ///
+    /// Most followers are at the same revision, so each update is encoded once.
+    pub fn update_frame(&mut self, from: LogIndex) -> Option<(LogIndex, LinkFrame)> {
+        if self.applied <= from {
+            return None;
+        }
+        let state = &self.state;
+        let frame = self
+            .updates
+            .entry(from)
+            .or_insert_with(|| link::encode(&LinkMessage::Update(state.update_since(from))));
+        Some((self.applied, frame.clone()))
+    }
+
     /// Tells when the replicated state advances.
     pub fn subscribe(&self) -> watch::Receiver<LogIndex> {
         self.revision.subscribe()
@@ -404,12 +423,17 @@
             let done = CallOutcome::Done { index: entry.index };
             self.answer(waiter, if term == entry.term { done } else { CallOutcome::Unknown });
         }
-        self.revision.send_replace(self.applied);
+        self.note_revision();
         if self.applied - self.snapshot_index >= SNAPSHOT_ENTRIES {
             self.save_snapshot();
         }
     }
 
+    fn note_revision(&mut self) {
+        self.updates.clear();
+        self.revision.send_replace(self.applied);
+    }
+
     fn save_snapshot(&mut self) {
         let data = self.state.snapshot();
         let Some(snapshot) = self.node.snapshot_at(self.applied, data) else { return };
@@ -425,7 +449,7 @@
                 self.state = state;
                 self.applied = snapshot.index;
                 self.snapshot_index = snapshot.index;
-                self.revision.send_replace(self.applied);
+                self.note_revision();
                 log_info!("snapshot_installed", "index={}", snapshot.index);
             }
             Err(error) => log_warn!("snapshot_unreadable", "error=\"{error}\""),
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -7,7 +7,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::core::SharedCore;
-use crate::fleet::link::{self, LinkError, LinkMessage, LinkReader, LinkWriter};
+use crate::fleet::link::{self, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter};
 use crate::ids::{LogIndex, ProcessName};
 use crate::{log_info, log_warn};
 
@@ -82,19 +82,16 @@
     let mut changes = core.borrow().subscribe();
     let mut next_notice = Instant::now();
     loop {
-        let update = {
-            let core = core.borrow();
-            (core.applied() > sent).then(|| core.state().update_since(sent))
-        };
-        if let Some(update) = update {
-            sent = update.to;
-            send(&mut writer, &LinkMessage::Update(update)).await?;
+        let update = core.borrow_mut().update_frame(sent);
+        if let Some((to, frame)) = update {
+            sent = to;
+            send(&mut writer, frame).await?;
         }
         let now = Instant::now();
         if now >= next_notice {
             next_notice = now + NOTICE_INTERVAL;
             let notice = core.borrow().fresh_notice(now);
-            send(&mut writer, &LinkMessage::Fresh(notice)).await?;
+            send(&mut writer, link::encode(&LinkMessage::Fresh(notice))).await?;
         }
         tokio::select! {
             changed = changes.changed() => changed.map_err(|_| LinkError::Closed)?,
@@ -106,7 +103,6 @@
     }
 }
 
-async fn send(writer: &mut LinkWriter, message: &LinkMessage) -> Result<(), LinkError> {
-    let frame = link::encode(message);
+async fn send(writer: &mut LinkWriter, frame: LinkFrame) -> Result<(), LinkError> {
     timeout(SEND_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)?
 }
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
 use super::context::EntryContext;
@@ -25,6 +26,9 @@
 /// Interval at which the set of links is looked at.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time for the first state. A member that has one sends it within some tens of milliseconds.
+const FIRST_STATE_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Pause before a member that failed is dialled again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(600);
 
@@ -40,6 +44,15 @@
     links: RefCell<BTreeMap<SocketAddr, Option<Instant>>>,
     failed: RefCell<BTreeMap<SocketAddr, Instant>>,
     had_fresh: RefCell<bool>,
+    first_state: watch::Sender<FirstState>,
+}
+
+/// Whether a member was asked for a complete state, and whether one arrived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FirstState {
+    Unasked,
+    Asked,
+    Installed,
 }
 
 impl FleetFollower {
@@ -51,6 +64,7 @@
             links: RefCell::default(),
             failed: RefCell::default(),
             had_fresh: RefCell::new(false),
+            first_state: watch::Sender::new(FirstState::Unasked),
         })
     }
 
@@ -127,6 +141,7 @@
 
     async fn follow(&self, address: SocketAddr) -> Result<(), LinkError> {
         let (mut writer, mut reader) = link::dial(address).await?;
+        self.wait_for_first_state().await;
         let revision = self.context.state.borrow().revision();
         let name = self.context.name.clone();
         writer.send(link::encode(&LinkMessage::Follow { name, revision })).await?;
@@ -134,7 +149,10 @@
         loop {
             let received = timeout(SILENCE_TIMEOUT, reader.receive()).await;
             match received.map_err(|_| LinkError::Silent)?? {
-                LinkMessage::Update(update) => self.context.install(Instant::now(), update),
+                LinkMessage::Update(update) => {
+                    self.context.install(Instant::now(), update);
+                    self.first_state.send_replace(FirstState::Installed);
+                }
                 LinkMessage::Fresh(notice) => {
                     let now = Instant::now();
                     let current = notice.leader_age.is_some_and(|age| age < LEADER_AGE);
@@ -154,6 +172,25 @@
         }
     }
 
+    /// Waits while another link brings the first state: several copies share the line and all
+    /// arrive later.
+    async fn wait_for_first_state(&self) {
+        let mut state = self.first_state.subscribe();
+        if *state.borrow() != FirstState::Asked {
+            self.first_state.send_if_modified(|state| {
+                let unasked = *state == FirstState::Unasked;
+                if unasked {
+                    *state = FirstState::Asked;
+                }
+                unasked
+            });
+            return;
+        }
+        let installed = state.wait_for(|state| *state == FirstState::Installed);
+        // Without an answer in time this link asks, too.
+        let _ = timeout(FIRST_STATE_TIMEOUT, installed).await;
+    }
+
     /// Whether this link is one too many: enough others are up to date.
     fn has_surplus(&self, address: SocketAddr) -> bool {
         let now = Instant::now();
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 pub mod process;
 mod process_metrics;
 pub mod routes;
+mod server_rows;
 pub mod state;
 pub mod stream;
 pub mod update;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -241,7 +241,7 @@
         let left = self.left.iter().filter(|(_, (_, changed))| *changed > since);
         let head = DocumentHead {
             version: self.document.version,
-            limits: self.document.limits.clone(),
+            limits: self.document.limits,
             services: self.document.services.clone(),
         };
         FleetUpdate {
@@ -250,9 +250,13 @@
             complete,
             head: (self.head_changed > since).then_some(head),
             routes: routes.filter_map(|(key, _)| rule_of(key)).collect(),
-            removed_routes: removed.map(|(key, _)| key.clone()).collect(),
+            // A complete update replaces everything, so what is not in it needs no mention.
+            removed_routes: removed.filter(|_| !complete).map(|(key, _)| key.clone()).collect(),
             servers: servers.map(|(id, record)| (id.clone(), ServerView::of(record))).collect(),
-            left: left.map(|(id, (started, _))| (id.clone(), *started)).collect(),
+            left: left
+                .filter(|_| !complete)
+                .map(|(id, (started, _))| (id.clone(), *started))
+                .collect(),
         }
     }
 
--- a/src/fleet/update.rs
+++ b/src/fleet/update.rs
@@ -8,6 +8,7 @@
 use super::document::{
     CallerLimits, DocumentVersion, RouteDocument, RouteKey, RouteRule, ServiceRule,
 };
+use super::server_rows;
 use super::state::ServerRecord;
 use crate::ids::{LogIndex, ServerId, ServiceName};
 
@@ -20,7 +21,7 @@
 }
 
 /// One server in an update.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ServerView {
     pub announcement: ServerAnnouncement,
     pub silent: bool,
@@ -42,6 +43,7 @@
     pub head: Option<DocumentHead>,
     pub routes: Vec<(RouteKey, RouteRule)>,
     pub removed_routes: Vec<RouteKey>,
+    #[serde(with = "server_rows")]
     pub servers: Vec<(ServerId, ServerView)>,
     pub left: Vec<(ServerId, IncarnationStart)>,
 }
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -5,6 +5,7 @@
 use curranthollow::fleet::announcement::{ServerAnnouncement, ServerState};
 use curranthollow::fleet::document::{CallerLimits, Repetition};
 use curranthollow::fleet::document::{RouteDocument, RouteRule, ServiceRule};
+use curranthollow::fleet::link::{self, LinkMessage};
 use curranthollow::fleet::state::{FleetCommand, FleetState};
 use curranthollow::fleet::update::FollowedState;
 use yare::parameterized;
@@ -165,3 +166,47 @@
         let _ = FleetState::restore(&bytes);
     }
 }
+
+/// Time for which a complete update may occupy the line of an entry, and the slowest line in use.
+const UPDATE_TIME: Duration = Duration::from_millis(50);
+const SLOWEST_LINE: f64 = 3.8e6;
+
+/// Guards against entries that wait for their first state because it fills a slow line: with field
+/// names, 255 servers took over 50 KB, and three members sent it at the same time.
+#[test]
+fn a_complete_update_fits_a_slow_line() {
+    let mut state = FleetState::default();
+    let mut document = RouteDocument { version: 40, ..RouteDocument::default() };
+    for service in ["micu8a", "deye99b", "migo9c"] {
+        let rule = ServiceRule { health_path: "/healthz".into(), max_connections: 1180 };
+        document.services.insert(service.into(), rule);
+    }
+    for route in 0..11 {
+        let rule = RouteRule {
+            name: format!("r-73hh2b{route}").into(),
+            repetition: Repetition::Idempotent,
+            timeout: Duration::from_secs(2),
+            target_latency: Duration::from_secs(1),
+            max_attempts: 2,
+            priority: 2,
+            targets: vec![("micu8a".into(), 90.0), ("deye99b".into(), 10.0)],
+        };
+        let key = ("jepu9.example".into(), format!("/lepu27{route}/").into());
+        document.routes.insert(key, rule);
+    }
+    state.apply(1, FleetCommand::PutDocument { document: Box::new(document), text: vec![1] });
+    for number in 0..455_u64 {
+        let server = format!("i-{:010x}", number * 7_777_777).into_boxed_str();
+        let port = u16::try_from(8000 + number).expect("ports are small");
+        let mut announcement = said(port, Ready, 1_789_014_446_394 + number, 30);
+        announcement.service = ["micu8a", "deye99b", "migo9c"][(number % 3) as usize].into();
+        announcement.availability_zone = "lakes-central".into();
+        state.apply(number + 2, FleetCommand::Announce(server.clone(), announcement));
+        if number >= 255 {
+            state.apply(number + 2, FleetCommand::Leave(server, None));
+        }
+    }
+    let frame = link::encode(&LinkMessage::Update(state.update_since(0)));
+    let time = Duration::from_secs_f64(frame.len() as f64 * 8.0 / SLOWEST_LINE);
+    assert!(time <= UPDATE_TIME, "{} bytes take {time:?}", frame.len());
+}
