Let requests wait for the first document

Cause: after a loss of all processes entries run 450 ms before a leader gives them a document.

Change: a request waits up to 0.15 of its deadline for the first document; the pause after a refusal is 300 ms instead of 100 ms. Test: a_request_waits_for_the_first_document (503 before).

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use tokio::sync::watch;
+use tokio::time::timeout_at;
 
 use super::connections::ConnectionStore;
 use super::follow::FOLLOWED_MEMBERS;
@@ -42,6 +43,7 @@
     pub state: RefCell<FollowedState>,
     pub random: RefCell<fastrand::Rng>,
     table: RefCell<Option<Rc<RouteTable>>>,
+    has_document: watch::Sender<bool>,
     services: RefCell<BTreeMap<ServiceName, ServiceBalance>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entries: Cell<u32>,
@@ -65,6 +67,7 @@
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
             table: RefCell::default(),
+            has_document: watch::Sender::new(false),
             services: RefCell::default(),
             budgets: RefCell::default(),
             // Before a member tells the number, a share of a large fleet is assumed.
@@ -77,6 +80,18 @@
         self.table.borrow().clone()
     }
 
+    /// Whether a document is in force.
+    pub fn has_table(&self) -> bool {
+        self.table.borrow().is_some()
+    }
+
+    /// Waits until the first document is in force, or until `end`.
+    pub async fn wait_for_table(&self, end: Instant) {
+        let mut installed = self.has_document.subscribe();
+        // The sender lives as long as the context.
+        let _ = timeout_at(end.into(), installed.wait_for(|installed| *installed)).await;
+    }
+
     /// Limits on callers that are in force.
     pub fn caller_limits(&self) -> CallerLimits {
         self.table.borrow().as_ref().map(|table| table.limits).unwrap_or_default()
@@ -84,7 +99,7 @@
 
     /// Whether requests can be served.
     pub fn is_ready(&self) -> bool {
-        self.table.borrow().is_some() && *self.phase.borrow() == EntryPhase::Serving
+        self.has_table() && *self.phase.borrow() == EntryPhase::Serving
     }
 
     pub fn is_stopping(&self) -> bool {
@@ -163,6 +178,7 @@
             );
             self.metrics.document_version.set(document.version as i64);
             *self.table.borrow_mut() = Some(Rc::new(RouteTable::of(document)));
+            self.has_document.send_replace(true);
         }
         if servers {
             self.install_servers(now, &state);
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -27,7 +27,14 @@
 const RETRY_AFTER: f64 = 0.25;
 
 /// The same before the first document.
-const START_RETRY_AFTER: Duration = Duration::from_millis(100);
+const START_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Part of the caller's deadline for which a request waits for the first document. After a loss of
+/// all processes it comes within half a second, and many callers come back only once.
+const START_WAIT: f64 = 0.15;
+
+/// Deadline of a caller that names none, before the first document.
+const START_DEADLINE: Duration = Duration::from_secs(1);
 
 /// Part of its time left that a caller spends on a pause.
 const RETRY_PART: f64 = 0.3;
@@ -109,6 +116,10 @@
 pub async fn process(context: &Rc<EntryContext>, caller: CallerRequest) -> CallerAnswer {
     let received = caller.received;
     let id = request_id(context, &caller.head);
+    if !context.has_table() {
+        let wait = deadline_of(context, &caller.head).unwrap_or(START_DEADLINE).mul_f64(START_WAIT);
+        context.wait_for_table(received + wait).await;
+    }
     let run = match prepare(context, caller, id.clone()) {
         Ok(run) => run,
         Err(own) => {
@@ -166,6 +177,12 @@
     id.chars().filter(char::is_ascii_graphic).take(40).collect()
 }
 
+/// Time that the caller waits for the answer, if it says so.
+fn deadline_of(context: &EntryContext, head: &RequestHead) -> Option<Duration> {
+    let text = head.headers.get_str(context.dialect.headers().deadline)?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
 /// Finds the route and the service of a request; the error is the answer when there is none.
 fn prepare(
     context: &Rc<EntryContext>,
@@ -182,8 +199,7 @@
     let Some(rule) = table.find(&caller.head.host, caller.head.path()) else {
         return Err(OwnAnswer::of(404, "no route"));
     };
-    let deadline = caller.head.headers.get_str(context.dialect.headers().deadline);
-    let deadline = deadline.and_then(|text| text.trim().parse().ok()).map(Duration::from_millis);
+    let deadline = deadline_of(context, &caller.head);
     let limit = deadline.map_or(rule.timeout, |deadline| deadline.min(rule.timeout));
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
     let idempotent = rule.repetition == Repetition::Idempotent;
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -176,6 +176,33 @@
     assert_eq!(call(entry.traffic, "GET", "/read/1", "").0, 503);
 }
 
+/// Guards against a refusal by an entry that has just started, a moment before its first document:
+/// many callers come back only once.
+#[test]
+fn a_request_waits_for_the_first_document() {
+    let server = ScriptedServer::start(&[]);
+    let mut fleet = TestFleet::start();
+    fleet.put(&document(1));
+    announce(&fleet, "s0", &announcement(server.address, false, 1, 1));
+    for member in &mut fleet.members {
+        member.kill();
+    }
+    let entry = TestEntry::start(&fleet.seeds);
+    let traffic = entry.traffic;
+    let caller = std::thread::spawn(move || {
+        let text = "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\n\
+                    x-request-deadline: 30000\r\nconnection: close\r\n\r\n";
+        exchange(traffic, text.as_bytes())
+    });
+    std::thread::sleep(Duration::from_millis(300));
+    let seeds = fleet.seeds.clone();
+    for member in &mut fleet.members {
+        member.start(&seeds, false);
+    }
+    let answer = caller.join().expect("the caller ends").expect("the caller gets an answer");
+    assert_eq!(split(&answer).0, 200, "{answer}");
+}
+
 /// Guards against new work for a server that said that it leaves.
 #[test]
 fn a_drained_server_gets_nothing_more() {
