Prefer servers to which a connection is open

Cause: an entry of a grown site knows over 200 servers and opened 0.87 connections for each send; each costs a round trip, a millisecond of a slot and a price.

Change: a server without an idle connection costs 0.2 more. The store alone decides how long a connection may be idle.

Test: a_server_with_a_connection_is_preferred_but_not_at_any_cost.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -53,6 +53,9 @@
 /// come back to the same servers use their connections again; different entries prefer others.
 const PREFERENCE_COST: f64 = 0.3;
 
+/// Cost of a new connection: it takes a round trip, some time of a slot, and the server's count.
+const CONNECTION_COST: f64 = 0.2;
+
 /// Differences below this do not decide, so that entries with the same view spread.
 const RANDOM_COST: f64 = 0.08;
 
@@ -164,10 +167,13 @@
     }
 
     /// Chooses the server with the lowest cost among those not in `tried`.
+    ///
+    /// `connected` tells whether there is an idle connection to a server.
     pub fn choose(
         &self,
         now: Instant,
         tried: &[ServerId],
+        connected: impl Fn(&ServerId) -> bool,
         random: &mut fastrand::Rng,
     ) -> Option<ChosenServer> {
         let mut best: Option<(f64, &ServerId, &ServerLoad)> = None;
@@ -178,7 +184,8 @@
             }
             let noise = random.f64() * RANDOM_COST;
             let place = if load.is_open(now) { &mut best } else { &mut closed };
-            let cost = self.cost(now, load) + noise;
+            let connection = if connected(server) { 0.0 } else { CONNECTION_COST };
+            let cost = self.cost(now, load) + connection + noise;
             if place.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                 *place = Some((cost, server, load));
             }
--- a/src/fleet/entry/connections.rs
+++ b/src/fleet/entry/connections.rs
@@ -12,7 +12,7 @@
 const MAX_IDLE: usize = 6;
 
 /// Idle time after which a connection is not used when the server names none.
-const DEFAULT_IDLE: Duration = Duration::from_secs(8);
+const DEFAULT_IDLE: Duration = Duration::from_secs(7);
 
 /// Part of the server's idle timeout that is used, since it may close at the same moment.
 const USED_PART: f64 = 0.7;
@@ -20,7 +20,6 @@
 struct IdleConnection {
     stream: HttpStream,
     address: SocketAddr,
-    since: Instant,
     until: Instant,
 }
 
@@ -31,28 +30,17 @@
 }
 
 impl ConnectionStore {
-    /// Takes the connection that was used last, if it was idle for at most `max_idle`.
-    pub fn take(
-        &self,
-        now: Instant,
-        server: &ServerId,
-        address: SocketAddr,
-        max_idle: Duration,
-    ) -> Option<HttpStream> {
+    /// Takes the connection that was used last.
+    pub fn take(&self, now: Instant, server: &ServerId, address: SocketAddr) -> Option<HttpStream> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(server)?;
         while let Some(mut connection) = connections.pop() {
             let sound = connection.address == address
                 && now < connection.until
                 && connection.stream.idle_state() == IdleState::Quiet;
-            if !sound {
-                continue;
+            if sound {
+                return Some(connection.stream);
             }
-            if now.duration_since(connection.since) > max_idle {
-                connections.push(connection);
-                return None;
-            }
-            return Some(connection.stream);
         }
         None
     }
@@ -72,7 +60,14 @@
             connections.remove(0);
         }
         let kept = timeout.map_or(DEFAULT_IDLE, |timeout| timeout.mul_f64(USED_PART));
-        connections.push(IdleConnection { stream, address, since: now, until: now + kept });
+        connections.push(IdleConnection { stream, address, until: now + kept });
+    }
+
+    /// Whether there is an idle connection to `server`; it may turn out to be closed.
+    pub fn has_idle(&self, now: Instant, server: &ServerId) -> bool {
+        let idle = self.idle.borrow();
+        let newest = idle.get(server).and_then(|connections| connections.last());
+        newest.is_some_and(|connection| now < connection.until)
     }
 
     /// Idle connections to all servers.
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -134,7 +134,9 @@
     /// Chooses a server by what is known.
     pub fn choose(&self, service: &ServiceName, tried: &[ServerId]) -> Option<ChosenServer> {
         let random = &mut self.random.borrow_mut();
-        self.with_service(service, |balance| balance.choose(Instant::now(), tried, random))
+        let now = Instant::now();
+        let connected = |server: &ServerId| self.connections.has_idle(now, server);
+        self.with_service(service, |balance| balance.choose(now, tried, connected, random))
     }
 
     /// Path of the health page of a service.
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -42,9 +42,6 @@
 /// Pause before a crowded service is looked at again.
 const CROWDED_PAUSE: Duration = Duration::from_millis(20);
 
-/// Idle time after which a connection is not used.
-const MAX_IDLE: Duration = Duration::from_secs(7);
-
 /// Largest body of a health page.
 const MAX_PAGE_BYTES: usize = 16 << 10;
 
@@ -240,7 +237,7 @@
     chosen: &ChosenServer,
 ) -> Result<HttpStream, MeasureError> {
     let now = Instant::now();
-    let idle = context.connections.take(now, &chosen.server, chosen.address, MAX_IDLE);
+    let idle = context.connections.take(now, &chosen.server, chosen.address);
     if let Some(stream) = idle {
         return Ok(stream);
     }
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -33,7 +33,7 @@
 
 fn chosen(balance: &ServiceBalance, now: Instant) -> Option<String> {
     let random = &mut fastrand::Rng::with_seed(7);
-    balance.choose(now, &[], random).map(|chosen| chosen.server.into_string())
+    balance.choose(now, &[], |_| false, random).map(|chosen| chosen.server.into_string())
 }
 
 /// Fills all slots of a server.
@@ -76,12 +76,13 @@
     occupy(&mut balance, "s2");
     let random = &mut fastrand::Rng::with_seed(3);
     for _ in 0..50 {
-        let server = balance.choose(now, &[], random).map(|chosen| chosen.server);
+        let server = balance.choose(now, &[], |_| false, random).map(|chosen| chosen.server);
         assert_eq!(server.as_deref(), Some("s2"));
     }
     let later = now + Duration::from_millis(back_ms);
-    let found = (0..50)
-        .any(|_| balance.choose(later, &[], random).is_some_and(|chosen| *chosen.server == *"s1"));
+    let found = (0..50).any(|_| {
+        balance.choose(later, &[], |_| false, random).is_some_and(|chosen| *chosen.server == *"s1")
+    });
     assert!(found, "the server gets requests again");
 }
 
@@ -137,8 +138,9 @@
     balance.update(now, "e", "a", views.iter());
     occupy(&mut balance, "s2");
     let random = &mut fastrand::Rng::with_seed(1);
-    let found = (0..50)
-        .any(|_| balance.choose(now, &[], random).is_some_and(|chosen| *chosen.server == *"s1"));
+    let found = (0..50).any(|_| {
+        balance.choose(now, &[], |_| false, random).is_some_and(|chosen| *chosen.server == *"s1")
+    });
     assert!(found);
 }
 
@@ -169,10 +171,39 @@
     for entry in 0..40 {
         let mut balance = ServiceBalance::default();
         balance.update(now, &format!("e{entry}"), "a", views.iter());
-        let sends = (0..100).filter_map(|_| balance.choose(now, &[], random));
+        let sends = (0..100).filter_map(|_| balance.choose(now, &[], |_| false, random));
         let own: std::collections::BTreeSet<_> = sends.map(|chosen| chosen.server).collect();
         assert!(own.len() <= 45, "entry {entry} uses {} of 100 servers", own.len());
         all.extend(own);
     }
     assert!(all.len() >= 95, "all entries together use {} of 100 servers", all.len());
 }
+
+/// Guards against a new connection for nearly every request of a large service: an entry uses the
+/// connections that it has, unless their servers are worse.
+#[test]
+fn a_server_with_a_connection_is_preferred_but_not_at_any_cost() {
+    let now = Instant::now();
+    let mut random = fastrand::Rng::with_seed(1);
+    let views: ServerViews = (0..100)
+        .map(|number| (format!("s{number}").into_boxed_str(), view("a", ServerState::Ready, 1)))
+        .collect();
+    let mut balance = balance(now, &views);
+    let few = |server: &Box<str>| server.starts_with("s1");
+    let mut connected = 0;
+    for _ in 0..100 {
+        let chosen = balance.choose(now, &[], few, &mut random).expect("servers are ready");
+        connected += u32::from(few(&chosen.server));
+    }
+    assert!(connected >= 90, "{connected} of 100");
+    for number in 0..100 {
+        let server = format!("s{number}").into_boxed_str();
+        if few(&server) {
+            for _ in 0..4 {
+                balance.begin(&server);
+            }
+        }
+    }
+    let chosen = balance.choose(now, &[], few, &mut random).expect("servers are ready");
+    assert!(!few(&chosen.server), "{} is full", chosen.server);
+}
