Test agreement and membership of a fleet under random schedules

Members crash, freeze, are cut off, lose their disks and are replaced, two at a time, over a network that loses, repeats and delays. Checked: nothing acknowledged is lost, reads cover what was committed, one leader a term, one voter a name.

--- a/tests/consensus/harness.rs
+++ b/tests/consensus/harness.rs
@@ -7,8 +7,8 @@
 use curranthollow::consensus::members::{MemberChange, MemberSet};
 use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, RaftMessage};
 use curranthollow::consensus::node::{Proposal, RestartState};
-use curranthollow::consensus::repair::{JoinRequests, next_change};
-use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role};
+use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role, repair};
+use curranthollow::fleet::placement;
 
 /// Simulated time of one step.
 pub(crate) const STEP: Duration = Duration::from_millis(5);
@@ -22,6 +22,15 @@
     state: RestartState,
 }
 
+/// Rule by which leaders change the member list.
+#[derive(Clone, Copy)]
+enum Placement {
+    /// The list has the names of the formation.
+    Repair,
+    /// As many voters as the losses need, of any names.
+    Fleet { survivable_losses: usize },
+}
+
 /// Content of one `Persist` action.
 type PersistRequest = (u64, Option<HardState>, Option<u64>, Vec<LogEntry>);
 
@@ -35,7 +44,7 @@
     state: Vec<u64>,
     applied: u64,
     snapshot_index: u64,
-    joins: JoinRequests,
+    joins: placement::JoinRequests,
     alive: bool,
     frozen: bool,
 }
@@ -57,6 +66,7 @@
     pub(crate) now: Instant,
     pub(crate) random: fastrand::Rng,
     pub(crate) faults: Faults,
+    placement: Placement,
     members: BTreeMap<u64, Member>,
     wire: Vec<(Instant, RaftMessage)>,
     cuts: BTreeSet<(u64, u64)>,
@@ -89,10 +99,30 @@
 
 impl Cluster {
     pub(crate) fn new(count: u64, seed: u64, faults: Faults) -> Self {
+        Self::form(count, seed, faults, Placement::Repair)
+    }
+
+    /// A fleet that three seeds form; the other members join with empty disks.
+    pub(crate) fn of_fleet(count: u64, seed: u64, faults: Faults) -> Self {
+        let placement = Placement::Fleet { survivable_losses: 2 };
+        let mut cluster = Self::form(3, seed, faults, placement);
+        for id in 4..=count {
+            cluster.add(id);
+        }
+        cluster
+    }
+
+    /// Starts a member with an empty disk.
+    pub(crate) fn add(&mut self, id: u64) {
+        self.start(id, Disk::default());
+    }
+
+    fn form(count: u64, seed: u64, faults: Faults, placement: Placement) -> Self {
         let mut cluster = Self {
             now: Instant::now(),
             random: fastrand::Rng::with_seed(seed),
             faults,
+            placement,
             members: BTreeMap::new(),
             wire: Vec::new(),
             cuts: BTreeSet::new(),
@@ -125,7 +155,7 @@
             state,
             applied,
             snapshot_index: applied,
-            joins: JoinRequests::new(),
+            joins: placement::JoinRequests::new(),
             alive: true,
             frozen: false,
         };
@@ -336,7 +366,16 @@
         if !member.alive || member.frozen {
             return;
         }
-        if let Some(change) = next_change(&member.node, &member.joins) {
+        let change = match self.placement {
+            Placement::Repair => {
+                let joins = member.joins.iter().map(|(name, (id, _))| (name.clone(), *id));
+                repair::next_change(&member.node, &joins.collect())
+            }
+            Placement::Fleet { survivable_losses } => {
+                placement::next_change(&member.node, &member.joins, survivable_losses, self.now)
+            }
+        };
+        if let Some(change) = change {
             self.event(id, RaftEvent::ChangeMembers { request: u64::MAX, change });
             return;
         }
@@ -348,7 +387,7 @@
             return;
         };
         let leader = self.members.get_mut(&leader).expect("the member exists");
-        leader.joins.insert(name, id);
+        leader.joins.insert(name, (id, self.now));
     }
 
     pub(crate) fn change(&mut self, change: MemberChange) {
@@ -381,6 +420,11 @@
         panic!("no payload was committed");
     }
 
+    /// Highest index that any member has committed.
+    pub(crate) fn committed_index(&self) -> u64 {
+        self.committed.keys().next_back().copied().unwrap_or(0)
+    }
+
     /// Checks that `id` holds every acknowledged payload and equals the committed log.
     pub(crate) fn check_complete(&self, id: u64) {
         let state: BTreeSet<u64> = self.members[&id].state.iter().copied().collect();
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -2,6 +2,7 @@
 
 mod behaviour;
 mod faults;
+mod fleet_schedule;
 mod formation;
 mod harness;
 mod rules;
