--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -1,5 +1,7 @@
 //! State of a control member: consensus, replicated state, calls that wait, servers heard.
 
+mod upkeep;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -19,7 +21,7 @@
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshNotice, LinkFrame, LinkMessage};
-use crate::fleet::placement::{self, JoinRequests};
+use crate::fleet::placement::JoinRequests;
 use crate::fleet::state::{FleetCommand, FleetState};
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber};
 use crate::{log_info, log_warn};
@@ -33,9 +35,6 @@
 /// Interval at which followers report servers, and the leader looks for silent ones.
 const REPORT_INTERVAL: Duration = Duration::from_millis(1000);
 
-/// Longest time between two ticks of the consensus.
-const MAX_TICK: Duration = Duration::from_millis(200);
-
 /// Who waits for the outcome of a consensus request.
 enum CallWaiter {
     Local(oneshot::Sender<CallOutcome>),
@@ -78,6 +77,7 @@
     leader_heard: Option<Instant>,
     next_report: Instant,
     entries: u32,
+    started: Instant,
 }
 
 /// Shared handle; borrowed only between two waits.
@@ -124,6 +124,7 @@
             leader_heard: None,
             next_report: now,
             entries: 0,
+            started: now,
         }
     }
 
@@ -156,6 +157,11 @@
         self.revision.subscribe()
     }
 
+    /// Moment at which the core was built.
+    pub fn started(&self) -> Instant {
+        self.started
+    }
+
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
     }
@@ -196,7 +202,7 @@
 
     /// When [`Self::tick`] is due next.
     pub fn next_tick(&self, now: Instant) -> Instant {
-        let due = self.node.next_deadline().min(now + MAX_TICK);
+        let due = self.node.next_deadline().min(self.next_report);
         due.max(now + Duration::from_millis(5))
     }
 
@@ -463,63 +469,4 @@
         }
         self.addresses.get(&member).copied()
     }
-
-    fn place_members(&mut self, now: Instant) {
-        let change = placement::next_change(&self.node, &self.joins, self.survivable_losses, now);
-        let Some(change) = change else { return };
-        self.last_request += 1;
-        let request = self.last_request;
-        self.requests.insert(request, CallWaiter::Nobody);
-        let before = self.node.last_index();
-        self.handle(now, RaftEvent::ChangeMembers { request, change: change.clone() });
-        if self.node.last_index() > before {
-            log_info!("members_changed", "change=\"{}\"", placement::describe(&change));
-        }
-    }
-
-    /// A member that no list has asks the members it knows of.
-    fn ask_to_join(&mut self) {
-        if self.node.members().contains(self.member) {
-            return;
-        }
-        let known = self.node.members().members.values();
-        let mut addresses: Vec<SocketAddr> =
-            known.filter_map(|record| record.name.parse().ok()).collect();
-        addresses.extend(&self.seeds);
-        addresses.sort();
-        addresses.dedup();
-        for address in addresses {
-            if *address.to_string() == *self.name {
-                continue;
-            }
-            self.peers
-                .send(address, &LinkMessage::Join { name: self.name.clone(), member: self.member });
-        }
-    }
-
-    fn report_servers(&mut self, now: Instant) {
-        let unreported = self.heard.take_unreported();
-        if let Some(since) = self.leader_since {
-            return self.propose_silence(now, since);
-        }
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
-        if let Some(leader) = leader
-            && !unreported.is_empty()
-        {
-            self.peers.send(leader, &LinkMessage::Seen(unreported));
-        }
-    }
-
-    fn propose_silence(&mut self, now: Instant, since: Instant) {
-        for command in self.heard.changes(now, since, self.heartbeat, &self.state) {
-            if let FleetCommand::Silent(servers) | FleetCommand::Heard(servers) = &command {
-                let silent = matches!(command, FleetCommand::Silent(_));
-                let (count, first) = (servers.len(), &servers[0].0);
-                log_info!("servers_silent", "silent={silent} count={count} first={first}");
-            }
-            self.last_request += 1;
-            let call = ForwardCall::Propose(command.encode());
-            self.start_call(now, self.last_request, call, CallWaiter::Nobody);
-        }
-    }
 }
--- /dev/null
+++ b/src/fleet/control/core/upkeep.rs
@@ -0,0 +1,72 @@
+//! What a member does at intervals: the member list, join requests, servers that fell silent.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use super::{CallWaiter, ControlCore};
+use crate::consensus::RaftEvent;
+use crate::fleet::link::{ForwardCall, LinkMessage};
+use crate::fleet::placement;
+use crate::fleet::state::FleetCommand;
+use crate::log_info;
+
+impl ControlCore {
+    pub(super) fn place_members(&mut self, now: Instant) {
+        let change = placement::next_change(&self.node, &self.joins, self.survivable_losses, now);
+        let Some(change) = change else { return };
+        self.last_request += 1;
+        let request = self.last_request;
+        self.requests.insert(request, CallWaiter::Nobody);
+        let before = self.node.last_index();
+        self.handle(now, RaftEvent::ChangeMembers { request, change: change.clone() });
+        if self.node.last_index() > before {
+            log_info!("members_changed", "change=\"{}\"", placement::describe(&change));
+        }
+    }
+
+    /// A member that no list has asks the members it knows of.
+    pub(super) fn ask_to_join(&mut self) {
+        if self.node.members().contains(self.member) {
+            return;
+        }
+        let known = self.node.members().members.values();
+        let mut addresses: Vec<SocketAddr> =
+            known.filter_map(|record| record.name.parse().ok()).collect();
+        addresses.extend(&self.seeds);
+        addresses.sort();
+        addresses.dedup();
+        for address in addresses {
+            if *address.to_string() == *self.name {
+                continue;
+            }
+            self.peers
+                .send(address, &LinkMessage::Join { name: self.name.clone(), member: self.member });
+        }
+    }
+
+    pub(super) fn report_servers(&mut self, now: Instant) {
+        let unreported = self.heard.take_unreported();
+        if let Some(since) = self.leader_since {
+            return self.propose_silence(now, since);
+        }
+        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
+        if let Some(leader) = leader
+            && !unreported.is_empty()
+        {
+            self.peers.send(leader, &LinkMessage::Seen(unreported));
+        }
+    }
+
+    fn propose_silence(&mut self, now: Instant, since: Instant) {
+        for command in self.heard.changes(now, since, self.heartbeat, &self.state) {
+            if let FleetCommand::Silent(servers) | FleetCommand::Heard(servers) = &command {
+                let silent = matches!(command, FleetCommand::Silent(_));
+                let (count, first) = (servers.len(), &servers[0].0);
+                log_info!("servers_silent", "silent={silent} count={count} first={first}");
+            }
+            self.last_request += 1;
+            let call = ForwardCall::Propose(command.encode());
+            self.start_call(now, self.last_request, call, CallWaiter::Nobody);
+        }
+    }
+}
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -8,8 +8,9 @@
 
 use super::core::SharedCore;
 use crate::fleet::link::{self, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter};
+use crate::fleet::listener::accept_each;
 use crate::ids::{LogIndex, ProcessName};
-use crate::{log_info, log_warn};
+use crate::log_info;
 
 /// Interval of notices to an entry.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
@@ -20,22 +21,12 @@
 /// An accepted connection that says nothing for this long is closed.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause after a failed accept, for instance without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts links for as long as the process runs.
 pub async fn serve(listener: TcpListener, core: SharedCore) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_link(stream, Rc::clone(&core)));
-            }
-            Err(error) => {
-                log_warn!("accept_failed", "listener=link error=\"{error}\"");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream| {
+        tokio::task::spawn_local(serve_link(stream, Rc::clone(&core)));
+    };
+    accept_each(listener, "link", serve).await;
 }
 
 async fn serve_link(stream: TcpStream, core: SharedCore) {
@@ -81,6 +72,7 @@
 ) -> Result<(), LinkError> {
     let mut changes = core.borrow().subscribe();
     let mut next_notice = Instant::now();
+    let started = core.borrow().started();
     loop {
         let update = core.borrow_mut().update_frame(sent);
         if let Some((to, frame)) = update {
@@ -89,7 +81,7 @@
         }
         let now = Instant::now();
         if now >= next_notice {
-            next_notice = now + NOTICE_INTERVAL;
+            next_notice = common_time(started, now);
             let notice = core.borrow().fresh_notice(now);
             send(&mut writer, link::encode(&LinkMessage::Fresh(notice))).await?;
         }
@@ -103,6 +95,14 @@
     }
 }
 
+/// Next time of notices after `now`. All followers get theirs at the same times, so that a member
+/// with a hundred of them wakes up twice a second.
+fn common_time(started: Instant, now: Instant) -> Instant {
+    let rounds = now.duration_since(started).as_millis() / NOTICE_INTERVAL.as_millis();
+    let rounds = u32::try_from(rounds + 1).unwrap_or(u32::MAX);
+    started + NOTICE_INTERVAL * rounds
+}
+
 async fn send(writer: &mut LinkWriter, frame: LinkFrame) -> Result<(), LinkError> {
     timeout(SEND_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)?
 }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -43,8 +43,8 @@
 /// lost too serve nothing until a leader is elected.
 const FIRST_ELECTION_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Interval of the leader's heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval of the leader's heartbeats: three within the shortest election timeout.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(220);
 
 /// Pause before a data folder that cannot be opened is tried again.
 const OPEN_INTERVAL: Duration = Duration::from_millis(300);
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -12,6 +12,7 @@
 use crate::fleet::dialect::{OperatorCall, WireDialect};
 use crate::fleet::document::RouteDocument;
 use crate::fleet::link::{self, CallOutcome};
+use crate::fleet::listener::accept_each;
 use crate::fleet::state::FleetCommand;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
@@ -27,9 +28,6 @@
 /// Connections that are open at the same time.
 const MAX_CONNECTIONS: usize = 1500;
 
-/// Pause after a failed accept, for instance without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Pause before a read looks again whether the own state has reached the confirmed index.
 const APPLY_PAUSE: Duration = Duration::from_millis(10);
 
@@ -55,23 +53,14 @@
 
     /// Accepts connections for as long as the process runs.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
-                Err(error) => {
-                    log_warn!("accept_failed", "listener=operator error=\"{error}\"");
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            if Rc::strong_count(&self) > MAX_CONNECTIONS
-                || link::prepare_socket(&stream, link::USER_TIMEOUT).is_err()
-            {
-                continue;
+        let serve = |stream| {
+            let room = Rc::strong_count(&self) <= MAX_CONNECTIONS;
+            if room && link::prepare_socket(&stream, link::USER_TIMEOUT).is_ok() {
+                let service = Rc::clone(&self);
+                tokio::task::spawn_local(async move { service.serve_connection(stream).await });
             }
-            let service = Rc::clone(&self);
-            tokio::task::spawn_local(async move { service.serve_connection(stream).await });
-        }
+        };
+        accept_each(listener, "operator", serve).await;
     }
 
     async fn serve_connection(&self, stream: TcpStream) {
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -7,7 +7,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
 
 use super::context::{EntryContext, EntryPhase};
 use super::metrics::GaugeGuard;
@@ -15,9 +14,10 @@
 use super::relay::{ConnectionEnd, relay, write_own};
 use super::request::{self, CallerAnswer, CallerRequest, OwnAnswer};
 use crate::fleet::link;
+use crate::fleet::listener::accept_each;
 use crate::fleet::stream::HttpStream;
 use crate::http::HttpError;
-use crate::{log_info, log_warn};
+use crate::log_info;
 
 /// Bytes of further requests that are kept while one is processed.
 const PIPELINE_BYTES: usize = 64 << 10;
@@ -29,26 +29,15 @@
 /// their data waits behind others' on a slow line.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Pause after a failed accept, for instance without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Accepts callers for as long as the process runs.
 pub async fn serve(listener: TcpListener, context: Rc<EntryContext>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if link::prepare_socket(&stream, CALLER_TIMEOUT).is_err() {
-                    continue;
-                }
-                let context = Rc::clone(&context);
-                tokio::task::spawn_local(async move { serve_connection(&context, stream).await });
-            }
-            Err(error) => {
-                log_warn!("accept_failed", "listener=traffic error=\"{error}\"");
-                sleep(ACCEPT_PAUSE).await;
-            }
+    let serve = |stream| {
+        if link::prepare_socket(&stream, CALLER_TIMEOUT).is_ok() {
+            let context = Rc::clone(&context);
+            tokio::task::spawn_local(async move { serve_connection(&context, stream).await });
         }
-    }
+    };
+    accept_each(listener, "traffic", serve).await;
 }
 
 async fn serve_connection(context: &Rc<EntryContext>, stream: TcpStream) {
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 
 use super::context::EntryContext;
 use crate::fleet::link::{self, LinkError, LinkMessage};
@@ -23,7 +23,7 @@
 /// A member that has not heard of a leader for this long is behind.
 const LEADER_AGE: Duration = Duration::from_millis(1200);
 
-/// Interval at which the set of links is looked at.
+/// Interval at which the set of links is looked at while there are too few.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for the first state. A member that has one sends it within some tens of milliseconds.
@@ -45,6 +45,7 @@
     failed: RefCell<BTreeMap<SocketAddr, Instant>>,
     had_fresh: RefCell<bool>,
     first_state: watch::Sender<FirstState>,
+    link_ended: Notify,
 }
 
 /// Whether a member was asked for a complete state, and whether one arrived.
@@ -65,6 +66,7 @@
             failed: RefCell::default(),
             had_fresh: RefCell::new(false),
             first_state: watch::Sender::new(FirstState::Unasked),
+            link_ended: Notify::new(),
         })
     }
 
@@ -81,9 +83,19 @@
                 tokio::task::spawn_local(Rc::clone(&self).run_link(address));
             }
             self.note_freshness(now);
-            let pause = if self.is_fresh(now) { REVIEW_INTERVAL } else { LOST_REDIAL_PAUSE };
-            sleep(pause).await;
-            PROCESS_METRICS.note_timer(now + pause, Instant::now());
+            let pause = self.review_pause(now);
+            // The end of a link is a reason to look at once; with enough links nothing else is.
+            if timeout(pause, self.link_ended.notified()).await.is_err() {
+                PROCESS_METRICS.note_timer(now + pause, Instant::now());
+            }
+        }
+    }
+
+    fn review_pause(&self, now: Instant) -> Duration {
+        match self.fresh_members(now) {
+            0 => LOST_REDIAL_PAUSE,
+            FOLLOWED_MEMBERS.. => SILENCE_TIMEOUT,
+            _ => REVIEW_INTERVAL,
         }
     }
 
@@ -132,6 +144,7 @@
         let error = self.follow(address).await.err();
         self.links.borrow_mut().remove(&address);
         self.failed.borrow_mut().insert(address, Instant::now());
+        self.link_ended.notify_one();
         if let Some(error) = error
             && !matches!(error, LinkError::ConnectTimeout | LinkError::Io(_))
         {
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -23,9 +23,10 @@
 use self::follow::FleetFollower;
 use super::config::{EntryConfig, FleetConfig};
 use super::dialect::WireDialect;
+use super::listener::accept_each;
 use super::stream::HttpStream;
 use crate::http::{HttpLimits, RequestHead};
-use crate::{log_info, log_warn};
+use crate::log_info;
 
 /// Time that callers need to learn that a stopping entry takes no new connections.
 const REFUSAL_SPREAD: Duration = Duration::from_millis(2500);
@@ -36,9 +37,6 @@
 /// Interval at which a stopping entry looks whether it is idle.
 const STOP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Pause after a failed accept, for instance without free descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Why an entry cannot run.
 #[derive(Debug, Error)]
 #[error("cannot listen on {address}: {error}")]
@@ -106,18 +104,11 @@
 
 /// Answers the balancer's question whether this entry takes new connections.
 async fn serve_readiness(listener: TcpListener, context: Rc<EntryContext>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let context = Rc::clone(&context);
-                tokio::task::spawn_local(async move { answer_readiness(&context, stream).await });
-            }
-            Err(error) => {
-                log_warn!("accept_failed", "listener=readiness error=\"{error}\"");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let serve = |stream| {
+        let context = Rc::clone(&context);
+        tokio::task::spawn_local(async move { answer_readiness(&context, stream).await });
+    };
+    accept_each(listener, "readiness", serve).await;
 }
 
 async fn answer_readiness(context: &EntryContext, stream: TcpStream) {
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use thiserror::Error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
@@ -16,6 +16,7 @@
 use super::dialect::WireDialect;
 use super::entry::{EntryError, EntryProcess};
 use super::event_log;
+use super::listener::accept_each;
 use super::stream::HttpStream;
 use crate::http::HttpLimits;
 use crate::{log_info, log_warn};
@@ -139,28 +140,30 @@
             return;
         }
     };
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(START_INTERVAL).await;
-            continue;
-        };
-        let mut stream = HttpStream::new(stream);
-        let limits = HttpLimits::default();
-        let read = timeout(limits.head_timeout, stream.read_request(&limits)).await;
-        if !matches!(read, Ok(Ok(Some(_)))) {
-            continue;
-        }
-        let text = match &*role {
-            RunningRole::Entry(entry) => entry.metrics(),
-            RunningRole::Control(control) => control.metrics(),
-        };
-        let head = format!(
-            "HTTP/1.1 200 OK\r\ncontent-type: application/openmetrics-text\r\n\
-             content-length: {}\r\nconnection: close\r\n\r\n",
-            text.len()
-        );
-        if stream.write((head + &text).as_bytes()).await.is_ok() {
-            stream.close().await;
-        }
+    let serve = |stream| {
+        let role = Rc::clone(&role);
+        tokio::task::spawn_local(async move { answer_metrics(&role, stream).await });
+    };
+    accept_each(listener, "metrics", serve).await;
+}
+
+async fn answer_metrics(role: &RunningRole, stream: TcpStream) {
+    let mut stream = HttpStream::new(stream);
+    let limits = HttpLimits::default();
+    let read = timeout(limits.head_timeout, stream.read_request(&limits)).await;
+    if !matches!(read, Ok(Ok(Some(_)))) {
+        return;
+    }
+    let text = match role {
+        RunningRole::Entry(entry) => entry.metrics(),
+        RunningRole::Control(control) => control.metrics(),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: application/openmetrics-text\r\n\
+         content-length: {}\r\nconnection: close\r\n\r\n",
+        text.len()
+    );
+    if stream.write((head + &text).as_bytes()).await.is_ok() {
+        stream.close().await;
     }
 }
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -7,6 +7,7 @@
 use curranthollow::fleet::balance::{SendOutcome, ServiceBalance};
 use curranthollow::fleet::dialect::ToldLoad;
 use curranthollow::fleet::update::ServerView;
+use curranthollow::ids::ServerId;
 use yare::parameterized;
 
 type ServerViews = BTreeMap<Box<str>, ServerView>;
@@ -189,7 +190,7 @@
         .map(|number| (format!("s{number}").into_boxed_str(), view("a", ServerState::Ready, 1)))
         .collect();
     let mut balance = balance(now, &views);
-    let few = |server: &Box<str>| server.starts_with("s1");
+    let few = |server: &ServerId| server.starts_with("s1");
     let mut connected = 0;
     for _ in 0..100 {
         let chosen = balance.choose(now, &[], few, &mut random).expect("servers are ready");
--- a/tests/fleet_process/blocked_log.rs
+++ b/tests/fleet_process/blocked_log.rs
@@ -3,11 +3,15 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::harness::{call, free_address, new_folder, wait_for};
+use crate::harness::{call, exchange, free_address, new_folder, split, wait_for};
 
 /// Requests whose log lines are several times what a pipe holds.
 const REQUESTS: usize = 1500;
 
+/// A request that does not wait for the first document.
+const HASTY: &str = "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r\r\n\
+                     x-request-deadline: 1\r\nconnection: close\r\n\r\n";
+
 /// Longest time for one answer; a write to the full pipe would wait for ever.
 const ANSWER_TIME: Duration = Duration::from_secs(5);
 
@@ -28,7 +32,8 @@
     wait_for("the entry to listen", || call(traffic, "GET", "/read/1", "").0 == 503);
     for number in 0..REQUESTS {
         let started = Instant::now();
-        assert_eq!(call(traffic, "GET", "/read/1", "").0, 503, "request {number}");
+        let answer = exchange(traffic, HASTY.as_bytes()).expect("the entry answers");
+        assert_eq!(split(&answer).0, 503, "request {number}");
         assert!(started.elapsed() < ANSWER_TIME, "request {number} waited");
     }
     child.kill().expect("the process runs");
