--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -1,8 +1,9 @@
 //! What an entry answers, with real members and scripted servers on loopback.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
 
 use yare::parameterized;
 
@@ -240,3 +241,45 @@
     assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
     drop(fleet);
 }
+
+/// Server that answers health pages only, and tells how long after a request its connection ended.
+fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let (sender, ends) = mpsc::channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                let mut bytes = [0; 4096];
+                let mut asked = None;
+                while let Ok(count) = stream.read(&mut bytes)
+                    && count > 0
+                {
+                    if bytes.starts_with(b"GET /health") {
+                        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+                    } else {
+                        asked = Some(Instant::now());
+                    }
+                }
+                let _ = asked.map(|asked| sender.send(asked.elapsed()));
+            });
+        }
+    });
+    (address, ends)
+}
+
+/// Guards against servers that work on for a caller that has left: what may be given up is.
+#[test]
+fn a_caller_that_leaves_ends_its_read() {
+    let (server, ends) = silent_server();
+    let system = TestSystem::start(&[server]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    let text = "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\n\r\n";
+    stream.write_all(text.as_bytes()).expect("the entry reads");
+    std::thread::sleep(Duration::from_millis(300));
+    drop(stream);
+    let worked = ends.recv_timeout(PATIENCE).expect("the connection to the server ends");
+    // The route's timeout of 2 s would end it, too.
+    assert!(worked < Duration::from_millis(1500), "the server worked for {worked:?}");
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,4 +6,5 @@
 mod entry;
 mod harness;
 mod members;
+mod routes;
 mod state;
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -210,3 +210,36 @@
     let time = Duration::from_secs_f64(frame.len() as f64 * 8.0 / SLOWEST_LINE);
     assert!(time <= UPDATE_TIME, "{} bytes take {time:?}", frame.len());
 }
+
+/// Guards against frames of a broken or foreign peer that panic the process which reads them, or
+/// the state to which they are applied.
+#[test]
+fn malformed_frames_are_errors() {
+    let mut state = state_after([announce("s", said(1, Ready, 1, 1))]);
+    let document = RouteDocument { version: 3, ..RouteDocument::default() };
+    state.apply(2, FleetCommand::PutDocument { document: Box::new(document), text: vec![1] });
+    let messages = [
+        LinkMessage::Follow { name: "e".into(), revision: 7 },
+        LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9 },
+        LinkMessage::Seen(vec![("s".into(), 1)]),
+        LinkMessage::Update(state.update_since(0)),
+        LinkMessage::Update(state.update_since(1)),
+    ];
+    let mut random = fastrand::Rng::with_seed(17);
+    for message in &messages {
+        let sound = link::encode(message);
+        for _ in 0..2000 {
+            let mut bytes = sound.to_vec();
+            for _ in 0..random.usize(1..4) {
+                let place = random.usize(0..bytes.len());
+                bytes[place] = random.u8(..);
+            }
+            bytes.truncate(random.usize(0..=bytes.len()));
+            // Either outcome is right; only a panic is not.
+            let decoded = ciborium::from_reader::<LinkMessage, _>(&bytes[..]);
+            if let Ok(LinkMessage::Update(update)) = decoded {
+                FollowedState::default().apply(update);
+            }
+        }
+    }
+}
