Let one piece of code serve where the fleet's code had two

Found by reading the whole change; behaviour stays. Whether a document is in force follows from the route table, which waiting requests now watch. Both dialects supply the paths of their calls as data, and the trait matches them; adding a route and its check stand in the document. The connection store decides whether a connection may be used again, for health pages and responses alike; the load that a response tells and the end of a send are noted in one place each. Requests in process are counted with the guard of the gauges. One function listens, with one error. An update copies the document's head only if it is sent.

Two tests of the callers share their request; all assertions are the same.

--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -17,7 +17,6 @@
 use prometheus_client::metrics::histogram::Histogram;
 use sha2::{Digest, Sha256};
 use thiserror::Error;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until};
 
@@ -27,6 +26,7 @@
 use self::peers::PeerLinks;
 use super::config::{ControlConfig, FleetConfig};
 use super::dialect::WireDialect;
+use super::listener::{ListenError, listen};
 use super::process_metrics::PROCESS_METRICS;
 use super::state::{FleetState, StateError};
 use crate::consensus::members::MemberSet;
@@ -55,8 +55,8 @@
 /// Why a control member cannot run.
 #[derive(Debug, Error)]
 pub enum ControlError {
-    #[error("cannot listen on {address}: {error}")]
-    Listen { address: SocketAddr, error: std::io::Error },
+    #[error(transparent)]
+    Listen(#[from] ListenError),
     #[error("the snapshot in the data folder cannot be used: {0}")]
     Snapshot(#[from] StateError),
 }
@@ -103,10 +103,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, ControlError> {
-    TcpListener::bind(address).await.map_err(|error| ControlError::Listen { address, error })
-}
-
 /// Opens the data folder; a disk that refuses is tried again until it works.
 async fn open_disk(config: &FleetConfig, control: &ControlConfig) -> OpenedDisk {
     loop {
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -23,6 +23,15 @@
     pub not_run: &'static str,
 }
 
+/// Paths of the calls that a process answers itself.
+#[derive(Debug, Clone, Copy)]
+pub struct CallPaths {
+    pub readiness: &'static str,
+    pub document: &'static str,
+    /// The id of a server follows.
+    pub servers: &'static str,
+}
+
 /// Call on the operator's address of a control member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorCall {
@@ -37,11 +46,25 @@
 pub trait WireDialect: 'static {
     fn headers(&self) -> &HeaderNames;
 
+    fn paths(&self) -> &CallPaths;
+
     /// Whether this is the readiness question of the balancer in front.
-    fn is_readiness(&self, method: &str, path: &str) -> bool;
+    fn is_readiness(&self, method: &str, path: &str) -> bool {
+        method == "GET" && path == self.paths().readiness
+    }
 
     /// Recognises a call by method and path.
-    fn operator_call(&self, method: &str, path: &str) -> OperatorCall;
+    fn operator_call(&self, method: &str, path: &str) -> OperatorCall {
+        let paths = self.paths();
+        let server = path.strip_prefix(paths.servers).filter(|server| !server.is_empty());
+        match (method, server) {
+            ("PUT", _) if path == paths.document => OperatorCall::PutDocument,
+            ("GET", _) if path == paths.document => OperatorCall::GetDocument,
+            ("PUT", Some(server)) => OperatorCall::Announce(server.into()),
+            ("DELETE", Some(server)) => OperatorCall::Leave(server.into()),
+            _ => OperatorCall::Unknown,
+        }
+    }
 
     /// Decodes a settings document; the result is not yet checked.
     fn parse_document(&self, body: &[u8]) -> Result<RouteDocument, DocumentError>;
--- a/src/fleet/document.rs
+++ b/src/fleet/document.rs
@@ -98,6 +98,15 @@
 }
 
 impl RouteDocument {
+    /// Adds a route; another one must not have the same host and prefix.
+    pub fn add_route(&mut self, key: RouteKey, rule: RouteRule) -> Result<(), DocumentError> {
+        let name = rule.name.clone();
+        match self.routes.insert(key, rule) {
+            Some(_) => Err(DocumentError::DuplicateRoute(name)),
+            None => Ok(()),
+        }
+    }
+
     /// Checks the rules that concern several fields.
     pub fn check(&self) -> Result<(), DocumentError> {
         for ((_, prefix), rule) in &self.routes {
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -162,7 +162,7 @@
         let keep = request.head.keep_alive();
         // A connection that ends takes no further request whose answer would be lost.
         self.last |= !keep || self.context.is_stopping();
-        let active = ActiveRequest::new(&self.context);
+        let active = GaugeGuard::new(self.context.active_requests.clone());
         let context = Rc::clone(&self.context);
         let task = tokio::task::spawn_local(async move {
             let answer = request::process(&context, request).await;
@@ -174,7 +174,7 @@
 
     async fn answer(&mut self, answer: CallerAnswer) -> Result<(), ConnectionEnd> {
         let Some(running) = self.running.pop_front() else { return Ok(()) };
-        let _active = ActiveRequest::new(&self.context);
+        let _active = GaugeGuard::new(self.context.active_requests.clone());
         self.last |= self.context.is_stopping() && self.waiting.is_none();
         let ends = self.last && self.running.is_empty() && self.waiting.is_none();
         let keep = running.keep && !ends;
@@ -215,22 +215,6 @@
     }
 }
 
-/// Counts a request until its answer has left.
-struct ActiveRequest(Rc<EntryContext>);
-
-impl ActiveRequest {
-    fn new(context: &Rc<EntryContext>) -> Self {
-        context.active_requests.set(context.active_requests.get() + 1);
-        Self(Rc::clone(context))
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.0.active_requests.set(self.0.active_requests.get() - 1);
-    }
-}
-
 async fn refuse_malformed(
     context: &EntryContext,
     stream: &mut HttpStream,
--- a/src/fleet/entry/connections.rs
+++ b/src/fleet/entry/connections.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::stream::{HttpStream, IdleState};
+use crate::http::ResponseHead;
 use crate::ids::ServerId;
 
 /// Idle connections to one server; more would take the share of other entries.
@@ -45,21 +46,25 @@
         None
     }
 
-    /// Keeps a connection; `timeout` is the server's own idle timeout.
+    /// Keeps a connection whose last response was whole and had this head, if it may be used again.
     pub fn put(
         &self,
         now: Instant,
         server: &ServerId,
         address: SocketAddr,
         stream: HttpStream,
-        timeout: Option<Duration>,
+        head: &ResponseHead,
     ) {
+        if !head.keep_alive() || !stream.buffered().is_empty() {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(server.clone()).or_default();
         if connections.len() >= MAX_IDLE {
             connections.remove(0);
         }
-        let kept = timeout.map_or(DEFAULT_IDLE, |timeout| timeout.mul_f64(USED_PART));
+        let kept = head.keep_alive_timeout();
+        let kept = kept.map_or(DEFAULT_IDLE, |timeout| timeout.mul_f64(USED_PART));
         connections.push(IdleConnection { stream, address, until: now + kept });
     }
 
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -3,22 +3,24 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
 use super::connections::ConnectionStore;
 use super::follow::FOLLOWED_MEMBERS;
 use super::metrics::EntryMetrics;
-use crate::fleet::balance::{ChosenServer, ServiceBalance};
+use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalance};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
-use crate::fleet::dialect::WireDialect;
+use crate::fleet::dialect::{ToldLoad, WireDialect};
 use crate::fleet::document::CallerLimits;
 use crate::fleet::link::FreshNotice;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::update::{FleetUpdate, FollowedState};
+use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
 use crate::log_info;
 
@@ -39,11 +41,11 @@
     pub phase: watch::Sender<EntryPhase>,
     pub connections: ConnectionStore,
     pub metrics: EntryMetrics,
-    pub active_requests: Cell<u32>,
+    /// Requests whose answers have not left yet.
+    pub active_requests: Gauge,
     pub state: RefCell<FollowedState>,
     pub random: RefCell<fastrand::Rng>,
-    table: RefCell<Option<Rc<RouteTable>>>,
-    has_document: watch::Sender<bool>,
+    table: watch::Sender<Option<Rc<RouteTable>>>,
     services: RefCell<BTreeMap<ServiceName, ServiceBalance>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entries: Cell<u32>,
@@ -63,11 +65,10 @@
             phase: watch::Sender::new(EntryPhase::Serving),
             connections: ConnectionStore::default(),
             metrics: EntryMetrics::default(),
-            active_requests: Cell::new(0),
+            active_requests: Gauge::default(),
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
-            table: RefCell::default(),
-            has_document: watch::Sender::new(false),
+            table: watch::Sender::default(),
             services: RefCell::default(),
             budgets: RefCell::default(),
             // Before a member tells the number, a share of a large fleet is assumed.
@@ -87,9 +88,9 @@
 
     /// Waits until the first document is in force, or until `end`.
     pub async fn wait_for_table(&self, end: Instant) {
-        let mut installed = self.has_document.subscribe();
+        let mut table = self.table.subscribe();
         // The sender lives as long as the context.
-        let _ = timeout_at(end.into(), installed.wait_for(|installed| *installed)).await;
+        let _ = timeout_at(end.into(), table.wait_for(Option::is_some)).await;
     }
 
     /// Limits on callers that are in force.
@@ -139,6 +140,36 @@
         self.with_service(service, |balance| balance.choose(now, tried, connected, random))
     }
 
+    /// Counts the end of a send; returns whether the server is left alone from now on.
+    pub fn end_send(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        server: &ServerId,
+        outcome: SendOutcome,
+        elapsed: Duration,
+    ) -> bool {
+        let closed =
+            self.with_service(service, |balance| balance.end(now, server, outcome, elapsed));
+        if closed {
+            self.metrics.note_closure(service);
+        }
+        closed
+    }
+
+    /// Notes the load that `head`, a response of `server`, tells.
+    pub fn note_load(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        server: &ServerId,
+        head: &ResponseHead,
+    ) -> Option<ToldLoad> {
+        let told = ToldLoad::parse(head.headers.get_str(self.dialect.headers().load)?)?;
+        self.with_service(service, |balance| balance.note_load(now, server, told));
+        Some(told)
+    }
+
     /// Path of the health page of a service.
     pub fn health_path(&self, service: &ServiceName) -> Option<Box<str>> {
         let table = self.table.borrow();
@@ -179,8 +210,7 @@
                 state.revision()
             );
             self.metrics.document_version.set(document.version as i64);
-            *self.table.borrow_mut() = Some(Rc::new(RouteTable::of(document)));
-            self.has_document.send_replace(true);
+            self.table.send_replace(Some(Rc::new(RouteTable::of(document))));
         }
         if servers {
             self.install_servers(now, &state);
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -17,7 +17,7 @@
 use crate::fleet::dialect::ToldLoad;
 use crate::fleet::link;
 use crate::fleet::stream::HttpStream;
-use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits};
+use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 
 /// A load that was told within this time is not asked for again.
@@ -158,13 +158,8 @@
         MeasureError::Timeout => SendOutcome::Unanswered,
         _ => SendOutcome::Unreachable,
     };
-    let closed = context.with_service(service, |balance| {
-        balance.begin(&chosen.server);
-        balance.end(now, &chosen.server, outcome, Duration::ZERO)
-    });
-    if closed {
-        context.metrics.note_closure(service);
-    }
+    context.with_service(service, |balance| balance.begin(&chosen.server));
+    let closed = context.end_send(now, service, &chosen.server, outcome, Duration::ZERO);
     crate::log_routine!(
         "server_unreachable",
         "service={service} server={} closed={closed} error=\"{error}\"",
@@ -183,31 +178,23 @@
     context.metrics.note_send(service, "measured");
     let question = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", chosen.address);
     let asked = ask(context, &mut stream, &question, chosen);
-    let answer = timeout(MEASURE_TIMEOUT, asked).await.map_err(|_| MeasureError::Timeout)??;
+    let answer = timeout(MEASURE_TIMEOUT, asked).await;
+    let (head, whole) = answer.map_err(|_| MeasureError::Timeout)??;
     let now = Instant::now();
-    if let Some(told) = answer.told {
-        context.with_service(service, |balance| balance.note_load(now, &chosen.server, told));
-    }
-    if answer.keep {
-        let address = chosen.address;
-        context.connections.put(now, &chosen.server, address, stream, answer.idle_timeout);
+    let told = context.note_load(now, service, &chosen.server, &head);
+    if whole {
+        context.connections.put(now, &chosen.server, chosen.address, stream, &head);
     }
-    Ok(answer.told)
-}
-
-/// What a health page told.
-struct HealthAnswer {
-    told: Option<ToldLoad>,
-    keep: bool,
-    idle_timeout: Option<Duration>,
+    Ok(told)
 }
 
+/// Asks for the health page; returns its head and whether its body was read whole.
 async fn ask(
     context: &EntryContext,
     stream: &mut HttpStream,
     question: &str,
     chosen: &ChosenServer,
-) -> Result<HealthAnswer, MeasureError> {
+) -> Result<(ResponseHead, bool), MeasureError> {
     let names = context.dialect.headers();
     stream.write(question.as_bytes()).await.map_err(HttpError::from)?;
     let head = stream.read_response(&HttpLimits::default()).await?;
@@ -223,11 +210,7 @@
     if server.is_some_and(|server| server != chosen.server.as_bytes()) {
         return Err(MeasureError::OtherServer);
     }
-    Ok(HealthAnswer {
-        told: head.headers.get_str(names.load).and_then(ToldLoad::parse),
-        keep: whole && head.keep_alive() && stream.buffered().is_empty(),
-        idle_timeout: head.keep_alive_timeout(),
-    })
+    Ok((head, whole))
 }
 
 /// Takes an idle connection to the server, or opens one.
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -15,7 +15,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
@@ -23,7 +22,7 @@
 use self::follow::FleetFollower;
 use super::config::{EntryConfig, FleetConfig};
 use super::dialect::WireDialect;
-use super::listener::accept_each;
+use super::listener::{ListenError, accept_each, listen};
 use super::stream::HttpStream;
 use crate::http::{HttpLimits, RequestHead};
 use crate::log_info;
@@ -37,14 +36,6 @@
 /// Interval at which a stopping entry looks whether it is idle.
 const STOP_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Why an entry cannot run.
-#[derive(Debug, Error)]
-#[error("cannot listen on {address}: {error}")]
-pub struct EntryError {
-    pub address: SocketAddr,
-    pub error: std::io::Error,
-}
-
 /// Running entry.
 pub struct EntryProcess {
     context: Rc<EntryContext>,
@@ -57,7 +48,7 @@
         config: &FleetConfig,
         entry: &EntryConfig,
         dialect: Rc<dyn WireDialect>,
-    ) -> Result<Self, EntryError> {
+    ) -> Result<Self, ListenError> {
         let context = EntryContext::new(config, entry, dialect);
         let traffic = listen(entry.traffic).await?;
         let readiness = listen(entry.readiness).await?;
@@ -98,10 +89,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, EntryError> {
-    TcpListener::bind(address).await.map_err(|error| EntryError { address, error })
-}
-
 /// Answers the balancer's question whether this entry takes new connections.
 async fn serve_readiness(listener: TcpListener, context: Rc<EntryContext>) {
     let serve = |stream| {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -9,7 +9,6 @@
 use super::context::EntryContext;
 use super::measure::{self, CrowdedChoice, LookCounts, MeasureError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
-use crate::fleet::dialect::ToldLoad;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -181,16 +180,14 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let elapsed = now.duration_since(self.started);
-        let closed = self.context.with_service(&self.service, |balance| {
+        self.context.with_service(&self.service, |balance| {
             let slow = balance.mean_latency().is_some_and(|mean| elapsed > mean);
             if self.outcome == SendOutcome::Abandoned && slow {
                 // The response would have come later still.
                 balance.note_latency(now, &self.server, elapsed);
             }
-            balance.end(now, &self.server, self.outcome, elapsed)
         });
-        if closed {
-            self.context.metrics.note_closure(&self.service);
+        if self.context.end_send(now, &self.service, &self.server, self.outcome, elapsed) {
             crate::log_routine!(
                 "server_closed",
                 "service={} server={} outcome={:?}",
@@ -248,13 +245,7 @@
     // From here on the server may have the request.
     let whole = stream.write_unanswered(&bytes).await.map_err(HttpError::from)?;
     let head = read_own_head(context, request, &mut stream, &limits).await?;
-    let now = Instant::now();
-    let names = context.dialect.headers();
-    if let Some(told) = head.headers.get_str(names.load).and_then(ToldLoad::parse) {
-        context.with_service(&request.service, |balance| {
-            balance.note_load(now, &chosen.server, told);
-        });
-    }
+    context.note_load(Instant::now(), &request.service, &chosen.server, &head);
     check_head(context, &head)?;
     let framing = match BodyFraming::of_response(&request.method, &head) {
         Ok(framing) => Some(framing),
@@ -279,7 +270,7 @@
         return Ok(ServerResponse { head, body, server });
     }
     if whole && framing.is_some() {
-        keep_connection(context, chosen, &head, stream);
+        context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
     Ok(ServerResponse { head, body: ServerBody::Whole(held), server })
 }
@@ -334,17 +325,3 @@
     }
     Ok(())
 }
-
-fn keep_connection(
-    context: &EntryContext,
-    chosen: &ChosenServer,
-    head: &ResponseHead,
-    stream: HttpStream,
-) {
-    if !head.keep_alive() || !stream.buffered().is_empty() {
-        return;
-    }
-    let timeout = head.keep_alive_timeout();
-    let address = chosen.address;
-    context.connections.put(Instant::now(), &chosen.server, address, stream, timeout);
-}
--- a/src/fleet/listener.rs
+++ b/src/fleet/listener.rs
@@ -1,7 +1,9 @@
 //! Listening sockets of a fleet process.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -10,6 +12,18 @@
 /// Pause after a failed accept, for instance without free descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// An address at which a process cannot listen.
+#[derive(Debug, Error)]
+#[error("cannot listen on {address}: {error}")]
+pub struct ListenError {
+    pub address: SocketAddr,
+    pub error: std::io::Error,
+}
+
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, ListenError> {
+    TcpListener::bind(address).await.map_err(|error| ListenError { address, error })
+}
+
 /// Gives each accepted connection to `serve` for as long as the process runs; `name` is for logs.
 pub async fn accept_each(listener: TcpListener, name: &str, mut serve: impl FnMut(TcpStream)) {
     loop {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 pub mod event_log;
 pub mod file;
 pub mod link;
-mod listener;
+pub mod listener;
 pub mod native;
 pub mod placement;
 pub mod process;
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use super::announcement::{AnnouncementError, IncarnationStart, ServerAnnouncement, ServerState};
-use super::dialect::{HeaderNames, OperatorCall, WireDialect};
+use super::dialect::{CallPaths, HeaderNames, WireDialect};
 use super::document::{
     CallerLimits, DocumentError, Repetition, RouteDocument, RouteRule, ServiceRule,
 };
@@ -22,9 +22,11 @@
     not_run: "x-not-run",
 };
 
-const READINESS_PATH: &str = "/.curranthollow/ready";
-const DOCUMENT_PATH: &str = "/.curranthollow/document";
-const SERVER_PREFIX: &str = "/.curranthollow/servers/";
+const PATHS: CallPaths = CallPaths {
+    readiness: "/.curranthollow/ready",
+    document: "/.curranthollow/document",
+    servers: "/.curranthollow/servers/",
+};
 
 /// Dialect of the project itself.
 #[derive(Debug, Clone, Copy)]
@@ -89,19 +91,8 @@
         &HEADERS
     }
 
-    fn is_readiness(&self, method: &str, path: &str) -> bool {
-        method == "GET" && path == READINESS_PATH
-    }
-
-    fn operator_call(&self, method: &str, path: &str) -> OperatorCall {
-        let server = path.strip_prefix(SERVER_PREFIX).filter(|server| !server.is_empty());
-        match (method, path, server) {
-            ("PUT", DOCUMENT_PATH, _) => OperatorCall::PutDocument,
-            ("GET", DOCUMENT_PATH, _) => OperatorCall::GetDocument,
-            ("PUT", _, Some(server)) => OperatorCall::Announce(server.into()),
-            ("DELETE", _, Some(server)) => OperatorCall::Leave(server.into()),
-            _ => OperatorCall::Unknown,
-        }
+    fn paths(&self) -> &CallPaths {
+        &PATHS
     }
 
     fn parse_document(&self, body: &[u8]) -> Result<RouteDocument, DocumentError> {
@@ -125,10 +116,7 @@
         };
         for route in text.routes {
             let key = (route.host.clone(), route.prefix.clone());
-            let name = route.name.clone();
-            if document.routes.insert(key, route.into_rule()).is_some() {
-                return Err(DocumentError::DuplicateRoute(name));
-            }
+            document.add_route(key, route.into_rule())?;
         }
         Ok(document)
     }
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -14,9 +14,9 @@
 use super::config::{FleetConfig, FleetRole};
 use super::control::{ControlError, ControlProcess};
 use super::dialect::WireDialect;
-use super::entry::{EntryError, EntryProcess};
+use super::entry::EntryProcess;
 use super::event_log;
-use super::listener::accept_each;
+use super::listener::{ListenError, accept_each};
 use super::stream::HttpStream;
 use crate::http::HttpLimits;
 use crate::{log_info, log_warn};
@@ -35,7 +35,7 @@
     #[error(transparent)]
     Control(#[from] ControlError),
     #[error(transparent)]
-    Entry(#[from] EntryError),
+    Entry(#[from] ListenError),
 }
 
 /// Reads the config again; `None` when it cannot be used.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -236,10 +236,12 @@
         let rule_of = |key: &RouteKey| -> Option<(RouteKey, RouteRule)> {
             Some((key.clone(), self.document.routes.get(key)?.clone()))
         };
-        let removed = self.removed_routes.iter().filter(|(_, changed)| **changed > since);
+        // A complete update replaces everything, so what is not in it needs no mention.
+        let removed =
+            self.removed_routes.iter().filter(|(_, changed)| !complete && **changed > since);
         let servers = self.servers.iter().filter(|(_, record)| record.changed > since);
-        let left = self.left.iter().filter(|(_, (_, changed))| *changed > since);
-        let head = DocumentHead {
+        let left = self.left.iter().filter(|(_, (_, changed))| !complete && *changed > since);
+        let head = || DocumentHead {
             version: self.document.version,
             limits: self.document.limits,
             services: self.document.services.clone(),
@@ -248,15 +250,11 @@
             from: since,
             to: self.revision,
             complete,
-            head: (self.head_changed > since).then_some(head),
+            head: (self.head_changed > since).then(head),
             routes: routes.filter_map(|(key, _)| rule_of(key)).collect(),
-            // A complete update replaces everything, so what is not in it needs no mention.
-            removed_routes: removed.filter(|_| !complete).map(|(key, _)| key.clone()).collect(),
+            removed_routes: removed.map(|(key, _)| key.clone()).collect(),
             servers: servers.map(|(id, record)| (id.clone(), ServerView::of(record))).collect(),
-            left: left
-                .filter(|_| !complete)
-                .map(|(id, (started, _))| (id.clone(), *started))
-                .collect(),
+            left: left.map(|(id, (started, _))| (id.clone(), *started)).collect(),
         }
     }
 
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -47,6 +47,11 @@
     answer
 }
 
+/// Request that ends its connection.
+const LAST: &str =
+    "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\nconnection: close\r\n\r\n";
+
+/// Head and half of the body of a request.
 const BEGUN: &str = "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\n\
                      connection: close\r\ncontent-length: 6\r\n\r\nabc";
 
@@ -71,9 +76,7 @@
     let mut stream = system.connect();
     system.fleet.put(&document_with_limits(2, 6000, 3000));
     std::thread::sleep(Duration::from_millis(3500));
-    let head =
-        "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\nconnection: close\r\n\r\n";
-    send(&mut stream, head);
+    send(&mut stream, LAST);
     let answer = read_to_end(stream);
     assert_eq!(split(&answer).0, 200, "{answer:?}");
 }
@@ -85,9 +88,7 @@
     let system = CallerSystem::start(1000, 3000, &[]);
     let mut stream = system.connect();
     std::thread::sleep(Duration::from_millis(1300));
-    let head =
-        "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\nconnection: close\r\n\r\n";
-    send(&mut stream, head);
+    send(&mut stream, LAST);
     let answer = read_to_end(stream);
     assert_eq!(split(&answer).0, 200, "{answer:?}");
 }
