Give back the retry budget of a send that reached no server

Cause, found by reading: a hedge or retry that found no server took back the count of sends but not the retry that it had taken from the budget, and a failed send was logged with the server that was tried last, which with a hedge open may be another one. Ruled out: returning the newest retry instead of its own; the test shows that it would free the place of a later retry that was sent. Change: each send reports its server and the time at which it was charged; the budget takes a retry back from the bucket of that time.

--- a/src/fleet/budget.rs
+++ b/src/fleet/budget.rs
@@ -43,6 +43,14 @@
         true
     }
 
+    /// Returns a retry that was taken at `taken_at` and reached no server.
+    pub fn give_back(&mut self, taken_at: Instant) {
+        let bucket = self.buckets.iter_mut().rev().find(|bucket| bucket.start <= taken_at);
+        if let Some(bucket) = bucket {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     /// Number of retries that this entry may still send in the current window.
     pub fn remaining(&mut self, now: Instant, entries: u32) -> f64 {
         self.current_bucket(now);
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -12,7 +12,8 @@
 use super::context::EntryContext;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
-use super::send::{self, OutgoingRequest, SendError, ServerResponse, TriedServers};
+use super::send::{self, OutgoingRequest, SendError, SendReport, ServerResponse, TriedServers};
+use crate::fleet::budget::RetryBudget;
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::routes::choose_target;
 use crate::http::RequestHead;
@@ -89,7 +90,7 @@
     }
 }
 
-type SendFuture = Pin<Box<dyn Future<Output = Result<ServerResponse, SendError>>>>;
+type SendFuture = Pin<Box<dyn Future<Output = SendReport>>>;
 
 /// State of one request while it is handled.
 struct RequestDriver {
@@ -240,7 +241,7 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
-        self.start_send(CrowdedPolicy::ProbeAgain);
+        self.start_send(CrowdedPolicy::ProbeAgain, None);
         let hedge_at = self.hedge_time(now);
         loop {
             let pending_hedge =
@@ -248,8 +249,8 @@
             let wake_at = pending_hedge.unwrap_or(self.request.deadline).min(self.request.deadline);
             tokio::select! {
                 biased;
-                Some(result) = self.sends_in_flight.next() => {
-                    if let Some(response) = self.handle_send_result(result) {
+                Some(report) = self.sends_in_flight.next() => {
+                    if let Some(response) = self.handle_send_report(report) {
                         return response;
                     }
                 }
@@ -292,11 +293,21 @@
     }
 
     /// Starts a send to a server that was not tried yet.
-    fn start_send(&mut self, crowded_policy: CrowdedPolicy) {
+    fn start_send(&mut self, crowded_policy: CrowdedPolicy, charged_at: Option<Instant>) {
         self.send_count += 1;
         let (context, request) = (Rc::clone(&self.context), Rc::clone(&self.request));
         let tried = Rc::clone(&self.tried);
-        self.sends_in_flight.push(Box::pin(send::send(context, request, tried, crowded_policy)));
+        let send = send::send(context, request, tried, crowded_policy, charged_at);
+        self.sends_in_flight.push(Box::pin(send));
+    }
+
+    /// Reverts the counts of a send that reached no server.
+    fn take_back_send(&mut self, charged_at: Option<Instant>) {
+        self.send_count -= 1;
+        if let Some(taken_at) = charged_at {
+            let give_back = |budget: &mut RetryBudget| budget.give_back(taken_at);
+            self.context.with_budget(&self.request.service, give_back);
+        }
     }
 
     /// Starts a retry if the route and the budget allow it.
@@ -318,17 +329,15 @@
         );
         self.context.metrics.record_retry(&self.request.service, allowed);
         if allowed {
-            self.start_send(crowded_policy);
+            self.start_send(crowded_policy, Some(now));
         }
         allowed
     }
 
-    /// Handles the result of one send; returns the response once the request is finished.
-    fn handle_send_result(
-        &mut self,
-        result: Result<ServerResponse, SendError>,
-    ) -> Option<CallerResponse> {
+    /// Handles the end of one send; returns the response once the request is finished.
+    fn handle_send_report(&mut self, report: SendReport) -> Option<CallerResponse> {
         let now = Instant::now();
+        let SendReport { server, charged_at, result } = report;
         let error = match result {
             Ok(response) if response.head.status < 500 || !self.request.idempotent => {
                 return Some(CallerResponse::Relayed(Box::new(response)));
@@ -345,7 +354,7 @@
         };
         if matches!(error, SendError::NoServer(_)) && !self.sends_in_flight.is_empty() {
             // A hedged send that found no server with room.
-            self.send_count -= 1;
+            self.take_back_send(charged_at);
             return None;
         }
         self.context.metrics.record_send(&self.request.service, error.label());
@@ -354,16 +363,19 @@
                 "send_failed",
                 "request={} server={} sends={} elapsed_ms={} error=\"{error}\"",
                 self.request.id,
-                self.tried.borrow().last().map_or("-", |server| server),
+                server.as_deref().unwrap_or("-"),
                 self.send_count,
                 now.duration_since(self.received_at).as_millis()
             );
         }
         self.may_have_run |= error.may_have_run();
         if !self.sends_in_flight.is_empty() {
+            if !error.was_sent() {
+                self.take_back_send(charged_at);
+            }
             return None;
         }
-        if self.retry_after_error(now, &error) {
+        if self.retry_after_error(now, &error, charged_at) {
             return None;
         }
         if let Some(error_response) = self.error_response.take() {
@@ -379,16 +391,23 @@
         Some(local.with_cause(error))
     }
 
-    fn retry_after_error(&mut self, now: Instant, error: &SendError) -> bool {
+    fn retry_after_error(
+        &mut self,
+        now: Instant,
+        error: &SendError,
+        charged_at: Option<Instant>,
+    ) -> bool {
         if !error.was_sent() {
-            // Nothing reached a server, so the next attempt is not a retry.
-            self.send_count -= 1;
             self.unsent_attempts += 1;
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
                 && !matches!(error, SendError::NoServer(_));
             if may_retry {
-                self.start_send(CrowdedPolicy::ProbeAgain);
+                // Nothing reached a server, so this attempt takes the place of the last one.
+                self.send_count -= 1;
+                self.start_send(CrowdedPolicy::ProbeAgain, charged_at);
+            } else {
+                self.take_back_send(charged_at);
             }
             return may_retry;
         }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -216,17 +216,47 @@
 /// Servers to which a request was sent, shared by its sends.
 pub type TriedServers = Rc<RefCell<Vec<ServerId>>>;
 
-/// Chooses a server and sends the request to it.
+/// How one send ended.
+pub struct SendReport {
+    /// Chosen server; `None` if none had room.
+    pub server: Option<ServerId>,
+    /// Time at which the send was charged to the retry budget, if it was.
+    pub charged_at: Option<Instant>,
+    pub result: Result<ServerResponse, SendError>,
+}
+
+/// Chooses a server and sends the request to it. `charged_at` is the time at which the send was
+/// charged to the retry budget, if it was.
 pub async fn send(
     context: Rc<EntryContext>,
     request: Rc<OutgoingRequest>,
     tried: TriedServers,
     crowded_policy: CrowdedPolicy,
-) -> Result<ServerResponse, SendError> {
+    charged_at: Option<Instant>,
+) -> SendReport {
     let already_tried = tried.borrow().clone();
     let chosen =
         measure::choose_server(&context, &request.service, &already_tried, crowded_policy).await;
-    let chosen = chosen.map_err(SendError::NoServer)?;
+    let chosen = match chosen {
+        Ok(chosen) => chosen,
+        Err(counts) => {
+            return SendReport {
+                server: None,
+                charged_at,
+                result: Err(SendError::NoServer(counts)),
+            };
+        }
+    };
+    tried.borrow_mut().push(chosen.server.clone());
+    let result = send_to(&context, &request, &chosen).await;
+    SendReport { server: Some(chosen.server), charged_at, result }
+}
+
+async fn send_to(
+    context: &Rc<EntryContext>,
+    request: &OutgoingRequest,
+    chosen: &ChosenServer,
+) -> Result<ServerResponse, SendError> {
     crate::log_routine!(
         "server_chosen",
         "request={} service={} server={} in_flight={} told_age_ms={} cost={:.2}",
@@ -237,9 +267,8 @@
         chosen.load_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
         chosen.cost
     );
-    tried.borrow_mut().push(chosen.server.clone());
-    let mut guard = SendGuard::new(&context, &request.service, &chosen.server);
-    let result = exchange(&context, &request, &chosen).await;
+    let mut guard = SendGuard::new(context, &request.service, &chosen.server);
+    let result = exchange(context, request, chosen).await;
     guard.outcome = match &result {
         Ok(response) if response.head.status < 500 => SendOutcome::Success,
         Ok(_) => SendOutcome::Failure,
--- a/tests/fleet/budget.rs
+++ b/tests/fleet/budget.rs
@@ -55,3 +55,31 @@
     assert!(!budget.try_take(now + LIMITS.window / 2, 1));
     assert!(budget.try_take(now + LIMITS.window * 2, 1));
 }
+
+/// Guards against a budget that is used up by retries that never reached a server.
+#[test]
+fn a_retry_that_was_not_sent_is_given_back() {
+    let now = Instant::now();
+    let mut budget = RetryBudget::new(LIMITS);
+    let before = budget.remaining(now, 1);
+    for step in 0..200 {
+        let now = now + Duration::from_millis(step * 40);
+        assert!(budget.try_take(now, 1), "step {step}");
+        budget.give_back(now);
+    }
+    assert_eq!(budget.remaining(now + Duration::from_secs(8), 1), before);
+}
+
+/// Guards against a returned retry that frees the place of a later one, which was sent.
+#[test]
+fn a_returned_retry_leaves_later_ones_counted() {
+    let start = Instant::now();
+    let mut budget = RetryBudget::new(LIMITS);
+    let later = start + Duration::from_secs(2);
+    assert!(budget.try_take(start, 1) && budget.try_take(later, 1));
+    budget.give_back(start);
+    // The first retry has left the window by then, the second one has not.
+    let end = start + Duration::from_millis(11_500);
+    let counted = RetryBudget::new(LIMITS).remaining(end, 1) - budget.remaining(end, 1);
+    assert_eq!(counted, 1.0);
+}
