Answer requests that arrive around a planned stop

Cause: a stopping entry closed connections at once if it had read nothing, also those to which a request was on its way, and it stopped reading a request of which only a part had arrived, which was then cut off at the exit. Between the end of a request and the write of its response it did not count as active. Ruled out: closing later only; a partial request would still never be read. Change: after SIGTERM each connection is closed after its next response; idle ones are closed, and no more accepted, at half of the grace period, after a last look at the socket. A request counts as active until its response is written. Measured: a_request_that_arrives_around_a_stop_is_answered, three cases; all three failed before (connection closed, or no answer until the exit) and pass now.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -58,6 +58,8 @@
 /// Request that is being processed. Dropping it cancels the request if its route is idempotent.
 struct InFlightRequest {
     task: JoinHandle<CallerResponse>,
+    /// Counts the request as active until its response is written and its task has ended.
+    _active_guard: Rc<GaugeGuard>,
     method: Box<str>,
     keep_alive: bool,
     idempotent: bool,
@@ -92,7 +94,7 @@
 enum CallerEvent {
     Read(ReadEvent),
     Response(CallerResponse),
-    Stopping,
+    PhaseChanged,
 }
 
 impl CallerConnection {
@@ -110,10 +112,7 @@
                     self.refuse_malformed(&error).await
                 }
                 CallerEvent::Read(ReadEvent::IdleTimeout) => Err(ConnectionEnd::Close),
-                CallerEvent::Stopping => {
-                    self.closing = true;
-                    if self.is_idle() { Err(ConnectionEnd::Close) } else { Ok(()) }
-                }
+                CallerEvent::PhaseChanged => self.follow_phase(),
             };
             match result {
                 Ok(()) => {}
@@ -123,9 +122,21 @@
         }
     }
 
-    fn is_idle(&self) -> bool {
-        let input_empty = !self.reader.has_partial_request() && self.stream.buffered().is_empty();
-        self.in_flight.is_empty() && self.deferred.is_none() && input_empty
+    /// Reacts to a stop of the entry. A request that has arrived, even if only in part, is still
+    /// served; after its response the connection is closed.
+    fn follow_phase(&mut self) -> Result<(), ConnectionEnd> {
+        if !self.in_flight.is_empty() || self.deferred.is_some() {
+            self.closing = true;
+            return Ok(());
+        }
+        let closes_idle = *self.phase.borrow_and_update() == EntryPhase::Closing;
+        if !closes_idle || self.reader.has_partial_request() {
+            return Ok(());
+        }
+        match self.stream.fill_available() {
+            Ok(_) if !self.stream.buffered().is_empty() => Ok(()),
+            _ => Err(ConnectionEnd::Close),
+        }
     }
 
     async fn next_event(&mut self) -> CallerEvent {
@@ -148,7 +159,7 @@
             biased;
             response = next_response(in_flight) => CallerEvent::Response(response),
             event = read => CallerEvent::Read(event),
-            _ = self.phase.changed(), if !self.closing => CallerEvent::Stopping,
+            _ = self.phase.changed(), if !self.closing => CallerEvent::PhaseChanged,
         }
     }
 
@@ -166,19 +177,23 @@
         let keep_alive = request.head.keep_alive();
         // On a connection that will be closed, the response to a further request would be lost.
         self.closing |= !keep_alive || self.context.is_stopping();
-        let active_guard = GaugeGuard::new(self.context.active_requests.clone());
-        let context = Rc::clone(&self.context);
+        let active_guard = Rc::new(GaugeGuard::new(self.context.active_requests.clone()));
+        let (context, task_guard) = (Rc::clone(&self.context), Rc::clone(&active_guard));
         let task = tokio::task::spawn_local(async move {
-            let response = request::handle_request(&context, request).await;
-            drop(active_guard);
-            response
+            let _task_guard = task_guard;
+            request::handle_request(&context, request).await
+        });
+        self.in_flight.push_back(InFlightRequest {
+            task,
+            _active_guard: active_guard,
+            method,
+            keep_alive,
+            idempotent,
         });
-        self.in_flight.push_back(InFlightRequest { task, method, keep_alive, idempotent });
     }
 
     async fn write_response(&mut self, response: CallerResponse) -> Result<(), ConnectionEnd> {
         let Some(in_flight) = self.in_flight.pop_front() else { return Ok(()) };
-        let _active_guard = GaugeGuard::new(self.context.active_requests.clone());
         self.closing |= self.context.is_stopping() && self.deferred.is_none();
         let closes = self.closing && self.in_flight.is_empty() && self.deferred.is_none();
         let keep_alive = in_flight.keep_alive && !closes;
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -28,8 +28,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryPhase {
     Serving,
-    /// Requests are still served, but connections are closed between requests.
+    /// Requests are still served, and each connection is closed after its next response.
     Stopping,
+    /// No connection is accepted, and idle connections are closed.
+    Closing,
 }
 
 /// Shared state of an entry.
@@ -104,7 +106,7 @@
     }
 
     pub fn is_stopping(&self) -> bool {
-        *self.phase.borrow() == EntryPhase::Stopping
+        *self.phase.borrow() != EntryPhase::Serving
     }
 
     /// Estimated number of entries, which share the retry budgets and the servers' connections.
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use self::context::{EntryContext, EntryPhase};
@@ -31,6 +32,13 @@
 /// Minimum duration of a shutdown: callers need this long to notice that the entry is stopping.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(2500);
 
+/// Fraction of the grace period after which idle connections are closed. A request that is accepted
+/// later may not finish within the rest of the period; an earlier close crosses more requests.
+const CLOSING_FRACTION: f64 = 0.5;
+
+/// Time for which closed connections wait for their callers before the process exits.
+const CLOSING_TIME: Duration = Duration::from_millis(600);
+
 /// Time before the end of the grace period at which the process exits even if requests are in
 /// progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
@@ -42,6 +50,7 @@
 pub struct EntryProcess {
     context: Rc<EntryContext>,
     follower: Rc<FleetFollower>,
+    accept_task: JoinHandle<()>,
 }
 
 impl EntryProcess {
@@ -56,9 +65,9 @@
         let readiness = listen(entry.readiness).await?;
         let follower = FleetFollower::new(Rc::clone(&context), config.seeds.clone());
         tokio::task::spawn_local(Rc::clone(&follower).run());
-        tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
+        let accept_task = tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
         tokio::task::spawn_local(serve_readiness(readiness, Rc::clone(&context)));
-        Ok(Self { context, follower })
+        Ok(Self { context, follower, accept_task })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -77,17 +86,32 @@
     /// Reports the entry as not ready, finishes requests in progress and returns within `grace`.
     pub async fn stop(&self, grace: Duration) {
         let started = Instant::now();
+        let end = grace.saturating_sub(GRACE_MARGIN);
+        let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(end);
         self.context.phase.send_replace(EntryPhase::Stopping);
-        loop {
+        while started.elapsed() < closing_at {
             sleep(IDLE_CHECK_INTERVAL).await;
-            let elapsed = started.elapsed();
-            let idle = self.context.active_requests.get() == 0;
-            if (idle && elapsed >= MIN_SHUTDOWN_TIME) || elapsed + GRACE_MARGIN >= grace {
-                let active = self.context.active_requests.get();
-                log_info!("entry_stopped", "active={active} after_ms={}", elapsed.as_millis());
-                return;
+            if self.is_idle() && started.elapsed() >= MIN_SHUTDOWN_TIME {
+                break;
             }
         }
+        self.accept_task.abort();
+        self.context.phase.send_replace(EntryPhase::Closing);
+        let closed_at = started.elapsed() + CLOSING_TIME;
+        while started.elapsed() < end && !self.is_idle() {
+            if started.elapsed() >= closed_at && self.context.active_requests.get() == 0 {
+                break;
+            }
+            sleep(IDLE_CHECK_INTERVAL).await;
+        }
+        let active = self.context.active_requests.get();
+        log_info!("entry_stopped", "active={active} after_ms={}", started.elapsed().as_millis());
+    }
+
+    /// Whether no request is in progress and no caller is connected.
+    fn is_idle(&self) -> bool {
+        let context = &self.context;
+        context.active_requests.get() == 0 && context.metrics.caller_connections.get() == 0
     }
 }
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -213,7 +213,7 @@
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     let interest = Interest::READABLE | Interest::WRITABLE;
                     let ready = self.stream.ready(interest).await?;
-                    if ready.is_readable() && self.read_available()? {
+                    if ready.is_readable() && self.fill_available()? {
                         return Ok(false);
                     }
                 }
@@ -224,10 +224,17 @@
     }
 
     /// Reads available bytes without waiting; returns whether there were any or the peer closed.
-    fn read_available(&mut self) -> io::Result<bool> {
+    pub fn fill_available(&mut self) -> io::Result<bool> {
+        let was_empty = self.buffered().is_empty();
         self.input.reserve(READ_BYTES);
         match self.stream.try_read_buf(&mut self.input) {
-            Ok(_) => Ok(true),
+            Ok(_) => {
+                self.last_read_at = Instant::now();
+                if was_empty {
+                    self.buffered_since = self.last_read_at;
+                }
+                Ok(true)
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
             Err(error) => Err(error),
         }
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -246,6 +246,34 @@
     drop(fleet);
 }
 
+/// Guards against a planned stop that cuts off requests which have just been accepted: the rest of a
+/// request arrives, or the next one on a kept connection, shortly after the stop begins.
+#[parameterized(
+    rest_of_head = { "GET /read/1 HTTP/1.1\r\nhost: sh", "op\r\nx-request-id: r1\r\n\r\n" },
+    rest_of_body = {
+        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\ncontent-length: 4\r\n\r\nab", "cd"
+    },
+    whole_request = { "", "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\n\r\n" },
+)]
+fn a_request_that_arrives_around_a_stop_is_answered(before: &str, after: &str) {
+    let server = ScriptedServer::start(&[]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    stream.write_all(before.as_bytes()).expect("the entry reads");
+    std::thread::sleep(Duration::from_millis(100));
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(Duration::from_millis(400));
+    stream.write_all(after.as_bytes()).expect("the entry reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    assert_eq!(parse_response(&response).0, 200, "{response}");
+    assert_eq!(header_value(&response, "connection").as_deref(), Some("close"));
+    stopping.join().expect("the entry stops");
+    drop(fleet);
+}
+
 /// Starts a server that answers health checks only, and reports how long after a request its
 /// connection ended.
 fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
