Probe the next server beside one that does not answer

Ruled out: a shorter connection timeout; a stalled line of the entry would then make all servers look dead. Change: fleet/probe_plan.rs decides without I/O when the next probe starts: after 25 ms beside the unanswered one. The first server with room wins; overdue ones are left alone as before.

--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -9,14 +9,20 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use super::context::EntryContext;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ReportedLoad;
 use crate::fleet::link;
+use crate::fleet::probe_plan::{
+    CONNECT_TIMEOUT, PROBE_PATIENCE, ProbeNumber, ProbePlan, ProbeStep,
+};
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -24,17 +30,6 @@
 /// A load report younger than this makes a probe unnecessary.
 const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(25);
 
-/// Timeout of one health probe. A server with a free slot answers within 2 to 8 ms; one that takes
-/// longer is full or disturbed.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(25);
-
-/// Timeout for opening a connection; reachable servers accept within a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-
-/// Maximum number of servers that are probed in one pass. Up to four in ten may be disturbed at the
-/// same time.
-const MAX_PROBES_PER_PASS: usize = 6;
-
 /// Number of full servers in the first pass after which the service counts as crowded.
 const MAX_FULL_FIRST_PASS: usize = 3;
 
@@ -53,10 +48,12 @@
 pub enum ProbeError {
     #[error("connecting failed: {0}")]
     Connect(std::io::Error),
-    #[error("no answer within {} ms", PROBE_TIMEOUT.as_millis())]
+    #[error("no answer within {} ms", PROBE_PATIENCE.as_millis())]
     Timeout,
     #[error("no connection within {} ms", CONNECT_TIMEOUT.as_millis())]
     ConnectTimeout,
+    #[error("no connection within {} ms, and another server was chosen", PROBE_PATIENCE.as_millis())]
+    SlowConnect,
     #[error("invalid response: {0}")]
     Broken(#[from] HttpError),
     #[error("the address belongs to another server")]
@@ -113,7 +110,8 @@
     found.ok_or(counts)
 }
 
-/// Probes servers in the order of their cost until one has room.
+/// Probes servers in the order of their cost until one has room. While a probe is overdue, the next
+/// one runs beside it.
 ///
 /// A disturbed server says nothing about the others. Full servers show that the service is crowded,
 /// and further probes would only occupy more of its slots.
@@ -124,34 +122,140 @@
     max_full: usize,
     counts: &mut ProbeCounts,
 ) -> Option<ChosenServer> {
-    let (mut probes, mut full) = (0, 0);
-    while probes < MAX_PROBES_PER_PASS && full < max_full {
-        let chosen = context.choose_by_cost(service, excluded)?;
-        if chosen.load_age.is_some_and(|age| age < LOAD_REPORT_LIFETIME) {
-            if chosen.has_spare_capacity {
-                return Some(chosen);
+    let mut race = ProbeRace::new(context, service, max_full);
+    let found = race.run(excluded, counts).await;
+    race.record_overdue(counts);
+    found
+}
+
+type ProbeFuture<'a> = LocalBoxFuture<'a, (ProbeNumber, ProbeEvent)>;
+
+/// Progress of one probe.
+enum ProbeEvent {
+    Connected(HttpStream),
+    Answered(Option<ReportedLoad>),
+    Failed(ProbeError),
+}
+
+/// Concurrent probes for one choice of a server.
+struct ProbeRace<'a> {
+    context: &'a Rc<EntryContext>,
+    service: &'a ServiceName,
+    plan: ProbePlan,
+    /// Probed servers by number.
+    probed: Vec<Rc<ChosenServer>>,
+    probes: FuturesUnordered<ProbeFuture<'a>>,
+}
+
+impl<'a> ProbeRace<'a> {
+    fn new(context: &'a Rc<EntryContext>, service: &'a ServiceName, max_full: usize) -> Self {
+        let plan = ProbePlan::new(max_full);
+        Self { context, service, plan, probed: Vec::new(), probes: FuturesUnordered::new() }
+    }
+
+    async fn run(
+        &mut self,
+        excluded: &mut Vec<ServerId>,
+        counts: &mut ProbeCounts,
+    ) -> Option<ChosenServer> {
+        loop {
+            match self.plan.next(Instant::now()) {
+                ProbeStep::Start => {
+                    let Some(chosen) = self.context.choose_by_cost(self.service, excluded) else {
+                        self.plan.no_more_servers();
+                        continue;
+                    };
+                    if self.context.health_path(self.service).is_none() {
+                        return Some(chosen);
+                    }
+                    excluded.push(chosen.server.clone());
+                    if chosen.load_age.is_none_or(|age| age >= LOAD_REPORT_LIFETIME) {
+                        counts.probed += 1;
+                        self.start(chosen);
+                    } else if chosen.has_spare_capacity {
+                        return Some(chosen);
+                    }
+                }
+                ProbeStep::Wait(until) => {
+                    let next = timeout_at(until.into(), self.probes.next()).await;
+                    let Ok(Some((number, event))) = next else { continue };
+                    if let Some(found) = self.handle_event(number, event, counts) {
+                        return Some(found);
+                    }
+                }
+                ProbeStep::GiveUp => return None,
             }
-            excluded.push(chosen.server);
-            continue;
         }
-        probes += 1;
-        counts.probed += 1;
-        match probe_server(context, service, &chosen).await {
-            Ok(Some(report)) if !report.has_spare_capacity() => {
-                full += usize::from(!report.is_degraded());
+    }
+
+    fn start(&mut self, chosen: ChosenServer) {
+        let now = Instant::now();
+        let chosen = Rc::new(chosen);
+        self.probed.push(Rc::clone(&chosen));
+        let idle = self.context.connections.take(now, &chosen.server, chosen.address);
+        let number = self.plan.record_start(now, idle.is_some());
+        let (context, service) = (self.context, self.service);
+        match idle {
+            Some(stream) => self.ask(number, stream),
+            None => self.probes.push(Box::pin(async move {
+                match open_connection(context, service, &chosen).await {
+                    Ok(stream) => (number, ProbeEvent::Connected(stream)),
+                    Err(error) => (number, ProbeEvent::Failed(error)),
+                }
+            })),
+        }
+    }
+
+    fn ask(&mut self, number: ProbeNumber, stream: HttpStream) {
+        let (context, service) = (self.context, self.service);
+        let chosen = Rc::clone(&self.probed[number]);
+        self.probes.push(Box::pin(async move {
+            match probe_server(context, service, &chosen, stream).await {
+                Ok(report) => (number, ProbeEvent::Answered(report)),
+                Err(error) => (number, ProbeEvent::Failed(error)),
+            }
+        }));
+    }
+
+    /// Returns the server if it has room.
+    fn handle_event(
+        &mut self,
+        number: ProbeNumber,
+        event: ProbeEvent,
+        counts: &mut ProbeCounts,
+    ) -> Option<ChosenServer> {
+        match event {
+            ProbeEvent::Connected(stream) => {
+                self.plan.record_connected(Instant::now(), number);
+                self.ask(number, stream);
+                return None;
+            }
+            ProbeEvent::Answered(Some(report)) if !report.has_spare_capacity() => {
+                self.plan.record_result(number, !report.is_degraded());
                 counts.disturbed += u32::from(report.is_degraded());
                 counts.full += u32::from(!report.is_degraded());
             }
-            Ok(_) => return Some(chosen),
-            Err(error) => {
-                full += usize::from(matches!(error, ProbeError::Timeout));
+            ProbeEvent::Answered(_) => {
+                self.plan.record_result(number, false);
+                return Some(ChosenServer::clone(&self.probed[number]));
+            }
+            ProbeEvent::Failed(error) => {
+                self.plan.record_result(number, false);
                 counts.unanswered += 1;
-                record_probe_failure(context, service, &chosen, &error);
+                record_probe_failure(self.context, self.service, &self.probed[number], &error);
             }
         }
-        excluded.push(chosen.server);
+        None
+    }
+
+    /// Records the probes that are still overdue at the end.
+    fn record_overdue(&self, counts: &mut ProbeCounts) {
+        for (number, is_connected) in self.plan.overdue(Instant::now()) {
+            let error = if is_connected { ProbeError::Timeout } else { ProbeError::SlowConnect };
+            counts.unanswered += 1;
+            record_probe_failure(self.context, self.service, &self.probed[number], &error);
+        }
     }
-    None
 }
 
 fn record_probe_failure(
@@ -175,19 +279,17 @@
     );
 }
 
-/// Probes a server; `None` if it reports no load.
+/// Probes a server on a connection to it; `None` if it reports no load.
 async fn probe_server(
     context: &EntryContext,
     service: &ServiceName,
     chosen: &ChosenServer,
+    mut stream: HttpStream,
 ) -> Result<Option<ReportedLoad>, ProbeError> {
     let Some(path) = context.health_path(service) else { return Ok(None) };
-    let mut stream = connect(context, service, chosen).await?;
     context.metrics.record_send(service, "measured");
     let request = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", chosen.address);
-    let request_page = request_health_page(context, &mut stream, &request, chosen);
-    let response = timeout(PROBE_TIMEOUT, request_page).await;
-    let (head, complete) = response.map_err(|_| ProbeError::Timeout)??;
+    let (head, complete) = request_health_page(context, &mut stream, &request, chosen).await?;
     let now = Instant::now();
     let report = context.record_load(now, service, &chosen.server, &head);
     if complete {
@@ -227,11 +329,18 @@
     service: &ServiceName,
     chosen: &ChosenServer,
 ) -> Result<HttpStream, ProbeError> {
-    let now = Instant::now();
-    let idle = context.connections.take(now, &chosen.server, chosen.address);
-    if let Some(stream) = idle {
-        return Ok(stream);
+    let idle = context.connections.take(Instant::now(), &chosen.server, chosen.address);
+    match idle {
+        Some(stream) => Ok(stream),
+        None => open_connection(context, service, chosen).await,
     }
+}
+
+async fn open_connection(
+    context: &EntryContext,
+    service: &ServiceName,
+    chosen: &ChosenServer,
+) -> Result<HttpStream, ProbeError> {
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
     let connected = connected.map_err(|_| ProbeError::ConnectTimeout)?;
     let stream = connected.map_err(ProbeError::Connect)?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod listener;
 pub mod native;
 pub mod placement;
+pub mod probe_plan;
 pub mod process;
 mod process_metrics;
 pub mod routes;
--- /dev/null
+++ b/src/fleet/probe_plan.rs
@@ -0,0 +1,136 @@
+//! Schedule of the health probes for one send: how many servers are probed, and when the next probe
+//! starts beside unanswered ones.
+//!
+//! Servers that are down accept no connection, and each entry notices this for itself. If the probes
+//! of a request ran one after the other, it would wait for a connection attempt at each such server.
+
+use std::time::{Duration, Instant};
+
+/// Time without progress after which the next server is probed as well. A server with a free slot
+/// answers within 2 to 8 ms; one that takes longer is full, disturbed or down.
+pub const PROBE_PATIENCE: Duration = Duration::from_millis(25);
+
+/// Timeout for opening a connection. One lost packet delays it by a second, so a longer wait is
+/// useless.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Maximum number of servers that are probed for one choice. Up to four in ten may be disturbed at
+/// the same time.
+const MAX_PROBES: usize = 6;
+
+/// Number of a probe within its plan.
+pub type ProbeNumber = usize;
+
+/// What to do next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeStep {
+    /// Probe another server, or call [`ProbePlan::no_more_servers`].
+    Start,
+    /// Wait for a result until this time at most.
+    Wait(Instant),
+    /// No server has room.
+    GiveUp,
+}
+
+/// Probe without a result.
+#[derive(Debug, Clone, Copy)]
+struct PendingProbe {
+    number: ProbeNumber,
+    started_at: Instant,
+    /// Time at which the health page was requested on an open connection.
+    asked_at: Option<Instant>,
+}
+
+impl PendingProbe {
+    /// Time from which the probe counts as overdue.
+    fn due_at(&self) -> Instant {
+        self.asked_at.unwrap_or(self.started_at) + PROBE_PATIENCE
+    }
+
+    /// Time after which no result is expected any more.
+    fn expires_at(&self) -> Instant {
+        match self.asked_at {
+            Some(asked_at) => asked_at + PROBE_PATIENCE,
+            None => self.started_at + CONNECT_TIMEOUT,
+        }
+    }
+}
+
+/// Schedule of the probes for one choice of a server.
+#[derive(Debug)]
+pub struct ProbePlan {
+    /// Number of full servers after which the service counts as crowded.
+    max_full: usize,
+    full_count: usize,
+    started_count: usize,
+    has_more_servers: bool,
+    pending: Vec<PendingProbe>,
+}
+
+impl ProbePlan {
+    pub fn new(max_full: usize) -> Self {
+        Self {
+            max_full,
+            full_count: 0,
+            started_count: 0,
+            has_more_servers: true,
+            pending: Vec::new(),
+        }
+    }
+
+    /// Returns the next step.
+    pub fn next(&self, now: Instant) -> ProbeStep {
+        if self.full_count + self.delayed_count(now) >= self.max_full {
+            return ProbeStep::GiveUp;
+        }
+        let may_start = self.has_more_servers && self.started_count < MAX_PROBES;
+        let newest_due_at = self.pending.iter().map(PendingProbe::due_at).max();
+        let last_expires_at = self.pending.iter().map(PendingProbe::expires_at).max();
+        match (newest_due_at, last_expires_at) {
+            (Some(due_at), _) if may_start && now < due_at => ProbeStep::Wait(due_at),
+            _ if may_start => ProbeStep::Start,
+            (_, Some(expires_at)) if now < expires_at => ProbeStep::Wait(expires_at),
+            _ => ProbeStep::GiveUp,
+        }
+    }
+
+    /// Records the start of a probe; `has_connection` tells whether a connection was open already.
+    pub fn record_start(&mut self, now: Instant, has_connection: bool) -> ProbeNumber {
+        let number = self.started_count;
+        self.started_count += 1;
+        let asked_at = has_connection.then_some(now);
+        self.pending.push(PendingProbe { number, started_at: now, asked_at });
+        number
+    }
+
+    /// Records that a connection was opened and the health page is requested on it.
+    pub fn record_connected(&mut self, now: Instant, number: ProbeNumber) {
+        let probe = self.pending.iter_mut().find(|probe| probe.number == number);
+        if let Some(probe) = probe {
+            probe.asked_at = Some(now);
+        }
+    }
+
+    /// Records the result of a probe; `is_full` tells whether the server has no free slot.
+    pub fn record_result(&mut self, number: ProbeNumber, is_full: bool) {
+        self.pending.retain(|probe| probe.number != number);
+        self.full_count += usize::from(is_full);
+    }
+
+    /// Records that all servers were probed.
+    pub fn no_more_servers(&mut self) {
+        self.has_more_servers = false;
+    }
+
+    /// Probes without a result that are overdue, and whether each has a connection.
+    pub fn overdue(&self, now: Instant) -> impl Iterator<Item = (ProbeNumber, bool)> {
+        let overdue = self.pending.iter().filter(move |probe| now >= probe.due_at());
+        overdue.map(|probe| (probe.number, probe.asked_at.is_some()))
+    }
+
+    /// Number of connected servers whose answer is overdue: a full server delays its health page as
+    /// long as any request. A connection that does not open says nothing about free slots.
+    fn delayed_count(&self, now: Instant) -> usize {
+        self.overdue(now).filter(|(_, is_connected)| *is_connected).count()
+    }
+}
--- /dev/null
+++ b/tests/fleet_loads/main.rs
@@ -0,0 +1,4 @@
+//! Decisions of an entry under the loads that delayed or refused callers. No test uses the network:
+//! servers and time are simulated, and every random choice follows from a seed.
+
+mod dark_servers;
