Forget the failure pause of a server that left

Cause of concurrent_use_loses_no_slot::credits (KNOWN-RED): a server that left is kept in the wallet while credits wait to be returned, and its pause after a failure was kept with it. Announced again within the pause (2 to 16 ms), it got no work, although the pause belonged to its earlier life. Ruled out: a lost slot; the counts of the wallet are right, only the pause blocks. Change: the wallet forgets pause and ejection of a server that is no longer listed.

--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -344,6 +344,9 @@
             credits.draining = server.draining;
             credits.slots = server.slots;
         }
+        for credits in self.servers.iter_mut().filter(|credits| credits.slots == 0) {
+            credits.forget_failures();
+        }
         for credits in self.servers.iter_mut().filter(|credits| credits.draining) {
             let count = credits.return_idle(u32::MAX);
             self.idle_total -= count;
--- a/src/credit/wallet_state.rs
+++ b/src/credit/wallet_state.rs
@@ -80,6 +80,14 @@
         }
     }
 
+    /// Forgets the failures of a server that left. Its credits may still be kept until they are
+    /// returned, but they say nothing about a later life of the server.
+    pub(super) fn forget_failures(&mut self) {
+        self.is_ejected = false;
+        self.pause = Duration::ZERO;
+        self.paused_until = None;
+    }
+
     /// Counts a response to a request on a probe credit, and any failed response. Returns whether
     /// the credit must be returned to the holder.
     pub(super) fn record_outcome(&mut self, verdict: Option<ResponseVerdict>) -> bool {
--- a/tests/runtime.rs
+++ b/tests/runtime.rs
@@ -172,6 +172,25 @@
     assert_idle(&runtime);
 }
 
+/// Guards against a pause that outlives its server: one that left and announced itself again starts
+/// afresh, also while credits of its earlier life are still to be returned.
+#[parameterized(
+    baseline = { "least_in_flight" },
+    credits = { "credits" },
+)]
+fn returned_server_is_used_at_once(policy: &str) {
+    let (runtime, _) = new_runtime(policy);
+    set_server(&runtime, "s1", LifeState::Ready);
+    for _ in 0..3 {
+        for permit in acquire_all(&runtime) {
+            permit.finish(true);
+        }
+        set_server(&runtime, "s1", LifeState::Gone);
+        set_server(&runtime, "s1", LifeState::Ready);
+        assert_idle(&runtime);
+    }
+}
+
 /// Waits until a server that just failed is used again; with credits it is paused briefly.
 fn wait_until_usable(runtime: &Arc<ServiceRuntime>) {
     let end = deadline();
