Tie each response of a server to its request

Reproduced with a server that sends the copy when the next request has arrived: the second of two requests got the first one's response. Ruled out: the check of idle connections for bytes; the copy comes after that check. Change: each exchange has an id of its own, which servers return. Responses with another id are skipped; a connection whose server does not return the id is not used again.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -22,6 +22,16 @@
 /// into the send buffer of a connection, so the write does not block if the server stops reading.
 const MAX_BLIND_WRITE_BYTES: usize = 16 * 1024;
 
+/// Header with an id that is unique to one exchange. A server that returns it shows to which request
+/// a response belongs, and only its connections are used again.
+pub const EXCHANGE_HEADER: &str = "x-exchange-id";
+
+/// Maximum number of responses to earlier requests that are skipped on a reused connection.
+const MAX_LATE_RESPONSES: usize = 2;
+
+/// Maximum size in bytes of the body of a skipped response.
+const MAX_SKIPPED_BYTES: usize = 1024 * 1024;
+
 /// Server of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTarget {
@@ -68,8 +78,9 @@
     pub head: ResponseHead,
     /// Read state of the body.
     pub body: ResponseBody,
-    /// Whether the request body was sent completely; if not, the connection must not be reused.
-    pub request_complete: bool,
+    /// Whether the connection may carry another request once the body is read: the request was sent
+    /// completely, and the server ties its responses to requests.
+    pub reusable: bool,
 }
 
 /// Checks out a connection for an attempt; no byte of the request is sent.
@@ -90,18 +101,24 @@
     deadline: Instant,
 ) -> Result<OpenResponse, AttemptFailure> {
     let time_left = deadline.saturating_duration_since(Instant::now());
+    let exchange_id = format!("{:016x}", fastrand::u64(..));
+    let mut head = head.clone();
+    // Cannot fail: a hexadecimal number contains no control characters.
+    let _ = head.headers.set(EXCHANGE_HEADER, exchange_id.as_bytes());
     let result = with_timeout(time_left, async {
+        let mut exchange = OpenExchange { connection: &mut connection, head: &head, exchange_id };
         match payload {
-            RequestPayload::Buffered(body) => send_buffered(&mut connection, head, body).await,
-            RequestPayload::Streamed { caller, body } => {
-                send_streamed(&mut connection, head, caller, body).await
-            }
+            RequestPayload::Buffered(body) => exchange.send_buffered(body).await,
+            RequestPayload::Streamed { caller, body } => exchange.send_streamed(caller, body).await,
         }
     })
     .await;
     match result {
-        Ok(Ok((response, body, request_complete))) => {
-            Ok(OpenResponse { connection, head: response, body, request_complete })
+        Ok(Ok((mut response, body, request_complete))) => {
+            let is_attributed = response.headers.get(EXCHANGE_HEADER).is_some();
+            response.headers.remove(EXCHANGE_HEADER);
+            let reusable = request_complete && is_attributed;
+            Ok(OpenResponse { connection, head: response, body, reusable })
         }
         Ok(Err(failure)) => Err(failure),
         Err(_) => Err(AttemptFailure::DeadlineExceeded),
@@ -110,85 +127,110 @@
 
 type ExchangeResult = Result<(ResponseHead, ResponseBody, bool), AttemptFailure>;
 
-async fn send_buffered(
-    connection: &mut ServerConnection,
-    head: &RequestHead,
-    body: &[u8],
-) -> ExchangeResult {
-    let mut output = Vec::with_capacity(1024 + body.len());
-    head.write_to(&mut output);
-    output.extend_from_slice(body);
-    if body.len() > MAX_BLIND_WRITE_BYTES {
-        return send_large(connection, &head.method, &output).await;
-    }
-    if let Err(error) = connection.write(&output).await {
-        // The server may have answered before it closed the connection, for example with an error.
-        let early = with_timeout(EARLY_RESPONSE_TIMEOUT, connection.read_head(&head.method)).await;
-        return match early {
-            Ok(Ok((response, body))) => Ok((response, body, false)),
-            _ => Err(AttemptFailure::ServerFailed(error)),
-        };
-    }
-    let (response, body) =
-        connection.read_head(&head.method).await.map_err(classify_server_error)?;
-    Ok((response, body, true))
+/// Request that is being sent, and its connection.
+struct OpenExchange<'a> {
+    connection: &'a mut ServerConnection,
+    head: &'a RequestHead,
+    exchange_id: String,
 }
 
-/// Sends a request while reading the response, because the server may answer early.
-async fn send_large(
-    connection: &mut ServerConnection,
-    method: &str,
-    request: &[u8],
-) -> ExchangeResult {
-    let writer = connection.writer();
-    let upload = ServerConnection::write_all(&writer, request, connection.stall_timeout());
-    let download = connection.read_head(method);
-    pin_mut!(upload, download);
-    match select(upload, download).await {
-        Either::Left((Ok(()), download)) => {
-            let (response, body) = download.await.map_err(classify_server_error)?;
-            Ok((response, body, true))
+impl OpenExchange<'_> {
+    async fn send_buffered(&mut self, body: &[u8]) -> ExchangeResult {
+        let mut output = Vec::with_capacity(1024 + body.len());
+        self.head.write_to(&mut output);
+        output.extend_from_slice(body);
+        if body.len() > MAX_BLIND_WRITE_BYTES {
+            return self.send_large(&output).await;
         }
-        Either::Left((Err(error), download)) => {
-            match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
+        if let Err(error) = self.connection.write(&output).await {
+            // The server may have answered before it closed the connection, for example with an
+            // error.
+            return match with_timeout(EARLY_RESPONSE_TIMEOUT, self.read_own_head()).await {
                 Ok(Ok((response, body))) => Ok((response, body, false)),
                 _ => Err(AttemptFailure::ServerFailed(error)),
+            };
+        }
+        let (response, body) = self.read_own_head().await.map_err(classify_server_error)?;
+        Ok((response, body, true))
+    }
+
+    /// Sends a request while reading the response, because the server may answer early.
+    async fn send_large(&mut self, request: &[u8]) -> ExchangeResult {
+        let writer = self.connection.writer();
+        let stall = self.connection.stall_timeout();
+        let upload = ServerConnection::write_all(&writer, request, stall);
+        let download = self.read_own_head();
+        pin_mut!(upload, download);
+        match select(upload, download).await {
+            Either::Left((Ok(()), download)) => {
+                let (response, body) = download.await.map_err(classify_server_error)?;
+                Ok((response, body, true))
+            }
+            Either::Left((Err(error), download)) => {
+                match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
+                    Ok(Ok((response, body))) => Ok((response, body, false)),
+                    _ => Err(AttemptFailure::ServerFailed(error)),
+                }
             }
+            Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
+            Either::Right((Err(error), _)) => Err(classify_server_error(error)),
         }
-        Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
-        Either::Right((Err(error), _)) => Err(classify_server_error(error)),
     }
-}
 
-async fn send_streamed(
-    connection: &mut ServerConnection,
-    head: &RequestHead,
-    caller: &mut CallerConnection,
-    body: &mut RequestBody,
-) -> ExchangeResult {
-    let mut output = Vec::with_capacity(1024);
-    head.write_to(&mut output);
-    connection.write(&output).await.map_err(AttemptFailure::ServerFailed)?;
-    let writer = connection.writer();
-    let upload = upload(&writer, caller, body);
-    let download = connection.read_head(&head.method);
-    pin_mut!(upload, download);
-    match select(upload, download).await {
-        Either::Left((Ok(()), download)) => {
-            let (response, body) = download.await.map_err(classify_server_error)?;
-            Ok((response, body, true))
+    async fn send_streamed(
+        &mut self,
+        caller: &mut CallerConnection,
+        body: &mut RequestBody,
+    ) -> ExchangeResult {
+        let mut output = Vec::with_capacity(1024);
+        self.head.write_to(&mut output);
+        self.connection.write(&output).await.map_err(AttemptFailure::ServerFailed)?;
+        let writer = self.connection.writer();
+        let upload = upload(&writer, caller, body);
+        let download = self.read_own_head();
+        pin_mut!(upload, download);
+        match select(upload, download).await {
+            Either::Left((Ok(()), download)) => {
+                let (response, body) = download.await.map_err(classify_server_error)?;
+                Ok((response, body, true))
+            }
+            Either::Left((Err(UploadError::Caller(error)), _)) => {
+                Err(AttemptFailure::CallerFailed(error))
+            }
+            Either::Left((Err(UploadError::Server(error)), download)) => {
+                match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
+                    Ok(Ok((response, body))) => Ok((response, body, false)),
+                    _ => Err(AttemptFailure::ServerFailed(error)),
+                }
+            }
+            Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
+            Either::Right((Err(error), _)) => Err(classify_server_error(error)),
         }
-        Either::Left((Err(UploadError::Caller(error)), _)) => {
-            Err(AttemptFailure::CallerFailed(error))
+    }
+
+    /// Reads the head of the response to this request and skips late responses to earlier ones.
+    async fn read_own_head(&mut self) -> Result<(ResponseHead, ResponseBody), HttpError> {
+        for _ in 0..=MAX_LATE_RESPONSES {
+            let (response, mut body) = self.connection.read_head(&self.head.method).await?;
+            match response.headers.get(EXCHANGE_HEADER) {
+                Some(id) if *id == *self.exchange_id.as_bytes() => return Ok((response, body)),
+                // Only connections of servers that return the id are used again.
+                None if !self.connection.is_reused() => return Ok((response, body)),
+                _ => self.skip_body(&mut body).await?,
+            }
         }
-        Either::Left((Err(UploadError::Server(error)), download)) => {
-            match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
-                Ok(Ok((response, body))) => Ok((response, body, false)),
-                _ => Err(AttemptFailure::ServerFailed(error)),
+        Err(HttpError::UnexpectedBytes)
+    }
+
+    async fn skip_body(&mut self, body: &mut ResponseBody) -> Result<(), HttpError> {
+        let mut skipped = 0;
+        while let Some(data) = self.connection.read_body(body).await? {
+            skipped += data.len();
+            if skipped > MAX_SKIPPED_BYTES {
+                return Err(HttpError::UnexpectedBytes);
             }
         }
-        Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
-        Either::Right((Err(error), _)) => Err(classify_server_error(error)),
+        Ok(())
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,6 +29,7 @@
 pub use claims::{ClaimCallError, ClaimClient};
 pub use context::{ContextParts, EntryContext, ServiceTable};
 pub use control::{ControlInput, choose_peers_to_ask};
+pub use exchange::EXCHANGE_HEADER;
 pub use lease::{LeaseClient, LeaseInput, RenewalAction};
 pub use operator::METRICS_CONTENT_TYPE;
 pub use permit::SlotPermit;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -247,9 +247,9 @@
     if is_unknown && later.0.run_state() == RunState::NotRun { earlier } else { later }
 }
 
-/// Returns a connection to its pool if the request body was sent completely.
+/// Returns a connection to its pool if it may carry another request.
 pub fn release_connection(response: OpenResponse) {
-    if response.request_complete {
+    if response.reusable {
         response.connection.release(&response.body);
     }
 }
--- a/src/stand_in/serve.rs
+++ b/src/stand_in/serve.rs
@@ -12,6 +12,7 @@
 use super::{
     AnnouncedState, BodyPattern, REFUSED_HEADER, SharedServer, SlotGuard, StandInMode, hex_text,
 };
+use crate::entry::EXCHANGE_HEADER;
 use crate::http::{
     BodyFraming, CallerConnection, HttpError, HttpLimits, RequestBody, RequestHead, ResponseHead,
 };
@@ -233,6 +234,9 @@
     request: &RequestHead,
     mut reply: Reply,
 ) -> Result<(), HttpError> {
+    if let Some(id) = request.headers.get(EXCHANGE_HEADER) {
+        let _ = reply.head.headers.append(EXCHANGE_HEADER, id);
+    }
     let (size, chunked, slot) = match reply.content {
         ReplyContent::Buffered(content) => {
             return connection.respond(request, reply.head, &content).await;
--- a/tests/process/answers.rs
+++ b/tests/process/answers.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_std::task::block_on;
+use curranthollow::entry::EXCHANGE_HEADER;
 use curranthollow::http::{HeaderList, send_request};
 
 use super::client::{Answer, Call};
@@ -16,8 +17,17 @@
 use super::support::{seed, wait_until};
 
 /// Faults that a request can select in its query.
-const FAULTS: [&str; 8] =
-    ["none", "dies", "short_chunks", "over_long", "stalls", "late", "two_answers", "dies_in_head"];
+const FAULTS: [&str; 9] = [
+    "none",
+    "dies",
+    "short_chunks",
+    "over_long",
+    "stalls",
+    "late",
+    "two_answers",
+    "late_copy",
+    "dies_in_head",
+];
 
 const CALL_COUNT: usize = 200;
 
@@ -38,7 +48,10 @@
                     return;
                 }
                 let Ok(stream) = stream else { continue };
-                thread::spawn(move || while serve(&stream).is_ok_and(|keep_open| keep_open) {});
+                thread::spawn(move || {
+                    let mut late_copy = Vec::new();
+                    while serve(&stream, &mut late_copy).is_ok_and(|keep_open| keep_open) {}
+                });
             }
         });
         thread::spawn(move || {
@@ -78,10 +91,12 @@
     format!("{run_id};").repeat(20_000 / (run_id.len() + 1)).into_bytes()
 }
 
-/// Serves one request; returns whether the connection stays open.
-fn serve(mut stream: &TcpStream) -> std::io::Result<bool> {
+/// Serves one request; returns whether the connection stays open. `late_copy` is a second copy of the
+/// previous response, which is sent when the next request has arrived.
+fn serve(mut stream: &TcpStream, late_copy: &mut Vec<u8>) -> std::io::Result<bool> {
     let mut reader = BufReader::with_capacity(1, stream);
     let (mut fault, mut run_id) = (String::new(), String::new());
+    let mut exchange_line = String::new();
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -93,12 +108,16 @@
         if let Some(value) = line.strip_prefix("x-run-id: ") {
             run_id = value.trim().into();
         }
+        if line.starts_with(EXCHANGE_HEADER) {
+            exchange_line.clone_from(&line);
+        }
         if line == "\r\n" {
             break;
         }
     }
+    stream.write_all(&std::mem::take(late_copy))?;
     let body = complete_body(&run_id);
-    let head = format!("HTTP/1.1 200 OK\r\nx-run-id: {run_id}\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\nx-run-id: {run_id}\r\n{exchange_line}");
     let head_with_length = format!("{head}content-length: {}\r\n\r\n", body.len());
     let half = &body[..body.len() / 2];
     match &*fault {
@@ -122,9 +141,14 @@
             stream.write_all(&body)?;
             stream.write_all(b"bytes after the end")?;
         }
+        "late_copy" => {
+            stream.write_all(head_with_length.as_bytes())?;
+            stream.write_all(&body)?;
+            *late_copy = head_with_length.into_bytes();
+            late_copy.extend_from_slice(&body);
+        }
         "two_answers" => {
-            let forged =
-                format!("HTTP/1.1 200 OK\r\nx-run-id: {run_id}\r\ncontent-length: 2\r\n\r\nno");
+            let forged = format!("{head}content-length: 2\r\n\r\nno");
             stream.write_all(head_with_length.as_bytes())?;
             stream.write_all(&body)?;
             stream.write_all(forged.as_bytes())?;
@@ -187,7 +211,8 @@
                         body == complete_body(&run_id),
                         "{fault}: not the complete response to this request"
                     );
-                    let may_be_served = ["none", "over_long", "two_answers"].contains(&fault);
+                    let may_be_served =
+                        ["none", "over_long", "two_answers", "late_copy"].contains(&fault);
                     assert!(may_be_served, "{fault}: faulty response reported as complete");
                 }
                 Answer::Failed { .. } | Answer::Broken(_) => counts.1 += 1,
@@ -197,3 +222,26 @@
     println!("served and failed: {counts_by_fault:?}");
     assert!(counts_by_fault["none"].0 > 0, "{counts_by_fault:?}");
 }
+
+// Guards against a second copy of a response that arrives while the connection carries the next
+// request: it must not reach the caller of that request.
+#[test]
+fn a_late_copy_reaches_no_other_caller() {
+    let cluster =
+        TestCluster::start(ClusterOptions { entries: 1, proxied: false, lease: DEFAULT_LEASE });
+    let entry = cluster.entry(1);
+    let _server = FaultyServer::start(entry);
+    wait_until("the faulty server serves a request", || {
+        Call::get("/faulty?fault=none", "first").send(entry).is_served()
+    });
+    let mut served_count = 0;
+    for number in 0..200 {
+        let run_id = format!("copy-{number}");
+        let answer = Call::get("/faulty?fault=late_copy", &run_id).send(entry);
+        if let Answer::Served(body) = answer {
+            served_count += 1;
+            assert!(body == complete_body(&run_id), "{run_id} got another response");
+        }
+    }
+    assert!(served_count >= 100, "{served_count} of 200 were served");
+}
