Count suspensions of the machine against the settings lease

Cause, looked for after the users' list ("a process that had been paused acted on a permission that had run out meanwhile"): leases were kept as Instant, and the steady clock stands still while a VM is suspended. An entry that woke up after a minute served on its old settings until the rest of the lease had passed, and used credits that the account had given to others. Ruled out: SIGSTOP; the steady clock goes on then, so the lease ends in time. The control thread shortens the lease and unanswered renewals and ends the credit lease; the traffic threads check the deadline with the time suspended, so they need not wait for the control thread.

--- a/src/credit/wallet.rs
+++ b/src/credit/wallet.rs
@@ -37,6 +37,8 @@
     /// The link to the holder closed. No more grants of that link will arrive.
     HolderUnreachable,
     Message(HolderMessage),
+    /// The lease has run out, although the steady clock does not show it.
+    LeaseExpired,
     /// All servers that this entry has ejected. Their credits are returned and they get no work.
     EjectedChanged(Vec<ServerKey>),
     /// All servers that this entry suspects, to be reported to the holder.
@@ -250,6 +252,11 @@
                 self.fallback_from = now;
             }
             WalletEvent::Message(message) => return self.handle_message(now, message),
+            WalletEvent::LeaseExpired => {
+                self.lease_expires_at = now;
+                self.sent_times.clear();
+                self.check_lease(now);
+            }
             WalletEvent::EjectedChanged(ejected) => self.change_ejected(&ejected),
             WalletEvent::SuspectsChanged(suspects) => self.change_suspects(suspects),
             WalletEvent::Tick(waiting) => return self.tick(now, waiting),
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -18,6 +18,7 @@
 use crate::life_cycle::StateChart;
 use crate::metrics::ProcessMetrics;
 use crate::settings::{SettingsTree, StalePolicy};
+use crate::suspension::{SuspensionDeadline, suspended_time};
 
 /// Immutable snapshot of settings and services, replaced as a whole by the control thread.
 #[derive(Clone, Default)]
@@ -64,7 +65,7 @@
     pub inbox: Sender<ControlInput>,
     dropped: SettlementSender,
     table: RwLock<Arc<ServiceTable>>,
-    lease_until: Mutex<Option<Instant>>,
+    lease: Mutex<Option<SuspensionDeadline>>,
     session: AtomicU64,
     process_state: Mutex<Box<str>>,
     stopping: AtomicBool,
@@ -118,7 +119,7 @@
             dropped: parts.dropped,
             share: parts.share,
             table: RwLock::default(),
-            lease_until: Mutex::new(None),
+            lease: Mutex::new(None),
             session: AtomicU64::new(parts.session),
             process_state: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
@@ -143,14 +144,14 @@
     }
 
     /// Sets the expiry of the settings lease; `None` if there is no lease.
-    pub fn set_lease(&self, until: Option<Instant>) {
-        *self.lease_until.lock().expect("lease lock is not poisoned") = until;
+    pub fn set_lease(&self, expiry: Option<SuspensionDeadline>) {
+        *self.lease.lock().expect("lease lock is not poisoned") = expiry;
     }
 
     /// Whether the settings lease is valid.
     pub fn has_lease(&self, now: Instant) -> bool {
-        let until = *self.lease_until.lock().expect("lease lock is not poisoned");
-        until.is_some_and(|until| now < until)
+        let expiry = *self.lease.lock().expect("lease lock is not poisoned");
+        expiry.is_some_and(|expiry| !expiry.is_over(now, suspended_time()))
     }
 
     /// Whether new requests may be served: the lease is valid, or the stale policy allows it.
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -27,6 +27,7 @@
     GrantLease, HelloMessage, LinkEvent, LinkHub, LiveEntry, ProcessRole, RenewLease, WireMessage,
 };
 use crate::settings::{InstalledSettings, SettingsDelta};
+use crate::suspension::{SuspensionDeadline, SuspensionWatch, suspended_time};
 use crate::timer::TimerService;
 
 /// Tick interval of the control thread while requests are open or credits are transferred.
@@ -66,6 +67,7 @@
     context: Arc<EntryContext>,
     hub: LinkHub,
     lease_client: LeaseClient,
+    suspension_watch: SuspensionWatch,
     installed: InstalledSettings,
     directory: ServerDirectory,
     sync_exchange: SyncExchange,
@@ -100,6 +102,7 @@
             context,
             hub,
             lease_client: LeaseClient::new(controls, seed, now),
+            suspension_watch: SuspensionWatch::new(suspended_time()),
             installed: InstalledSettings::new(),
             directory: ServerDirectory::new(DirectoryLimits::default()),
             sync_exchange: SyncExchange::new(now),
@@ -127,8 +130,14 @@
             let tick = ticks.recv();
             pin_mut!(input, tick);
             match select(input, tick).await {
-                Either::Left((Ok(input), _)) => self.handle_input(input),
-                Either::Right((Ok(_), _)) => self.tick(Instant::now()),
+                Either::Left((Ok(input), _)) => {
+                    self.check_suspension(Instant::now());
+                    self.handle_input(input);
+                }
+                Either::Right((Ok(_), _)) => {
+                    self.check_suspension(Instant::now());
+                    self.tick(Instant::now());
+                }
                 Either::Left((Err(_), _)) | Either::Right((Err(_), _)) => return,
             }
             let next = self.next_tick_interval();
@@ -346,7 +355,7 @@
         let leader = grant.leader.clone();
         let had_update = grant.update.is_some();
         self.handle_lease_input(now, LeaseInput::Granted { leader, nonce: grant.nonce, lease });
-        self.context.set_lease(self.lease_client.expires_at());
+        self.publish_lease();
         if had_update {
             self.report_installed(&grant.leader);
         }
@@ -358,6 +367,27 @@
         self.context.advance("ready");
     }
 
+    /// Makes the expiry of the lease known to the traffic threads.
+    fn publish_lease(&self) {
+        let suspended = self.suspension_watch.known();
+        let expiry = self.lease_client.expires_at();
+        self.context.set_lease(expiry.map(|until| SuspensionDeadline::new(until, suspended)));
+    }
+
+    /// Counts a suspension of the machine against the lease.
+    fn check_suspension(&mut self, now: Instant) {
+        let Some(duration) = self.suspension_watch.check(suspended_time()) else { return };
+        log::warn!(suspended_ms = duration.as_millis(); "machine was suspended");
+        for runtime in self.context.table().all() {
+            runtime.expire_credit_lease(now);
+        }
+        if self.is_leaving {
+            return;
+        }
+        self.handle_lease_input(now, LeaseInput::Suspended(duration));
+        self.publish_lease();
+    }
+
     fn handle_lease_input(&mut self, now: Instant, input: LeaseInput) {
         let Some(RenewalAction { to, nonce }) = self.lease_client.handle(now, input) else {
             return;
--- a/src/entry/lease.rs
+++ b/src/entry/lease.rs
@@ -74,6 +74,8 @@
         /// Lease duration, counted from the sending of the renewal.
         lease: Duration,
     },
+    /// The machine was suspended for this long, which `Instant` does not count.
+    Suspended(Duration),
     /// Time has passed.
     Tick,
 }
@@ -141,6 +143,7 @@
                 self.leader = known;
             }
             LeaseInput::Granted { leader, nonce, lease } => self.apply_grant(leader, nonce, lease),
+            LeaseInput::Suspended(duration) => self.count_suspension(now, duration),
             LeaseInput::Tick if now >= self.next_send => self.has_followed_redirect = false,
             LeaseInput::Tick => (),
         }
@@ -150,6 +153,19 @@
         self.next_renewal(now)
     }
 
+    /// Shortens the lease by a suspension, and that of each renewal without an answer, whose grant
+    /// counts from its sending.
+    fn count_suspension(&mut self, now: Instant, duration: Duration) {
+        let earlier = |time: Instant| time.checked_sub(duration);
+        self.expires_at = self.expires_at.and_then(earlier);
+        self.pending.retain_mut(|renewal| {
+            let sent = earlier(renewal.sent);
+            renewal.sent = sent.unwrap_or(renewal.sent);
+            sent.is_some()
+        });
+        self.next_send = now;
+    }
+
     /// Whether the lease is valid.
     pub fn is_valid(&self, now: Instant) -> bool {
         self.expires_at.is_some_and(|expires_at| now < expires_at)
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -301,6 +301,11 @@
         self.grant_free_slots(guard, now);
     }
 
+    /// Ends the credit lease early, because the machine was suspended while it ran.
+    pub fn expire_credit_lease(self: &Arc<Self>, now: Instant) {
+        self.lock().wallet.handle(now, WalletEvent::LeaseExpired);
+    }
+
     /// Handles a message from the account holder.
     pub fn receive(self: &Arc<Self>, message: HolderMessage) {
         let now = Instant::now();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod stand_in;
 pub mod status;
 pub mod storage;
+pub mod suspension;
 pub mod table;
 pub mod timer;
 pub mod units;
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -18,6 +18,7 @@
 use curranthollow::route::team_share::ProcessLimits;
 use curranthollow::settings::{RootSettings, SettingsTree, TeamSettings};
 use curranthollow::stand_in::{StandInOptions, StandInServer};
+use curranthollow::suspension::{SuspensionDeadline, suspended_time};
 
 /// Timeout of test steps, long enough for a busy machine; reached only when a test fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
@@ -55,7 +56,8 @@
             session: 1,
         });
         context.publish(table(teams));
-        context.set_lease(Some(Instant::now() + Duration::from_secs(3600)));
+        let expires_at = Instant::now() + Duration::from_secs(3600);
+        context.set_lease(Some(SuspensionDeadline::new(expires_at, suspended_time())));
         context.advance("ready");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
