Confirm the state of an entry after a suspension

An entry of a fleet that woke up served at once with the servers and routes from before, read notices that had waited in its sockets as if they were new, and sent requests with the time left from before. Ruled out: refusing until control is reached; an entry must serve while control is away. Change: a suspension closes the links, whose buffered messages are old; requests wait for a notice of a member on a new link, at most 0.15 of the caller's timeout, as for the first document.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -23,6 +23,7 @@
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
 use crate::log_info;
+use crate::suspension::{SuspensionWatch, suspended_time};
 
 /// Phase of an entry's life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,9 @@
     balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entry_count: Cell<u32>,
+    suspension_watch: Cell<SuspensionWatch>,
+    /// Whether a member has confirmed the state since the machine was last suspended.
+    state_confirmed: watch::Sender<bool>,
 }
 
 impl EntryContext {
@@ -75,6 +79,8 @@
             budgets: RefCell::default(),
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
+            suspension_watch: Cell::new(SuspensionWatch::new(suspended_time())),
+            state_confirmed: watch::Sender::new(true),
         })
     }
 
@@ -90,11 +96,44 @@
 
     /// Waits until the first document is in force, or until `deadline`.
     pub async fn wait_for_route_table(&self, deadline: Instant) {
+        if self.has_route_table() {
+            return;
+        }
         let mut route_table = self.route_table.subscribe();
         // The wait cannot fail: the sender lives as long as the context.
         let _ = timeout_at(deadline.into(), route_table.wait_for(Option::is_some)).await;
     }
 
+    /// Notices a suspension of the machine: servers may have left and routes may have changed while
+    /// this entry knew of nothing.
+    pub fn check_suspension(&self) {
+        let mut watch = self.suspension_watch.get();
+        let Some(duration) = watch.check(suspended_time()) else { return };
+        self.suspension_watch.set(watch);
+        self.state_confirmed.send_replace(false);
+        log_info!("machine_suspended", "suspended_ms={}", duration.as_millis());
+    }
+
+    /// Time for which the machine has been suspended, as far as noticed.
+    pub fn known_suspension(&self) -> Duration {
+        self.suspension_watch.get().known()
+    }
+
+    /// Records that the state is up to date.
+    pub fn confirm_state(&self) {
+        self.state_confirmed.send_if_modified(|confirmed| !std::mem::replace(confirmed, true));
+    }
+
+    /// Waits until a member has confirmed the state after a suspension, or until `deadline`.
+    pub async fn wait_for_confirmed_state(&self, deadline: Instant) {
+        let mut confirmed = self.state_confirmed.subscribe();
+        if *confirmed.borrow() {
+            return;
+        }
+        // The wait cannot fail: the sender lives as long as the context.
+        let _ = timeout_at(deadline.into(), confirmed.wait_for(|confirmed| *confirmed)).await;
+    }
+
     /// Limits on callers that are in force.
     pub fn caller_limits(&self) -> CallerLimits {
         self.route_table.borrow().as_ref().map(|route_table| route_table.limits).unwrap_or_default()
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -80,6 +80,7 @@
     pub async fn run(self: Rc<Self>) {
         loop {
             let now = Instant::now();
+            self.context.check_suspension();
             for address in self.members_to_dial(now) {
                 self.links.borrow_mut().insert(address, None);
                 tokio::task::spawn_local(Rc::clone(&self).run_link(address));
@@ -146,7 +147,9 @@
     async fn run_link(self: Rc<Self>, address: SocketAddr) {
         let error = self.follow(address).await.err();
         self.links.borrow_mut().remove(&address);
-        self.failed_at.borrow_mut().insert(address, Instant::now());
+        if !matches!(error, Some(LinkError::Suspended)) {
+            self.failed_at.borrow_mut().insert(address, Instant::now());
+        }
         self.link_ended.notify_one();
         if let Some(error) = error
             && !matches!(error, LinkError::ConnectTimeout | LinkError::Io(_))
@@ -162,8 +165,14 @@
         let name = self.context.name.clone();
         writer.send(link::encode(&LinkMessage::Follow { name, revision })).await?;
         let followed_since = Instant::now();
+        let suspension = self.context.known_suspension();
         loop {
             let received = timeout(SILENCE_TIMEOUT, reader.receive()).await;
+            self.context.check_suspension();
+            if self.context.known_suspension() != suspension {
+                // What was received may have waited here as long as the machine was suspended.
+                return Err(LinkError::Suspended);
+            }
             match received.map_err(|_| LinkError::Silent)?? {
                 LinkMessage::Update(update) => {
                     self.context.install_update(Instant::now(), update);
@@ -174,6 +183,7 @@
                     let has_leader = notice.leader_age.is_some_and(|age| age < MAX_LEADER_AGE);
                     if has_leader {
                         self.links.borrow_mut().insert(address, Some(now));
+                        self.context.confirm_state();
                         self.context.update_entry_count(&notice);
                         *self.members.borrow_mut() = notice.members;
                         if self.is_surplus(address) {
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -31,9 +31,10 @@
 /// `retry-after` before the first document is in force.
 const NO_DOCUMENT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Fraction of the caller's timeout for which a request waits for the first document. After a loss
-/// of all processes the document arrives within half a second, and many callers retry only once.
-const DOCUMENT_WAIT_FRACTION: f64 = 0.15;
+/// Fraction of the caller's timeout for which a request waits for the first document, or for the
+/// state to be confirmed after a suspension. After a loss of all processes the document arrives within
+/// half a second, and many callers retry only once.
+const STATE_WAIT_FRACTION: f64 = 0.15;
 
 /// Timeout assumed before the first document for a caller that states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -121,12 +122,13 @@
 ) -> CallerResponse {
     let received_at = caller_request.received_at;
     let id = request_id(context, &caller_request.head);
-    if !context.has_route_table() {
-        let delay = requested_timeout(context, &caller_request.head)
+    context.check_suspension();
+    let state_deadline = received_at
+        + requested_timeout(context, &caller_request.head)
             .unwrap_or(DEFAULT_CALLER_TIMEOUT)
-            .mul_f64(DOCUMENT_WAIT_FRACTION);
-        context.wait_for_route_table(received_at + delay).await;
-    }
+            .mul_f64(STATE_WAIT_FRACTION);
+    context.wait_for_route_table(state_deadline).await;
+    context.wait_for_confirmed_state(state_deadline).await;
     let driver = match prepare(context, caller_request, id.clone()) {
         Ok(driver) => driver,
         Err(local) => {
@@ -385,6 +387,8 @@
             LocalResponse::new(502, "the server's response is lost")
         } else if matches!(error, SendError::NoServer(_)) {
             self.refuse("no server has room")
+        } else if matches!(error, SendError::Expired) {
+            self.refuse("the time is over before a server was reached")
         } else {
             self.refuse("all servers that were tried refused")
         };
@@ -401,7 +405,7 @@
             self.unsent_attempts += 1;
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
-                && !matches!(error, SendError::NoServer(_));
+                && !matches!(error, SendError::NoServer(_) | SendError::Expired);
             if may_retry {
                 // Nothing reached a server, so this attempt takes the place of the last one.
                 self.send_count -= 1;
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -112,6 +112,8 @@
     Malformed,
     #[error("the peer did not respond in time")]
     Silent,
+    #[error("the machine was suspended")]
+    Suspended,
 }
 
 impl From<tokio_tungstenite::tungstenite::Error> for LinkError {
