Bound responses that never end and values that overflow

A sum of reported requests could overflow and make a full server look free. A request without an id used connections on which a late copy of another response could be due. Ruled out: unbounded memory; heads, skipped and buffered bodies were bounded already. Change: a relay ends 5 s after the deadline of its request, at most 16 interim responses are skipped, the declared idle timeout is capped, sums saturate, requests without an id get a connection of their own, and nothing is sent once the real deadline has passed.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -224,7 +224,7 @@
             let age = now.duration_since(at);
             slowness += (f64::from(report.slowdown_percent) / 100.0 - usual_slowness)
                 * decay_factor(age, SLOWNESS_TIME_CONSTANT);
-            let other_count = (report.running + report.waiting).saturating_sub(own_requests);
+            let other_count = report.occupied().saturating_sub(own_requests);
             other_requests = f64::from(other_count) * decay_factor(age, LOAD_TIME_CONSTANT);
         }
         let latency_factor = match (stats.latency, self.mean_latency_ms) {
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -102,7 +102,7 @@
     ///
     /// One slot stays free because servers slow down when they are nearly full.
     pub fn has_spare_capacity(&self) -> bool {
-        !self.is_degraded() && self.running + self.waiting + 1 < self.slots
+        !self.is_degraded() && self.occupied().saturating_add(1) < self.slots
     }
 
     /// Whether requests take much longer than usual, for example because of noisy neighbours.
@@ -112,7 +112,12 @@
 
     /// Whether one more request would start at once.
     pub fn has_free_slot(&self) -> bool {
-        self.running + self.waiting < self.slots
+        self.occupied() < self.slots
+    }
+
+    /// Number of requests at the server. A faulty server may report any numbers.
+    pub fn occupied(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
     }
 
     /// Parses `running,waiting,slots[,slowdown_percent]`.
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -336,7 +336,8 @@
     }
 }
 
-async fn open_connection(
+/// Opens a connection to the server.
+pub async fn open_connection(
     context: &EntryContext,
     service: &ServiceName,
     chosen: &ChosenServer,
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -1,5 +1,9 @@
 //! Writes responses to callers: those of servers and the entry's own.
 
+use std::time::Duration;
+
+use tokio::time::timeout_at;
+
 use super::request::LocalResponse;
 use super::send::{BodyEnd, ServerBody, ServerResponse};
 use crate::fleet::stream::{HttpStream, RelayFraming};
@@ -9,6 +13,10 @@
 /// Maximum number of bytes of a streaming response that are forwarded at once.
 const RELAY_CHUNK_BYTES: usize = 64 << 10;
 
+/// Time after the deadline of a request at which the relay of its response ends. A server may send
+/// without end, and a caller may read slowly.
+const RELAY_GRACE: Duration = Duration::from_secs(5);
+
 /// Why a caller's connection is not kept open.
 pub enum ConnectionEnd {
     /// The peer has disconnected, or its stream is unusable.
@@ -50,7 +58,7 @@
     method: &str,
     keep_alive: bool,
 ) -> Result<(), ConnectionEnd> {
-    let ServerResponse { mut head, body, server: server_id } = response;
+    let ServerResponse { mut head, body, server: server_id, deadline } = response;
     let no_body = method == "HEAD" || matches!(head.status, 204 | 304);
     head.headers.remove_hop_by_hop();
     if !no_body {
@@ -76,7 +84,9 @@
             relay_framing.write_header(&mut output);
             output.extend_from_slice(b"\r\n");
             relay_framing.encode(&buffered, &mut output);
-            let result = relay_body(stream, server, end, relay_framing, output).await;
+            let relay = relay_body(stream, server, end, relay_framing, output);
+            let result = timeout_at((deadline + RELAY_GRACE).into(), relay).await;
+            let result = result.unwrap_or(Err(ConnectionEnd::Drop));
             if result.is_err() {
                 log_info!("response_broken_off", "server={server_id} status={}", head.status);
             }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use thiserror::Error;
 
@@ -12,6 +12,7 @@
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
+use crate::suspension::{SuspensionDeadline, suspended_time};
 
 /// Response bytes that are buffered until the body is complete, so that a broken response can be
 /// retried.
@@ -36,6 +37,8 @@
     pub request_id: Option<Box<[u8]>>,
     pub idempotent: bool,
     pub deadline: Instant,
+    /// The deadline, counting the time for which the machine is suspended.
+    real_deadline: SuspensionDeadline,
 }
 
 /// Validated response of a server.
@@ -43,6 +46,8 @@
     pub head: ResponseHead,
     pub body: ServerBody,
     pub server: ServerId,
+    /// Deadline of the request.
+    pub deadline: Instant,
 }
 
 /// Body of a response, complete or still arriving.
@@ -67,6 +72,9 @@
     /// No server has room.
     #[error("not sent: {0}")]
     NoServer(ProbeCounts),
+    /// The deadline passed before anything was sent.
+    #[error("not sent: the deadline has passed")]
+    Expired,
     /// The server stated that it did not run the request.
     #[error("refused by the server with status {status}")]
     NotRun { status: u16 },
@@ -86,12 +94,13 @@
 
     /// Whether the request was sent to a server.
     pub fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoServer(_))
+        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired)
     }
 
     fn outcome(&self) -> SendOutcome {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
+            Self::Expired => SendOutcome::Abandoned,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -100,7 +109,7 @@
     /// Label value for metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) | Self::NoServer(_) => "not_sent",
+            Self::NotSent(_) | Self::NoServer(_) | Self::Expired => "not_sent",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken(_) => "broken",
@@ -144,13 +153,18 @@
             request_id,
             idempotent,
             deadline,
+            real_deadline: SuspensionDeadline::new(deadline, context.known_suspension()),
         }
     }
 
-    fn encode(&self, context: &EntryContext, server: &ServerId) -> Vec<u8> {
+    /// Time left, less the time for which the machine was suspended.
+    fn time_left(&self) -> Duration {
+        self.real_deadline.time_left(Instant::now(), suspended_time())
+    }
+
+    fn encode(&self, context: &EntryContext, server: &ServerId, time_left: Duration) -> Vec<u8> {
         let header_names = context.dialect.headers();
-        let time_left_ms =
-            self.deadline.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let time_left_ms = time_left.as_millis().max(1);
         let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
         bytes.extend_from_slice(&self.head);
         for (name, value) in [
@@ -282,10 +296,20 @@
     request: &OutgoingRequest,
     chosen: &ChosenServer,
 ) -> Result<ServerResponse, SendError> {
-    let mut stream =
-        measure::connect(context, &request.service, chosen).await.map_err(SendError::NotSent)?;
+    // A request without an id needs a connection on which nothing else can be due.
+    let connecting = async {
+        match request.request_id {
+            Some(_) => measure::connect(context, &request.service, chosen).await,
+            None => measure::open_connection(context, &request.service, chosen).await,
+        }
+    };
+    let mut stream = connecting.await.map_err(SendError::NotSent)?;
+    let time_left = request.time_left();
+    if time_left.is_zero() {
+        return Err(SendError::Expired);
+    }
     let limits = HttpLimits::default();
-    let bytes = request.encode(context, &chosen.server);
+    let bytes = request.encode(context, &chosen.server, time_left);
     // From here on the server may have received the request.
     let fully_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
     let head = read_matching_head(context, request, &mut stream, &limits).await?;
@@ -309,15 +333,16 @@
             (complete.map_err(HttpError::from)?, BodyEnd::Close)
         }
     };
-    let server = chosen.server.clone();
+    let (server, deadline) = (chosen.server.clone(), request.deadline);
     if !complete {
         let body = ServerBody::Streaming { buffered, stream, end, framing };
-        return Ok(ServerResponse { head, body, server });
+        return Ok(ServerResponse { head, body, server, deadline });
     }
-    if fully_written && framing.is_some() {
+    // Without a request id, a late copy of this response would look like the next one.
+    if fully_written && framing.is_some() && request.request_id.is_some() {
         context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
-    Ok(ServerResponse { head, body: ServerBody::Complete(buffered), server })
+    Ok(ServerResponse { head, body: ServerBody::Complete(buffered), server, deadline })
 }
 
 /// Reads the response to this request and skips late responses to earlier ones.
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -18,6 +18,9 @@
 /// Time for which a closing connection waits for the peer to read the remaining data.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum number of interim responses before a final one.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 /// State of a connection on which no data is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IdleState {
@@ -142,15 +145,20 @@
 
     /// Reads the head of a final response, skipping interim responses.
     pub async fn read_response(&mut self, limits: &HttpLimits) -> Result<ResponseHead, HttpError> {
+        let mut interim_count = 0;
         loop {
             if !self.buffered().is_empty()
                 && let Some((head, length)) = ResponseHead::parse(self.buffered(), limits)?
             {
                 self.consume(length);
-                if head.is_interim() {
-                    continue;
+                if !head.is_interim() {
+                    return Ok(head);
+                }
+                interim_count += 1;
+                if interim_count > MAX_INTERIM_RESPONSES {
+                    return Err(HttpError::UnexpectedBytes);
                 }
-                return Ok(head);
+                continue;
             }
             if self.fill().await? == 0 {
                 return Err(HttpError::Truncated);
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -4,6 +4,9 @@
 
 use super::{BodyFraming, HeaderList, HttpError, HttpLimits};
 
+/// Upper limit of a declared idle timeout. A huge number would overflow the clock.
+const MAX_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// HTTP version of a message; messages of other versions are rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum HttpVersion {
@@ -178,7 +181,8 @@
         let value = self.headers.get_str("keep-alive")?;
         let mut parameters = value.split(',').filter_map(|part| part.trim().split_once('='));
         let (_, seconds) = parameters.find(|(name, _)| name.trim() == "timeout")?;
-        seconds.trim().parse().ok().map(Duration::from_secs)
+        let seconds: u64 = seconds.trim().parse().ok()?;
+        Some(Duration::from_secs(seconds).min(MAX_KEEP_ALIVE_TIMEOUT))
     }
 
     /// Appends the serialized head of an HTTP/1.1 response.
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -168,6 +168,21 @@
     );
 }
 
+/// Guards against an overflow that makes a full server look free, or ends the process.
+#[parameterized(
+    waiting = { "4294967295,1,6" },
+    running = { "1,4294967295,6" },
+    all = { "4294967295,4294967295,4294967295,4294967295" },
+)]
+fn huge_load_figures_mean_no_room(text: &str) {
+    let now = Instant::now();
+    let report = ReportedLoad::parse(text).expect("the figures fit their type");
+    assert!(!report.has_spare_capacity() && !report.has_free_slot());
+    let mut balancer = new_balancer(now, &two_servers());
+    balancer.record_load(now, &"s1".into(), report);
+    assert_eq!(chosen_server(&balancer, now).as_deref(), Some("s2"));
+}
+
 /// Guards against entries that all prefer the same servers, and against an entry that spreads its
 /// sends over so many servers that each needs a new connection.
 #[test]
