Let health probes run to their end

Cause: a probe that was not answered within 25 ms was dropped with its connection. A server that is slowed down to a fifth by its neighbours needs 30 ms for its health page, so the entry opened a new connection to it for the next request, and such servers counted as full. Ruled out: a longer patience alone; the next probe would start later. A server counts as full after 45 ms.

--- a/src/fleet/probe_plan.rs
+++ b/src/fleet/probe_plan.rs
@@ -10,6 +10,14 @@
 /// answers within 2 to 8 ms; one that takes longer is full, disturbed or down.
 pub const PROBE_PATIENCE: Duration = Duration::from_millis(25);
 
+/// Time after which a server without an answer counts as full. A server that is slowed down to a fifth
+/// by its neighbours answers within 35 ms.
+const FULL_PATIENCE: Duration = Duration::from_millis(45);
+
+/// Timeout of a probe on an open connection. The answer of a disturbed server keeps its connection
+/// usable; the probe of a full one would wait for a slot and then occupy it.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// Timeout for opening a connection. One lost packet delays it by a second, so a longer wait is
 /// useless.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -47,10 +55,16 @@
         self.asked_at.unwrap_or(self.started_at) + PROBE_PATIENCE
     }
 
+    /// Time from which the server counts as full. A connection that does not open says nothing about
+    /// free slots.
+    fn full_at(&self) -> Option<Instant> {
+        Some(self.asked_at? + FULL_PATIENCE)
+    }
+
     /// Time after which no result is expected any more.
     fn expires_at(&self) -> Instant {
         match self.asked_at {
-            Some(asked_at) => asked_at + PROBE_PATIENCE,
+            Some(asked_at) => asked_at + FULL_PATIENCE,
             None => self.started_at + CONNECT_TIMEOUT,
         }
     }
@@ -80,17 +94,24 @@
 
     /// Returns the next step.
     pub fn next(&self, now: Instant) -> ProbeStep {
-        if self.full_count + self.delayed_count(now) >= self.max_full {
+        let full_times = self.pending.iter().filter_map(PendingProbe::full_at);
+        let delayed_count = full_times.clone().filter(|full_at| *full_at <= now).count();
+        if self.full_count + delayed_count >= self.max_full {
             return ProbeStep::GiveUp;
         }
         let may_start = self.has_more_servers && self.started_count < MAX_PROBES;
         let newest_due_at = self.pending.iter().map(PendingProbe::due_at).max();
-        let last_expires_at = self.pending.iter().map(PendingProbe::expires_at).max();
-        match (newest_due_at, last_expires_at) {
-            (Some(due_at), _) if may_start && now < due_at => ProbeStep::Wait(due_at),
-            _ if may_start => ProbeStep::Start,
-            (_, Some(expires_at)) if now < expires_at => ProbeStep::Wait(expires_at),
-            _ => ProbeStep::GiveUp,
+        if may_start && newest_due_at.is_none_or(|due_at| due_at <= now) {
+            return ProbeStep::Start;
+        }
+        let due_times = newest_due_at.filter(|_| may_start).into_iter();
+        let expiry_times = self.pending.iter().map(PendingProbe::expires_at);
+        let last_expiry = expiry_times.max().filter(|_| !may_start).into_iter();
+        // A server that becomes full while others are pending may end the choice.
+        let wake_times = due_times.chain(last_expiry).chain(full_times);
+        match wake_times.filter(|at| *at > now).min() {
+            Some(wake_at) => ProbeStep::Wait(wake_at),
+            None => ProbeStep::GiveUp,
         }
     }
 
@@ -127,10 +148,4 @@
         let overdue = self.pending.iter().filter(move |probe| now >= probe.due_at());
         overdue.map(|probe| (probe.number, probe.asked_at.is_some()))
     }
-
-    /// Number of connected servers whose answer is overdue: a full server delays its health page as
-    /// long as any request. A connection that does not open says nothing about free slots.
-    fn delayed_count(&self, now: Instant) -> usize {
-        self.overdue(now).filter(|(_, is_connected)| *is_connected).count()
-    }
 }
