Stream updates over one link, in compact parts

Cause: an update travelled as one frame over three links at once. On a line of 2 Mbit/s 940 new routes needed longer than the 1.1 s of silence after which an entry closes a link; it dialled again, asked for everything and never got it. Ruled out: a longer silence limit; the copies would still fill the line and delay a frozen member's replacement. Updates go in parts of 4 KiB, each of which shows that the link works; routes are rows with tables of hosts and rules. Links of older versions still work in both directions.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -339,11 +339,11 @@
     }
 }
 
-/// Returns a number from 0 to 1 that is the same for each pair of entry and server. The hash is
+/// Returns a number from 0 to 1 that is the same for each pair of an entry and a server or member. The hash is
 /// FNV-1a with the finalizer of MurmurHash3, because FNV-1a alone gives similar values for names
 /// that differ only at their end.
-fn rendezvous_score(entry: &str, server: &str) -> f64 {
-    let bytes = entry.bytes().chain([0]).chain(server.bytes());
+pub fn rendezvous_score(entry: &str, other: &str) -> f64 {
+    let bytes = entry.bytes().chain([0]).chain(other.bytes());
     let mut hash = bytes.fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
         (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
     });
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -24,7 +24,8 @@
 use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshnessNotice, LinkFrame, LinkMessage};
 use crate::fleet::placement::JoinRequests;
 use crate::fleet::state::{FleetCommand, FleetState};
-use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber};
+use crate::fleet::update::CompactUpdate;
+use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber, ZoneName};
 use crate::{log_info, log_warn};
 
 /// Number of log entries applied between two snapshots.
@@ -51,6 +52,7 @@
 /// State of a control member, confined to one thread.
 pub struct ControlCore {
     name: ProcessName,
+    zone: ZoneName,
     survivable_losses: usize,
     heartbeat: Duration,
     seeds: Vec<SocketAddr>,
@@ -64,6 +66,8 @@
     revision: watch::Sender<LogIndex>,
     /// Encoded updates to the current revision, keyed by the revision they start from.
     updates: BTreeMap<LogIndex, LinkFrame>,
+    /// The same in parts.
+    update_parts: BTreeMap<LogIndex, Rc<[LinkFrame]>>,
     last_request: u64,
     /// Requests that the Raft node has not accepted yet.
     requests: BTreeMap<u64, CallWaiter>,
@@ -78,6 +82,7 @@
     heartbeat_tracker: HeartbeatTracker,
     leading_since: Option<Instant>,
     leader_seen_at: Option<Instant>,
+    has_leader: watch::Sender<bool>,
     next_report_at: Instant,
     entries: u32,
     started: Instant,
@@ -89,6 +94,7 @@
 /// Arguments of [`ControlCore::new`].
 pub struct CoreParts {
     pub name: ProcessName,
+    pub zone: ZoneName,
     pub survivable_losses: usize,
     pub heartbeat: Duration,
     pub seeds: Vec<SocketAddr>,
@@ -104,6 +110,7 @@
     pub fn new(parts: CoreParts, now: Instant) -> Self {
         Self {
             name: parts.name,
+            zone: parts.zone,
             survivable_losses: parts.survivable_losses,
             heartbeat: parts.heartbeat,
             seeds: parts.seeds,
@@ -116,6 +123,7 @@
             peers: parts.peers,
             revision: watch::Sender::new(parts.snapshot_index),
             updates: BTreeMap::new(),
+            update_parts: BTreeMap::new(),
             last_request: 0,
             requests: BTreeMap::new(),
             uncommitted: BTreeMap::new(),
@@ -125,6 +133,7 @@
             heartbeat_tracker: HeartbeatTracker::default(),
             leading_since: None,
             leader_seen_at: None,
+            has_leader: watch::Sender::new(false),
             next_report_at: now,
             entries: 0,
             started: now,
@@ -155,11 +164,29 @@
         Some((self.applied, frame.clone()))
     }
 
+    /// Like [`Self::update_frame`], in parts.
+    pub fn update_part_frames(&mut self, from: LogIndex) -> Option<(LogIndex, Rc<[LinkFrame]>)> {
+        if self.applied <= from {
+            return None;
+        }
+        let state = &self.state;
+        let parts = self
+            .update_parts
+            .entry(from)
+            .or_insert_with(|| link::encode_parts(&CompactUpdate(state.update_since(from))).into());
+        Some((self.applied, Rc::clone(parts)))
+    }
+
     /// Subscribes to the revision of the replicated state.
     pub fn subscribe(&self) -> watch::Receiver<LogIndex> {
         self.revision.subscribe()
     }
 
+    /// Subscribes to whether a leader is known.
+    pub fn subscribe_leader(&self) -> watch::Receiver<bool> {
+        self.has_leader.subscribe()
+    }
+
     /// Time at which the core was created.
     pub fn started(&self) -> Instant {
         self.started
@@ -200,7 +227,8 @@
         let set = self.node.members();
         let voters = set.members.values().filter(|record| record.voter);
         let members = voters.filter_map(|record| record.name.parse().ok()).collect();
-        FreshnessNotice { leader_age, members, entries: self.entries }
+        let (entries, zone, revision) = (self.entries, self.zone.clone(), self.applied);
+        FreshnessNotice { leader_age, members, entries, zone, revision }
     }
 
     /// Time at which [`Self::tick`] is due next.
@@ -353,6 +381,9 @@
         for action in self.node.handle(now, event) {
             self.perform(now, action);
         }
+        let has_leader = self.node.role() == Role::Leader || self.node.leader().is_some();
+        self.has_leader
+            .send_if_modified(|had_leader| std::mem::replace(had_leader, has_leader) != has_leader);
     }
 
     fn perform(&mut self, now: Instant, action: RaftAction) {
@@ -449,6 +480,7 @@
 
     fn publish_revision(&mut self) {
         self.updates.clear();
+        self.update_parts.clear();
         self.revision.send_replace(self.applied);
     }
 
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout};
 
 use super::core::SharedCore;
-use crate::fleet::link::{self, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter};
+use crate::fleet::link::{
+    self, FollowMode, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter,
+};
 use crate::fleet::listener::accept_each;
 use crate::ids::{LogIndex, ProcessName};
 use crate::log_info;
@@ -16,6 +18,9 @@
 /// Interval of status notices to an entry.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval of notices of a new revision to an entry that gets its updates from another member.
+const REVISION_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Timeout for sending one frame. The link to a slower entry is closed, and the entry reconnects.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -37,10 +42,11 @@
         LinkMessage::Member { name } => {
             let _ = serve_member(writer, reader, &core, &name).await;
         }
-        LinkMessage::Follow { name, revision } => {
+        LinkMessage::Follow { name, revision, mode } => {
             core.borrow_mut().add_entry();
-            log_info!("entry_link_open", "entry={name} revision={revision}");
-            let error = serve_entry(writer, reader, &core, revision).await.err();
+            log_info!("entry_link_open", "entry={name} revision={revision} mode={mode:?}");
+            let mut link = EntryLink::new(writer, &core, revision, mode);
+            let error = link.serve(reader).await.err();
             core.borrow_mut().remove_entry();
             let reason = error.map_or_else(String::new, |error| error.to_string());
             log_info!("entry_link_lost", "entry={name} error=\"{reason}\"");
@@ -64,46 +70,108 @@
     }
 }
 
-/// Sends each state change and periodic status notices until the link fails.
-async fn serve_entry(
-    mut writer: LinkWriter,
-    mut reader: LinkReader,
-    core: &SharedCore,
-    mut sent: LogIndex,
-) -> Result<(), LinkError> {
-    let mut revision_changes = core.borrow().subscribe();
-    let mut next_notice = Instant::now();
-    let started = core.borrow().started();
-    loop {
-        let update = core.borrow_mut().update_frame(sent);
-        if let Some((to, frame)) = update {
-            sent = to;
-            send(&mut writer, frame).await?;
+/// Link to an entry.
+struct EntryLink<'a> {
+    writer: LinkWriter,
+    core: &'a SharedCore,
+    mode: FollowMode,
+    /// Revision of the entry after all updates that were sent, or the last one that it was told.
+    sent: LogIndex,
+    /// Time at which the core was created.
+    started: Instant,
+    next_notice: Instant,
+}
+
+impl<'a> EntryLink<'a> {
+    fn new(writer: LinkWriter, core: &'a SharedCore, sent: LogIndex, mode: FollowMode) -> Self {
+        let started = core.borrow().started();
+        Self { writer, core, mode, sent, started, next_notice: Instant::now() }
+    }
+
+    /// Sends what the entry asked for, and periodic status notices, until the link fails.
+    async fn serve(&mut self, mut reader: LinkReader) -> Result<(), LinkError> {
+        let mut revision_changes = self.core.borrow().subscribe();
+        let mut leader_changes = self.core.borrow().subscribe_leader();
+        let mut revision_due: Option<Instant> = None;
+        loop {
+            self.send_due_notice().await?;
+            let now = Instant::now();
+            match self.mode {
+                FollowMode::NoticesOnly => {
+                    if revision_due.is_some_and(|due| now >= due) {
+                        revision_due = None;
+                        self.send_revision().await?;
+                    } else if revision_due.is_none() && self.core.borrow().applied() > self.sent {
+                        revision_due = Some(next_time(self.started, now, REVISION_INTERVAL));
+                    }
+                }
+                FollowMode::WholeUpdates => self.send_update().await?,
+                FollowMode::UpdateParts => self.send_update_parts().await?,
+            }
+            let wake_at = revision_due.map_or(self.next_notice, |due| due.min(self.next_notice));
+            tokio::select! {
+                changed = revision_changes.changed() => changed.map_err(|_| LinkError::Closed)?,
+                changed = leader_changes.changed() => {
+                    changed.map_err(|_| LinkError::Closed)?;
+                    // An entry that has just started waits for a member with a leader.
+                    self.next_notice = Instant::now();
+                }
+                message = reader.receive() => {
+                    if let LinkMessage::Follow { revision, mode, .. } = message? {
+                        (self.sent, self.mode) = (revision, mode);
+                        revision_due = None;
+                    }
+                }
+                () = sleep_until(wake_at.into()) => {}
+            }
         }
+    }
+
+    async fn send_due_notice(&mut self) -> Result<(), LinkError> {
         let now = Instant::now();
-        if now >= next_notice {
-            next_notice = next_notice_after(started, now);
-            let notice = core.borrow().freshness_notice(now);
-            send(&mut writer, link::encode(&LinkMessage::Fresh(notice))).await?;
+        if now < self.next_notice {
+            return Ok(());
         }
-        tokio::select! {
-            changed = revision_changes.changed() => changed.map_err(|_| LinkError::Closed)?,
-            message = reader.receive() => {
-                message?;
-            }
-            () = sleep(next_notice.saturating_duration_since(now)) => {}
+        self.next_notice = next_time(self.started, now, NOTICE_INTERVAL);
+        let notice = self.core.borrow().freshness_notice(now);
+        self.send(link::encode(&LinkMessage::Fresh(notice))).await
+    }
+
+    async fn send_revision(&mut self) -> Result<(), LinkError> {
+        self.sent = self.core.borrow().applied();
+        self.send(link::encode(&LinkMessage::Revision(self.sent))).await
+    }
+
+    async fn send_update(&mut self) -> Result<(), LinkError> {
+        let update = self.core.borrow_mut().update_frame(self.sent);
+        let Some((to, frame)) = update else { return Ok(()) };
+        self.sent = to;
+        self.send(frame).await
+    }
+
+    /// Sends an update in parts. Notices go between them, so that the entry sees a member that is up to
+    /// date although the update takes long.
+    async fn send_update_parts(&mut self) -> Result<(), LinkError> {
+        let update = self.core.borrow_mut().update_part_frames(self.sent);
+        let Some((to, parts)) = update else { return Ok(()) };
+        self.sent = to;
+        for part in parts.iter() {
+            self.send(part.clone()).await?;
+            self.send_due_notice().await?;
         }
+        Ok(())
     }
-}
 
-/// Time of the first notice after `now`. Notices to all entries share one schedule, so that a member
-/// with a hundred entries wakes up only twice a second.
-fn next_notice_after(started: Instant, now: Instant) -> Instant {
-    let intervals = now.duration_since(started).as_millis() / NOTICE_INTERVAL.as_millis();
-    let intervals = u32::try_from(intervals + 1).unwrap_or(u32::MAX);
-    started + NOTICE_INTERVAL * intervals
+    async fn send(&mut self, frame: LinkFrame) -> Result<(), LinkError> {
+        let sending = timeout(SEND_TIMEOUT, self.writer.send(frame));
+        sending.await.map_err(|_| LinkError::Silent)?
+    }
 }
 
-async fn send(writer: &mut LinkWriter, frame: LinkFrame) -> Result<(), LinkError> {
-    timeout(SEND_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)?
+/// Next time after `now` that is a multiple of `interval` after `started`. All links share these times,
+/// so that a member with a hundred entries wakes up only a few times a second.
+fn next_time(started: Instant, now: Instant, interval: Duration) -> Instant {
+    let intervals = now.duration_since(started).as_millis() / interval.as_millis();
+    let intervals = u32::try_from(intervals + 1).unwrap_or(u32::MAX);
+    started + interval * intervals
 }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -190,6 +190,7 @@
     });
     let parts = CoreParts {
         name: name.clone(),
+        zone: config.availability_zone.clone(),
         survivable_losses: control.survivable_losses,
         heartbeat: control.heartbeat,
         seeds: config.seeds.clone(),
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -10,13 +10,13 @@
 use tokio::time::timeout_at;
 
 use super::connections::ConnectionPool;
-use super::follow::FOLLOWED_MEMBERS;
 use super::metrics::EntryMetrics;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
 use crate::fleet::document::CallerLimits;
+use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::update::{FleetReplica, FleetUpdate};
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -1,7 +1,7 @@
 //! Links to control members: dials them, follows their state and leaves members that are out of
 //! date.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,15 +11,16 @@
 use tokio::time::timeout;
 
 use super::context::EntryContext;
-use crate::fleet::link::{self, LinkError, LinkMessage};
+use crate::fleet::follow_plan::{FOLLOWED_MEMBERS, FRESHNESS_LIFETIME, FollowPlan};
+use crate::fleet::link::{
+    self, FollowMode, FreshnessNotice, LinkError, LinkMessage, LinkWriter, MAX_FRAME_BYTES,
+};
 use crate::fleet::process_metrics::PROCESS_METRICS;
-use crate::log_info;
-
-/// Number of members that an entry follows. Any three of five include a member of every majority.
-pub const FOLLOWED_MEMBERS: usize = 3;
+use crate::fleet::update::{CompactUpdate, FleetUpdate};
+use crate::{log_info, log_routine};
 
 /// Time without a message after which a link is closed.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1100);
+const SILENCE_TIMEOUT: Duration = FRESHNESS_LIFETIME;
 
 /// Time without a leader after which a member counts as out of date.
 const MAX_LEADER_AGE: Duration = Duration::from_millis(1200);
@@ -27,48 +28,40 @@
 /// Interval at which the links are checked while there are too few.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time to wait for the initial state. A member that has one sends it within some tens of
-/// milliseconds.
-const INITIAL_STATE_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Delay before a failed member is dialled again.
 const REDIAL_DELAY: Duration = Duration::from_millis(600);
 
 /// The same delay while no member is up to date.
 const DISCONNECTED_REDIAL_DELAY: Duration = Duration::from_millis(80);
 
+/// Interval at which missing updates are checked while a member has a higher revision.
+const STREAM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Shared state of the links.
 pub struct FleetFollower {
     context: Rc<EntryContext>,
     seeds: RefCell<Vec<SocketAddr>>,
     members: RefCell<Vec<SocketAddr>>,
-    /// Open links, with the time at which each member was last up to date.
-    links: RefCell<BTreeMap<SocketAddr, Option<Instant>>>,
+    plan: RefCell<FollowPlan>,
+    /// Member that streams updates; links follow it.
+    stream: watch::Sender<Option<SocketAddr>>,
     failed_at: RefCell<BTreeMap<SocketAddr, Instant>>,
-    had_fresh_member: RefCell<bool>,
-    initial_state: watch::Sender<InitialState>,
-    link_ended: Notify,
-}
-
-/// Progress of the first complete state.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum InitialState {
-    NotRequested,
-    Requested,
-    Installed,
+    had_fresh_member: Cell<bool>,
+    links_changed: Notify,
 }
 
 impl FleetFollower {
     pub fn new(context: Rc<EntryContext>, seeds: Vec<SocketAddr>) -> Rc<Self> {
+        let plan = FollowPlan::new(context.name.clone(), context.availability_zone.clone());
         Rc::new(Self {
             context,
             seeds: RefCell::new(seeds),
             members: RefCell::default(),
-            links: RefCell::default(),
+            plan: RefCell::new(plan),
+            stream: watch::Sender::new(None),
             failed_at: RefCell::default(),
-            had_fresh_member: RefCell::new(false),
-            initial_state: watch::Sender::new(InitialState::NotRequested),
-            link_ended: Notify::new(),
+            had_fresh_member: Cell::new(false),
+            links_changed: Notify::new(),
         })
     }
 
@@ -78,24 +71,34 @@
 
     /// Maintains the links until the process exits.
     pub async fn run(self: Rc<Self>) {
+        let mut suspension = self.context.known_suspension();
         loop {
             let now = Instant::now();
             self.context.check_suspension();
+            if self.context.known_suspension() != suspension {
+                suspension = self.context.known_suspension();
+                self.plan.borrow_mut().forget_freshness();
+            }
             for address in self.members_to_dial(now) {
-                self.links.borrow_mut().insert(address, None);
+                self.plan.borrow_mut().add_link(address);
                 tokio::task::spawn_local(Rc::clone(&self).run_link(address));
             }
+            self.update_stream(now);
             self.log_freshness_change(now);
             let delay = self.check_delay(now);
-            // The end of a link requires an immediate check; with enough links nothing else does.
-            if timeout(delay, self.link_ended.notified()).await.is_err() {
+            // A change of the links requires an immediate check; with enough links nothing else does.
+            if timeout(delay, self.links_changed.notified()).await.is_err() {
                 PROCESS_METRICS.record_timer_delay(now + delay, Instant::now());
             }
         }
     }
 
     fn check_delay(&self, now: Instant) -> Duration {
-        match self.fresh_members(now) {
+        let plan = self.plan.borrow();
+        if plan.is_behind() {
+            return STREAM_CHECK_INTERVAL;
+        }
+        match plan.fresh_count(now) {
             0 => DISCONNECTED_REDIAL_DELAY,
             FOLLOWED_MEMBERS.. => SILENCE_TIMEOUT,
             _ => LINK_CHECK_INTERVAL,
@@ -104,53 +107,61 @@
 
     /// Number of links to members that are up to date.
     pub fn fresh_members(&self, now: Instant) -> usize {
-        let links = self.links.borrow();
-        links.values().flatten().filter(|at| now.duration_since(**at) < SILENCE_TIMEOUT).count()
+        self.plan.borrow().fresh_count(now)
     }
 
     fn has_fresh_member(&self, now: Instant) -> bool {
         self.fresh_members(now) > 0
     }
 
+    /// Chooses the member that streams updates.
+    fn update_stream(&self, now: Instant) {
+        let revision = self.context.state.borrow().revision();
+        let mut plan = self.plan.borrow_mut();
+        let was_behind = plan.is_behind();
+        if let Some(address) = plan.change_stream(now, revision) {
+            log_routine!("stream_chosen", "member={address} revision={revision}");
+        }
+        let stream = plan.stream();
+        self.stream.send_if_modified(|current| std::mem::replace(current, stream) != stream);
+        if plan.is_behind() && !was_behind {
+            self.links_changed.notify_one();
+        }
+    }
+
     fn log_freshness_change(&self, now: Instant) {
         let fresh = self.has_fresh_member(now);
         let had_fresh = self.had_fresh_member.replace(fresh);
         if had_fresh != fresh {
             let revision = self.context.state.borrow().revision();
             let event = if fresh { "control_regained" } else { "control_lost" };
-            log_info!(event, "revision={revision} links={}", self.links.borrow().len());
+            log_info!(event, "revision={revision} links={}", self.plan.borrow().link_count());
         }
     }
 
     /// Members to dial now: as many as are missing, or all known ones while none is up to date.
     fn members_to_dial(&self, now: Instant) -> Vec<SocketAddr> {
-        let links = self.links.borrow();
+        let plan = self.plan.borrow();
         let mut failed_at = self.failed_at.borrow_mut();
         let members = self.members.borrow();
-        let fresh = self.has_fresh_member(now);
+        let fresh = plan.fresh_count(now) > 0;
         let delay = if fresh { REDIAL_DELAY } else { DISCONNECTED_REDIAL_DELAY };
         failed_at.retain(|_, at| now.duration_since(*at) < delay);
         let mut known: BTreeSet<SocketAddr> = members.iter().copied().collect();
         if known.is_empty() || !fresh {
             known.extend(self.seeds.borrow().iter());
         }
-        let limit = if fresh { FOLLOWED_MEMBERS } else { usize::MAX };
-        let missing = limit.saturating_sub(links.len());
-        let mut candidates: Vec<SocketAddr> = known.into_iter().collect();
-        candidates
-            .retain(|address| !links.contains_key(address) && !failed_at.contains_key(address));
-        self.context.random.borrow_mut().shuffle(&mut candidates);
-        candidates.truncate(missing);
-        candidates
+        known.retain(|address| !failed_at.contains_key(address));
+        plan.members_to_dial(now, known.into_iter())
     }
 
     async fn run_link(self: Rc<Self>, address: SocketAddr) {
         let error = self.follow(address).await.err();
-        self.links.borrow_mut().remove(&address);
+        self.plan.borrow_mut().remove_link(address);
         if !matches!(error, Some(LinkError::Suspended)) {
             self.failed_at.borrow_mut().insert(address, Instant::now());
         }
-        self.link_ended.notify_one();
+        self.links_changed.notify_one();
         if let Some(error) = error
             && !matches!(error, LinkError::ConnectTimeout | LinkError::Io(_))
         {
@@ -160,72 +171,127 @@
 
     async fn follow(&self, address: SocketAddr) -> Result<(), LinkError> {
         let (mut writer, mut reader) = link::connect(address).await?;
-        self.wait_for_initial_state().await;
-        let revision = self.context.state.borrow().revision();
-        let name = self.context.name.clone();
-        writer.send(link::encode(&LinkMessage::Follow { name, revision })).await?;
+        let mut stream = self.stream.subscribe();
+        let mut mode = FollowMode::NoticesOnly;
+        self.send_follow(&mut writer, mode).await?;
         let followed_since = Instant::now();
         let suspension = self.context.known_suspension();
+        let mut update = UpdateAssembly::default();
         loop {
-            let received = timeout(SILENCE_TIMEOUT, reader.receive()).await;
+            let is_stream = *stream.borrow_and_update() == Some(address);
+            let wanted = if is_stream { FollowMode::UpdateParts } else { FollowMode::NoticesOnly };
+            if mode != wanted {
+                mode = wanted;
+                self.send_follow(&mut writer, mode).await?;
+            }
+            let received = tokio::select! {
+                // The sender lives as long as this follower.
+                _ = stream.changed() => continue,
+                received = timeout(SILENCE_TIMEOUT, reader.receive()) => received,
+            };
             self.context.check_suspension();
             if self.context.known_suspension() != suspension {
                 // What was received may have waited here as long as the machine was suspended.
                 return Err(LinkError::Suspended);
             }
-            match received.map_err(|_| LinkError::Silent)?? {
-                LinkMessage::Update(update) => {
-                    self.context.install_update(Instant::now(), update);
-                    self.initial_state.send_replace(InitialState::Installed);
+            let message = received.map_err(|_| LinkError::Silent)??;
+            if let LinkMessage::UpdatePart { bytes, is_last } = message {
+                self.plan.borrow_mut().record_progress(Instant::now(), address);
+                if let Some(update) = update.add(&bytes, is_last)? {
+                    self.install(update);
                 }
-                LinkMessage::Fresh(notice) => {
-                    let now = Instant::now();
-                    let has_leader = notice.leader_age.is_some_and(|age| age < MAX_LEADER_AGE);
-                    if has_leader {
-                        self.links.borrow_mut().insert(address, Some(now));
-                        self.context.confirm_state();
-                        self.context.update_entry_count(&notice);
-                        *self.members.borrow_mut() = notice.members;
-                        if self.is_surplus(address) {
-                            return Ok(());
-                        }
-                    } else if now.duration_since(followed_since) > MAX_LEADER_AGE
-                        && self.has_fresh_member(now)
-                    {
-                        return Err(LinkError::Silent);
-                    }
+            } else {
+                self.handle_message(address, followed_since, message)?;
+                if self.plan.borrow().is_surplus(Instant::now(), address) {
+                    return Ok(());
                 }
-                _ => {}
             }
         }
     }
 
-    /// Waits while another link receives the initial state: several copies would share the line and
-    /// all arrive later.
-    async fn wait_for_initial_state(&self) {
-        let mut state = self.initial_state.subscribe();
-        if *state.borrow() != InitialState::Requested {
-            self.initial_state.send_if_modified(|state| {
-                let not_requested = *state == InitialState::NotRequested;
-                if not_requested {
-                    *state = InitialState::Requested;
+    async fn send_follow(
+        &self,
+        writer: &mut LinkWriter,
+        mode: FollowMode,
+    ) -> Result<(), LinkError> {
+        let revision = self.context.state.borrow().revision();
+        let follow = LinkMessage::Follow { name: self.context.name.clone(), revision, mode };
+        writer.send(link::encode(&follow)).await
+    }
+
+    fn install(&self, update: FleetUpdate) {
+        let now = Instant::now();
+        self.context.install_update(now, update);
+        self.update_stream(now);
+    }
+
+    fn handle_message(
+        &self,
+        address: SocketAddr,
+        followed_since: Instant,
+        message: LinkMessage,
+    ) -> Result<(), LinkError> {
+        let now = Instant::now();
+        match message {
+            // From a member of an older version, which streams to every entry.
+            LinkMessage::Update(update) => self.install(update),
+            LinkMessage::Revision(revision) => {
+                self.plan.borrow_mut().record_revision(address, revision);
+                self.update_stream(now);
+            }
+            LinkMessage::Fresh(notice) => {
+                {
+                    let mut plan = self.plan.borrow_mut();
+                    plan.record_zone(address, &notice.zone);
+                    plan.record_revision(address, notice.revision);
+                }
+                let has_leader = notice.leader_age.is_some_and(|age| age < MAX_LEADER_AGE);
+                if has_leader {
+                    self.accept_notice(now, address, notice);
+                } else if now.duration_since(followed_since) > MAX_LEADER_AGE
+                    && self.has_fresh_member(now)
+                {
+                    return Err(LinkError::Silent);
+                } else {
+                    self.update_stream(now);
                 }
-                not_requested
-            });
-            return;
+            }
+            _ => {}
         }
-        let installed = state.wait_for(|state| *state == InitialState::Installed);
-        // If none arrives in time, this link requests the state as well.
-        let _ = timeout(INITIAL_STATE_TIMEOUT, installed).await;
+        Ok(())
     }
 
-    /// Whether this link can be closed because enough members with lower addresses are up to date.
-    fn is_surplus(&self, address: SocketAddr) -> bool {
-        let now = Instant::now();
-        let links = self.links.borrow();
-        let fresh =
-            |at: &Option<Instant>| at.is_some_and(|at| now.duration_since(at) < SILENCE_TIMEOUT);
-        let preceding = links.range(..address).filter(|(_, at)| fresh(at)).count();
-        preceding >= FOLLOWED_MEMBERS
+    fn accept_notice(&self, now: Instant, address: SocketAddr, notice: FreshnessNotice) {
+        self.plan.borrow_mut().record_fresh(now, address);
+        self.context.confirm_state();
+        self.context.update_entry_count(&notice);
+        let is_new = *self.members.borrow() != notice.members;
+        *self.members.borrow_mut() = notice.members;
+        self.update_stream(now);
+        if is_new {
+            self.links_changed.notify_one();
+        }
+    }
+}
+
+/// Assembles an update from its parts.
+#[derive(Default)]
+struct UpdateAssembly {
+    bytes: Vec<u8>,
+}
+
+impl UpdateAssembly {
+    /// Adds a part; returns the update once it is complete.
+    fn add(&mut self, part: &[u8], is_last: bool) -> Result<Option<FleetUpdate>, LinkError> {
+        if self.bytes.len() + part.len() > MAX_FRAME_BYTES {
+            return Err(LinkError::Malformed);
+        }
+        self.bytes.extend_from_slice(part);
+        if !is_last {
+            return Ok(None);
+        }
+        let bytes = std::mem::take(&mut self.bytes);
+        let update = ciborium::from_reader::<CompactUpdate, _>(&bytes[..]);
+        update.map(|CompactUpdate(update)| Some(update)).map_err(|_| LinkError::Malformed)
     }
 }
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -16,12 +16,16 @@
 
 use super::announcement::IncarnationStart;
 use super::process_metrics::PROCESS_METRICS;
-use super::update::FleetUpdate;
+use super::update::{CompactUpdate, FleetUpdate};
 use crate::consensus::message::RaftMessage;
-use crate::ids::{LogIndex, MemberId, ProcessName, ServerId};
+use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, ZoneName};
 
-/// Maximum frame size. Snapshots and large documents are well below it.
-const MAX_FRAME_BYTES: usize = 8 << 20;
+/// Maximum frame size, and maximum size of an update that is sent in parts. Snapshots and large
+/// documents are well below it.
+pub const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// Size of a part of an update: 16 ms of a line of 2 Mbit/s.
+const UPDATE_PART_BYTES: usize = 4 << 10;
 
 /// Value of `TCP_USER_TIMEOUT` for links and connections to servers. Without it, a severed network
 /// path would not be noticed.
@@ -61,15 +65,35 @@
     pub members: Vec<SocketAddr>,
     /// Number of entries connected to this member.
     pub entries: u32,
+    /// Availability zone of the member; empty if it is of an older version.
+    #[serde(default)]
+    pub zone: ZoneName,
+    /// Revision of the member's state.
+    #[serde(default)]
+    pub revision: LogIndex,
+}
+
+/// What an entry wants to receive on a link.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FollowMode {
+    /// Each update in one message; entries of older versions expect this.
+    #[default]
+    WholeUpdates,
+    /// Updates in parts, each of which shows that the link works.
+    UpdateParts,
+    /// Notices only.
+    NoticesOnly,
 }
 
 /// Message sent over a link.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum LinkMessage {
-    /// First message of an entry.
+    /// First message of an entry; sent again to change the mode.
     Follow {
         name: ProcessName,
         revision: LogIndex,
+        #[serde(default)]
+        mode: FollowMode,
     },
     /// First message of a control member.
     Member {
@@ -92,6 +116,14 @@
     /// Servers from which the sender received heartbeats.
     Seen(Vec<(ServerId, IncarnationStart)>),
     Update(FleetUpdate),
+    /// Part of an encoded [`super::update::CompactUpdate`].
+    UpdatePart {
+        #[serde(with = "serde_bytes")]
+        bytes: Vec<u8>,
+        is_last: bool,
+    },
+    /// The member has reached a revision, sent in the mode [`FollowMode::NoticesOnly`].
+    Revision(LogIndex),
     Fresh(FreshnessNotice),
     Ping,
     Pong,
@@ -137,6 +169,19 @@
     bytes.into()
 }
 
+/// Encodes an update in parts.
+pub fn encode_parts(update: &CompactUpdate) -> Vec<LinkFrame> {
+    let mut encoded = Vec::new();
+    ciborium::into_writer(update, &mut encoded).expect("writing to memory does not fail");
+    let part_count = encoded.len().div_ceil(UPDATE_PART_BYTES);
+    let parts = encoded.chunks(UPDATE_PART_BYTES).enumerate();
+    let message = |(number, bytes): (usize, &[u8])| {
+        let is_last = number + 1 == part_count;
+        encode(&LinkMessage::UpdatePart { bytes: bytes.to_vec(), is_last })
+    };
+    parts.map(message).collect()
+}
+
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(MAX_FRAME_BYTES))
--- a/src/fleet/update.rs
+++ b/src/fleet/update.rs
@@ -8,8 +8,8 @@
 use super::document::{
     CallerLimits, DocumentVersion, RouteDocument, RouteKey, RouteRule, ServiceRule,
 };
-use super::server_rows;
 use super::state::ServerRecord;
+use super::{route_rows, server_rows};
 use crate::ids::{LogIndex, ServerId, ServiceName};
 
 /// The parts of a document other than its routes; they are sent together when the document changes.
@@ -48,6 +48,25 @@
     pub left: Vec<(ServerId, IncarnationStart)>,
 }
 
+/// Update in the form that is sent in parts: routes travel as rows too.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CompactUpdate(#[serde(with = "CompactFields")] pub FleetUpdate);
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "FleetUpdate")]
+struct CompactFields {
+    from: LogIndex,
+    to: LogIndex,
+    complete: bool,
+    head: Option<DocumentHead>,
+    #[serde(with = "route_rows")]
+    routes: Vec<(RouteKey, RouteRule)>,
+    removed_routes: Vec<RouteKey>,
+    #[serde(with = "server_rows")]
+    servers: Vec<(ServerId, ServerView)>,
+    left: Vec<(ServerId, IncarnationStart)>,
+}
+
 /// Replica of the fleet state at an entry.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct FleetReplica {
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -15,7 +15,7 @@
 };
 use curranthollow::fleet::control::ControlProcess;
 use curranthollow::fleet::entry::EntryProcess;
-use curranthollow::fleet::link::{self, LinkMessage};
+use curranthollow::fleet::link::{self, FollowMode, LinkMessage};
 use curranthollow::fleet::native::NativeDialect;
 use tokio::runtime::Builder;
 use tokio::sync::oneshot;
@@ -418,7 +418,8 @@
     let runtime = Builder::new_current_thread().enable_all().build();
     let request_voters = async {
         let (mut writer, mut reader) = link::connect(member).await.ok()?;
-        let follow = LinkMessage::Follow { name: "test".into(), revision: 0 };
+        let follow =
+            LinkMessage::Follow { name: "test".into(), revision: 0, mode: FollowMode::NoticesOnly };
         writer.send(link::encode(&follow)).await.ok()?;
         loop {
             if let LinkMessage::Fresh(notice) = reader.receive().await.ok()? {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,4 +7,5 @@
 mod harness;
 mod members;
 mod routes;
+mod slow_member;
 mod state;
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -5,7 +5,7 @@
 use curranthollow::fleet::announcement::{ServerAnnouncement, ServerState};
 use curranthollow::fleet::document::{CallerLimits, Repetition};
 use curranthollow::fleet::document::{RouteDocument, RouteRule, ServiceRule};
-use curranthollow::fleet::link::{self, LinkMessage};
+use curranthollow::fleet::link::{self, FollowMode, LinkMessage};
 use curranthollow::fleet::state::{FleetCommand, FleetState};
 use curranthollow::fleet::update::FleetReplica;
 use yare::parameterized;
@@ -230,7 +230,7 @@
     let document = RouteDocument { version: 3, ..RouteDocument::default() };
     state.apply(2, FleetCommand::PutDocument { document: Box::new(document), text: vec![1] });
     let messages = [
-        LinkMessage::Follow { name: "e".into(), revision: 7 },
+        LinkMessage::Follow { name: "e".into(), revision: 7, mode: FollowMode::UpdateParts },
         LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9 },
         LinkMessage::Seen(vec![("s".into(), 1)]),
         LinkMessage::Update(state.update_since(0)),
--- a/tests/fleet_loads/main.rs
+++ b/tests/fleet_loads/main.rs
@@ -2,3 +2,4 @@
 //! servers and time are simulated, and every random choice follows from a seed.
 
 mod dark_servers;
+mod thin_line;
