Choose among a stable subset of servers first

Weighed: a constant cost by a hash (before; other costs outweigh it), a preference for open connections alone (spreads over all servers again with each disturbance), a ranking by zone and hash of which the first eight are considered, further eight while the best of them is expensive or reported no room. Change: the last one; servers with an open connection are considered too. A choice costs the same for any number of servers unless the subset is short.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -51,9 +51,13 @@
 /// Cost of a server in another availability zone, in units of the usual request duration.
 const CROSS_ZONE_COST: f64 = 0.5;
 
-/// Upper limit of the cost derived from the names of an entry and a server. An entry that returns
-/// to the same servers can reuse its connections, and different entries prefer different servers.
-const MAX_AFFINITY_COST: f64 = 0.3;
+/// Number of servers among which an entry chooses first. It returns to them often enough to reuse its
+/// connections, and some are free while a quarter of all servers is disturbed.
+const SUBSET_SIZE: usize = 8;
+
+/// Cost above which further servers are considered: an idle server of the own zone costs less, and one
+/// of another zone is no better than one with this cost.
+const WIDENING_COST: f64 = 1.6;
 
 /// Cost of opening a connection: a round trip, some time of a slot, and one of the connections that
 /// the server allows.
@@ -85,8 +89,6 @@
     address: SocketAddr,
     slots: u32,
     same_zone: bool,
-    /// Cost derived from the names of this entry and the server.
-    affinity_cost: f64,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
@@ -122,6 +124,9 @@
 #[derive(Debug, Default)]
 pub struct ServiceBalancer {
     servers: BTreeMap<ServerId, ServerStats>,
+    /// All servers in the order in which this entry prefers them: those of its own zone first, then by
+    /// a hash of both names, so that each server is preferred by about as many entries.
+    ranking: Vec<ServerId>,
     /// Moving average of the latency in milliseconds.
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
@@ -147,7 +152,6 @@
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
-                affinity_cost: MAX_AFFINITY_COST * rendezvous_score(entry, server),
                 same_zone: *announcement.availability_zone == *zone,
                 state: announcement.state,
                 silent: view.silent,
@@ -166,6 +170,19 @@
             stats.silent = view.silent;
             self.servers.insert(server.clone(), stats);
         }
+        self.rank_servers(entry);
+    }
+
+    fn rank_servers(&mut self, entry: &str) {
+        let rank_of = |server: &ServerId, stats: &ServerStats| {
+            (!stats.same_zone, rendezvous_score(entry, server))
+        };
+        let mut ranks: Vec<_> =
+            self.servers.iter().map(|(server, stats)| (rank_of(server, stats), server)).collect();
+        ranks.sort_by(|((left_zone, left), _), ((right_zone, right), _)| {
+            left_zone.cmp(right_zone).then(left.total_cmp(right))
+        });
+        self.ranking = ranks.into_iter().map(|(_, server)| server.clone()).collect();
     }
 
     /// Moving average of the service's latency; `None` before the first sample.
@@ -173,30 +190,41 @@
         self.mean_latency_ms.map(|mean| Duration::from_secs_f64(mean / 1000.0))
     }
 
-    /// Chooses the server with the lowest cost among those not in `tried`. Ejected servers are
-    /// considered only if no other is left.
+    /// Chooses the server with the lowest cost among those not in `tried`: one to which there is an idle
+    /// connection or one of the entry's subset, and further ones while the best is expensive. Ejected
+    /// servers are considered only if no other is left.
     ///
-    /// `connected` tells whether there is an idle connection to a server.
+    /// `connected` are servers with an idle connection; others than those of this service are ignored.
     pub fn choose(
         &self,
         now: Instant,
         tried: &[ServerId],
-        connected: impl Fn(&ServerId) -> bool,
+        connected: &[ServerId],
         random: &mut fastrand::Rng,
     ) -> Option<ChosenServer> {
         let mut best_available: Option<(f64, &ServerId, &ServerStats)> = None;
         let mut best_ejected: Option<(f64, &ServerId, &ServerStats)> = None;
-        for (server, stats) in &self.servers {
-            if stats.state != ServerState::Ready || tried.contains(server) {
-                continue;
+        let subsets = self.ranking.chunks(SUBSET_SIZE);
+        for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
+            for server in subset {
+                let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
+                if stats.state != ServerState::Ready || tried.contains(server) {
+                    continue;
+                }
+                let noise = random.f64() * MAX_RANDOM_COST;
+                let best =
+                    if stats.is_available(now) { &mut best_available } else { &mut best_ejected };
+                let connection_cost = if number == 0 { 0.0 } else { NEW_CONNECTION_COST };
+                let cost = self.cost(now, stats) + connection_cost + noise;
+                if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
+                    *best = Some((cost, server, stats));
+                }
             }
-            let noise = random.f64() * MAX_RANDOM_COST;
-            let best =
-                if stats.is_available(now) { &mut best_available } else { &mut best_ejected };
-            let connection_cost = if connected(server) { 0.0 } else { NEW_CONNECTION_COST };
-            let cost = self.cost(now, stats) + connection_cost + noise;
-            if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                *best = Some((cost, server, stats));
+            let is_good = best_available.as_ref().is_some_and(|(lowest, _, stats)| {
+                *lowest <= WIDENING_COST && !stats.reported_no_room(now)
+            });
+            if number > 0 && is_good {
+                break;
             }
         }
         let (cost, server, stats) = best_available.or(best_ejected)?;
@@ -239,9 +267,7 @@
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
         let zone_cost = if stats.same_zone { 0.0 } else { CROSS_ZONE_COST };
-        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor
-            + zone_cost
-            + stats.affinity_cost
+        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor + zone_cost
     }
 
     /// Counts the start of a send to `server`.
@@ -328,6 +354,13 @@
 }
 
 impl ServerStats {
+    /// Whether a recent load report leaves no room for another request at the usual speed.
+    fn reported_no_room(&self, now: Instant) -> bool {
+        self.load_report.is_some_and(|(report, at, _)| {
+            now.duration_since(at) < LOAD_TIME_CONSTANT && !report.has_spare_capacity()
+        })
+    }
+
     fn is_available(&self, now: Instant) -> bool {
         if self.ejected_until.is_some_and(|until| now < until) {
             return false;
--- a/src/fleet/entry/connections.rs
+++ b/src/fleet/entry/connections.rs
@@ -71,11 +71,14 @@
         connections.push(IdleConnection { stream, address, expires_at: now + lifetime });
     }
 
-    /// Whether there is an idle connection to `server`; the server may have closed it.
-    pub fn has_idle(&self, now: Instant, server: &ServerId) -> bool {
+    /// Servers to which there is an idle connection; they may have closed it.
+    pub fn idle_servers(&self, now: Instant) -> Vec<ServerId> {
         let idle = self.idle.borrow();
-        let newest = idle.get(server).and_then(|connections| connections.last());
-        newest.is_some_and(|connection| now < connection.expires_at)
+        let is_usable = |connections: &[IdleConnection]| {
+            connections.last().is_some_and(|connection| now < connection.expires_at)
+        };
+        let usable = idle.iter().filter(|(_, connections)| is_usable(connections));
+        usable.map(|(server, _)| server.clone()).collect()
     }
 
     /// Number of idle connections to all servers.
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -181,8 +181,8 @@
     ) -> Option<ChosenServer> {
         let random = &mut self.random.borrow_mut();
         let now = Instant::now();
-        let connected = |server: &ServerId| self.connections.has_idle(now, server);
-        self.with_balancer(service, |balancer| balancer.choose(now, tried, connected, random))
+        let connected = self.connections.idle_servers(now);
+        self.with_balancer(service, |balancer| balancer.choose(now, tried, &connected, random))
     }
 
     /// Records the end of a send; returns whether the server is ejected from now on.
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -34,7 +34,7 @@
 
 fn chosen_server(balancer: &ServiceBalancer, now: Instant) -> Option<String> {
     let random = &mut fastrand::Rng::with_seed(7);
-    balancer.choose(now, &[], |_| false, random).map(|chosen| chosen.server.into_string())
+    balancer.choose(now, &[], &[], random).map(|chosen| chosen.server.into_string())
 }
 
 /// Fills all slots of a server.
@@ -77,12 +77,12 @@
     fill_slots(&mut balancer, "s2");
     let random = &mut fastrand::Rng::with_seed(3);
     for _ in 0..50 {
-        let server = balancer.choose(now, &[], |_| false, random).map(|chosen| chosen.server);
+        let server = balancer.choose(now, &[], &[], random).map(|chosen| chosen.server);
         assert_eq!(server.as_deref(), Some("s2"));
     }
     let later = now + Duration::from_millis(ejected_ms);
     let found = (0..50).any(|_| {
-        balancer.choose(later, &[], |_| false, random).is_some_and(|chosen| *chosen.server == *"s1")
+        balancer.choose(later, &[], &[], random).is_some_and(|chosen| *chosen.server == *"s1")
     });
     assert!(found, "the server gets no requests after the ejection");
 }
@@ -141,7 +141,7 @@
     fill_slots(&mut balancer, "s2");
     let random = &mut fastrand::Rng::with_seed(1);
     let found = (0..50).any(|_| {
-        balancer.choose(now, &[], |_| false, random).is_some_and(|chosen| *chosen.server == *"s1")
+        balancer.choose(now, &[], &[], random).is_some_and(|chosen| *chosen.server == *"s1")
     });
     assert!(found);
 }
@@ -196,7 +196,7 @@
     for entry in 0..40 {
         let mut balancer = ServiceBalancer::default();
         balancer.update_servers(now, &format!("e{entry}"), "a", views.iter());
-        let sends = (0..100).filter_map(|_| balancer.choose(now, &[], |_| false, random));
+        let sends = (0..100).filter_map(|_| balancer.choose(now, &[], &[], random));
         let own_servers: std::collections::BTreeSet<_> =
             sends.map(|chosen| chosen.server).collect();
         assert!(own_servers.len() <= 45, "entry {entry} uses {} of 100 servers", own_servers.len());
@@ -222,10 +222,12 @@
         .collect();
     let mut balancer = new_balancer(now, &views);
     let has_connection = |server: &ServerId| server.starts_with("s1");
+    let connected_servers: Vec<_> =
+        views.keys().filter(|server| has_connection(server)).cloned().collect();
     let mut connected = 0;
     for _ in 0..100 {
         let chosen =
-            balancer.choose(now, &[], has_connection, &mut random).expect("servers are ready");
+            balancer.choose(now, &[], &connected_servers, &mut random).expect("servers are ready");
         connected += u32::from(has_connection(&chosen.server));
     }
     assert!(connected >= 90, "{connected} of 100 sends used an existing connection");
@@ -237,6 +239,7 @@
             }
         }
     }
-    let chosen = balancer.choose(now, &[], has_connection, &mut random).expect("servers are ready");
+    let chosen =
+        balancer.choose(now, &[], &connected_servers, &mut random).expect("servers are ready");
     assert!(!has_connection(&chosen.server), "{} is full", chosen.server);
 }
