Let long bodies use only a part of a slow line

They cluster at entries that receive or send a sheet: 90 KB hold a line of 2 Mbit/s for 0.36 s, 540 KB for 2.2 s, and everything else of the entry waits behind it; its probes then call servers dead that are fine. Ruled out: processor time (2.8 ms a second of 100), full servers (30 % busy). Change: fleet/line.rs schedules bodies beyond 16 KiB in pieces of 4 KiB, in each direction, so that all of them together use at most 0.8 of the line; a piece that is not read waits at the server. The platform tells the speed of the line; faster ones are not paced. Connections are kept for 0.85 of the servers' idle limit, because each is probed before it is used.

--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -43,6 +43,8 @@
     pub traffic: SocketAddr,
     pub readiness: SocketAddr,
     pub retry: RetryLimits,
+    /// Speed of the machine's line in Mbit/s, if known. Long bodies use only a part of a slow line.
+    pub line_mbps: Option<f64>,
 }
 
 /// Config of a control member.
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -202,7 +202,8 @@
                 write_local_response(&mut self.stream, &response, keep_alive).await?
             }
             CallerResponse::Relayed(server_response) => {
-                relay_response(&mut self.stream, *server_response, &in_flight.method, keep_alive)
+                let (context, stream) = (&self.context, &mut self.stream);
+                relay_response(context, stream, *server_response, &in_flight.method, keep_alive)
                     .await?;
             }
         }
--- a/src/fleet/entry/connections.rs
+++ b/src/fleet/entry/connections.rs
@@ -17,7 +17,7 @@
 
 /// Fraction of the server's idle timeout after which a connection is no longer reused, because the
 /// server may close it at the same moment.
-const IDLE_TIMEOUT_FRACTION: f64 = 0.7;
+const IDLE_TIMEOUT_FRACTION: f64 = 0.85;
 
 struct IdleConnection {
     stream: HttpStream,
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -17,6 +17,7 @@
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
 use crate::fleet::document::CallerLimits;
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
+use crate::fleet::line::LinePacer;
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::update::{FleetReplica, FleetUpdate};
@@ -48,6 +49,9 @@
     pub active_requests: Gauge,
     pub state: RefCell<FleetReplica>,
     pub random: RefCell<fastrand::Rng>,
+    /// Schedules of long bodies from servers and to callers.
+    pub server_pacer: RefCell<LinePacer>,
+    pub caller_pacer: RefCell<LinePacer>,
     route_table: watch::Sender<Option<Rc<RouteTable>>>,
     balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
@@ -74,6 +78,8 @@
             active_requests: Gauge::default(),
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
+            server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
+            caller_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
             route_table: watch::Sender::default(),
             balancers: RefCell::default(),
             budgets: RefCell::default(),
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -4,6 +4,7 @@
 
 use tokio::time::timeout_at;
 
+use super::context::EntryContext;
 use super::request::LocalResponse;
 use super::send::{BodyEnd, ServerBody, ServerResponse};
 use crate::fleet::stream::{HttpStream, RelayFraming};
@@ -53,6 +54,7 @@
 /// Forwards a server's response. If the server breaks off, the caller can see that the body is
 /// incomplete.
 pub async fn relay_response(
+    context: &EntryContext,
     stream: &mut HttpStream,
     response: ServerResponse,
     method: &str,
@@ -77,14 +79,15 @@
             }
             output.extend_from_slice(b"\r\n");
             output.extend_from_slice(&bytes);
-            stream.write(&output).await.map_err(|_| ConnectionEnd::Drop)
+            let written = stream.write_paced(&output, &context.caller_pacer).await;
+            written.map_err(|_| ConnectionEnd::Drop)
         }
         ServerBody::Streaming { buffered, stream: server, end, framing } => {
             let relay_framing = RelayFraming::of(framing);
             relay_framing.write_header(&mut output);
             output.extend_from_slice(b"\r\n");
             relay_framing.encode(&buffered, &mut output);
-            let relay = relay_body(stream, server, end, relay_framing, output);
+            let relay = relay_body(context, stream, server, end, relay_framing, output);
             let result = timeout_at((deadline + RELAY_GRACE).into(), relay).await;
             let result = result.unwrap_or(Err(ConnectionEnd::Drop));
             if result.is_err() {
@@ -96,6 +99,7 @@
 }
 
 async fn relay_body(
+    context: &EntryContext,
     caller: &mut HttpStream,
     mut server: HttpStream,
     mut end: BodyEnd,
@@ -103,12 +107,14 @@
     mut output: Vec<u8>,
 ) -> Result<(), ConnectionEnd> {
     loop {
-        caller.write(&output).await.map_err(|_| ConnectionEnd::Drop)?;
+        let written = caller.write_paced(&output, &context.caller_pacer).await;
+        written.map_err(|_| ConnectionEnd::Drop)?;
         output.clear();
         let mut chunk = Vec::new();
         let complete = match &mut end {
             BodyEnd::Framed(decoder) => {
-                server.read_body(decoder, &mut chunk, RELAY_CHUNK_BYTES).await.ok()
+                let pacer = &context.server_pacer;
+                server.read_body_paced(decoder, &mut chunk, RELAY_CHUNK_BYTES, pacer).await.ok()
             }
             BodyEnd::Close => server.read_to_close(&mut chunk, RELAY_CHUNK_BYTES).await.ok(),
         };
@@ -117,7 +123,8 @@
         relay_framing.encode(&chunk, &mut output);
         if complete {
             relay_framing.encode_end(&mut output);
-            return caller.write(&output).await.map_err(|_| ConnectionEnd::Drop);
+            let written = caller.write_paced(&output, &context.caller_pacer).await;
+            return written.map_err(|_| ConnectionEnd::Drop);
         }
     }
 }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -324,8 +324,10 @@
     let (complete, end) = match framing {
         Some(framing) => {
             let mut decoder = BodyDecoder::new(framing);
-            let complete =
-                stream.read_body(&mut decoder, &mut buffered, MAX_BUFFERED_BYTES).await?;
+            let pacer = &context.server_pacer;
+            let complete = stream
+                .read_body_paced(&mut decoder, &mut buffered, MAX_BUFFERED_BYTES, pacer)
+                .await?;
             (complete, BodyEnd::Framed(decoder))
         }
         None => {
--- a/src/fleet/file.rs
+++ b/src/fleet/file.rs
@@ -21,6 +21,8 @@
     Duration { field: &'static str, text: Box<str> },
     #[error("exactly one of `entry` and `control` is required")]
     Role,
+    #[error("entry.line_mbps must be above 0")]
+    LineSpeed,
 }
 
 #[derive(Debug, Deserialize)]
@@ -43,6 +45,7 @@
     retry_ratio: f64,
     retry_slack: u32,
     retry_window: Box<str>,
+    line_mbps: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -89,7 +92,11 @@
     fn into_config(self) -> Result<EntryConfig, FileError> {
         let window = duration("entry.retry_window", &self.retry_window)?;
         let retry = RetryLimits { ratio: self.retry_ratio, slack: self.retry_slack, window };
-        Ok(EntryConfig { traffic: self.traffic, readiness: self.readiness, retry })
+        if self.line_mbps.is_some_and(|mbps| !mbps.is_finite() || mbps <= 0.0) {
+            return Err(FileError::LineSpeed);
+        }
+        let Self { traffic, readiness, line_mbps, .. } = self;
+        Ok(EntryConfig { traffic, readiness, retry, line_mbps })
     }
 }
 
--- /dev/null
+++ b/src/fleet/line.rs
@@ -0,0 +1,52 @@
+//! Shares the line of an entry between long bodies and everything else.
+//!
+//! A response of half a megabyte holds a line of 2 Mbit/s for two seconds. Short responses, requests and
+//! health probes that wait behind it make callers late and servers look dead, so long bodies use only
+//! a part of the line, in small pieces.
+
+use std::time::{Duration, Instant};
+
+/// Part of the line that all long bodies together may use in one direction.
+const LONG_BODY_SHARE: f64 = 0.8;
+
+/// Size up to which a body is not paced.
+pub const SHORT_BODY_BYTES: usize = 16 << 10;
+
+/// Size of a paced piece: 16 ms of a line of 2 Mbit/s.
+pub const PIECE_BYTES: usize = 4 << 10;
+
+/// Line speed in bits per second from which pacing makes no difference: a piece takes 0.3 ms.
+const FAST_LINE_BITS_PER_S: f64 = 100e6;
+
+/// Schedule of the pieces of all long bodies in one direction of a line.
+#[derive(Debug)]
+pub struct LinePacer {
+    /// Rate of long bodies; `None` for a line that is fast enough.
+    bytes_per_second: Option<f64>,
+    /// Time at which the pieces so far have been transferred.
+    busy_until: Option<Instant>,
+}
+
+impl LinePacer {
+    /// Creates a pacer for a line of the given speed; `None` if it is not known.
+    pub fn new(line_mbps: Option<f64>) -> Self {
+        let bits_per_second = line_mbps.map(|mbps| mbps * 1e6);
+        let slow = bits_per_second.filter(|bits| *bits > 0.0 && *bits < FAST_LINE_BITS_PER_S);
+        let bytes_per_second = slow.map(|bits| bits / 8.0 * LONG_BODY_SHARE);
+        Self { bytes_per_second, busy_until: None }
+    }
+
+    /// Whether long bodies are paced.
+    pub fn is_active(&self) -> bool {
+        self.bytes_per_second.is_some()
+    }
+
+    /// Schedules a piece of a long body; returns the time until which the next one has to wait.
+    pub fn schedule(&mut self, now: Instant, bytes: usize) -> Instant {
+        let Some(rate) = self.bytes_per_second else { return now };
+        let start = self.busy_until.map_or(now, |until| until.max(now));
+        let end = start + Duration::from_secs_f64(bytes as f64 / rate);
+        self.busy_until = Some(end);
+        end
+    }
+}
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -1,12 +1,14 @@
 //! Buffered HTTP/1.1 connection on the single-threaded runtime.
 
+use std::cell::RefCell;
 use std::io;
 use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep_until, timeout};
 
+use super::line::{LinePacer, PIECE_BYTES, SHORT_BODY_BYTES};
 use crate::http::{
     BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead, encode_chunk,
     encode_last_chunk,
@@ -15,6 +17,9 @@
 /// Buffer space reserved for each read.
 const READ_BYTES: usize = 16 << 10;
 
+/// Schedule of the pieces of a long body; all bodies in the same direction share it.
+pub type SharedPacer<'a> = &'a RefCell<LinePacer>;
+
 /// Time for which a closing connection waits for the peer to read the remaining data.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -35,6 +40,8 @@
     stream: TcpStream,
     input: Vec<u8>,
     start: usize,
+    /// Maximum number of bytes in one read.
+    read_bytes: usize,
     /// Arrival time of the newest bytes.
     last_read_at: Instant,
     /// Arrival time of the oldest buffered bytes, or of earlier bytes that were still in the buffer when
@@ -45,7 +52,8 @@
 impl HttpStream {
     pub fn new(stream: TcpStream) -> Self {
         let now = Instant::now();
-        Self { stream, input: Vec::new(), start: 0, last_read_at: now, buffered_since: now }
+        let (input, start, read_bytes) = (Vec::new(), 0, READ_BYTES);
+        Self { stream, input, start, read_bytes, last_read_at: now, buffered_since: now }
     }
 
     /// Time at which the newest bytes arrived.
@@ -80,8 +88,11 @@
         let unconsumed = self.input.len();
         loop {
             self.stream.readable().await?;
-            self.input.reserve(READ_BYTES);
-            match self.stream.try_read_buf(&mut self.input) {
+            let length = self.input.len();
+            self.input.resize(length + self.read_bytes, 0);
+            let result = self.stream.try_read(&mut self.input[length..]);
+            self.input.truncate(length + *result.as_ref().unwrap_or(&0));
+            match result {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
                 result => {
                     self.last_read_at = Instant::now();
@@ -197,6 +208,43 @@
         }
     }
 
+    /// Like [`Self::read_body`], but paces a long body. The connection reads in small pieces from then
+    /// on, so that the rest waits at the server and not on the line.
+    pub async fn read_body_paced(
+        &mut self,
+        decoder: &mut BodyDecoder,
+        body: &mut Vec<u8>,
+        limit: usize,
+        pacer: SharedPacer<'_>,
+    ) -> Result<bool, HttpError> {
+        if !pacer.borrow().is_active() {
+            return self.read_body(decoder, body, limit).await;
+        }
+        loop {
+            let next_limit = limit.min(body.len().max(SHORT_BODY_BYTES));
+            let complete = self.read_body(decoder, body, next_limit).await?;
+            if complete || body.len() > limit {
+                return Ok(complete);
+            }
+            self.read_bytes = PIECE_BYTES;
+            let resume_at = pacer.borrow_mut().schedule(Instant::now(), PIECE_BYTES);
+            sleep_until(resume_at.into()).await;
+        }
+    }
+
+    /// Writes a response; a long one is paced.
+    pub async fn write_paced(&mut self, bytes: &[u8], pacer: SharedPacer<'_>) -> io::Result<()> {
+        if !pacer.borrow().is_active() || bytes.len() <= SHORT_BODY_BYTES {
+            return self.write(bytes).await;
+        }
+        for piece in bytes.chunks(PIECE_BYTES) {
+            self.write(piece).await?;
+            let resume_at = pacer.borrow_mut().schedule(Instant::now(), piece.len());
+            sleep_until(resume_at.into()).await;
+        }
+        Ok(())
+    }
+
     /// Appends bytes until the peer closes its side or `limit` is exceeded; returns whether the peer
     /// closed.
     pub async fn read_to_close(&mut self, body: &mut Vec<u8>, limit: usize) -> io::Result<bool> {
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -207,7 +207,7 @@
     pub fn start(seeds: &[SocketAddr]) -> Self {
         let (traffic, readiness) = (free_address(), free_address());
         let retry = RetryLimits { ratio: 0.2, slack: 50, window: Duration::from_secs(10) };
-        let entry = EntryConfig { traffic, readiness, retry };
+        let entry = EntryConfig { traffic, readiness, retry, line_mbps: None };
         let process = TestProcess::start(config(seeds, FleetRole::Entry(entry)));
         let entry = Self { traffic, readiness, process: Some(process) };
         wait_for("the entry to listen", || TcpStream::connect(entry.readiness).is_ok());
--- a/tests/fleet_loads/main.rs
+++ b/tests/fleet_loads/main.rs
@@ -2,4 +2,6 @@
 //! servers and time are simulated, and every random choice follows from a seed.
 
 mod dark_servers;
+mod many_entries;
+mod sheet_on_thin_line;
 mod thin_line;
