Count a request as open from its first byte in the daemons

Cause, looked for after the users' list ("during a planned stop, requests that had just been accepted were cut off"): an entry of the settings tree counted a request only once its head was complete, so a planned stop ended while a head was arriving, and the connection was dropped without an answer. Ruled out: the shutdown delay; the head in the test arrives after it. Change: the request counts from its first byte; the limits on slow heads bound the wait. Measured: a_request_that_arrives_in_parts_survives_a_planned_stop failed before and passes.

--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -62,12 +62,18 @@
         }
     };
     loop {
-        let head = match next_head(context, &mut connection).await {
+        match wait_for_input(context, &mut connection).await {
+            Ok(true) => (),
+            Ok(false) => return,
+            Err(error) => return refuse_request(context, connection, &error).await,
+        }
+        // A request counts as open from its first byte, so a planned stop does not cut it off.
+        let open_guard = context.count_open_request();
+        let head = match connection.next_head().await {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => return refuse_request(context, connection, &error).await,
         };
-        let open_guard = context.count_open_request();
         let result = dispatch(context, &mut connection, head).await;
         drop(open_guard);
         match result {
@@ -81,26 +87,22 @@
     }
 }
 
-/// Waits for the next request; returns `None` if the caller closed the connection, or if it is idle
-/// when the process finishes.
-async fn next_head(
+/// Waits for the first bytes of the next request; returns `false` if the caller closed the connection,
+/// or if it is idle when the process finishes.
+async fn wait_for_input(
     context: &Arc<EntryContext>,
     connection: &mut CallerConnection,
-) -> Result<Option<RequestHead>, HttpError> {
+) -> Result<bool, HttpError> {
     if connection.has_input() {
-        return connection.next_head().await;
+        return Ok(true);
     }
     let finishing = context.wait_until_finishing();
-    {
-        let arrival = connection.wait_for_input();
-        pin_mut!(arrival, finishing);
-        match select(arrival, finishing).await {
-            Either::Left((Ok(true), _)) => (),
-            Either::Left((Ok(false), _)) | Either::Right(_) => return Ok(None),
-            Either::Left((Err(error), _)) => return Err(error),
-        }
+    let arrival = connection.wait_for_input();
+    pin_mut!(arrival, finishing);
+    match select(arrival, finishing).await {
+        Either::Left((arrival, _)) => arrival,
+        Either::Right(_) => Ok(false),
     }
-    connection.next_head().await
 }
 
 async fn refuse_request(
--- a/tests/process/restarts.rs
+++ b/tests/process/restarts.rs
@@ -1,7 +1,9 @@
 //! Requests in flight during the draining of a server and planned restarts of processes.
 
 use std::collections::BTreeMap;
+use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
@@ -164,3 +166,24 @@
         });
     }
 }
+
+// Guards against a planned stop that cuts off a request of which only a part has arrived.
+#[test]
+fn a_request_that_arrives_in_parts_survives_a_planned_stop() {
+    let mut cluster =
+        TestCluster::start(ClusterOptions { entries: 1, proxied: false, lease: DEFAULT_LEASE });
+    let entry = cluster.entry(1);
+    let mut stream = TcpStream::connect(entry).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    stream.write_all(b"GET /read HTTP/1.1\r\nhost: te").unwrap();
+    thread::sleep(Duration::from_millis(200));
+    cluster.terminate("entry-1");
+    // Beyond the shutdown delay of the test's config, 800 ms.
+    thread::sleep(Duration::from_millis(1500));
+    let rest = b"st\r\nx-run-id: parts\r\nconnection: close\r\n\r\n";
+    stream.write_all(rest).unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    cluster.wait_for_exit("entry-1");
+}
