Bound the request bodies that an entry holds

Cause, stated as open in docs/platform.md: request bodies of up to 64 MiB are held whole and were copied for each send, so a few at once exceeded the 160 MB of a machine. Ruled out: a smaller limit for one body; the operator's document sets it. Change: all bodies together may have 72 MiB; beyond that a request gets 503 with Retry-After, which is true: nothing was sent. A body of more than 16 KiB is written from where it is held. Measured: tests/fleet held_bytes, uploads_beyond_the_memory_are_refused.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -111,6 +111,7 @@
                 CallerEvent::Read(ReadEvent::Malformed(error)) => {
                     self.refuse_malformed(&error).await
                 }
+                CallerEvent::Read(ReadEvent::Overloaded) => self.refuse_overloaded().await,
                 CallerEvent::Read(ReadEvent::IdleTimeout) => Err(ConnectionEnd::Close),
                 CallerEvent::PhaseChanged => self.follow_phase(),
             };
@@ -219,12 +220,25 @@
         Ok(())
     }
 
-    /// Refuses a malformed request after all requests before it are answered.
-    async fn refuse_malformed(&mut self, error: &HttpError) -> Result<(), ConnectionEnd> {
+    async fn answer_in_flight(&mut self) -> Result<(), ConnectionEnd> {
         while let Some(front) = self.in_flight.front_mut() {
             let response = next_response(Some(front)).await;
             self.write_response(response).await?;
         }
+        Ok(())
+    }
+
+    /// Refuses a request whose body does not fit into memory, after all requests before it are answered.
+    async fn refuse_overloaded(&mut self) -> Result<(), ConnectionEnd> {
+        self.answer_in_flight().await?;
+        log_info!("request_refused", "reason=\"too many request bodies\" status=503");
+        write_local_response(&mut self.stream, &LocalResponse::overloaded(), false).await?;
+        Err(ConnectionEnd::Close)
+    }
+
+    /// Refuses a malformed request after all requests before it are answered.
+    async fn refuse_malformed(&mut self, error: &HttpError) -> Result<(), ConnectionEnd> {
+        self.answer_in_flight().await?;
         write_malformed_response(&self.context, &mut self.stream, error).await
     }
 }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -17,6 +17,7 @@
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
 use crate::fleet::document::CallerLimits;
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
+use crate::fleet::held_bytes::HeldBytes;
 use crate::fleet::line::LinePacer;
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::routes::RouteTable;
@@ -47,6 +48,8 @@
     pub metrics: EntryMetrics,
     /// Requests whose responses have not been written completely.
     pub active_requests: Gauge,
+    /// Bodies of requests that are being received or processed.
+    pub held_bytes: HeldBytes,
     pub state: RefCell<FleetReplica>,
     pub random: RefCell<fastrand::Rng>,
     /// Schedules of long bodies from servers and to callers.
@@ -76,6 +79,7 @@
             connections: ConnectionPool::default(),
             metrics: EntryMetrics::default(),
             active_requests: Gauge::default(),
+            held_bytes: HeldBytes::default(),
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
             server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use thiserror::Error;
 use tokio::time::timeout_at;
 
 use super::context::EntryContext;
 use super::request::CallerRequest;
 use crate::fleet::document::CallerLimits;
+use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead};
 
@@ -25,16 +27,37 @@
     Closed,
     /// The request is invalid or did not arrive in time.
     Malformed(HttpError),
+    /// The entry holds too many request bodies already.
+    Overloaded,
     /// Nothing arrived within the idle limit.
     IdleTimeout,
 }
 
+/// Why a request was not read.
+#[derive(Debug, Error)]
+enum ReadError {
+    #[error(transparent)]
+    Http(#[from] HttpError),
+    #[error("too many request bodies are held")]
+    Overloaded,
+}
+
+impl From<std::io::Error> for ReadError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Http(error.into())
+    }
+}
+
+/// Number of bytes of a body that are read between two checks of the bytes held.
+const BODY_STEP_BYTES: usize = 64 << 10;
+
 /// Request whose body is still arriving.
 struct PartialRequest {
     head: RequestHead,
     received_at: Instant,
     decoder: BodyDecoder,
     body: Vec<u8>,
+    share: HeldShare,
 }
 
 /// Reads requests one after another.
@@ -66,19 +89,23 @@
         {
             return event;
         }
-        match self.read(context.caller_limits(), stream, resumed_at).await {
+        match self.read(context, stream, resumed_at).await {
             Ok(Some(request)) => ReadEvent::Request(request),
-            Ok(None) | Err(HttpError::Truncated | HttpError::Io(_)) => ReadEvent::Closed,
-            Err(error) => ReadEvent::Malformed(error),
+            Ok(None) | Err(ReadError::Http(HttpError::Truncated | HttpError::Io(_))) => {
+                ReadEvent::Closed
+            }
+            Err(ReadError::Http(error)) => ReadEvent::Malformed(error),
+            Err(ReadError::Overloaded) => ReadEvent::Overloaded,
         }
     }
 
     async fn read(
         &mut self,
-        limits: CallerLimits,
+        context: &EntryContext,
         stream: &mut HttpStream,
         resumed_at: Instant,
-    ) -> Result<Option<CallerRequest>, HttpError> {
+    ) -> Result<Option<CallerRequest>, ReadError> {
+        let limits = context.caller_limits();
         if self.partial.is_none() {
             let deadline = stream.buffered_since().max(resumed_at) + limits.head_timeout;
             let http_limits = HttpLimits { head_bytes: limits.head_bytes, ..HttpLimits::default() };
@@ -86,11 +113,12 @@
             let head = head.map_err(|_| HttpError::Timeout("reading a head"))??;
             let Some(head) = head else { return Ok(None) };
             if head.framing.declared_size().is_some_and(|size| size > limits.body_bytes) {
-                return Err(HttpError::BodyTooLarge(limits.body_bytes));
+                return Err(HttpError::BodyTooLarge(limits.body_bytes).into());
             }
             let sends_continue = head.framing != BodyFraming::Empty && head.expects_continue();
             let (decoder, received_at) = (BodyDecoder::new(head.framing), Instant::now());
-            let partial = PartialRequest { head, received_at, decoder, body: Vec::new() };
+            let share = context.held_bytes.new_share();
+            let partial = PartialRequest { head, received_at, decoder, body: Vec::new(), share };
             self.partial = Some(Box::new(partial));
             if sends_continue {
                 stream.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -100,8 +128,8 @@
             read_body(limits, stream, request, resumed_at).await?;
         }
         Ok(self.partial.take().map(|request| {
-            let PartialRequest { head, received_at, body, .. } = *request;
-            CallerRequest { head, body, received_at }
+            let PartialRequest { head, received_at, body, share, .. } = *request;
+            CallerRequest { head, body, received_at, share }
         }))
     }
 }
@@ -139,17 +167,25 @@
     stream: &mut HttpStream,
     request: &mut PartialRequest,
     resumed_at: Instant,
-) -> Result<(), HttpError> {
+) -> Result<(), ReadError> {
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
     loop {
         let deadline = stream.last_read_at().max(resumed_at) + BODY_STALL_TIMEOUT;
-        let read = stream.read_body(&mut request.decoder, &mut request.body, limit);
-        match timeout_at(deadline.into(), read).await {
+        let step_limit = limit.min(request.body.len() + BODY_STEP_BYTES);
+        let read = stream.read_body(&mut request.decoder, &mut request.body, step_limit);
+        let result = timeout_at(deadline.into(), read).await;
+        if !request.share.grow_to(request.body.len()) {
+            return Err(ReadError::Overloaded);
+        }
+        match result {
             Ok(Ok(true)) => return Ok(()),
-            Ok(Ok(false)) => return Err(HttpError::BodyTooLarge(limits.body_bytes)),
-            Ok(Err(error)) => return Err(error),
+            Ok(Ok(false)) if request.body.len() > limit => {
+                return Err(HttpError::BodyTooLarge(limits.body_bytes).into());
+            }
+            Ok(Ok(false)) => {}
+            Ok(Err(error)) => return Err(error.into()),
             Err(_) if stream.last_read_at().max(resumed_at) + BODY_STALL_TIMEOUT > deadline => {}
-            Err(_) => return Err(HttpError::Timeout("reading a body")),
+            Err(_) => return Err(HttpError::Timeout("reading a body").into()),
         }
     }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -12,9 +12,12 @@
 use super::context::EntryContext;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
-use super::send::{self, OutgoingRequest, SendError, SendReport, ServerResponse, TriedServers};
+use super::send::{
+    self, HeldBody, OutgoingRequest, SendError, SendReport, ServerResponse, TriedServers,
+};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::document::{Repetition, RouteRule};
+use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::routes::choose_target;
 use crate::http::RequestHead;
 use crate::ids::ServiceName;
@@ -31,6 +34,9 @@
 /// `retry-after` before the first document is in force.
 const NO_DOCUMENT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `retry-after` while the entry holds too many request bodies.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Fraction of the caller's timeout for which a request waits for the first document, or for the
 /// state to be confirmed after a suspension. After a loss of all processes the document arrives within
 /// half a second, and many callers retry only once.
@@ -59,6 +65,8 @@
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub received_at: Instant,
+    /// Counts the body as held.
+    pub share: HeldShare,
 }
 
 /// Response to a caller.
@@ -83,6 +91,11 @@
         Self { status, reason, retry_after: None, cause: None }
     }
 
+    /// Creates the response to a request whose body does not fit into memory.
+    pub fn overloaded() -> Self {
+        Self::not_run("too many request bodies", OVERLOAD_RETRY_AFTER, Duration::from_secs(5))
+    }
+
     /// Creates a 503 response: the request did not run and will not, so the caller may retry.
     fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
         let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
@@ -223,7 +236,7 @@
         id,
         service,
         caller_request.head,
-        caller_request.body,
+        HeldBody { bytes: caller_request.body, _share: caller_request.share },
         idempotent,
         deadline,
     );
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -9,6 +9,7 @@
 use super::context::EntryContext;
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
+use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -25,6 +26,9 @@
 /// Maximum size of the body of a skipped response.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
 
+/// Size up to which a request body is copied behind its head, so that both are written at once.
+const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
+
 /// Request in the form that is sent to any server.
 pub struct OutgoingRequest {
     /// Request id for logs.
@@ -33,7 +37,7 @@
     pub method: Box<str>,
     /// Request line and headers, without those that differ between sends.
     head: Vec<u8>,
-    body: Vec<u8>,
+    body: HeldBody,
     pub request_id: Option<Box<[u8]>>,
     pub idempotent: bool,
     pub deadline: Instant,
@@ -41,6 +45,12 @@
     real_deadline: SuspensionDeadline,
 }
 
+/// Body of a request, counted as held.
+pub struct HeldBody {
+    pub bytes: Vec<u8>,
+    pub _share: HeldShare,
+}
+
 /// Validated response of a server.
 pub struct ServerResponse {
     pub head: ResponseHead,
@@ -125,7 +135,7 @@
         id: Box<str>,
         service: ServiceName,
         mut caller_head: RequestHead,
-        body: Vec<u8>,
+        body: HeldBody,
         idempotent: bool,
         deadline: Instant,
     ) -> Self {
@@ -138,7 +148,8 @@
         }
         if chunked {
             // Cannot fail: a decimal number contains no control characters.
-            let _ = caller_head.headers.set("content-length", body.len().to_string().as_bytes());
+            let _ =
+                caller_head.headers.set("content-length", body.bytes.len().to_string().as_bytes());
         }
         let mut head = Vec::with_capacity(512);
         caller_head.write_to(&mut head);
@@ -162,10 +173,11 @@
         self.real_deadline.time_left(Instant::now(), suspended_time())
     }
 
+    /// Encodes the head for one send, followed by the body if it is short; a long one is not copied.
     fn encode(&self, context: &EntryContext, server: &ServerId, time_left: Duration) -> Vec<u8> {
         let header_names = context.dialect.headers();
         let time_left_ms = time_left.as_millis().max(1);
-        let mut bytes = Vec::with_capacity(self.head.len() + self.body.len() + 96);
+        let mut bytes = Vec::with_capacity(self.head.len() + MAX_COPIED_BODY_BYTES);
         bytes.extend_from_slice(&self.head);
         for (name, value) in [
             (header_names.deadline, &*time_left_ms.to_string()),
@@ -177,9 +189,16 @@
             bytes.extend_from_slice(b"\r\n");
         }
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
+        if self.long_body().is_empty() {
+            bytes.extend_from_slice(&self.body.bytes);
+        }
         bytes
     }
+
+    /// The body if it is written separately; otherwise nothing.
+    fn long_body(&self) -> &[u8] {
+        if self.body.bytes.len() > MAX_COPIED_BODY_BYTES { &self.body.bytes } else { &[] }
+    }
 }
 
 /// Counts a send as in flight until it ends or is cancelled.
@@ -311,7 +330,9 @@
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server, time_left);
     // From here on the server may have received the request.
-    let fully_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
+    let head_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
+    let fully_written = head_written
+        && stream.write_until_response(request.long_body()).await.map_err(HttpError::from)?;
     let head = read_matching_head(context, request, &mut stream, &limits).await?;
     context.record_load(Instant::now(), &request.service, &chosen.server, &head);
     validate_head(context, &head)?;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod event_log;
 pub mod file;
 pub mod follow_plan;
+pub mod held_bytes;
 pub mod line;
 pub mod link;
 pub mod listener;
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -128,3 +128,43 @@
     let response = read_to_end(stream);
     assert_eq!(parse_response(&response).1.len(), LARGE_BODY);
 }
+
+/// Guards against a machine that runs out of memory because many callers upload at once: what fits is
+/// served, the rest is refused as not run, and the memory is free again afterwards.
+#[test]
+fn uploads_beyond_the_memory_are_refused() {
+    const UPLOAD: usize = 24 << 20;
+    let system = CallerSystem::start(15_000, 3000, &[]);
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\nconnection: close\r\n\
+         content-length: {UPLOAD}\r\n\r\n"
+    );
+    let upload = || {
+        let mut stream = system.connect();
+        send(&mut stream, &head);
+        // All but the last byte: the body stays held until the test ends it.
+        let mut response = String::new();
+        if stream.write_all(&vec![b'x'; UPLOAD - 1]).is_err() {
+            let _ = stream.read_to_string(&mut response);
+        }
+        (stream, response)
+    };
+    let mut held: Vec<_> = (0..3).map(|_| upload()).collect();
+    assert!(held.iter().all(|(_, response)| response.is_empty()));
+    let mut refused = upload();
+    send_ignoring_errors(&mut refused.0);
+    let mut response = refused.1;
+    let _ = refused.0.read_to_string(&mut response);
+    // The caller may see the reset of its unread bytes instead of the response.
+    assert!(response.is_empty() || parse_response(&response).0 == 503, "{response}");
+    let (mut first, _) = held.remove(0);
+    send(&mut first, "x");
+    assert_eq!(parse_response(&read_to_end(first)).0, 200);
+    let (mut next, _) = upload();
+    send(&mut next, "x");
+    assert_eq!(parse_response(&read_to_end(next)).0, 200);
+}
+
+fn send_ignoring_errors(stream: &mut TcpStream) {
+    let _ = stream.write_all(b"x");
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod entry;
 mod harness;
+mod held_bytes;
 mod members;
 mod routes;
 mod slow_member;
