Read large requests of the scripted server in linear time

Cause: uploads_beyond_the_memory_are_refused got 504, because the test's server searched the whole request again after each read.

--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -355,23 +355,31 @@
 }
 
 fn read_request(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<String> {
+    let mut total = None;
     loop {
-        let text = String::from_utf8_lossy(input).into_owned();
-        if let Some(end) = text.find("\r\n\r\n") {
-            let length = header_value(&text[..end], "content-length");
-            let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
-            let total = end + 4 + length;
-            if input.len() >= total {
-                input.drain(..total);
-                return Some(text[..total].to_owned());
-            }
+        if total.is_none() {
+            total = request_length(input);
+        }
+        if let Some(total) = total
+            && input.len() >= total
+        {
+            let request: Vec<u8> = input.drain(..total).collect();
+            return Some(String::from_utf8_lossy(&request).into_owned());
         }
-        let mut bytes = [0; 4096];
+        let mut bytes = [0; 64 << 10];
         let count = stream.read(&mut bytes).ok().filter(|count| *count > 0)?;
         input.extend_from_slice(&bytes[..count]);
     }
 }
 
+/// Returns the length of the first request with its body, once its head is complete.
+fn request_length(input: &[u8]) -> Option<usize> {
+    let end = input.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
+    let length = header_value(&String::from_utf8_lossy(&input[..end]), "content-length");
+    let length: usize = length.and_then(|length| length.parse().ok()).unwrap_or(0);
+    Some(end + 4 + length)
+}
+
 /// Announces a server, retrying until a member accepts it.
 pub fn announce(fleet: &TestFleet, server: &str, body: &str) {
     let path = format!("/.curranthollow/servers/{server}");
