--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod budget;
 mod caller;
+mod config_file;
 mod entry;
 mod harness;
 mod held_bytes;
