Introduce new servers by a few requests

Cause: a server that joins is cold and has no connection, so with little load every entry prefers another one. Ruled out: no cost for the warm-up; all entries would find the cold server at the same instant. Change: entries drawn by a hash, as many as give the server about twice its slots in requests, choose it once, spread over two seconds.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -66,6 +66,13 @@
 /// Upper limit of the random cost that spreads the choices of entries with the same view.
 const MAX_RANDOM_COST: f64 = 0.08;
 
+/// Requests that a new server gets from all entries together as its introduction, as a multiple of its
+/// slots. Without them a cold server of a service with little load would get none.
+const INTRODUCTION_FACTOR: f64 = 2.0;
+
+/// Time over which these requests are spread.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
+
 /// Outcome of a send to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendOutcome {
@@ -127,6 +134,8 @@
     /// All servers in the order in which this entry prefers them: those of its own zone first, then by
     /// a hash of both names, so that each server is preferred by about as many entries.
     ranking: Vec<ServerId>,
+    /// Servers that joined later than the first ones and get a request of this entry at the given time.
+    introductions: BTreeMap<ServerId, Instant>,
     /// Moving average of the latency in milliseconds.
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
@@ -136,19 +145,26 @@
 impl ServiceBalancer {
     /// Replaces the set of servers; statistics are kept for servers with the same incarnation and
     /// address.
+    ///
+    /// `entry_count` is the estimated number of entries, which share the introduction of new servers.
     pub fn update_servers<'a>(
         &mut self,
         now: Instant,
         entry: &str,
         zone: &str,
+        entry_count: u32,
         views: impl Iterator<Item = (&'a ServerId, &'a ServerView)>,
     ) {
         let mut previous = std::mem::take(&mut self.servers);
+        let had_servers = !previous.is_empty();
         for (server, view) in views {
             let announcement = &view.announcement;
             let known = previous.remove(server).filter(|known| {
                 known.started == announcement.started && known.address == announcement.address
             });
+            if known.is_none() && had_servers {
+                self.schedule_introduction(now, entry, entry_count, server, announcement.slots);
+            }
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
@@ -170,9 +186,49 @@
             stats.silent = view.silent;
             self.servers.insert(server.clone(), stats);
         }
+        self.introductions.retain(|server, _| self.servers.contains_key(server));
         self.rank_servers(entry);
     }
 
+    /// Decides by a hash whether this entry introduces a new server, and when, so that all entries
+    /// together send a few requests and not all at the same moment.
+    fn schedule_introduction(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        entry_count: u32,
+        server: &ServerId,
+        slots: u32,
+    ) {
+        let share = INTRODUCTION_FACTOR * f64::from(slots) / f64::from(entry_count.max(1));
+        // Another hash than that of the ranking: mostly entries that do not prefer the server.
+        let score = rendezvous_score(server, entry);
+        if score < share {
+            let delay = INTRODUCTION_TIME.mul_f64((score / share).clamp(0.0, 1.0));
+            self.introductions.insert(server.clone(), now + delay);
+        }
+    }
+
+    /// Returns a new server whose introduction is due.
+    fn due_introduction(
+        &self,
+        now: Instant,
+        tried: &[ServerId],
+    ) -> Option<(&ServerId, &ServerStats)> {
+        for (server, due_at) in &self.introductions {
+            if *due_at > now || tried.contains(server) {
+                continue;
+            }
+            let known = self.servers.get_key_value(server);
+            let usable = known
+                .filter(|(_, stats)| stats.state == ServerState::Ready && stats.is_available(now));
+            if usable.is_some() {
+                return usable;
+            }
+        }
+        None
+    }
+
     fn rank_servers(&mut self, entry: &str) {
         let rank_of = |server: &ServerId, stats: &ServerStats| {
             (!stats.same_zone, rendezvous_score(entry, server))
@@ -227,7 +283,9 @@
                 break;
             }
         }
-        let (cost, server, stats) = best_available.or(best_ejected)?;
+        let introduced = self.due_introduction(now, tried);
+        let introduced = introduced.map(|(server, stats)| (self.cost(now, stats), server, stats));
+        let (cost, server, stats) = introduced.or(best_available).or(best_ejected)?;
         Some(ChosenServer {
             server: server.clone(),
             address: stats.address,
@@ -272,6 +330,7 @@
 
     /// Counts the start of a send to `server`.
     pub fn begin_send(&mut self, server: &ServerId) {
+        self.introductions.remove(server);
         if let Some(stats) = self.servers.get_mut(server) {
             stats.in_flight += 1;
         }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -284,7 +284,8 @@
         for (name, balancer) in balancers.iter_mut() {
             let views = state.servers().iter();
             let own_views = views.filter(|(_, view)| view.announcement.service == *name);
-            balancer.update_servers(now, &self.name, &self.availability_zone, own_views);
+            let (name, zone) = (&self.name, &self.availability_zone);
+            balancer.update_servers(now, name, zone, self.entry_count(), own_views);
         }
         self.connections.retain(|server| state.servers().contains_key(server));
     }
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -135,6 +135,11 @@
 fn uploads_beyond_the_memory_are_refused() {
     const UPLOAD: usize = 24 << 20;
     let system = CallerSystem::start(15_000, 3000, &[]);
+    // The timeout counts from the head, and the uploads are held for long.
+    let patient = document_with_limits(2, 15_000, 3000)
+        .replace("\"timeout_ms\":2000", "\"timeout_ms\":60000");
+    system.fleet.put_document(&patient);
+    std::thread::sleep(Duration::from_secs(1));
     let head = format!(
         "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\nconnection: close\r\n\
          content-length: {UPLOAD}\r\n\r\n"
