Wait for an early response in one place

The daemons' exchange had the same wait three times. Behaviour as before; tests/process answers and tests/entry pass. The fleet mode does not use this file.

--- a/src/entry/exchange.rs
+++ b/src/entry/exchange.rs
@@ -145,10 +145,7 @@
         if let Err(error) = self.connection.write(&output).await {
             // The server may have answered before it closed the connection, for example with an
             // error.
-            return match with_timeout(EARLY_RESPONSE_TIMEOUT, self.read_own_head()).await {
-                Ok(Ok((response, body))) => Ok((response, body, false)),
-                _ => Err(AttemptFailure::ServerFailed(error)),
-            };
+            return early_response(self.read_own_head(), error).await;
         }
         let (response, body) = self.read_own_head().await.map_err(classify_server_error)?;
         Ok((response, body, true))
@@ -166,12 +163,7 @@
                 let (response, body) = download.await.map_err(classify_server_error)?;
                 Ok((response, body, true))
             }
-            Either::Left((Err(error), download)) => {
-                match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
-                    Ok(Ok((response, body))) => Ok((response, body, false)),
-                    _ => Err(AttemptFailure::ServerFailed(error)),
-                }
-            }
+            Either::Left((Err(error), download)) => early_response(download, error).await,
             Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
             Either::Right((Err(error), _)) => Err(classify_server_error(error)),
         }
@@ -198,10 +190,7 @@
                 Err(AttemptFailure::CallerFailed(error))
             }
             Either::Left((Err(UploadError::Server(error)), download)) => {
-                match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
-                    Ok(Ok((response, body))) => Ok((response, body, false)),
-                    _ => Err(AttemptFailure::ServerFailed(error)),
-                }
+                early_response(download, error).await
             }
             Either::Right((Ok((response, body)), _)) => Ok((response, body, false)),
             Either::Right((Err(error), _)) => Err(classify_server_error(error)),
@@ -234,6 +223,18 @@
     }
 }
 
+/// Waits briefly for a response that the server may have sent before it stopped reading; `error` is the
+/// failure otherwise.
+async fn early_response(
+    download: impl Future<Output = Result<(ResponseHead, ResponseBody), HttpError>>,
+    error: HttpError,
+) -> ExchangeResult {
+    match with_timeout(EARLY_RESPONSE_TIMEOUT, download).await {
+        Ok(Ok((response, body))) => Ok((response, body, false)),
+        _ => Err(AttemptFailure::ServerFailed(error)),
+    }
+}
+
 enum UploadError {
     Caller(HttpError),
     Server(HttpError),
