--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -223,6 +223,33 @@
     assert_eq!(server.requests().len(), before);
 }
 
+/// Guards against a server that left and is in use again after all members were restarted, although a
+/// late heartbeat of it arrives then.
+#[test]
+fn a_server_that_left_is_not_used_after_a_restart() {
+    let server = ScriptedServer::start(&[]);
+    let mut fleet = TestFleet::start();
+    fleet.put_document(&document(1));
+    let heartbeat = announcement(server.address, false, 1, 1);
+    announce(&fleet, "s0", &heartbeat);
+    wait_for("the leave call to be accepted", || {
+        let path = "/.curranthollow/servers/s0";
+        fleet.members.iter().any(|member| call(member.operator, "DELETE", path, "").0 == 200)
+    });
+    for member in &mut fleet.members {
+        member.kill();
+    }
+    let seeds = fleet.seeds.clone();
+    for member in &mut fleet.members {
+        member.start(&seeds, false);
+    }
+    announce(&fleet, "s0", &announcement(server.address, false, 1, 2));
+    let entry = TestEntry::start(&fleet.seeds);
+    wait_for("the entry to be ready", || entry.is_ready());
+    assert_eq!(call(entry.traffic, "GET", "/read/1", "").0, 503);
+    assert!(server.requests().is_empty());
+}
+
 /// Guards against a shutdown that breaks off requests in progress.
 #[test]
 fn a_stopping_entry_finishes_requests() {
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -74,6 +74,23 @@
     assert!(state.servers().contains_key("s"));
 }
 
+/// Guards against a server that left, or that drains, and is in use again after a restart of a member:
+/// a heartbeat from before arrives only then.
+#[test]
+fn a_server_that_left_stays_gone_after_a_restart() {
+    let state = state_after([
+        announce("gone", new_announcement(1, Ready, 5, 1)),
+        announce("drains", new_announcement(2, Ready, 5, 1)),
+        FleetCommand::Leave("gone".into(), Some(5)),
+        announce("drains", new_announcement(2, Draining, 5, 2)),
+    ]);
+    let mut restored = FleetState::restore(&state.snapshot()).expect("the snapshot is valid");
+    restored.apply(5, announce("gone", new_announcement(1, Ready, 5, 9)));
+    restored.apply(6, announce("drains", new_announcement(2, Ready, 5, 9)));
+    assert!(!restored.servers().contains_key("gone"));
+    assert_eq!(restored.servers()["drains"].announcement.state, Draining);
+}
+
 fn random_document(random: &mut fastrand::Rng, version: u64) -> RouteDocument {
     let mut document = RouteDocument { version, ..RouteDocument::default() };
     let service = ServiceRule { health_path: "/h".into(), max_connections: 10 };
--- a/tests/settings_store.rs
+++ b/tests/settings_store.rs
@@ -198,6 +198,18 @@
     assert_eq!(store.document("blue"), Some((3, &*document("blue", "/b1"))));
 }
 
+// Guards against a withdrawn token that is valid again after a restart from a snapshot.
+#[test]
+fn withdrawn_token_stays_withdrawn_after_a_restart() {
+    let mut store = store_with_teams();
+    assert_eq!(store.apply(&rotate("blue", "r", "new")), accepted(2, 3));
+    let mut restored = SettingsStore::restore(&store.snapshot()).unwrap();
+    assert!(!restored.authorizes("blue", &token_sha256("blue")));
+    let change = restored.apply(&replace("blue", 2, "x", "/b1"));
+    assert_eq!(change, refused(RefusalReason::WrongToken));
+    assert!(restored.authorizes("blue", &token_sha256("new")));
+}
+
 // Guards against a team that takes another team's route or affects its versions.
 #[test]
 fn teams_are_isolated() {
