--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod entry;
 mod harness;
 mod held_bytes;
+mod malformed;
 mod members;
 mod routes;
 mod slow_member;
