--- a/tests/process/answers.rs
+++ b/tests/process/answers.rs
@@ -141,6 +141,18 @@
             stream.write_all(&body)?;
             stream.write_all(b"bytes after the end")?;
         }
+        "endless_head" => {
+            stream.write_all(head.as_bytes())?;
+            loop {
+                stream.write_all("x-noise: y\r\n".repeat(1000).as_bytes())?;
+            }
+        }
+        "endless_chunks" => {
+            write!(stream, "{head}transfer-encoding: chunked\r\n\r\n")?;
+            loop {
+                stream.write_all("4\r\nabcd\r\n".repeat(1000).as_bytes())?;
+            }
+        }
         "late_copy" => {
             stream.write_all(head_with_length.as_bytes())?;
             stream.write_all(&body)?;
@@ -245,3 +257,27 @@
     }
     assert!(served_count >= 100, "{served_count} of 200 were served");
 }
+
+// Guards against bytes without end from a server, in a head or a body: the caller sees a failure in
+// bounded time, and other requests are served meanwhile.
+#[test]
+fn bytes_without_end_end_visibly() {
+    let cluster =
+        TestCluster::start(ClusterOptions { entries: 1, proxied: false, lease: DEFAULT_LEASE });
+    let entry = cluster.entry(1);
+    let _server = FaultyServer::start(entry);
+    wait_until("the faulty server serves a request", || {
+        Call::get("/faulty?fault=none", "first").send(entry).is_served()
+    });
+    for fault in ["endless_head", "endless_chunks"] {
+        thread::scope(|scope| {
+            let target = format!("/faulty?fault={fault}");
+            let endless = scope.spawn(move || Call::get(&target, fault).send(entry));
+            thread::sleep(Duration::from_millis(200));
+            let other = Call::get("/read", &format!("beside-{fault}")).send(entry);
+            assert!(other.is_served(), "beside {fault}: {other:?}");
+            let answer = endless.join().unwrap();
+            assert!(!answer.is_served(), "{fault}");
+        });
+    }
+}
