--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -10,6 +10,7 @@
 mod client;
 mod cluster;
 mod golden;
+mod malformed;
 mod partitions;
 mod proxy;
 mod restarts;
