--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,8 @@
 mod held_bytes;
 mod malformed;
 mod members;
+#[path = "../common/mutation.rs"]
+mod mutation;
 mod routes;
 mod slow_member;
 mod state;
--- a/tests/fleet/malformed.rs
+++ b/tests/fleet/malformed.rs
@@ -11,6 +11,7 @@
 use crate::harness::{
     ScriptedServer, TestEntry, TestFleet, announce, announcement, call, document, wait_for,
 };
+use crate::mutation::mutate;
 
 static PANIC_COUNT: AtomicUsize = AtomicUsize::new(0);
 
@@ -25,21 +26,6 @@
     }));
 }
 
-/// Replaces, removes or repeats some bytes.
-fn mutate(random: &mut fastrand::Rng, valid: &[u8]) -> Vec<u8> {
-    let mut bytes = valid.to_vec();
-    for _ in 0..random.usize(1..5) {
-        let position = random.usize(..bytes.len());
-        match random.u8(..4) {
-            0 => bytes[position] = random.u8(..),
-            1 => bytes.truncate(position.max(1)),
-            2 => bytes.insert(position, random.u8(..)),
-            _ => bytes.extend_from_within(position..),
-        }
-    }
-    bytes
-}
-
 fn send_bytes(address: SocketAddr, bytes: &[u8]) {
     let Ok(mut stream) = TcpStream::connect(address) else { panic!("{address} does not listen") };
     let _ = stream.set_read_timeout(Some(Duration::from_millis(5)));
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -11,6 +11,8 @@
 mod cluster;
 mod golden;
 mod malformed;
+#[path = "../common/mutation.rs"]
+mod mutation;
 mod partitions;
 mod proxy;
 mod restarts;
--- a/tests/process/malformed.rs
+++ b/tests/process/malformed.rs
@@ -6,6 +6,7 @@
 
 use super::client::Call;
 use super::cluster::{ClusterOptions, DEFAULT_LEASE, TestCluster};
+use super::mutation::mutate;
 use super::support::{seed, wait_until};
 
 /// Valid beginnings, which are mutated.
@@ -18,20 +19,6 @@
     "PUT /settings/teams/demo HTTP/1.1\r\nhost: c\r\ncontent-length: 2\r\n\r\n{}",
 ];
 
-fn mutate(random: &mut fastrand::Rng, valid: &[u8]) -> Vec<u8> {
-    let mut bytes = valid.to_vec();
-    for _ in 0..random.usize(..6) {
-        let position = random.usize(..bytes.len());
-        match random.u8(..4) {
-            0 => bytes[position] = random.u8(..),
-            1 => bytes.truncate(position.max(1)),
-            2 => bytes.insert(position, random.u8(..)),
-            _ => bytes.extend_from_within(position..),
-        }
-    }
-    bytes
-}
-
 fn send_bytes(address: SocketAddr, bytes: &[u8]) {
     let mut stream = TcpStream::connect(address).expect("the process listens");
     stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
