Write the last log lines of a process, and say what a stop cuts off

Nothing told how far a request had come that was cut.

The exit now waits up to 100 ms for the queue to be written; a blocked standard output does not hold it up longer. entry_stopped counts the requests that are still active by their stage, and request_cut names each with its age, the time since its response began, the bytes relayed and the size of the body. The order in which a stop proceeds is unchanged.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -8,10 +8,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use super::activity::RequestProgress;
 use super::context::{EntryContext, EntryPhase};
 use super::metrics::GaugeGuard;
 use super::reader::{ReadEvent, RequestReader};
-use super::relay::{ConnectionEnd, relay_response, write_local_response};
+use super::relay::{ConnectionEnd, ResponseRelay, write_local_response};
 use super::request::{self, CallerRequest, CallerResponse, LocalResponse};
 use crate::fleet::link;
 use crate::fleet::listener::accept_each;
@@ -59,7 +60,7 @@
 struct InFlightRequest {
     task: JoinHandle<CallerResponse>,
     /// Counts the request as active until its response is written and its task has ended.
-    _active_guard: Rc<GaugeGuard>,
+    progress: Rc<RequestProgress>,
     method: Box<str>,
     keep_alive: bool,
     idempotent: bool,
@@ -178,15 +179,16 @@
         let keep_alive = request.head.keep_alive();
         // On a connection that will be closed, the response to a further request would be lost.
         self.closing |= !keep_alive || self.context.is_stopping();
-        let active_guard = Rc::new(GaugeGuard::new(self.context.active_requests.clone()));
-        let (context, task_guard) = (Rc::clone(&self.context), Rc::clone(&active_guard));
+        let progress = self.context.active_requests.begin(request.received_at);
+        progress.set_received(&request::request_id(&self.context, &request.head));
+        let (context, task_progress) = (Rc::clone(&self.context), Rc::clone(&progress));
         let task = tokio::task::spawn_local(async move {
-            let _task_guard = task_guard;
+            let _task_progress = task_progress;
             request::handle_request(&context, request).await
         });
         self.in_flight.push_back(InFlightRequest {
             task,
-            _active_guard: active_guard,
+            progress,
             method,
             keep_alive,
             idempotent,
@@ -203,9 +205,13 @@
                 write_local_response(&mut self.stream, &response, keep_alive).await?
             }
             CallerResponse::Relayed(server_response) => {
-                let (context, stream) = (&self.context, &mut self.stream);
-                relay_response(context, stream, *server_response, &in_flight.method, keep_alive)
-                    .await?;
+                let relay = ResponseRelay {
+                    context: &self.context,
+                    progress: &in_flight.progress,
+                    method: &in_flight.method,
+                    keep_alive,
+                };
+                relay.run(&mut self.stream, *server_response).await?;
             }
         }
         self.last_response_at = Instant::now();
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
+use super::activity::ActiveRequests;
 use super::connections::ConnectionPool;
 use super::metrics::EntryMetrics;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
@@ -47,7 +47,7 @@
     pub connections: ConnectionPool,
     pub metrics: EntryMetrics,
     /// Requests whose responses have not been written completely.
-    pub active_requests: Gauge,
+    pub active_requests: Rc<ActiveRequests>,
     /// Bodies of requests that are being received or processed.
     pub held_bytes: HeldBytes,
     pub state: RefCell<FleetReplica>,
@@ -78,7 +78,7 @@
             phase: watch::Sender::new(EntryPhase::Serving),
             connections: ConnectionPool::default(),
             metrics: EntryMetrics::default(),
-            active_requests: Gauge::default(),
+            active_requests: Rc::default(),
             held_bytes: HeldBytes::default(),
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -1,6 +1,7 @@
 //! Entry process: forwards callers' requests by the routes and servers that the control members
 //! report.
 
+mod activity;
 mod caller;
 mod connections;
 mod context;
@@ -20,6 +21,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
+use self::activity::RequestStage;
 use self::context::{EntryContext, EntryPhase};
 use self::follow::FleetFollower;
 use super::config::{EntryConfig, FleetConfig};
@@ -27,7 +29,7 @@
 use super::listener::{ListenError, accept_each, listen};
 use super::stream::HttpStream;
 use crate::http::{HttpLimits, RequestHead};
-use crate::log_info;
+use crate::{log_info, log_warn};
 
 /// Minimum duration of a shutdown: callers need this long to notice that the entry is stopping.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(2500);
@@ -46,6 +48,9 @@
 /// Interval at which a stopping entry checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of requests that are logged one by one when a stop cuts them off.
+const MAX_LOGGED_REQUESTS: usize = 16;
+
 /// A running entry.
 pub struct EntryProcess {
     context: Rc<EntryContext>,
@@ -99,19 +104,39 @@
         self.context.phase.send_replace(EntryPhase::Closing);
         let closed_at = started.elapsed() + CLOSING_TIME;
         while started.elapsed() < end && !self.is_idle() {
-            if started.elapsed() >= closed_at && self.context.active_requests.get() == 0 {
+            if started.elapsed() >= closed_at && self.context.active_requests.is_empty() {
                 break;
             }
             sleep(IDLE_CHECK_INTERVAL).await;
         }
-        let active = self.context.active_requests.get();
-        log_info!("entry_stopped", "active={active} after_ms={}", started.elapsed().as_millis());
+        self.log_stop(started.elapsed(), grace);
+    }
+
+    /// Logs the end of a stop and each request that it cuts off.
+    fn log_stop(&self, elapsed: Duration, grace: Duration) {
+        let active = self.context.active_requests.report(Instant::now());
+        let count = |stage| active.iter().filter(|request| request.stage == stage).count();
+        log_info!(
+            "entry_stopped",
+            "active={} receiving={} handling={} responding={} connections={} after_ms={} \
+             grace_ms={}",
+            active.len(),
+            count(RequestStage::Receiving),
+            count(RequestStage::Handling),
+            count(RequestStage::Responding),
+            self.context.metrics.caller_connections.get(),
+            elapsed.as_millis(),
+            grace.as_millis()
+        );
+        for request in active.iter().take(MAX_LOGGED_REQUESTS) {
+            log_warn!("request_cut", "{request}");
+        }
     }
 
     /// Whether no request is in progress and no caller is connected.
     fn is_idle(&self) -> bool {
         let context = &self.context;
-        context.active_requests.get() == 0 && context.metrics.caller_connections.get() == 0
+        context.active_requests.is_empty() && context.metrics.caller_connections.get() == 0
     }
 }
 
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -1,14 +1,15 @@
 //! Writes responses to callers: those of servers and the entry's own.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::time::timeout_at;
 
+use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::request::LocalResponse;
 use super::send::{BodyEnd, ServerBody, ServerResponse};
 use crate::fleet::stream::{HttpStream, RelayFraming};
-use crate::http::ResponseHead;
+use crate::http::{BodyFraming, ResponseHead};
 use crate::log_info;
 
 /// Maximum number of bytes of a streaming response that are forwarded at once.
@@ -51,80 +52,94 @@
     stream.write(&output).await.map_err(|_| ConnectionEnd::Drop)
 }
 
-/// Forwards a server's response. If the server breaks off, the caller can see that the body is
-/// incomplete.
-pub async fn relay_response(
-    context: &EntryContext,
-    stream: &mut HttpStream,
-    response: ServerResponse,
-    method: &str,
-    keep_alive: bool,
-) -> Result<(), ConnectionEnd> {
-    let ServerResponse { mut head, body, server: server_id, deadline } = response;
-    let no_body = method == "HEAD" || matches!(head.status, 204 | 304);
-    head.headers.remove_hop_by_hop();
-    if !no_body {
-        head.headers.remove("content-length");
-    }
-    if !keep_alive {
-        let _ = head.headers.append("connection", b"close");
-    }
-    let mut output = Vec::with_capacity(1024);
-    head.write_to(&mut output);
-    output.truncate(output.len() - 2);
-    match body {
-        ServerBody::Complete(bytes) => {
-            if !no_body {
-                RelayFraming::Length(bytes.len() as u64).write_header(&mut output);
-            }
-            output.extend_from_slice(b"\r\n");
-            output.extend_from_slice(&bytes);
-            let written = stream.write_paced(&output, &context.caller_pacer).await;
-            written.map_err(|_| ConnectionEnd::Drop)
+/// Relay of one response to its caller.
+pub struct ResponseRelay<'a> {
+    pub context: &'a EntryContext,
+    pub progress: &'a RequestProgress,
+    pub method: &'a str,
+    /// Whether the caller's connection stays open.
+    pub keep_alive: bool,
+}
+
+impl ResponseRelay<'_> {
+    /// Forwards a server's response. If the server breaks off, the caller can see that the body is
+    /// incomplete.
+    pub async fn run(
+        &self,
+        stream: &mut HttpStream,
+        response: ServerResponse,
+    ) -> Result<(), ConnectionEnd> {
+        let ServerResponse { mut head, body, server: server_id, deadline } = response;
+        let no_body = self.method == "HEAD" || matches!(head.status, 204 | 304);
+        head.headers.remove_hop_by_hop();
+        if !no_body {
+            head.headers.remove("content-length");
+        }
+        if !self.keep_alive {
+            let _ = head.headers.append("connection", b"close");
         }
-        ServerBody::Streaming { buffered, stream: server, end, framing } => {
-            let relay_framing = RelayFraming::of(framing);
-            relay_framing.write_header(&mut output);
-            output.extend_from_slice(b"\r\n");
-            relay_framing.encode(&buffered, &mut output);
-            let relay = relay_body(context, stream, server, end, relay_framing, output);
-            let result = timeout_at((deadline + RELAY_GRACE).into(), relay).await;
-            let result = result.unwrap_or(Err(ConnectionEnd::Drop));
-            if result.is_err() {
-                log_info!("response_broken_off", "server={server_id} status={}", head.status);
+        let mut output = Vec::with_capacity(1024);
+        head.write_to(&mut output);
+        output.truncate(output.len() - 2);
+        match body {
+            ServerBody::Complete(bytes) => {
+                let size = bytes.len() as u64;
+                self.progress.begin_response(Instant::now(), Some(size));
+                if !no_body {
+                    RelayFraming::Length(size).write_header(&mut output);
+                }
+                output.extend_from_slice(b"\r\n");
+                output.extend_from_slice(&bytes);
+                let written = stream.write_paced(&output, &self.context.caller_pacer).await;
+                written.map_err(|_| ConnectionEnd::Drop)
+            }
+            ServerBody::Streaming { buffered, stream: server, end, framing } => {
+                let declared_size = framing.and_then(BodyFraming::declared_size);
+                self.progress.begin_response(Instant::now(), declared_size);
+                let relay_framing = RelayFraming::of(framing);
+                relay_framing.write_header(&mut output);
+                output.extend_from_slice(b"\r\n");
+                relay_framing.encode(&buffered, &mut output);
+                let relay = self.relay_body(stream, server, end, relay_framing, output);
+                let result = timeout_at((deadline + RELAY_GRACE).into(), relay).await;
+                let result = result.unwrap_or(Err(ConnectionEnd::Drop));
+                if result.is_err() {
+                    log_info!("response_broken_off", "server={server_id} status={}", head.status);
+                }
+                result
             }
-            result
         }
     }
-}
 
-async fn relay_body(
-    context: &EntryContext,
-    caller: &mut HttpStream,
-    mut server: HttpStream,
-    mut end: BodyEnd,
-    relay_framing: RelayFraming,
-    mut output: Vec<u8>,
-) -> Result<(), ConnectionEnd> {
-    loop {
-        let written = caller.write_paced(&output, &context.caller_pacer).await;
-        written.map_err(|_| ConnectionEnd::Drop)?;
-        output.clear();
-        let mut chunk = Vec::new();
-        let complete = match &mut end {
-            BodyEnd::Framed(decoder) => {
-                let pacer = &context.server_pacer;
-                server.read_body_paced(decoder, &mut chunk, RELAY_CHUNK_BYTES, pacer).await.ok()
+    async fn relay_body(
+        &self,
+        caller: &mut HttpStream,
+        mut server: HttpStream,
+        mut end: BodyEnd,
+        relay_framing: RelayFraming,
+        mut output: Vec<u8>,
+    ) -> Result<(), ConnectionEnd> {
+        loop {
+            let written = caller.write_paced(&output, &self.context.caller_pacer).await;
+            written.map_err(|_| ConnectionEnd::Drop)?;
+            self.progress.add_relayed(output.len());
+            output.clear();
+            let mut chunk = Vec::new();
+            let complete = match &mut end {
+                BodyEnd::Framed(decoder) => {
+                    let pacer = &self.context.server_pacer;
+                    server.read_body_paced(decoder, &mut chunk, RELAY_CHUNK_BYTES, pacer).await.ok()
+                }
+                BodyEnd::Close => server.read_to_close(&mut chunk, RELAY_CHUNK_BYTES).await.ok(),
+            };
+            // The end of the body is not written, so the caller can see that it is incomplete.
+            let Some(complete) = complete else { return Err(ConnectionEnd::Drop) };
+            relay_framing.encode(&chunk, &mut output);
+            if complete {
+                relay_framing.encode_end(&mut output);
+                let written = caller.write_paced(&output, &self.context.caller_pacer).await;
+                return written.map_err(|_| ConnectionEnd::Drop);
             }
-            BodyEnd::Close => server.read_to_close(&mut chunk, RELAY_CHUNK_BYTES).await.ok(),
-        };
-        // The end of the body is not written, so the caller can see that it is incomplete.
-        let Some(complete) = complete else { return Err(ConnectionEnd::Drop) };
-        relay_framing.encode(&chunk, &mut output);
-        if complete {
-            relay_framing.encode_end(&mut output);
-            let written = caller.write_paced(&output, &context.caller_pacer).await;
-            return written.map_err(|_| ConnectionEnd::Drop);
         }
     }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -198,7 +198,7 @@
 }
 
 /// Request id for logs.
-fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
+pub fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
     let id = head.headers.get_str(context.dialect.headers().request_id).unwrap_or("-");
     id.chars().filter(char::is_ascii_graphic).take(40).collect()
 }
--- a/src/fleet/event_log.rs
+++ b/src/fleet/event_log.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Write as _};
 use std::io::Write as _;
-use std::sync::{Arc, Condvar, Mutex, OnceLock};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::process_metrics::PROCESS_METRICS;
@@ -21,11 +21,30 @@
     bytes: Vec<u8>,
     dropped: u64,
     routine_lines: u32,
+    /// The queued lines are to be written without a delay.
+    flush_requested: bool,
+    is_writing: bool,
 }
 
+impl LogQueue {
+    fn is_empty(&self) -> bool {
+        self.bytes.is_empty() && self.dropped == 0
+    }
+}
+
+#[derive(Default)]
 struct LogWriter {
     queue: Mutex<LogQueue>,
+    /// Signals the first line of a batch, or a requested flush.
     not_empty: Condvar,
+    /// Signals that a batch was written.
+    written: Condvar,
+}
+
+impl LogWriter {
+    fn lock(&self) -> MutexGuard<'_, LogQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 static WRITER: OnceLock<Arc<LogWriter>> = OnceLock::new();
@@ -33,7 +52,7 @@
 /// Starts the writer thread. Later calls have no effect. Lines logged before the first call are
 /// discarded.
 pub fn start(output: impl std::io::Write + Send + 'static) {
-    let writer = Arc::new(LogWriter { queue: Mutex::default(), not_empty: Condvar::new() });
+    let writer = Arc::new(LogWriter::default());
     if WRITER.set(Arc::clone(&writer)).is_err() {
         return;
     }
@@ -42,13 +61,15 @@
 
 fn write_lines(writer: &LogWriter, mut output: impl std::io::Write) {
     loop {
-        let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-        while queue.bytes.is_empty() && queue.dropped == 0 {
-            queue = writer.not_empty.wait(queue).unwrap_or_else(|poisoned| poisoned.into_inner());
-        }
-        drop(queue);
-        std::thread::sleep(WRITE_INTERVAL);
-        let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let queue = writer.lock();
+        let queue = writer.not_empty.wait_while(queue, |queue| queue.is_empty());
+        let queue = queue.unwrap_or_else(PoisonError::into_inner);
+        let collecting = writer
+            .not_empty
+            .wait_timeout_while(queue, WRITE_INTERVAL, |queue| !queue.flush_requested);
+        let (mut queue, _) = collecting.unwrap_or_else(PoisonError::into_inner);
+        queue.flush_requested = false;
+        queue.is_writing = true;
         let mut bytes = std::mem::take(&mut queue.bytes);
         let dropped = std::mem::take(&mut queue.dropped);
         queue.routine_lines = 0;
@@ -59,9 +80,22 @@
         // A closed standard output must not end the process, and there is nowhere to report the error.
         let _ = output.write_all(&bytes);
         let _ = output.flush();
+        writer.lock().is_writing = false;
+        writer.written.notify_all();
     }
 }
 
+/// Waits until the queued lines are written. A process calls it before it exits; the limit keeps a
+/// blocked standard output from holding up the exit.
+pub fn flush(limit: Duration) {
+    let Some(writer) = WRITER.get() else { return };
+    let mut queue = writer.lock();
+    queue.flush_requested = !queue.is_empty();
+    writer.not_empty.notify_one();
+    let is_pending = |queue: &mut LogQueue| queue.is_writing || !queue.is_empty();
+    let _ = writer.written.wait_timeout_while(queue, limit, is_pending);
+}
+
 /// Level of a log line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LineLevel {
@@ -74,7 +108,7 @@
 /// Queues one line; `fields` holds key=value pairs.
 pub fn write(level: LineLevel, event: &str, fields: fmt::Arguments<'_>) {
     let Some(writer) = WRITER.get() else { return };
-    let mut queue = writer.queue.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut queue = writer.lock();
     if level == LineLevel::Routine {
         queue.routine_lines += 1;
         if queue.routine_lines > MAX_ROUTINE_LINES {
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -27,6 +27,9 @@
 /// Delay between attempts to start.
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Time for which the exit of a process waits for its last log lines to be written.
+const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// Errors that prevent a process from running.
 #[derive(Debug, Error)]
 pub enum ProcessError {
@@ -72,10 +75,13 @@
     }
     wait_for_stop(&role, &config, &read_config, &mut terminate, &mut hangup).await;
     log_info!("process_stopping", "name={}", config.name);
+    let started = Instant::now();
     match &*role {
         RunningRole::Entry(entry) => entry.stop(config.grace).await,
         RunningRole::Control(control) => control.stop().await,
     }
+    log_info!("process_stopped", "name={} after_ms={}", config.name, started.elapsed().as_millis());
+    event_log::flush(LOG_FLUSH_TIME);
     Ok(())
 }
 
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -10,3 +10,4 @@
 mod harness;
 mod metrics_page;
 mod soak;
+mod stop_log;
