Refuse requests that a stopping entry cannot finish

Cause: a stopping entry takes requests on kept connections for half of its grace period, whatever their deadline. Nothing compared the deadline with the end of the stop.

A stopping entry now sends a request on only if its deadline and the longest recent relay of its service lie before the exit; else it answers 503 at once, with Retry-After 0 and Connection: close, before anything is sent. Another entry can serve the caller at once.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -27,6 +27,10 @@
 use crate::log_info;
 use crate::suspension::{SuspensionWatch, suspended_time};
 
+/// Factor by which the longest relay time of a service shrinks with each response. A caller that reads
+/// slowly is forgotten after some fifty responses.
+const RELAY_TIME_DECAY: f64 = 0.95;
+
 /// Phase of an entry's life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EntryPhase {
@@ -59,6 +63,10 @@
     balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entry_count: Cell<u32>,
+    /// Time at which the entry exits, once it is stopping.
+    stop_end: Cell<Option<Instant>>,
+    /// Longest recent time between a response and the end of its relay, by service.
+    relay_times: RefCell<BTreeMap<ServiceName, Duration>>,
     suspension_watch: Cell<SuspensionWatch>,
     /// Whether a member has confirmed the state since the machine was last suspended.
     state_confirmed: watch::Sender<bool>,
@@ -89,6 +97,8 @@
             budgets: RefCell::default(),
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
+            stop_end: Cell::default(),
+            relay_times: RefCell::default(),
             suspension_watch: Cell::new(SuspensionWatch::new(suspended_time())),
             state_confirmed: watch::Sender::new(true),
         })
@@ -154,6 +164,26 @@
         self.has_route_table() && *self.phase.borrow() == EntryPhase::Serving
     }
 
+    /// Starts a planned stop, at the end of which the entry exits.
+    pub fn begin_stop(&self, end: Instant) {
+        self.stop_end.set(Some(end));
+        self.phase.send_replace(EntryPhase::Stopping);
+    }
+
+    /// Whether a request of this service with the given deadline is certain to have its response before
+    /// the entry exits.
+    pub fn can_finish(&self, service: &ServiceName, deadline: Instant) -> bool {
+        let relay_time = || self.relay_times.borrow().get(service).copied().unwrap_or_default();
+        self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
+    }
+
+    /// Records how long the relay of a response took.
+    pub fn record_relay(&self, service: &ServiceName, elapsed: Duration) {
+        let mut relay_times = self.relay_times.borrow_mut();
+        let longest = relay_times.get(service).copied().unwrap_or_default();
+        relay_times.insert(service.clone(), elapsed.max(longest.mul_f64(RELAY_TIME_DECAY)));
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() != EntryPhase::Serving
     }
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -34,8 +34,8 @@
 /// Minimum duration of a shutdown: callers need this long to notice that the entry is stopping.
 const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(2500);
 
-/// Fraction of the grace period after which idle connections are closed. A request that is accepted
-/// later may not finish within the rest of the period; an earlier close crosses more requests.
+/// Fraction of the grace period after which idle connections are closed. An earlier close crosses more
+/// requests.
 const CLOSING_FRACTION: f64 = 0.5;
 
 /// Time for which closed connections wait for their callers before the process exits.
@@ -93,7 +93,7 @@
         let started = Instant::now();
         let end = grace.saturating_sub(GRACE_MARGIN);
         let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(end);
-        self.context.phase.send_replace(EntryPhase::Stopping);
+        self.context.begin_stop(started + end);
         while started.elapsed() < closing_at {
             sleep(IDLE_CHECK_INTERVAL).await;
             if self.is_idle() && started.elapsed() >= MIN_SHUTDOWN_TIME {
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -69,7 +69,8 @@
         stream: &mut HttpStream,
         response: ServerResponse,
     ) -> Result<(), ConnectionEnd> {
-        let ServerResponse { mut head, body, server: server_id, deadline } = response;
+        let ServerResponse { mut head, body, server: server_id, service, deadline } = response;
+        let started = Instant::now();
         let no_body = self.method == "HEAD" || matches!(head.status, 204 | 304);
         head.headers.remove_hop_by_hop();
         if !no_body {
@@ -81,7 +82,7 @@
         let mut output = Vec::with_capacity(1024);
         head.write_to(&mut output);
         output.truncate(output.len() - 2);
-        match body {
+        let result = match body {
             ServerBody::Complete(bytes) => {
                 let size = bytes.len() as u64;
                 self.progress.begin_response(Instant::now(), Some(size));
@@ -108,7 +109,9 @@
                 }
                 result
             }
-        }
+        };
+        self.context.record_relay(&service, started.elapsed());
+        result
     }
 
     async fn relay_body(
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -96,6 +96,12 @@
         Self::not_run("too many request bodies", OVERLOAD_RETRY_AFTER, Duration::from_secs(5))
     }
 
+    /// Creates the response to a request that a stopping entry may be unable to finish. Another entry
+    /// can serve it at once.
+    pub fn stopping() -> Self {
+        Self::not_run("the entry is stopping", Duration::ZERO, Duration::ZERO)
+    }
+
     /// Creates a 503 response: the request did not run and will not, so the caller may retry.
     fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
         let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
@@ -231,6 +237,9 @@
     let idempotent = rule.repetition == Repetition::Idempotent;
     let (received_at, deadline) =
         (caller_request.received_at, caller_request.received_at + timeout);
+    if !context.can_finish(&service, deadline) {
+        return Err(LocalResponse::stopping());
+    }
     let request = OutgoingRequest::new(
         context,
         id,
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -56,6 +56,7 @@
     pub head: ResponseHead,
     pub body: ServerBody,
     pub server: ServerId,
+    pub service: ServiceName,
     /// Deadline of the request.
     pub deadline: Instant,
 }
@@ -356,16 +357,18 @@
             (complete.map_err(HttpError::from)?, BodyEnd::Close)
         }
     };
-    let (server, deadline) = (chosen.server.clone(), request.deadline);
+    let (server, service) = (chosen.server.clone(), request.service.clone());
+    let deadline = request.deadline;
     if !complete {
         let body = ServerBody::Streaming { buffered, stream, end, framing };
-        return Ok(ServerResponse { head, body, server, deadline });
+        return Ok(ServerResponse { head, body, server, service, deadline });
     }
     // Without a request id, a late copy of this response would look like the next one.
     if fully_written && framing.is_some() && request.request_id.is_some() {
         context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
-    Ok(ServerResponse { head, body: ServerBody::Complete(buffered), server, deadline })
+    let body = ServerBody::Complete(buffered);
+    Ok(ServerResponse { head, body, server, service, deadline })
 }
 
 /// Reads the response to this request and skips late responses to earlier ones.
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -301,6 +301,40 @@
     drop(fleet);
 }
 
+/// Time after the start of a stop at which less of the grace period of 4 s is left than the 2 s that the
+/// routes allow.
+const LATE_IN_STOP: Duration = Duration::from_millis(2200);
+
+/// Guards against a stopping entry that accepts a request which it cannot finish, and cuts the caller
+/// off at the end of its grace period.
+#[parameterized(
+    idempotent = { "GET /read/1" },
+    at_most_once = { "POST /book/1" },
+)]
+fn a_request_that_outlasts_the_stop_is_refused(line: &str) {
+    let slow = ServerStep::Delay(Duration::from_millis(1800), crate::harness::VALID_RESPONSE);
+    let server = ScriptedServer::start(&[slow]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(LATE_IN_STOP);
+    let text =
+        format!("{line} HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\ncontent-length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the entry reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    stopping.join().expect("the entry stops");
+    assert_eq!(parse_response(&response).0, 503, "{response}");
+    assert_eq!(header_value(&response, "connection").as_deref(), Some("close"));
+    assert_eq!(header_value(&response, "retry-after").as_deref(), Some("0.000"));
+    let requests = server.requests();
+    let sent = requests.iter().filter(|request| request.starts_with(line)).count();
+    assert_eq!(sent, 0, "a refused request was sent to a server");
+    drop(fleet);
+}
+
 /// Starts a server that answers health checks only, and reports how long after a request its
 /// connection ended.
 fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
