Answer requests that have not arrived completely when a stop ends

A caller whose body was still arriving when a stopping entry exited saw its connection close without an answer: the entry counted a request as active only from its last byte, so the stop did not wait for it, and nothing answered it at the exit.

A request now counts as active from its head on, and one that is incomplete 200 ms before the exit gets 503 with Connection: close; nothing of it was sent to a server.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -114,7 +114,7 @@
                 }
                 CallerEvent::Read(ReadEvent::Overloaded) => self.refuse_overloaded().await,
                 CallerEvent::Read(ReadEvent::IdleTimeout) => Err(ConnectionEnd::Close),
-                CallerEvent::PhaseChanged => self.follow_phase(),
+                CallerEvent::PhaseChanged => self.follow_phase().await,
             };
             match result {
                 Ok(()) => {}
@@ -124,15 +124,21 @@
         }
     }
 
-    /// Reacts to a stop of the entry. A request that has arrived, even if only in part, is still
-    /// served; after its response the connection is closed.
-    fn follow_phase(&mut self) -> Result<(), ConnectionEnd> {
+    /// Reacts to a stop of the entry. A request that has arrived, even if only in part, still gets a
+    /// response; after it the connection is closed.
+    async fn follow_phase(&mut self) -> Result<(), ConnectionEnd> {
         if !self.in_flight.is_empty() || self.deferred.is_some() {
             self.closing = true;
             return Ok(());
         }
-        let closes_idle = *self.phase.borrow_and_update() == EntryPhase::Closing;
-        if !closes_idle || self.reader.has_partial_request() {
+        let phase = *self.phase.borrow_and_update();
+        if self.reader.has_partial_request() {
+            return match phase {
+                EntryPhase::Ending => self.refuse_partial().await,
+                _ => Ok(()),
+            };
+        }
+        if phase < EntryPhase::Closing {
             return Ok(());
         }
         match self.stream.fill_available() {
@@ -179,7 +185,7 @@
         let keep_alive = request.head.keep_alive();
         // On a connection that will be closed, the response to a further request would be lost.
         self.closing |= !keep_alive || self.context.is_stopping();
-        let progress = self.context.active_requests.begin(request.received_at);
+        let progress = Rc::clone(&request.progress);
         progress.set_received(&request::request_id(&self.context, &request.head));
         let (context, task_progress) = (Rc::clone(&self.context), Rc::clone(&progress));
         let task = tokio::task::spawn_local(async move {
@@ -226,6 +232,13 @@
         Ok(())
     }
 
+    /// Refuses a request that has not arrived completely before the entry exits.
+    async fn refuse_partial(&mut self) -> Result<(), ConnectionEnd> {
+        log_info!("request_refused", "reason=\"incomplete at the end of the stop\" status=503");
+        write_local_response(&mut self.stream, &LocalResponse::stopping(), false).await?;
+        Err(ConnectionEnd::Close)
+    }
+
     async fn answer_in_flight(&mut self) -> Result<(), ConnectionEnd> {
         while let Some(front) = self.in_flight.front_mut() {
             let response = next_response(Some(front)).await;
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -32,13 +32,15 @@
 const RELAY_TIME_DECAY: f64 = 0.95;
 
 /// Phase of an entry's life cycle.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EntryPhase {
     Serving,
     /// Requests are still served, and each connection is closed after its next response.
     Stopping,
     /// No connection is accepted, and idle connections are closed.
     Closing,
+    /// The entry is about to exit: requests that have not arrived completely are refused.
+    Ending,
 }
 
 /// Shared state of an entry.
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -45,6 +45,10 @@
 /// progress.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the exit at which requests that have not arrived completely are refused. It covers the
+/// way of the refusal to the caller on a slow line.
+const REFUSAL_TIME: Duration = Duration::from_millis(200);
+
 /// Interval at which a stopping entry checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -104,6 +108,11 @@
         self.context.phase.send_replace(EntryPhase::Closing);
         let closed_at = started.elapsed() + CLOSING_TIME;
         while started.elapsed() < end && !self.is_idle() {
+            if started.elapsed() + REFUSAL_TIME >= end {
+                self.context.phase.send_if_modified(|phase| {
+                    std::mem::replace(phase, EntryPhase::Ending) != EntryPhase::Ending
+                });
+            }
             if started.elapsed() >= closed_at && self.context.active_requests.is_empty() {
                 break;
             }
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -1,10 +1,12 @@
 //! Reads callers' requests and enforces the timeouts on them.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
 use tokio::time::timeout_at;
 
+use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::request::CallerRequest;
 use crate::fleet::document::CallerLimits;
@@ -58,6 +60,7 @@
     decoder: BodyDecoder,
     body: Vec<u8>,
     share: HeldShare,
+    progress: Rc<RequestProgress>,
 }
 
 /// Reads requests one after another.
@@ -117,8 +120,14 @@
             }
             let sends_continue = head.framing != BodyFraming::Empty && head.expects_continue();
             let (decoder, received_at) = (BodyDecoder::new(head.framing), Instant::now());
-            let share = context.held_bytes.new_share();
-            let partial = PartialRequest { head, received_at, decoder, body: Vec::new(), share };
+            let partial = PartialRequest {
+                head,
+                received_at,
+                decoder,
+                body: Vec::new(),
+                share: context.held_bytes.new_share(),
+                progress: context.active_requests.begin(received_at),
+            };
             self.partial = Some(Box::new(partial));
             if sends_continue {
                 stream.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -128,8 +137,8 @@
             read_body(limits, stream, request, resumed_at).await?;
         }
         Ok(self.partial.take().map(|request| {
-            let PartialRequest { head, received_at, body, share, .. } = *request;
-            CallerRequest { head, body, received_at, share }
+            let PartialRequest { head, received_at, body, share, progress, .. } = *request;
+            CallerRequest { head, body, received_at, share, progress }
         }))
     }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep_until;
 
+use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
@@ -67,6 +68,8 @@
     pub received_at: Instant,
     /// Counts the body as held.
     pub share: HeldShare,
+    /// Counts the request as active.
+    pub progress: Rc<RequestProgress>,
 }
 
 /// Response to a caller.
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -335,6 +335,27 @@
     drop(fleet);
 }
 
+/// Guards against a stop that closes the connection of a caller whose body is still arriving.
+#[test]
+fn an_incomplete_request_is_refused_at_the_end_of_a_stop() {
+    let server = ScriptedServer::start(&[]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let head =
+        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\ncontent-length: 4\r\n\r\nab";
+    stream.write_all(head.as_bytes()).expect("the entry reads");
+    std::thread::sleep(Duration::from_millis(100));
+    let TestSystem { entry, fleet } = system;
+    let started = Instant::now();
+    entry.stop();
+    assert!(started.elapsed() < Duration::from_secs(4), "the stop outlasts its grace period");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    assert_eq!(parse_response(&response).0, 503, "{response}");
+    drop(fleet);
+}
+
 /// Starts a server that answers health checks only, and reports how long after a request its
 /// connection ended.
 fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
