Read and write the parts of a long response at the same time

The two directions of a line do not share its speed.

The relay now reads the next part while it writes the last one.

--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -12,8 +12,8 @@
 use crate::http::{BodyFraming, ResponseHead};
 use crate::log_info;
 
-/// Maximum number of bytes of a streaming response that are forwarded at once.
-const RELAY_CHUNK_BYTES: usize = 64 << 10;
+/// Size of the parts in which a streaming response is forwarded.
+const RELAY_PART_BYTES: usize = 64 << 10;
 
 /// Time after the deadline of a request at which the relay of its response ends. A server may send
 /// without end, and a caller may read slowly.
@@ -114,6 +114,8 @@
         result
     }
 
+    /// Relays the rest of a body. The next part is read while the last one is written: on a slow line
+    /// both directions take as long, and by turns a body would take twice the time.
     async fn relay_body(
         &self,
         caller: &mut HttpStream,
@@ -122,27 +124,40 @@
         relay_framing: RelayFraming,
         mut output: Vec<u8>,
     ) -> Result<(), ConnectionEnd> {
-        loop {
-            let written = caller.write_paced(&output, &self.context.caller_pacer).await;
+        let mut complete = false;
+        while !complete {
+            let (written, read) = tokio::join!(
+                caller.write_paced(&output, &self.context.caller_pacer),
+                self.read_part(&mut server, &mut end),
+            );
             written.map_err(|_| ConnectionEnd::Drop)?;
             self.progress.add_relayed(output.len());
             output.clear();
-            let mut chunk = Vec::new();
-            let complete = match &mut end {
-                BodyEnd::Framed(decoder) => {
-                    let pacer = &self.context.server_pacer;
-                    server.read_body_paced(decoder, &mut chunk, RELAY_CHUNK_BYTES, pacer).await.ok()
-                }
-                BodyEnd::Close => server.read_to_close(&mut chunk, RELAY_CHUNK_BYTES).await.ok(),
-            };
             // The end of the body is not written, so the caller can see that it is incomplete.
-            let Some(complete) = complete else { return Err(ConnectionEnd::Drop) };
-            relay_framing.encode(&chunk, &mut output);
-            if complete {
-                relay_framing.encode_end(&mut output);
-                let written = caller.write_paced(&output, &self.context.caller_pacer).await;
-                return written.map_err(|_| ConnectionEnd::Drop);
-            }
+            let Some((part, is_last)) = read else { return Err(ConnectionEnd::Drop) };
+            relay_framing.encode(&part, &mut output);
+            complete = is_last;
         }
+        relay_framing.encode_end(&mut output);
+        let written = caller.write_paced(&output, &self.context.caller_pacer).await;
+        written.map_err(|_| ConnectionEnd::Drop)
+    }
+
+    /// Reads the next part of a body; returns it and whether it is the last one, or `None` if the server
+    /// broke off.
+    async fn read_part(
+        &self,
+        server: &mut HttpStream,
+        end: &mut BodyEnd,
+    ) -> Option<(Vec<u8>, bool)> {
+        let mut part = Vec::new();
+        let read = match end {
+            BodyEnd::Framed(decoder) => {
+                let pacer = &self.context.server_pacer;
+                server.read_body_paced(decoder, &mut part, RELAY_PART_BYTES, pacer).await.ok()
+            }
+            BodyEnd::Close => server.read_to_close(&mut part, RELAY_PART_BYTES).await.ok(),
+        };
+        read.map(|is_last| (part, is_last))
     }
 }
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -20,12 +20,16 @@
 
 impl TestSystem {
     fn start(servers: &[SocketAddr]) -> Self {
+        Self::start_on_line(servers, None)
+    }
+
+    fn start_on_line(servers: &[SocketAddr], line_mbps: Option<f64>) -> Self {
         let fleet = TestFleet::start();
         fleet.put_document(&document(1));
         for (number, address) in servers.iter().enumerate() {
             announce(&fleet, &format!("s{number}"), &announcement(*address, false, 1, 1));
         }
-        let entry = TestEntry::start(&fleet.seeds);
+        let entry = TestEntry::start_on_line(&fleet.seeds, line_mbps);
         wait_for("the entry to be ready", || entry.is_ready());
         Self { fleet, entry }
     }
@@ -301,6 +305,26 @@
     drop(fleet);
 }
 
+/// Guards against a relay that reads and writes a long body by turns, which takes twice as long as the
+/// line needs.
+#[test]
+fn a_long_body_takes_as_long_as_its_line_needs() {
+    const BODY_BYTES: usize = 500_000;
+    const LINE_MBPS: f64 = 4.0;
+    // Part of the line that long bodies use, and the part of a body that is held back for a retry.
+    const LONG_BODY_SHARE: f64 = 0.8;
+    const HELD_BACK_BYTES: usize = 128 << 10;
+    let server = ScriptedServer::start(&[ServerStep::Large(BODY_BYTES)]);
+    let system = TestSystem::start_on_line(&[server.address], Some(LINE_MBPS));
+    let started = Instant::now();
+    let response = system.request("GET", "/read/1", "r1");
+    let elapsed = started.elapsed();
+    assert_eq!(parse_response(&response).1.len(), BODY_BYTES);
+    let rate = LINE_MBPS * 1e6 / 8.0 * LONG_BODY_SHARE;
+    let needed = Duration::from_secs_f64((BODY_BYTES + HELD_BACK_BYTES) as f64 / rate);
+    assert!(elapsed < needed.mul_f64(1.2), "{elapsed:?} instead of {needed:?}");
+}
+
 /// Time after the start of a stop at which less of the grace period of 4 s is left than the 2 s that the
 /// routes allow.
 const LATE_IN_STOP: Duration = Duration::from_millis(2200);
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -205,9 +205,14 @@
 
 impl TestEntry {
     pub fn start(seeds: &[SocketAddr]) -> Self {
+        Self::start_on_line(seeds, None)
+    }
+
+    /// Starts an entry on a line of the given speed.
+    pub fn start_on_line(seeds: &[SocketAddr], line_mbps: Option<f64>) -> Self {
         let (traffic, readiness) = (free_address(), free_address());
         let retry = RetryLimits { ratio: 0.2, slack: 50, window: Duration::from_secs(10) };
-        let entry = EntryConfig { traffic, readiness, retry, line_mbps: None };
+        let entry = EntryConfig { traffic, readiness, retry, line_mbps };
         let process = TestProcess::start(config(seeds, FleetRole::Entry(entry)));
         let entry = Self { traffic, readiness, process: Some(process) };
         wait_for("the entry to listen", || TcpStream::connect(entry.readiness).is_ok());
