Let long responses use the whole line when an entry closes

An entry keeps a fifth of a slow line free for short responses. Once it no longer accepts connections and closes idle ones, nothing else uses the line, and the fifth that stays free is missing before the exit.

Test: a_closing_entry_uses_the_whole_line; the method is new.

--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -106,6 +106,9 @@
         }
         self.accept_task.abort();
         self.context.phase.send_replace(EntryPhase::Closing);
+        for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
+            pacer.borrow_mut().use_whole_line();
+        }
         let closed_at = started.elapsed() + CLOSING_TIME;
         while started.elapsed() < end && !self.is_idle() {
             if started.elapsed() + REFUSAL_TIME >= end {
--- a/src/fleet/line.rs
+++ b/src/fleet/line.rs
@@ -21,7 +21,9 @@
 /// Schedule of the pieces of all long bodies in one direction of a line.
 #[derive(Debug)]
 pub struct LinePacer {
-    /// Rate of long bodies; `None` for a line that is fast enough.
+    /// Rate of the line in bytes per second; `None` for a line that is fast enough.
+    whole_line: Option<f64>,
+    /// Rate of long bodies.
     bytes_per_second: Option<f64>,
     /// Time at which the pieces so far have been transferred.
     busy_until: Option<Instant>,
@@ -32,8 +34,14 @@
     pub fn new(line_mbps: Option<f64>) -> Self {
         let bits_per_second = line_mbps.map(|mbps| mbps * 1e6);
         let slow = bits_per_second.filter(|bits| *bits > 0.0 && *bits < FAST_LINE_BITS_PER_S);
-        let bytes_per_second = slow.map(|bits| bits / 8.0 * LONG_BODY_SHARE);
-        Self { bytes_per_second, busy_until: None }
+        let whole_line = slow.map(|bits| bits / 8.0);
+        let bytes_per_second = whole_line.map(|rate| rate * LONG_BODY_SHARE);
+        Self { whole_line, bytes_per_second, busy_until: None }
+    }
+
+    /// Lets long bodies use the whole line, because nothing else needs it any more.
+    pub fn use_whole_line(&mut self) {
+        self.bytes_per_second = self.whole_line;
     }
 
     /// Whether long bodies are paced.
--- a/tests/fleet_loads/sheet_on_thin_line.rs
+++ b/tests/fleet_loads/sheet_on_thin_line.rs
@@ -54,6 +54,15 @@
     assert!(elapsed <= line_time(total).mul_f64(1.4), "{elapsed:?} for {total} bytes");
 }
 
+/// Guards against a stopping entry that keeps a part of the line free although nothing else uses it.
+#[test]
+fn a_closing_entry_uses_the_whole_line() {
+    let now = Instant::now();
+    let mut pacer = LinePacer::new(Some(LINE_MBPS));
+    pacer.use_whole_line();
+    assert_eq!(pacer.schedule(now, PIECE_BYTES) - now, line_time(PIECE_BYTES));
+}
+
 /// Guards against delays on lines that are fast enough, or whose speed is not known.
 #[parameterized(
     unknown = { None },
