Refuse an at-most-once body that misses its deadline

Callers of a stopping entry waited without end, and so did the operator: an at-most-once request whose body arrived byte by byte stayed open beyond its deadline, and the stop waited for it. Cause: the body was read before the claim with no time limit but the stall timeout of 30 s between two bytes. Idempotent bodies were already limited by the deadline. Ruled out: the head (limited to 10 s) and streamed bodies (limited by the deadline of the attempt). Change: both paths read the body in one place, up to the deadline; after it the response is 503 deadline_unreachable, not run, with Connection: close.

--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -16,8 +16,8 @@
 use super::plan::{RequestPlan, forward_head};
 use super::relay::{RelayOutcome, collect_body, prepare_head, relay_response};
 use super::request::{
-    RequestEnd, acquire_slot, caller_failure, connect_server, describe_failure, release_connection,
-    share_exceeded,
+    RequestEnd, acquire_slot, connect_server, describe_failure, read_body_in_time,
+    release_connection, share_exceeded,
 };
 use crate::claim::digest::request_digest;
 use crate::claim::guard::{
@@ -72,13 +72,13 @@
         let (reason, message) = share_exceeded();
         return RequestEnd::Failed(reason, message);
     };
-    let content = match caller.read_whole_body(body, limit).await {
+    let content = match read_body_in_time(caller, body, limit, plan.deadline).await {
         Ok(content) => content,
-        Err(crate::http::HttpError::BodyTooLarge(_)) => {
+        Err(RequestEnd::Failed(FailureReason::BodyTooLarge, _)) => {
             let text = format!("requests that need a claim are limited to {limit} bytes");
             return RequestEnd::Failed(FailureReason::BodyTooLarge, text.into());
         }
-        Err(error) => return caller_failure(error),
+        Err(end) => return end,
     };
     let request = ClaimedRequest { context, head, plan, request_id, keep_alive, content };
     request.run(caller, key).await
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -141,10 +141,12 @@
     let size = head.framing.declared_size().filter(|size| *size <= MAX_RETRY_BODY_BYTES);
     let buffer_guard = size.and_then(|size| context.share.try_buffer(&plan.service.team, size));
     let retry_body = match &buffer_guard {
-        Some(_) => match read_retry_body(caller, body, plan.deadline).await {
-            Ok(content) => Some(content),
-            Err(end) => return end,
-        },
+        Some(_) => {
+            match read_body_in_time(caller, body, MAX_RETRY_BODY_BYTES, plan.deadline).await {
+                Ok(content) => Some(content),
+                Err(end) => return end,
+            }
+        }
         None => None,
     };
     let mut tried: Vec<ServerKey> = Vec::new();
@@ -254,14 +256,16 @@
     }
 }
 
-/// Reads the request body into memory for a later retry.
-async fn read_retry_body(
+/// Reads a request body of at most `limit` bytes into memory. A body that has not arrived at the
+/// deadline is refused, so that a slow caller cannot hold up a planned stop.
+pub async fn read_body_in_time(
     caller: &mut CallerConnection,
     body: &mut RequestBody,
+    limit: u64,
     deadline: Instant,
 ) -> Result<Vec<u8>, RequestEnd> {
     let time_left = deadline.saturating_duration_since(Instant::now());
-    match with_timeout(time_left, caller.read_whole_body(body, MAX_RETRY_BODY_BYTES)).await {
+    match with_timeout(time_left, caller.read_whole_body(body, limit)).await {
         Ok(Ok(content)) => Ok(content),
         Ok(Err(error)) => Err(caller_failure(error)),
         Err(_) => {
@@ -272,8 +276,11 @@
 }
 
 /// Maps an error while reading the request body to the outcome of the request.
-pub fn caller_failure(error: HttpError) -> RequestEnd {
+fn caller_failure(error: HttpError) -> RequestEnd {
     match error {
+        HttpError::BodyTooLarge(_) => {
+            RequestEnd::Failed(FailureReason::BodyTooLarge, error.to_string().into())
+        }
         HttpError::InvalidFraming(_) | HttpError::Timeout(_) => {
             RequestEnd::Failed(FailureReason::Malformed, error.to_string().into())
         }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -5,3 +5,4 @@
 mod harness;
 mod hedge;
 mod retry;
+mod slow_body;
