Serve every connection that a stopping entry accepts

Callers of a stopping entry got neither a response nor a refusal for a whole request: - The listener stayed open after the shutdown delay until one more connection came; that connection was accepted and dropped, and those behind it in the accept queue were reset. - A new connection, or one whose last response had just promised keep-alive, was closed at once, while its next request was on its way. - The process exited when no request was counted, although connections were still being closed or had a request that was not read yet. Ruled out: requests in progress, partial requests and pipelined requests; the stop waits for them and the last response carries Connection: close. Change: the listener is closed when the process begins to finish, after every connection in its queue is accepted; each connection then has 500 ms for its next request; the process exits when all callers' connections are closed. Later connections are refused by the operating system. Between the last accept and the close of the listener the kernel may still complete a connection and reset it; this was not seen.

--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -71,6 +71,7 @@
     stopping: AtomicBool,
     /// Closed when idle caller connections must be closed.
     finishing: (Sender<()>, Receiver<()>),
+    open_connections: AtomicUsize,
     open_requests: AtomicUsize,
     /// Subset of `open_requests` that is forwarded to servers.
     server_requests: AtomicUsize,
@@ -124,6 +125,7 @@
             process_state: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
             finishing: async_channel::bounded(1),
+            open_connections: AtomicUsize::new(0),
             open_requests: AtomicUsize::new(0),
             server_requests: AtomicUsize::new(0),
             is_control_idle: AtomicBool::new(false),
@@ -186,11 +188,6 @@
         let _ = self.finishing.1.recv().await;
     }
 
-    /// Whether idle caller connections must be closed.
-    pub fn is_finishing(&self) -> bool {
-        self.finishing.0.is_closed()
-    }
-
     /// Current life-cycle state of the process.
     pub fn process_state(&self) -> Box<str> {
         self.process_state.lock().expect("process state lock is not poisoned").clone()
@@ -206,6 +203,17 @@
         &*self.process_state() == "serving" && self.has_lease(now)
     }
 
+    /// Counts a caller connection as open until the returned guard is dropped.
+    pub fn count_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard { context: Arc::clone(self) }
+    }
+
+    /// Number of caller connections, including those that are being closed.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub fn count_open_request(self: &Arc<Self>) -> OpenRequestGuard {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
@@ -286,6 +294,17 @@
     }
 }
 
+/// Guard that counts one caller connection.
+pub struct ConnectionGuard {
+    context: Arc<EntryContext>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.context.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Guard that counts one open request.
 pub struct OpenRequestGuard {
     context: Arc<EntryContext>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -40,12 +40,12 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use thiserror::Error;
 
 use self::control::EntryControl;
@@ -68,7 +68,7 @@
 /// Number of tasks that settle dropped claims in the background.
 const LATE_SETTLE_TASKS: usize = 16;
 
-/// Interval at which a stopping process checks whether its requests have ended.
+/// Interval at which a stopping process checks whether its callers' connections are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Bound listeners of an entry.
@@ -106,6 +106,8 @@
     context: Arc<EntryContext>,
     hub: LinkHub,
     timers: TimerService,
+    /// Task that accepts callers; taken by the first stop.
+    accept_task: Mutex<Option<JoinHandle<()>>>,
     shutdown_delay: Duration,
 }
 
@@ -166,8 +168,9 @@
             hub.connect(target);
         }
         operator::serve(Arc::clone(&context), listeners.operator.into());
-        traffic::listen(Arc::clone(&context), listeners.traffic.into());
-        Ok(Self { context, hub, timers, shutdown_delay: config.shutdown_delay })
+        let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic.into());
+        let accept_task = Mutex::new(Some(accept_task));
+        Ok(Self { context, hub, timers, accept_task, shutdown_delay: config.shutdown_delay })
     }
 
     /// Returns the shared state of the entry.
@@ -176,14 +179,19 @@
     }
 
     /// Shuts down gracefully. The health check fails first, and requests are served for the
-    /// shutdown delay, so that the load balancer can react; then the requests in flight finish.
+    /// shutdown delay, so that the load balancer can react; then the requests in flight finish, and
+    /// the process waits until all callers' connections are closed.
     pub async fn stop(&self) {
         self.context.advance("stop");
         if &*self.context.process_state() == "lame_duck" {
             task::sleep(self.shutdown_delay).await;
             self.context.advance("delay_over");
         }
-        while self.context.open_requests() > 0 {
+        let accept_task = self.accept_task.lock().expect("task lock is not poisoned").take();
+        if let Some(accept_task) = accept_task {
+            accept_task.await;
+        }
+        while self.context.open_connections() > 0 {
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
         let (reply, leave_sent) = async_channel::bounded(1);
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -1,14 +1,13 @@
 //! Caller connections: listener, health check, announcements and requests.
 
+use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task;
-use futures_util::StreamExt;
+use async_std::task::{self, JoinHandle};
 use futures_util::future::{Either, select};
-use futures_util::pin_mut;
+use futures_util::{FutureExt, pin_mut};
 
 use super::announce::receive_announcement;
 use super::answer::malformed_response;
@@ -16,6 +15,7 @@
 use super::page;
 use super::request::serve_request;
 use crate::http::{CallerConnection, HttpError, RequestHead};
+use crate::listen::ACCEPT_BACKLOG;
 
 /// Path of the health check for the load balancer.
 pub const HEALTH_PATH: &str = "/.curranthollow/health";
@@ -23,33 +23,62 @@
 /// Path at which servers announce themselves.
 pub const ANNOUNCE_PATH: &str = "/.curranthollow/announce";
 
-/// Accepts caller connections until the process no longer takes requests.
-pub fn listen(context: Arc<EntryContext>, listener: TcpListener) {
+/// Delay before the next accept after a failed one.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
+
+/// Time for which a finishing process waits for the next request of a connection. It arrives a round
+/// trip after the connect, or after a response that kept the connection open.
+const NEXT_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
+/// Accepts caller connections until the process finishes; the returned task ends when the listener
+/// is closed.
+pub fn listen(context: Arc<EntryContext>, listener: TcpListener) -> JoinHandle<()> {
     task::spawn(async move {
-        let open_connections = Arc::new(AtomicUsize::new(0));
-        let mut incoming = listener.incoming();
-        while let Some(stream) = incoming.next().await {
-            if context.is_finishing() {
-                return;
-            }
-            let Ok(stream) = stream else {
+        while let Some(accepted) = accept_until_finishing(&context, &listener).await {
+            let Ok(stream) = accepted else {
                 // Typically the process is out of file descriptors; a short delay avoids a busy
                 // loop.
-                task::sleep(Duration::from_millis(10)).await;
+                task::sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
-            if open_connections.fetch_add(1, Ordering::Relaxed) >= context.max_caller_connections {
-                open_connections.fetch_sub(1, Ordering::Relaxed);
-                context.metrics.count_event("connection_limit");
-                continue;
-            }
-            let context = Arc::clone(&context);
-            let open_connections = Arc::clone(&open_connections);
-            task::spawn(async move {
-                serve_connection(&context, stream).await;
-                open_connections.fetch_sub(1, Ordering::Relaxed);
-            });
+            spawn_connection(&context, stream);
         }
+        // Closing the listener resets the connections in its queue, whose callers may have sent a
+        // request already.
+        for _ in 0..ACCEPT_BACKLOG {
+            let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
+                return;
+            };
+            spawn_connection(&context, stream);
+        }
+    })
+}
+
+/// Accepts a connection; `None` when the process finishes.
+async fn accept_until_finishing(
+    context: &EntryContext,
+    listener: &TcpListener,
+) -> Option<io::Result<TcpStream>> {
+    let accepted = listener.accept();
+    let finishing = context.wait_until_finishing();
+    pin_mut!(accepted, finishing);
+    // Polls `finishing` first, because there may always be another connection to accept.
+    match select(finishing, accepted).await {
+        Either::Left(_) => None,
+        Either::Right((accepted, _)) => Some(accepted.map(|(stream, _)| stream)),
+    }
+}
+
+fn spawn_connection(context: &Arc<EntryContext>, stream: TcpStream) {
+    let connection_guard = context.count_connection();
+    if context.open_connections() > context.max_caller_connections {
+        context.metrics.count_event("connection_limit");
+        return;
+    }
+    let context = Arc::clone(context);
+    task::spawn(async move {
+        serve_connection(&context, stream).await;
+        drop(connection_guard);
     });
 }
 
@@ -64,7 +93,7 @@
     loop {
         match wait_for_input(context, &mut connection).await {
             Ok(true) => (),
-            Ok(false) => return,
+            Ok(false) => return connection.close_lingering().await,
             Err(error) => return refuse_request(context, connection, &error).await,
         }
         // A request counts as open from its first byte, so a planned stop does not cut it off.
@@ -88,7 +117,7 @@
 }
 
 /// Waits for the first bytes of the next request; returns `false` if the caller closed the connection,
-/// or if it is idle when the process finishes.
+/// or if it stays idle while the process finishes.
 async fn wait_for_input(
     context: &Arc<EntryContext>,
     connection: &mut CallerConnection,
@@ -96,7 +125,10 @@
     if connection.has_input() {
         return Ok(true);
     }
-    let finishing = context.wait_until_finishing();
+    let finishing = async {
+        context.wait_until_finishing().await;
+        task::sleep(NEXT_REQUEST_WAIT).await;
+    };
     let arrival = connection.wait_for_input();
     pin_mut!(arrival, finishing);
     match select(arrival, finishing).await {
--- a/src/listen.rs
+++ b/src/listen.rs
@@ -9,7 +9,7 @@
 ///
 /// Callers that resume queued work open many connections at once. With the standard library's backlog
 /// of 128, the operating system drops some attempts, and TCP repeats them only after a second.
-const ACCEPT_BACKLOG: i32 = 4096;
+pub const ACCEPT_BACKLOG: i32 = 4096;
 
 /// Binds a listening socket to `address`.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
--- a/tests/process/cluster.rs
+++ b/tests/process/cluster.rs
@@ -269,6 +269,12 @@
         node.child = Some(child);
     }
 
+    /// Log of the newest start of a process.
+    pub fn log(&self, name: &str) -> String {
+        let log = self.folder.join(format!("{name}-{}.log", self.nodes[name].start_count));
+        fs::read_to_string(log).unwrap()
+    }
+
     fn signal(&self, name: &str, signal: Signal) {
         let child = self.nodes[name].child.as_ref().expect("the process is running");
         kill_process(Pid::from_child(child), signal).unwrap();
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -17,5 +17,6 @@
 mod proxy;
 mod restarts;
 mod settings;
+mod stops;
 mod support;
 mod teams;
