Log what was active at a stop and how long it took

An operator could not see from the log what a stopping process was waiting for, or whether anything was cut off: the line "entry stopped" held only the name. Ruled out: lines lost at the exit. These daemons write each line to standard error in the thread that logs it. Change: an entry logs requests, partial requests (head incomplete), connections and the time since the signal when it begins to wait for its callers and when it has stopped; a control process logs operators' requests and connections and the time when it has stopped.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -39,13 +39,18 @@
 
 struct SharedServer {
     open_connections: AtomicUsize,
+    open_requests: AtomicUsize,
     /// Closed when the process stops.
     stopping: (Sender<()>, Receiver<()>),
 }
 
 impl Default for AdminServer {
     fn default() -> Self {
-        let shared = SharedServer { open_connections: AtomicUsize::new(0), stopping: bounded(1) };
+        let shared = SharedServer {
+            open_connections: AtomicUsize::new(0),
+            open_requests: AtomicUsize::new(0),
+            stopping: bounded(1),
+        };
         Self { shared: Arc::new(shared) }
     }
 }
@@ -100,6 +105,11 @@
         self.shared.open_connections.load(Ordering::Relaxed)
     }
 
+    /// Number of requests from their first byte to the end of the response.
+    pub fn open_requests(&self) -> usize {
+        self.shared.open_requests.load(Ordering::Relaxed)
+    }
+
     /// Closes the listener and idle connections, and lets waiting handlers answer.
     pub fn stop(&self) {
         self.shared.stopping.0.close();
@@ -132,6 +142,22 @@
     }
 }
 
+/// Guard that counts one open request.
+struct RequestGuard<'a>(&'a AdminServer);
+
+impl<'a> RequestGuard<'a> {
+    fn new(server: &'a AdminServer) -> Self {
+        server.shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(server)
+    }
+}
+
+impl Drop for RequestGuard<'_> {
+    fn drop(&mut self) {
+        self.0.shared.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve_connection<S>(
     stream: TcpStream,
     app: tide::Server<S>,
@@ -146,6 +172,7 @@
             connection.close_lingering().await;
             return Ok(());
         }
+        let _request_guard = RequestGuard::new(server);
         let head = match connection.next_head().await {
             Ok(Some(head)) => head,
             Ok(None) => return Ok(()),
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -146,7 +146,6 @@
         log::info!(name:% = config.name; "entry started");
         stop_signals.wait().await;
         entry.stop().await;
-        log::info!(name:% = config.name; "entry stopped");
         Ok(ExitCode::SUCCESS)
     })
 }
@@ -170,7 +169,6 @@
             return Err(error.into());
         }
         control.stop().await;
-        log::info!(name:% = config.name; "control process stopped");
         Ok(ExitCode::SUCCESS)
     })
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -37,7 +37,7 @@
 use crate::consensus::host::{ConsensusHost, GroupSpec, HostConfig, HostError};
 use crate::consensus::members::MemberSet;
 use crate::entry::{CLAIM_GROUP_COUNT, OPERATOR_STOP_LIMIT};
-use crate::ids::{GroupId, MemberId};
+use crate::ids::{GroupId, MemberId, ProcessName};
 use crate::link::{
     HelloMessage, LinkConfig, LinkEvent, LinkHub, LinkTarget, ProcessRole, WireMessage,
 };
@@ -90,6 +90,7 @@
 
 /// A running control process.
 pub struct ControlProcess {
+    name: ProcessName,
     hub: LinkHub,
     timers: TimerService,
     groups: RunningGroupsCell,
@@ -172,7 +173,7 @@
             server: operator_server.clone(),
         };
         operator::serve(Arc::new(state), listeners.operator.into());
-        Ok(Self { hub, timers, groups, operator_server, fatal_errors })
+        Ok(Self { name: config.name.clone(), hub, timers, groups, operator_server, fatal_errors })
     }
 
     /// Waits for a fatal error; returns `None` when the process stops without one.
@@ -183,6 +184,7 @@
     /// Transfers the leadership of all groups to other members, answers the calls of operators, then
     /// stops the process.
     pub async fn stop(&self) {
+        let started = Instant::now();
         self.operator_server.stop();
         if let Some(groups) = self.groups.get() {
             let transfer = groups.host.transfer_leadership(None);
@@ -199,6 +201,10 @@
         self.operator_server.finish(OPERATOR_STOP_LIMIT).await;
         self.hub.stop();
         self.timers.stop();
+        let connections = self.operator_server.open_connections();
+        let requests = self.operator_server.open_requests();
+        let after_ms = started.elapsed().as_millis() as u64;
+        log::info!(name:% = self.name, requests, connections, after_ms; "control process stopped");
     }
 }
 
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 
+use super::ActiveCounts;
 use super::claims::ClaimClient;
 use super::control::ControlInput;
 use super::runtime::ServiceRuntime;
@@ -73,6 +74,8 @@
     finishing: (Sender<()>, Receiver<()>),
     open_connections: AtomicUsize,
     open_requests: AtomicUsize,
+    /// Subset of `open_requests` of which only a part of the head has arrived.
+    partial_requests: AtomicUsize,
     /// Subset of `open_requests` that is forwarded to servers.
     server_requests: AtomicUsize,
     /// The control thread ticks at its idle rate; the next request must wake it.
@@ -127,6 +130,7 @@
             finishing: async_channel::bounded(1),
             open_connections: AtomicUsize::new(0),
             open_requests: AtomicUsize::new(0),
+            partial_requests: AtomicUsize::new(0),
             server_requests: AtomicUsize::new(0),
             is_control_idle: AtomicBool::new(false),
             next_request: AtomicU64::new(0),
@@ -220,11 +224,28 @@
         OpenRequestGuard { context: Arc::clone(self) }
     }
 
-    /// Number of requests whose head was received and whose response is not complete.
+    /// Number of requests from their first byte to the end of the response.
     pub fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Number of requests and connections that are active now.
+    pub fn active_counts(&self) -> ActiveCounts {
+        let open_requests = self.open_requests();
+        let partial_requests = self.partial_requests.load(Ordering::Relaxed);
+        ActiveCounts {
+            requests: open_requests.saturating_sub(partial_requests),
+            partial_requests,
+            connections: self.open_connections(),
+        }
+    }
+
+    /// Counts a request as partial until the returned guard is dropped.
+    pub fn count_partial_request(self: &Arc<Self>) -> PartialRequestGuard {
+        self.partial_requests.fetch_add(1, Ordering::Relaxed);
+        PartialRequestGuard { context: Arc::clone(self) }
+    }
+
     /// Counts a request for a server until the returned guard is dropped, and wakes the control
     /// thread if it is idle.
     pub fn count_server_request(self: &Arc<Self>) -> ServerRequestGuard {
@@ -305,6 +326,17 @@
     }
 }
 
+/// Guard that counts one partial request.
+pub struct PartialRequestGuard {
+    context: Arc<EntryContext>,
+}
+
+impl Drop for PartialRequestGuard {
+    fn drop(&mut self) {
+        self.context.partial_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Guard that counts one open request.
 pub struct OpenRequestGuard {
     context: Arc<EntryContext>,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -105,6 +105,17 @@
     Thread(io::Error),
 }
 
+/// What was still active at one moment of a stop.
+#[derive(Clone, Copy, Debug)]
+pub struct ActiveCounts {
+    /// Requests that are being served.
+    pub requests: usize,
+    /// Requests of which only a part of the head has arrived.
+    pub partial_requests: usize,
+    /// Callers' connections.
+    pub connections: usize,
+}
+
 /// A running entry.
 pub struct EntryProcess {
     context: Arc<EntryContext>,
@@ -188,6 +199,7 @@
     /// shutdown delay, so that the load balancer can react; then the requests in flight finish, and
     /// the process waits until all callers' connections are closed.
     pub async fn stop(&self) {
+        let started = Instant::now();
         self.context.advance("stop");
         if &*self.context.process_state() == "lame_duck" {
             task::sleep(self.shutdown_delay).await;
@@ -197,6 +209,7 @@
         if let Some(accept_task) = accept_task {
             accept_task.await;
         }
+        self.log_active("waiting for callers", started);
         while self.context.open_connections() > 0 {
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
@@ -210,6 +223,13 @@
         self.operator.finish(OPERATOR_STOP_LIMIT).await;
         self.context.advance("idle");
         self.halt();
+        self.log_active("entry stopped", started);
+    }
+
+    fn log_active(&self, event: &str, started: Instant) {
+        let ActiveCounts { requests, partial_requests, connections } = self.context.active_counts();
+        let after_ms = started.elapsed().as_millis() as u64;
+        log::info!(name:% = self.context.name, requests, partial_requests, connections, after_ms; "{event}");
     }
 
     /// Stops immediately, without waiting for requests in flight.
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -98,11 +98,13 @@
         }
         // A request counts as open from its first byte, so a planned stop does not cut it off.
         let open_guard = context.count_open_request();
+        let partial_guard = context.count_partial_request();
         let head = match connection.next_head().await {
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => return refuse_request(context, connection, &error).await,
         };
+        drop(partial_guard);
         let result = dispatch(context, &mut connection, head).await;
         drop(open_guard);
         match result {
--- a/tests/process/stops.rs
+++ b/tests/process/stops.rs
@@ -77,6 +77,13 @@
     wait_until(&format!("{name} logs {text}"), || cluster.log(name).contains(text));
 }
 
+/// Number in a `name=number` field of a log line.
+fn log_number(line: &str, name: &str) -> u64 {
+    let prefix = format!("{name}=");
+    let value = line.split(' ').find_map(|field| field.strip_prefix(&*prefix));
+    value.and_then(|value| value.trim().parse().ok()).unwrap_or_else(|| panic!("{name}: {line}"))
+}
+
 // Guards against connections that a stopping entry accepts and closes without a response.
 #[test]
 fn a_connection_during_a_stop_is_served_or_refused() {
@@ -196,3 +203,42 @@
     cluster.wait_for_exit(&leader);
     cluster.unfreeze("entry-1");
 }
+
+// Guards against a stop that leaves no record of what was still active and how long it took.
+#[test]
+fn a_stop_logs_what_was_active_and_how_long_it_took() {
+    let mut cluster = start_cluster();
+    let mut partial = connect(cluster.entry(1)).unwrap();
+    partial.write_all(b"GET /read HTTP/1.1\r\nhost: te").unwrap();
+    let entry = cluster.entry(1);
+    thread::scope(|scope| {
+        let call = Call::get("/read?time_us=2500000", "logged");
+        let answer = scope.spawn(move || call.send(entry));
+        thread::sleep(Duration::from_millis(300));
+        cluster.terminate("entry-1");
+        wait_for_log(&cluster, "entry-1", "to=finishing");
+        wait_for_log(&cluster, "entry-1", "waiting for callers");
+        drop(partial);
+        assert!(answer.join().unwrap().is_served());
+    });
+    cluster.wait_for_exit("entry-1");
+    let log = cluster.log("entry-1");
+    let line = log.lines().find(|line| line.contains("waiting for callers")).unwrap();
+    // Announcements of servers may be counted as well.
+    assert!(log_number(line, "requests") >= 1, "{line}");
+    assert!(log_number(line, "partial_requests") >= 1, "{line}");
+    assert!(log_number(line, "connections") >= 2, "{line}");
+    let line = log.lines().find(|line| line.contains("entry stopped")).expect("a line of the stop");
+    for field in ["requests=0", "partial_requests=0", "connections=0", "after_ms="] {
+        assert!(line.contains(field), "{line}");
+    }
+    let leader = cluster.leader();
+    cluster.terminate(&leader);
+    cluster.wait_for_exit(&leader);
+    let log = cluster.log(&leader);
+    let line = log.lines().find(|line| line.contains("control process stopped"));
+    let line = line.expect("a line of the stop");
+    for field in ["requests=0", "connections=", "after_ms="] {
+        assert!(line.contains(field), "{line}");
+    }
+}
