Keep SIGHUP from ending the daemons

Callers lost their requests in progress when an operator sent SIGHUP to an entry, as many daemons and fleet mode expect it for a reload: the connection closed before the response was complete. Cause: only SIGINT and SIGTERM were handled, and the default action of SIGHUP ends the process at once, without a stop. The same holds for control processes. Ruled out: a settings change; it is published as a whole, and a request keeps the settings of its start. Change: entries and control processes log SIGHUP and go on; there is nothing to reload, since the config is read at the start and settings come from control. `try` still ends.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result};
 use async_global_executor::GlobalExecutorConfig;
 use async_std::task;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::check::check_file;
 use crate::cli::{CliCommand, ControlArguments, SettingsCommand, StatusArguments, TokenArguments};
@@ -108,6 +108,18 @@
     }
 }
 
+/// Keeps SIGHUP, by which operators ask many daemons for a reload, from ending the process. The config
+/// is read only at the start, and settings arrive from the control processes.
+fn ignore_hang_ups() -> Result<()> {
+    let mut signals = signal_hook::iterator::Signals::new([SIGHUP])?;
+    std::thread::Builder::new().name("hang-ups".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            log::warn!(signal; "SIGHUP ignored; the config is read only at the start");
+        }
+    })?;
+    Ok(())
+}
+
 /// Executor threads of a control process; consensus and storage have dedicated threads.
 const CONTROL_EXECUTOR_THREADS: u32 = 2;
 
@@ -141,6 +153,7 @@
     init_executor(config.traffic_threads);
     init_logging(config.log_level);
     let stop_signals = StopSignals::install()?;
+    ignore_hang_ups()?;
     task::block_on(async {
         let entry = EntryProcess::start(&config, EntryListeners::bind(&config)?)?;
         log::info!(name:% = config.name; "entry started");
@@ -156,6 +169,7 @@
     init_logging(config.log_level);
     init_executor(CONTROL_EXECUTOR_THREADS);
     let stop_signals = StopSignals::install()?;
+    ignore_hang_ups()?;
     task::block_on(async {
         let control = ControlProcess::start(&config, ControlListeners::bind(&config)?)?;
         log::info!(name:% = config.name; "control process started");
--- a/tests/process/cluster.rs
+++ b/tests/process/cluster.rs
@@ -303,6 +303,11 @@
         self.signal(name, Signal::TERM);
     }
 
+    /// Sends SIGHUP to a process.
+    pub fn hang_up(&self, name: &str) {
+        self.signal(name, Signal::HUP);
+    }
+
     /// Waits until a process that was asked to shut down exits; its exit status must be success.
     pub fn wait_for_exit(&mut self, name: &str) {
         let mut child =
--- a/tests/process/stops.rs
+++ b/tests/process/stops.rs
@@ -242,3 +242,22 @@
         assert!(line.contains(field), "{line}");
     }
 }
+
+// Guards against SIGHUP that ends a process together with its requests in progress.
+#[test]
+fn a_hang_up_signal_interrupts_no_request() {
+    let cluster = start_cluster();
+    let entry = cluster.entry(1);
+    let call = Call::get("/read?time_us=1000000", "hang-up");
+    let answer = thread::scope(|scope| {
+        let answer = scope.spawn(move || call.send(entry));
+        thread::sleep(Duration::from_millis(300));
+        for name in cluster.process_names("") {
+            cluster.hang_up(&name);
+        }
+        answer.join().unwrap()
+    });
+    assert!(answer.is_served(), "{answer:?}");
+    let answer = Call::post("/book", "after-hang-up", "deposit").send(entry);
+    assert!(answer.is_served(), "{answer:?}");
+}
