Test pipelined requests and uploads during a stop

The rolling restart sends neither pipelined requests nor bodies that are still arriving when the shutdown delay ends.

--- a/tests/process/stops.rs
+++ b/tests/process/stops.rs
@@ -261,3 +261,32 @@
     let answer = Call::post("/book", "after-hang-up", "deposit").send(entry);
     assert!(answer.is_served(), "{answer:?}");
 }
+
+// Guards against a stop that drops pipelined requests or an upload whose body is still arriving.
+#[test]
+fn pipelined_requests_and_uploads_survive_a_stop() {
+    let mut cluster = start_cluster();
+    let mut pipeline = connect(cluster.entry(1)).unwrap();
+    let mut pipelined = String::new();
+    for number in 0..3 {
+        pipelined += &format!(
+            "GET /read?time_us=200000 HTTP/1.1\r\nhost: test\r\nx-run-id: pipe-{number}\r\n\r\n"
+        );
+    }
+    let mut upload = connect(cluster.entry(1)).unwrap();
+    let head = "POST /book HTTP/1.1\r\nhost: test\r\nconnection: close\r\nx-run-id: upload\r\n\
+                idempotency-key: upload\r\ncontent-length: 20\r\n\r\n";
+    upload.write_all(head.as_bytes()).unwrap();
+    cluster.terminate("entry-1");
+    pipeline.write_all(pipelined.as_bytes()).unwrap();
+    wait_for_log(&cluster, "entry-1", "waiting for callers");
+    thread::sleep(Duration::from_millis(700));
+    assert_eq!(exchange_raw(upload, "twenty bytes of body"), RawResult::Answered(200));
+    let mut text = String::new();
+    pipeline.read_to_string(&mut text).unwrap();
+    let (complete, told) =
+        (text.matches("HTTP/1.1 200").count(), text.matches("connection: close"));
+    // Requests behind a response with `Connection: close` are refused by it.
+    assert!(complete == 3 || told.count() == 1, "{text}");
+    cluster.wait_for_exit("entry-1");
+}
