--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
 
 use async_channel::{Receiver, Sender};
 
+use super::ActiveCounts;
 use super::claims::ClaimClient;
 use super::control::ControlInput;
 use super::runtime::ServiceRuntime;
@@ -71,7 +72,10 @@
     stopping: AtomicBool,
     /// Closed when idle caller connections must be closed.
     finishing: (Sender<()>, Receiver<()>),
+    open_connections: AtomicUsize,
     open_requests: AtomicUsize,
+    /// Subset of `open_requests` of which only a part of the head has arrived.
+    partial_requests: AtomicUsize,
     /// Subset of `open_requests` that is forwarded to servers.
     server_requests: AtomicUsize,
     /// The control thread ticks at its idle rate; the next request must wake it.
@@ -124,7 +128,9 @@
             process_state: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
             finishing: async_channel::bounded(1),
+            open_connections: AtomicUsize::new(0),
             open_requests: AtomicUsize::new(0),
+            partial_requests: AtomicUsize::new(0),
             server_requests: AtomicUsize::new(0),
             is_control_idle: AtomicBool::new(false),
             next_request: AtomicU64::new(0),
@@ -186,11 +192,6 @@
         let _ = self.finishing.1.recv().await;
     }
 
-    /// Whether idle caller connections must be closed.
-    pub fn is_finishing(&self) -> bool {
-        self.finishing.0.is_closed()
-    }
-
     /// Current life-cycle state of the process.
     pub fn process_state(&self) -> Box<str> {
         self.process_state.lock().expect("process state lock is not poisoned").clone()
@@ -206,17 +207,45 @@
         &*self.process_state() == "serving" && self.has_lease(now)
     }
 
+    /// Counts a caller connection as open until the returned guard is dropped.
+    pub fn count_connection(self: &Arc<Self>) -> ConnectionGuard {
+        self.open_connections.fetch_add(1, Ordering::Relaxed);
+        ConnectionGuard { context: Arc::clone(self) }
+    }
+
+    /// Number of caller connections, including those that are being closed.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
+    }
+
     /// Counts a request as open until the returned guard is dropped.
     pub fn count_open_request(self: &Arc<Self>) -> OpenRequestGuard {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
         OpenRequestGuard { context: Arc::clone(self) }
     }
 
-    /// Number of requests whose head was received and whose response is not complete.
+    /// Number of requests from their first byte to the end of the response.
     pub fn open_requests(&self) -> usize {
         self.open_requests.load(Ordering::Relaxed)
     }
 
+    /// Number of requests and connections that are active now.
+    pub fn active_counts(&self) -> ActiveCounts {
+        let open_requests = self.open_requests();
+        let partial_requests = self.partial_requests.load(Ordering::Relaxed);
+        ActiveCounts {
+            requests: open_requests.saturating_sub(partial_requests),
+            partial_requests,
+            connections: self.open_connections(),
+        }
+    }
+
+    /// Counts a request as partial until the returned guard is dropped.
+    pub fn count_partial_request(self: &Arc<Self>) -> PartialRequestGuard {
+        self.partial_requests.fetch_add(1, Ordering::Relaxed);
+        PartialRequestGuard { context: Arc::clone(self) }
+    }
+
     /// Counts a request for a server until the returned guard is dropped, and wakes the control
     /// thread if it is idle.
     pub fn count_server_request(self: &Arc<Self>) -> ServerRequestGuard {
@@ -286,6 +315,28 @@
     }
 }
 
+/// Guard that counts one caller connection.
+pub struct ConnectionGuard {
+    context: Arc<EntryContext>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.context.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Guard that counts one partial request.
+pub struct PartialRequestGuard {
+    context: Arc<EntryContext>,
+}
+
+impl Drop for PartialRequestGuard {
+    fn drop(&mut self) {
+        self.context.partial_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Guard that counts one open request.
 pub struct OpenRequestGuard {
     context: Arc<EntryContext>,
