Add the identity of a request, the ledger of crashes and a replicated quarantine

This adds the pure parts: the digest of a request, crash reports, the ledger that counts them, the commands that put a request into quarantine and release it, and the quarantine in the update stream and in an entry's replica. Nothing sends or counts reports yet.

CrashReport has one field more than in the design, age: the time between the loss of the connection and the sending of the report. A report can wait 2 s for the next incarnation, and with ran_for alone its send would seem to begin 2 s late, which would count servers that fail together more than once.

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -228,7 +228,7 @@
         let voters = set.members.values().filter(|record| record.voter);
         let members = voters.filter_map(|record| record.name.parse().ok()).collect();
         let (entries, zone, revision) = (self.entries, self.zone.clone(), self.applied);
-        FreshnessNotice { leader_age, members, entries, zone, revision }
+        FreshnessNotice { leader_age, members, entries, zone, revision, accepts_crashes: true }
     }
 
     /// Time at which [`Self::tick`] is due next.
--- /dev/null
+++ b/src/fleet/crash/digest.rs
@@ -0,0 +1,42 @@
+//! Identity of a request across attempts, callers' connections and entries.
+
+use sha2::{Digest, Sha256};
+
+use crate::http::RequestHead;
+use crate::ids::RequestDigest;
+
+/// Separates these digests from others over the same bytes.
+const DOMAIN_TAG: &[u8] = b"curranthollow request digest 1";
+
+/// Headers that identify the caller. All others can differ between attempts of one request.
+const CREDENTIAL_HEADERS: [&str; 2] = ["authorization", "cookie"];
+
+/// Returns the digest of a request: equal for the same method, host, target, credentials and body.
+///
+/// SHA-256 without a key suffices: nobody can build a request with the digest of another one, and
+/// digests travel only on links between processes of the fleet.
+pub fn request_digest(head: &RequestHead, body: &[u8]) -> RequestDigest {
+    let mut hasher = Sha256::new_with_prefix(DOMAIN_TAG);
+    update_field(&mut hasher, head.method.as_bytes());
+    update_field(&mut hasher, head.host.as_bytes());
+    update_field(&mut hasher, head.target.as_bytes());
+    for name in CREDENTIAL_HEADERS {
+        update_length(&mut hasher, head.headers.values(name).count());
+        for value in head.headers.values(name) {
+            update_field(&mut hasher, value);
+        }
+    }
+    update_field(&mut hasher, body);
+    let hash = hasher.finalize();
+    hash[..16].iter().fold(0, |digest, byte| digest << 8 | RequestDigest::from(*byte))
+}
+
+/// Adds a field with its length, so that bytes cannot move from one field to the next.
+fn update_field(hasher: &mut Sha256, field: &[u8]) {
+    update_length(hasher, field.len());
+    hasher.update(field);
+}
+
+fn update_length(hasher: &mut Sha256, length: usize) {
+    hasher.update((length as u64).to_be_bytes());
+}
--- /dev/null
+++ b/src/fleet/crash/ledger.rs
@@ -0,0 +1,180 @@
+//! Evidence against requests: counts the crashes under each and decides on quarantine.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::CrashReport;
+use crate::fleet::announcement::IncarnationStart;
+use crate::ids::{RequestDigest, ServerId};
+
+/// Counted crashes that put a request into quarantine. A crash ends every request that the server was
+/// running, so one or two are no proof.
+pub const CONVICTION_CRASHES: usize = 3;
+
+/// Time for which a counted crash is evidence.
+pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Time after a release in which one crash puts the request back into quarantine.
+pub const PROBATION_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Maximum number of suspects; the one whose last counted crash is oldest goes first.
+pub const MAX_SUSPECTS: usize = 4096;
+
+/// Maximum number of requests on probation; the oldest goes first. It covers a full quarantine that is
+/// released at once.
+const MAX_PROBATIONS: usize = 1024;
+
+/// Tolerance when the start of a send is compared with an earlier crash, because both times are
+/// estimated from the arrival of reports that travel for different times.
+const START_TOLERANCE: Duration = Duration::from_millis(20);
+
+/// What one report changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CrashFinding {
+    /// The crash counts; the request is a suspect.
+    Suspected { crashes: usize },
+    /// The crash counts, and the request belongs into quarantine.
+    Convicted,
+    /// This crash is counted already.
+    Repeated,
+    /// The send began before the last counted crash of the request: the servers may have failed
+    /// together. Also the finding on a crash that is too old to be evidence.
+    Concurrent,
+}
+
+/// Evidence against one request.
+#[derive(Debug, Clone)]
+pub struct SuspectRecord {
+    /// Incarnations that crashed, with the time until which this is evidence.
+    crashes: BTreeMap<(ServerId, IncarnationStart), Instant>,
+    /// Time of the last counted crash. It stays when a success clears the request, because other
+    /// reports of the same crash may follow.
+    last_crash: Instant,
+}
+
+impl SuspectRecord {
+    /// Incarnations whose crashes count.
+    pub fn incarnations(&self) -> impl Iterator<Item = (&ServerId, IncarnationStart)> {
+        self.crashes.keys().map(|(server, started)| (server, *started))
+    }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.crashes.iter().min_by_key(|(_, until)| **until);
+        let oldest = oldest.map(|(incarnation, _)| incarnation.clone());
+        oldest.and_then(|incarnation| self.crashes.remove(&incarnation));
+    }
+
+    /// Removes evidence that is too old; returns whether the record is still needed.
+    fn expire(&mut self, now: Instant) -> bool {
+        self.crashes.retain(|_, until| now < *until);
+        now.saturating_duration_since(self.last_crash) < EVIDENCE_LIFETIME
+    }
+}
+
+/// Evidence against all requests. Sizes are bounded by [`MAX_SUSPECTS`].
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    records: BTreeMap<RequestDigest, SuspectRecord>,
+    /// Released requests, with the end of their probation.
+    probations: BTreeMap<RequestDigest, Instant>,
+}
+
+impl CrashLedger {
+    /// Records a report that arrived at `now`.
+    pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
+        let digest = report.digest;
+        let crashed_at = now.checked_sub(report.age).unwrap_or(now);
+        let sent_at = crashed_at.checked_sub(report.ran_for).unwrap_or(crashed_at);
+        if report.age >= EVIDENCE_LIFETIME {
+            return CrashFinding::Concurrent;
+        }
+        let incarnation = (report.server.clone(), report.started);
+        if let Some(record) = self.records.get_mut(&digest) {
+            record.expire(now);
+            if record.crashes.contains_key(&incarnation) {
+                return CrashFinding::Repeated;
+            }
+            if sent_at + START_TOLERANCE < record.last_crash {
+                return CrashFinding::Concurrent;
+            }
+        } else if self.records.len() >= MAX_SUSPECTS {
+            self.remove_oldest();
+        }
+        let record = self
+            .records
+            .entry(digest)
+            .or_insert_with(|| SuspectRecord { crashes: BTreeMap::new(), last_crash: crashed_at });
+        record.crashes.insert(incarnation, crashed_at + EVIDENCE_LIFETIME);
+        if record.crashes.len() > CONVICTION_CRASHES {
+            record.remove_oldest();
+        }
+        record.last_crash = record.last_crash.max(crashed_at);
+        let crashes = record.crashes.len();
+        let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
+        if crashes >= CONVICTION_CRASHES || on_probation {
+            return CrashFinding::Convicted;
+        }
+        CrashFinding::Suspected { crashes }
+    }
+
+    /// Records that a server completed the request; returns whether it was a suspect or on probation.
+    pub fn record_served(&mut self, digest: RequestDigest) -> bool {
+        let was_on_probation = self.probations.remove(&digest).is_some();
+        let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
+        if record.crashes.len() >= CONVICTION_CRASHES {
+            return was_on_probation;
+        }
+        let was_suspect = !record.crashes.is_empty();
+        record.crashes.clear();
+        was_suspect || was_on_probation
+    }
+
+    /// Number of crashes that count against the request.
+    pub fn counted_crashes(&self, digest: RequestDigest) -> usize {
+        self.records.get(&digest).map_or(0, |record| record.crashes.len())
+    }
+
+    /// Starts the probation of a released request; earlier evidence against it is dropped.
+    pub fn set_probation(&mut self, now: Instant, digest: RequestDigest) {
+        self.records.remove(&digest);
+        self.probations.insert(digest, now + PROBATION_LIFETIME);
+        if self.probations.len() > MAX_PROBATIONS {
+            let oldest = self.probations.iter().min_by_key(|(_, until)| **until);
+            let oldest = oldest.map(|(digest, _)| *digest);
+            oldest.and_then(|digest| self.probations.remove(&digest));
+        }
+    }
+
+    /// Drops all evidence against a request.
+    pub fn remove(&mut self, digest: RequestDigest) {
+        self.records.remove(&digest);
+        self.probations.remove(&digest);
+    }
+
+    /// Removes evidence that is too old.
+    pub fn expire(&mut self, now: Instant) {
+        self.records.retain(|_, record| record.expire(now));
+        self.probations.retain(|_, until| now < *until);
+    }
+
+    /// Requests with at least one counted crash.
+    pub fn suspects(&self) -> impl Iterator<Item = (RequestDigest, &SuspectRecord)> {
+        let records = self.records.iter().filter(|(_, record)| !record.crashes.is_empty());
+        records.map(|(digest, record)| (*digest, record))
+    }
+
+    /// Number of suspects, including those that a success has cleared in the last minute.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.records.iter().min_by_key(|(_, record)| record.last_crash);
+        let oldest = oldest.map(|(digest, _)| *digest);
+        oldest.and_then(|digest| self.records.remove(&digest));
+    }
+}
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -15,10 +15,11 @@
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 use super::announcement::IncarnationStart;
+use super::crash::CrashReport;
 use super::process_metrics::PROCESS_METRICS;
 use super::update::{CompactUpdate, FleetUpdate};
 use crate::consensus::message::RaftMessage;
-use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, ZoneName};
+use crate::ids::{LogIndex, MemberId, ProcessName, RequestDigest, ServerId, ZoneName};
 
 /// Maximum frame size, and maximum size of an update that is sent in parts. Snapshots and large
 /// documents are well below it.
@@ -71,6 +72,10 @@
     /// Revision of the member's state.
     #[serde(default)]
     pub revision: LogIndex,
+    /// Whether the member accepts [`LinkMessage::Crashes`] and [`LinkMessage::Served`]; a member of an
+    /// older version closes the link on them.
+    #[serde(default)]
+    pub accepts_crashes: bool,
 }
 
 /// What an entry wants to receive on a link.
@@ -115,6 +120,10 @@
     },
     /// Servers from which the sender received heartbeats.
     Seen(Vec<(ServerId, IncarnationStart)>),
+    /// Crashes that an entry saw; followers forward them to the leader.
+    Crashes(Vec<CrashReport>),
+    /// Requests that an entry suspected and a server has completed since; forwarded likewise.
+    Served(Vec<RequestDigest>),
     Update(FleetUpdate),
     /// Part of an encoded [`super::update::CompactUpdate`].
     UpdatePart {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod budget;
 pub mod config;
 pub mod control;
+pub mod crash;
 pub mod dialect;
 pub mod document;
 pub mod entry;
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -8,12 +8,16 @@
 use super::announcement::{IncarnationStart, NamedAnnouncement, ServerAnnouncement, ServerState};
 use super::document::{RouteDocument, RouteKey, RouteRule};
 use super::update::{DocumentHead, FleetUpdate, ServerView};
-use crate::ids::{LogIndex, ServerId};
+use crate::ids::{LogIndex, RequestDigest, ServerId};
 
 /// Maximum number of tombstones of each kind. An entry whose revision is older than a discarded
 /// tombstone gets a complete update.
 const MAX_TOMBSTONES: usize = 4096;
 
+/// Maximum number of requests in quarantine. A full quarantine refuses further ones, so that nobody can
+/// push a request out with others.
+pub const MAX_QUARANTINED: usize = 1024;
+
 /// Command that changes the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -30,6 +34,10 @@
     Silent(Vec<(ServerId, IncarnationStart)>),
     /// Clears the silent mark of servers whose heartbeats resumed.
     Heard(Vec<(ServerId, IncarnationStart)>),
+    /// Puts requests that crash servers into quarantine; members of older versions skip the command.
+    Quarantine(Vec<RequestDigest>),
+    /// Takes requests out of quarantine.
+    Release(Vec<RequestDigest>),
 }
 
 /// Failure to decode a replicated command or a snapshot.
@@ -66,13 +74,20 @@
     left: BTreeMap<ServerId, (IncarnationStart, LogIndex)>,
     /// An entry at a lower revision gets a complete update.
     complete_from: LogIndex,
+    /// Requests that no entry sends to a server, with the log index of the command.
+    #[serde(default)]
+    quarantine: BTreeMap<RequestDigest, LogIndex>,
+    /// Tombstones of released requests, with the log index of the release.
+    #[serde(default)]
+    released: BTreeMap<RequestDigest, LogIndex>,
 }
 
 impl FleetCommand {
-    /// Whether the command has an empty list of servers.
+    /// Whether the command has an empty list.
     pub fn is_empty(&self) -> bool {
         match self {
             Self::Silent(servers) | Self::Heard(servers) => servers.is_empty(),
+            Self::Quarantine(digests) | Self::Release(digests) => digests.is_empty(),
             Self::PutDocument { .. } | Self::Announce(..) | Self::Leave(..) => false,
         }
     }
@@ -116,6 +131,11 @@
         &self.servers
     }
 
+    /// Requests in quarantine, with the log index at which they came in.
+    pub fn quarantine(&self) -> &BTreeMap<RequestDigest, LogIndex> {
+        &self.quarantine
+    }
+
     /// Whether this incarnation of `server` has left.
     pub fn has_left(&self, server: &ServerId, started: IncarnationStart) -> bool {
         self.left.get(server).is_some_and(|(left, _)| started <= *left)
@@ -137,6 +157,8 @@
             FleetCommand::Leave(server, started) => self.leave(index, &server, started),
             FleetCommand::Silent(servers) => self.set_silent(index, servers, true),
             FleetCommand::Heard(servers) => self.set_silent(index, servers, false),
+            FleetCommand::Quarantine(digests) => self.add_quarantined(index, digests),
+            FleetCommand::Release(digests) => self.release(index, digests),
         }
         self.prune_tombstones();
     }
@@ -225,6 +247,24 @@
         }
     }
 
+    fn add_quarantined(&mut self, index: LogIndex, digests: Vec<RequestDigest>) {
+        for digest in digests {
+            if self.quarantine.contains_key(&digest) || self.quarantine.len() >= MAX_QUARANTINED {
+                continue;
+            }
+            self.quarantine.insert(digest, index);
+            self.released.remove(&digest);
+        }
+    }
+
+    fn release(&mut self, index: LogIndex, digests: Vec<RequestDigest>) {
+        for digest in digests {
+            if self.quarantine.remove(&digest).is_some() {
+                self.released.insert(digest, index);
+            }
+        }
+    }
+
     fn prune_tombstones(&mut self) {
         while self.left.len() > MAX_TOMBSTONES {
             let Some((server, index)) = oldest(self.left.iter().map(|(id, (_, at))| (id, at)))
@@ -239,6 +279,11 @@
             self.removed_routes.remove(&key);
             self.complete_from = self.complete_from.max(index);
         }
+        while self.released.len() > MAX_TOMBSTONES {
+            let Some((digest, index)) = oldest(self.released.iter()) else { return };
+            self.released.remove(&digest);
+            self.complete_from = self.complete_from.max(index);
+        }
     }
 
     /// Returns the update from revision `from` to the current revision.
@@ -254,6 +299,8 @@
             self.removed_routes.iter().filter(|(_, changed)| !complete && **changed > since);
         let servers = self.servers.iter().filter(|(_, record)| record.changed > since);
         let left = self.left.iter().filter(|(_, (_, changed))| !complete && *changed > since);
+        let quarantined = self.quarantine.iter().filter(|(_, changed)| **changed > since);
+        let released = self.released.iter().filter(|(_, changed)| !complete && **changed > since);
         let head = || DocumentHead {
             version: self.document.version,
             limits: self.document.limits,
@@ -268,6 +315,8 @@
             removed_routes: removed.map(|(key, _)| key.clone()).collect(),
             servers: servers.map(|(id, record)| (id.clone(), ServerView::of(record))).collect(),
             left: left.map(|(id, (started, _))| (id.clone(), *started)).collect(),
+            quarantined: quarantined.map(|(digest, _)| *digest).collect(),
+            released: released.map(|(digest, _)| *digest).collect(),
         }
     }
 
--- a/src/fleet/update.rs
+++ b/src/fleet/update.rs
@@ -1,6 +1,6 @@
 //! Incremental updates of the fleet state, and the replica of that state at an entry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -10,7 +10,7 @@
 };
 use super::state::ServerRecord;
 use super::{route_rows, server_rows};
-use crate::ids::{LogIndex, ServerId, ServiceName};
+use crate::ids::{LogIndex, RequestDigest, ServerId, ServiceName};
 
 /// The parts of a document other than its routes; they are sent together when the document changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,6 +46,11 @@
     #[serde(with = "server_rows")]
     pub servers: Vec<(ServerId, ServerView)>,
     pub left: Vec<(ServerId, IncarnationStart)>,
+    /// Requests that no entry sends to a server any more.
+    #[serde(default)]
+    pub quarantined: Vec<RequestDigest>,
+    #[serde(default)]
+    pub released: Vec<RequestDigest>,
 }
 
 /// Update in the form that is sent in parts: routes travel as rows too.
@@ -65,6 +70,10 @@
     #[serde(with = "server_rows")]
     servers: Vec<(ServerId, ServerView)>,
     left: Vec<(ServerId, IncarnationStart)>,
+    #[serde(default)]
+    quarantined: Vec<RequestDigest>,
+    #[serde(default)]
+    released: Vec<RequestDigest>,
 }
 
 /// Replica of the fleet state at an entry.
@@ -73,6 +82,7 @@
     revision: LogIndex,
     document: Option<RouteDocument>,
     servers: BTreeMap<ServerId, ServerView>,
+    quarantine: BTreeSet<RequestDigest>,
 }
 
 impl FleetReplica {
@@ -89,6 +99,16 @@
         &self.servers
     }
 
+    /// Whether this request must not be sent to a server.
+    pub fn is_quarantined(&self, digest: RequestDigest) -> bool {
+        self.quarantine.contains(&digest)
+    }
+
+    /// Whether any request is in quarantine; without one, no digest needs to be computed.
+    pub fn has_quarantine(&self) -> bool {
+        !self.quarantine.is_empty()
+    }
+
     /// Applies an update and returns whether the revision advanced.
     ///
     /// Updates arrive over several links from members at different revisions. An update that ends at
@@ -101,6 +121,7 @@
         self.revision = update.to;
         if update.complete {
             self.servers.clear();
+            self.quarantine.clear();
             if let Some(document) = &mut self.document {
                 document.routes.clear();
             }
@@ -124,6 +145,10 @@
             }
         }
         self.servers.extend(update.servers);
+        for digest in &update.released {
+            self.quarantine.remove(digest);
+        }
+        self.quarantine.extend(update.quarantined);
         true
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -24,6 +24,9 @@
 /// Number of a claim, assigned by its claim group and never reused.
 pub type ClaimNumber = u64;
 
+/// Digest that identifies a request with its caller and body.
+pub type RequestDigest = u128;
+
 /// Name of a process, unique within the system.
 pub type ProcessName = Box<str>;
 
--- a/tests/fleet/slow_member.rs
+++ b/tests/fleet/slow_member.rs
@@ -47,6 +47,7 @@
         entries: 1,
         zone: "a".into(),
         revision: 1,
+        accepts_crashes: true,
     })
 }
 
