Report crashes of servers under a request, and refuse quarantined requests

Cause: nothing at an entry ties the crash of a server to a request.

Change: a send whose connection is lost is evidence of a crash if a new connection to the address is refused, or if the replica shows the next incarnation of the server, or a newer server at its address, within 2 s. Timeouts, invalid responses, draining servers and servers that go on accepting are none. Reports go to all linked members that accept them, and into the entry's own ledger; the end of the send waits up to 50 ms for that, so that a retry does not overtake the report. A request in quarantine, at the replica or on three crashes of this entry alone, is not sent: 422 without Retry-After, or 502 after a send of the same attempt. A request with two counted crashes is not retried, one with any is not hedged.

No digest is computed while the quarantine and the ledger are empty.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout_at;
 
 use super::connections::ConnectionPool;
+use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
@@ -51,6 +52,7 @@
     /// Bodies of requests that are being received or processed.
     pub held_bytes: HeldBytes,
     pub state: RefCell<FleetReplica>,
+    pub crash_watch: CrashWatch,
     pub random: RefCell<fastrand::Rng>,
     /// Schedules of long bodies from servers and to callers.
     pub server_pacer: RefCell<LinePacer>,
@@ -81,6 +83,7 @@
             active_requests: Gauge::default(),
             held_bytes: HeldBytes::default(),
             state: RefCell::default(),
+            crash_watch: CrashWatch::default(),
             random: RefCell::new(fastrand::Rng::new()),
             server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
             caller_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
@@ -252,10 +255,12 @@
         let routes_changed = !update.routes.is_empty() || !update.removed_routes.is_empty();
         let servers_changed =
             !update.servers.is_empty() || !update.left.is_empty() || update.complete;
+        let quarantined = update.quarantined.clone();
         let mut state = self.state.borrow_mut();
         if !state.apply(update) {
             return;
         }
+        self.crash_watch.drop_decided(&quarantined);
         if (document_changed || routes_changed)
             && let Some(document) = state.document()
         {
@@ -270,6 +275,8 @@
         }
         if servers_changed {
             self.install_servers(now, &state);
+            drop(state);
+            self.confirm_pending_crashes(now);
         }
     }
 
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at};
 
 use super::context::EntryContext;
+use super::crash_watch::CrashFeed;
 use crate::fleet::follow_plan::{FOLLOWED_MEMBERS, FRESHNESS_LIFETIME, FollowPlan};
 use crate::fleet::link::{
     self, FollowMode, FreshnessNotice, LinkError, LinkMessage, LinkWriter, MAX_FRAME_BYTES,
@@ -177,6 +178,8 @@
         let followed_since = Instant::now();
         let suspension = self.context.known_suspension();
         let mut update = UpdateAssembly::default();
+        let mut feed = CrashFeed::new(&self.context.crash_watch);
+        let mut received_at = followed_since;
         loop {
             let is_stream = *stream.borrow_and_update() == Some(address);
             let wanted = if is_stream { FollowMode::UpdateParts } else { FollowMode::NoticesOnly };
@@ -187,14 +190,25 @@
             let received = tokio::select! {
                 // The sender lives as long as this follower.
                 _ = stream.changed() => continue,
-                received = timeout(SILENCE_TIMEOUT, reader.receive()) => received,
+                () = feed.changed() => {
+                    let sent = timeout(SILENCE_TIMEOUT, send_notices(&mut writer, &mut feed)).await;
+                    sent.map_err(|_| LinkError::Silent)??;
+                    continue;
+                }
+                received = timeout_at((received_at + SILENCE_TIMEOUT).into(), reader.receive()) => {
+                    received
+                }
             };
+            received_at = Instant::now();
             self.context.check_suspension();
             if self.context.known_suspension() != suspension {
                 // What was received may have waited here as long as the machine was suspended.
                 return Err(LinkError::Suspended);
             }
             let message = received.map_err(|_| LinkError::Silent)??;
+            if let LinkMessage::Fresh(notice) = &message {
+                feed.set_accepted(notice.accepts_crashes);
+            }
             if let LinkMessage::UpdatePart { bytes, is_last } = message {
                 self.plan.borrow_mut().record_progress(Instant::now(), address);
                 if let Some(update) = update.add(&bytes, is_last)? {
@@ -264,6 +278,7 @@
     fn accept_notice(&self, now: Instant, address: SocketAddr, notice: FreshnessNotice) {
         self.plan.borrow_mut().record_fresh(now, address);
         self.context.confirm_state();
+        self.context.crash_watch.record_control(now);
         self.context.update_entry_count(&notice);
         let is_new = *self.members.borrow() != notice.members;
         *self.members.borrow_mut() = notice.members;
@@ -274,6 +289,15 @@
     }
 }
 
+/// Tells a member about crashes of servers.
+async fn send_notices(writer: &mut LinkWriter, feed: &mut CrashFeed<'_>) -> Result<(), LinkError> {
+    for frame in feed.take() {
+        writer.send(frame).await?;
+    }
+    feed.record_sent();
+    Ok(())
+}
+
 /// Assembles an update from its parts.
 #[derive(Default)]
 struct UpdateAssembly {
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -57,6 +57,9 @@
     budget_exhausted: Family<ServiceLabel, SharedCounter>,
     server_closures: Family<ServiceLabel, SharedCounter>,
     opened_connections: Family<ServiceLabel, SharedCounter>,
+    pub crashes_reported: SharedCounter,
+    pub quarantined_requests: SharedCounter,
+    pub suspect_requests: Gauge,
     pub idle_connections: Gauge,
     pub caller_connections: Gauge,
     pub document_version: Gauge,
@@ -82,6 +85,9 @@
             budget_exhausted: Family::default(),
             server_closures: Family::default(),
             opened_connections: Family::default(),
+            crashes_reported: SharedCounter::default(),
+            quarantined_requests: SharedCounter::default(),
+            suspect_requests: Gauge::default(),
             idle_connections: Gauge::default(),
             caller_connections: Gauge::default(),
             document_version: Gauge::default(),
@@ -111,7 +117,12 @@
         registry.register("server_closures", "Servers left alone after failures", closures);
         let opened = self.opened_connections.clone();
         registry.register("server_connections", "Connections opened to servers", opened);
+        let crashes = self.crashes_reported.clone();
+        registry.register("crashes_reported", "Crashes of servers under a request", crashes);
+        let quarantined = self.quarantined_requests.clone();
+        registry.register("quarantined_requests", "Requests in quarantine", quarantined);
         let gauges = [
+            ("suspect_requests", "Requests with evidence of a crash", &self.suspect_requests),
             ("idle_connections", "Idle connections to servers", &self.idle_connections),
             ("caller_connections", "Connections of callers", &self.caller_connections),
             ("document_version", "Version of the document in force", &self.document_version),
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -4,7 +4,11 @@
 mod caller;
 mod connections;
 mod context;
+pub mod crash_evidence;
+pub mod crash_outbox;
+mod crash_watch;
 mod follow;
+pub mod local_quarantine;
 mod measure;
 mod metrics;
 mod reader;
@@ -78,6 +82,7 @@
     pub fn metrics(&self) -> String {
         let metrics = &self.context.metrics;
         metrics.idle_connections.set(self.context.connections.len() as i64);
+        metrics.suspect_requests.set(self.context.crash_watch.suspect_count() as i64);
         metrics.revision.set(self.context.state.borrow().revision().cast_signed());
         metrics.fresh_members.set(self.follower.fresh_members(Instant::now()) as i64);
         metrics.encode()
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep_until;
 
 use super::context::EntryContext;
+use super::crash_watch::QUARANTINED_STATUS;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
 use super::send::{
@@ -191,7 +192,11 @@
                 elapsed.as_millis(),
                 context.state.borrow().revision()
             );
-            if local.status == 503 { "not_run" } else { "failed" }
+            match local.status {
+                503 => "not_run",
+                QUARANTINED_STATUS => "quarantined",
+                _ => "failed",
+            }
         }
     };
     context.metrics.record_request(service, outcome, elapsed);
@@ -260,6 +265,10 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
+        if self.context.is_quarantined(&self.request) {
+            let response = self.context.refuse_quarantined(&self.request, self.may_have_run);
+            return CallerResponse::Local(response);
+        }
         self.start_send(CrowdedPolicy::ProbeAgain, None);
         self.hedge_at = self.hedge_time(now);
         loop {
@@ -301,6 +310,9 @@
 
     fn start_hedge(&mut self, now: Instant) {
         self.hedge_at = None;
+        if !self.context.allows_hedge(&self.request) {
+            return;
+        }
         let entry_count = self.context.entry_count();
         let left = self
             .context
@@ -336,6 +348,9 @@
         if self.send_count >= self.rule.max_attempts || now >= self.request.deadline {
             return false;
         }
+        if !self.context.allows_retry(&self.request) {
+            return false;
+        }
         let entry_count = self.context.entry_count();
         let (left, allowed) = self.context.with_budget(&self.request.service, |budget| {
             (budget.remaining(now, entry_count), budget.try_take(now, entry_count))
@@ -373,8 +388,9 @@
             }
             Err(error) => error,
         };
-        if matches!(error, SendError::NoServer(_)) && !self.sends_in_flight.is_empty() {
-            // A hedged send that found no server with room.
+        let was_hedged = !self.sends_in_flight.is_empty();
+        if matches!(error, SendError::NoServer(_) | SendError::Quarantined) && was_hedged {
+            // A hedged send that found no server with room, or whose request must not be sent.
             self.take_back_send(charged_at);
             return None;
         }
@@ -402,7 +418,9 @@
         if let Some(error_response) = self.error_response.take() {
             return Some(CallerResponse::Relayed(error_response));
         }
-        let local = if self.may_have_run {
+        let local = if self.context.is_quarantined(&self.request) {
+            self.context.refuse_quarantined(&self.request, self.may_have_run)
+        } else if self.may_have_run {
             LocalResponse::new(502, "the server's response is lost")
         } else if matches!(error, SendError::NoServer(_)) {
             self.refuse("no server has room")
@@ -424,7 +442,10 @@
             self.unsent_attempts += 1;
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
-                && !matches!(error, SendError::NoServer(_) | SendError::Expired);
+                && !matches!(
+                    error,
+                    SendError::NoServer(_) | SendError::Expired | SendError::Quarantined
+                );
             if may_retry {
                 // Nothing reached a server, so this attempt takes the place of the last one.
                 self.send_count -= 1;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,18 +1,21 @@
 //! Sends a request to one server and validates the response.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
+use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
 
 use super::context::EntryContext;
+use super::crash_watch::WatchedSend;
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
+use crate::fleet::crash::request_digest;
 use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
-use crate::ids::{ServerId, ServiceName};
+use crate::ids::{RequestDigest, ServerId, ServiceName};
 use crate::suspension::{SuspensionDeadline, suspended_time};
 
 /// Response bytes that are buffered until the body is complete, so that a broken response can be
@@ -37,7 +40,9 @@
     pub method: Box<str>,
     /// Request line and headers, without those that differ between sends.
     head: Vec<u8>,
+    caller_head: RequestHead,
     body: HeldBody,
+    digest: OnceCell<RequestDigest>,
     pub request_id: Option<Box<[u8]>>,
     pub idempotent: bool,
     pub deadline: Instant,
@@ -85,6 +90,9 @@
     /// The deadline passed before anything was sent.
     #[error("not sent: the deadline has passed")]
     Expired,
+    /// The request was put into quarantine before anything was sent.
+    #[error("not sent: the request crashed several servers")]
+    Quarantined,
     /// The server stated that it did not run the request.
     #[error("refused by the server with status {status}")]
     NotRun { status: u16 },
@@ -104,13 +112,30 @@
 
     /// Whether the request was sent to a server.
     pub fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired)
+        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired | Self::Quarantined)
+    }
+
+    /// Whether the server ended the connection before its response was complete. Timeouts and invalid
+    /// responses come from servers that did not crash, or from the network.
+    pub fn is_lost_connection(&self) -> bool {
+        match self {
+            Self::Broken(HttpError::Truncated) => true,
+            Self::Broken(HttpError::Io(error)) => matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionReset
+                    | io::ErrorKind::ConnectionAborted
+                    | io::ErrorKind::BrokenPipe
+                    | io::ErrorKind::UnexpectedEof
+                    | io::ErrorKind::NotConnected
+            ),
+            _ => false,
+        }
     }
 
     fn outcome(&self) -> SendOutcome {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
-            Self::Expired => SendOutcome::Abandoned,
+            Self::Expired | Self::Quarantined => SendOutcome::Abandoned,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -120,6 +145,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::Expired => "not_sent",
+            Self::Quarantined => "quarantined",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken(_) => "broken",
@@ -158,9 +184,11 @@
         Self {
             id,
             service,
-            method: caller_head.method,
+            method: caller_head.method.clone(),
             head,
+            caller_head,
             body,
+            digest: OnceCell::new(),
             request_id,
             idempotent,
             deadline,
@@ -168,6 +196,12 @@
         }
     }
 
+    /// Digest that identifies the request when it comes again. Computed when it is first needed: most
+    /// requests never need it.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| request_digest(&self.caller_head, &self.body.bytes))
+    }
+
     /// Time left, less the time for which the machine was suspended.
     fn time_left(&self) -> Duration {
         self.real_deadline.time_left(Instant::now(), suspended_time())
@@ -301,19 +335,27 @@
         chosen.cost
     );
     let mut guard = SendGuard::new(context, &request.service, &chosen.server);
-    let result = exchange(context, request, chosen).await;
+    let mut watched = None;
+    let result = exchange(context, request, chosen, &mut watched).await;
     guard.outcome = match &result {
         Ok(response) if response.head.status < 500 => SendOutcome::Success,
         Ok(_) => SendOutcome::Failure,
         Err(error) => error.outcome(),
     };
+    // Other requests avoid the server while the evidence is checked.
+    drop(guard);
+    if let Some(watched) = watched {
+        watched.end(context, request, &result).await;
+    }
     result
 }
 
+/// Sends the request and reads its response; `watched` is set once anything is sent.
 async fn exchange(
     context: &EntryContext,
     request: &OutgoingRequest,
     chosen: &ChosenServer,
+    watched: &mut Option<WatchedSend>,
 ) -> Result<ServerResponse, SendError> {
     // A request without an id needs a connection on which nothing else can be due.
     let connecting = async {
@@ -327,8 +369,12 @@
     if time_left.is_zero() {
         return Err(SendError::Expired);
     }
+    if context.is_quarantined(request) {
+        return Err(SendError::Quarantined);
+    }
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server, time_left);
+    *watched = WatchedSend::begin(context, chosen);
     // From here on the server may have received the request.
     let head_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
     let fully_written = head_written
