Count crash reports on the leader, and let operators see and clear the quarantine

Members receive crash reports from entries and forward them to the leader.

GET and DELETE of /.curranthollow/quarantine on the operator address list the quarantine and release one request. The platform has no path for this, so its dialect uses the same one.

An incarnation crashes once, so a report of a known one never counts again, also after a success has cleared the request: copies arrive through several members with different delays.

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -1,13 +1,14 @@
 //! State of a control member: the Raft node, the replicated state, pending calls and the heartbeats
 //! of servers.
 
+mod quarantine;
+mod snapshot;
 mod upkeep;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
@@ -17,10 +18,11 @@
 use super::heard::HeartbeatTracker;
 use super::metrics::MemberMetrics;
 use super::peers::PeerLinks;
-use crate::consensus::message::{EntryBody, LogEntry, RaftMessage, SharedSnapshot};
+use crate::consensus::message::{EntryBody, LogEntry, RaftMessage};
 use crate::consensus::node::Proposal;
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
 use crate::fleet::announcement::IncarnationStart;
+use crate::fleet::crash::controller::{QuarantineController, ReportBatch};
 use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshnessNotice, LinkFrame, LinkMessage};
 use crate::fleet::placement::JoinRequests;
 use crate::fleet::state::{FleetCommand, FleetState};
@@ -28,9 +30,6 @@
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber, ZoneName};
 use crate::{log_info, log_warn};
 
-/// Number of log entries applied between two snapshots.
-const SNAPSHOT_ENTRIES: u64 = 512;
-
 /// Time after which a forwarded call without a reply is abandoned.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -80,6 +79,7 @@
     /// before it has a member list.
     sender_addresses: BTreeMap<MemberId, SocketAddr>,
     heartbeat_tracker: HeartbeatTracker,
+    quarantine: QuarantineController,
     leading_since: Option<Instant>,
     leader_seen_at: Option<Instant>,
     has_leader: watch::Sender<bool>,
@@ -131,6 +131,7 @@
             join_requests: JoinRequests::new(),
             sender_addresses: BTreeMap::new(),
             heartbeat_tracker: HeartbeatTracker::default(),
+            quarantine: QuarantineController::default(),
             leading_since: None,
             leader_seen_at: None,
             has_leader: watch::Sender::new(false),
@@ -215,6 +216,9 @@
             document_version: self.state.document().version,
             servers: self.state.servers().len(),
             entries: self.entries,
+            suspects: self.quarantine.ledger().suspects().count(),
+            quarantined: self.state.quarantine().len(),
+            quarantine_counts: self.quarantine.counts(),
         }
     }
 
@@ -242,6 +246,7 @@
         self.forwarded_calls
             .retain(|_, (sent_at, _)| now.duration_since(*sent_at) < FORWARD_TIMEOUT);
         self.propose_member_change(now);
+        self.tick_quarantine(now);
         if now >= self.next_report_at {
             self.next_report_at = now + REPORT_INTERVAL;
             self.report_heartbeats(now);
@@ -321,23 +326,16 @@
                     self.heartbeat_tracker.record_reported(now, &server, started);
                 }
             }
+            LinkMessage::Crashes(reports) => {
+                self.on_member_batch(now, ReportBatch::Crashes(reports));
+            }
+            LinkMessage::Served(digests) => {
+                self.on_member_batch(now, ReportBatch::Served(digests));
+            }
             _ => {}
         }
     }
 
-    /// Records a join request, or passes it to the leader: a joining member may know only followers.
-    fn on_join(&mut self, now: Instant, from: &ProcessName, name: ProcessName, member: MemberId) {
-        let leader = self.node.leader().filter(|leader| *leader != self.member);
-        if let Some(address) = leader.and_then(|leader| self.address_of(leader))
-            && *from == name
-        {
-            self.peers.send(address, &LinkMessage::Join { name, member });
-            return;
-        }
-        self.join_requests.insert(name, (member, now));
-        self.propose_member_change(now);
-    }
-
     fn on_raft(&mut self, now: Instant, message: RaftMessage) {
         self.handle(now, RaftEvent::Message(message));
         if self.node.role() == Role::Follower && self.node.leader().is_some() {
@@ -381,6 +379,7 @@
         for action in self.node.handle(now, event) {
             self.perform(now, action);
         }
+        self.follow_leader(now);
         let has_leader = self.node.role() == Role::Leader || self.node.leader().is_some();
         self.has_leader
             .send_if_modified(|had_leader| std::mem::replace(had_leader, has_leader) != has_leader);
@@ -473,37 +472,7 @@
             self.send_reply(waiter, if term == entry.term { done } else { CallOutcome::Unknown });
         }
         self.publish_revision();
-        if self.applied - self.snapshot_index >= SNAPSHOT_ENTRIES {
-            self.save_snapshot();
-        }
-    }
-
-    fn publish_revision(&mut self) {
-        self.updates.clear();
-        self.update_parts.clear();
-        self.revision.send_replace(self.applied);
-    }
-
-    fn save_snapshot(&mut self) {
-        let data = self.state.snapshot();
-        let Some(snapshot) = self.node.snapshot_at(self.applied, data) else { return };
-        self.snapshot_index = self.applied;
-        let snapshot = Arc::new(snapshot);
-        let _ = self.disk.send(DiskJob::Snapshot { snapshot, installed: false });
-    }
-
-    fn restore(&mut self, snapshot: &SharedSnapshot) {
-        match FleetState::restore(&snapshot.data) {
-            Ok(mut state) => {
-                state.advance(snapshot.index);
-                self.state = state;
-                self.applied = snapshot.index;
-                self.snapshot_index = snapshot.index;
-                self.publish_revision();
-                log_info!("snapshot_installed", "index={}", snapshot.index);
-            }
-            Err(error) => log_warn!("snapshot_unreadable", "error=\"{error}\""),
-        }
+        self.save_due_snapshot();
     }
 
     fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
--- a/src/fleet/control/core/upkeep.rs
+++ b/src/fleet/control/core/upkeep.rs
@@ -9,9 +9,29 @@
 use crate::fleet::link::{ForwardCall, LinkMessage};
 use crate::fleet::placement;
 use crate::fleet::state::FleetCommand;
+use crate::ids::{MemberId, ProcessName};
 use crate::log_info;
 
 impl ControlCore {
+    /// Records a join request, or passes it to the leader: a joining member may know only followers.
+    pub(super) fn on_join(
+        &mut self,
+        now: Instant,
+        from: &ProcessName,
+        name: ProcessName,
+        member: MemberId,
+    ) {
+        let leader = self.node.leader().filter(|leader| *leader != self.member);
+        if let Some(address) = leader.and_then(|leader| self.address_of(leader))
+            && *from == name
+        {
+            self.peers.send(address, &LinkMessage::Join { name, member });
+            return;
+        }
+        self.join_requests.insert(name, (member, now));
+        self.propose_member_change(now);
+    }
+
     pub(super) fn propose_member_change(&mut self, now: Instant) {
         let change =
             placement::next_change(&self.node, &self.join_requests, self.survivable_losses, now);
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep_until, timeout};
 
 use super::core::SharedCore;
+use crate::fleet::crash::controller::ReportBatch;
 use crate::fleet::link::{
     self, FollowMode, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter,
 };
@@ -117,9 +118,16 @@
                     self.next_notice = Instant::now();
                 }
                 message = reader.receive() => {
-                    if let LinkMessage::Follow { revision, mode, .. } = message? {
-                        (self.sent, self.mode) = (revision, mode);
-                        revision_due = None;
+                    match message? {
+                        LinkMessage::Follow { revision, mode, .. } => {
+                            (self.sent, self.mode) = (revision, mode);
+                            revision_due = None;
+                        }
+                        LinkMessage::Crashes(reports) => {
+                            self.report(ReportBatch::Crashes(reports));
+                        }
+                        LinkMessage::Served(digests) => self.report(ReportBatch::Served(digests)),
+                        _ => {}
                     }
                 }
                 () = sleep_until(wake_at.into()) => {}
@@ -127,6 +135,10 @@
         }
     }
 
+    fn report(&self, batch: ReportBatch) {
+        self.core.borrow_mut().on_entry_batch(Instant::now(), batch);
+    }
+
     async fn send_due_notice(&mut self) -> Result<(), LinkError> {
         let now = Instant::now();
         if now < self.next_notice {
--- a/src/fleet/control/metrics.rs
+++ b/src/fleet/control/metrics.rs
@@ -1,9 +1,11 @@
 //! Metrics of a control member.
 
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::fleet::crash::controller::QuarantineCounts;
 use crate::fleet::document::DocumentVersion;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS};
 use crate::ids::{LogIndex, TermNumber};
@@ -21,6 +23,10 @@
     pub servers: usize,
     /// Entries connected to this member.
     pub entries: u32,
+    /// Requests under suspicion, known to the leader only.
+    pub suspects: usize,
+    pub quarantined: usize,
+    pub quarantine_counts: QuarantineCounts,
 }
 
 impl MemberMetrics {
@@ -38,12 +44,31 @@
             ("document_version", "Version of the document held", self.document_version),
             ("servers", "Servers that are announced", self.servers as u64),
             ("entries", "Entries that follow this member", u64::from(self.entries)),
+            (
+                "suspects",
+                "Requests suspected of crashing servers, on the leader",
+                self.suspects as u64,
+            ),
+            ("quarantined", "Requests in quarantine", self.quarantined as u64),
         ];
         for (name, help, value) in gauges {
             let gauge: Gauge = Gauge::default();
             gauge.set(value.cast_signed());
             registry.register(name, help, gauge);
         }
+        let counts = &self.quarantine_counts;
+        let counters = [
+            ("crash_reports", "Crash reports received", counts.crash_reports),
+            ("served_reports", "Reports received that a suspect was served", counts.served_reports),
+            ("quarantine_convictions", "Requests put into quarantine", counts.convictions),
+            ("quarantine_refusals", "Convictions refused by a full quarantine", counts.refusals),
+            ("quarantine_releases", "Requests released from quarantine", counts.releases),
+        ];
+        for (name, help, value) in counters {
+            let counter: Counter = Counter::default();
+            counter.inc_by(value);
+            registry.register(name, help, counter);
+        }
         process_metrics::encode(&registry)
     }
 }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -8,6 +8,7 @@
 mod metrics;
 mod operator;
 mod peers;
+mod quarantine_list;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -8,6 +8,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::core::SharedCore;
+use super::quarantine_list::{QuarantineList, parse_digest};
 use crate::fleet::announcement::{ServerAnnouncement, ServerState};
 use crate::fleet::dialect::{OperatorCall, WireDialect};
 use crate::fleet::document::RouteDocument;
@@ -139,6 +140,8 @@
             OperatorCall::Leave(server) => self.leave(server, body).await,
             OperatorCall::PutDocument => self.put_document(body).await,
             OperatorCall::GetDocument => self.get_document().await,
+            OperatorCall::GetQuarantine => self.get_quarantine(),
+            OperatorCall::Release(digest) => self.release(&digest).await,
             OperatorCall::Unknown => self.failure(404, "no such call"),
         }
     }
@@ -238,6 +241,23 @@
         response
     }
 
+    fn get_quarantine(&self) -> CallResponse {
+        let list = QuarantineList::of(&self.core.borrow(), Instant::now());
+        let body = serde_json::to_vec(&list).expect("writing to memory does not fail");
+        CallResponse { status: 200, body }
+    }
+
+    async fn release(&self, text: &str) -> CallResponse {
+        let Some(digest) = parse_digest(text) else {
+            return self.failure(400, "the digest is not a hexadecimal number of 128 bits");
+        };
+        if !self.core.borrow().state().quarantine().contains_key(&digest) {
+            return self.failure(404, "this request is not in quarantine");
+        }
+        log_info!("release_requested", "digest={digest:032x}");
+        self.commit(&FleetCommand::Release(vec![digest])).await
+    }
+
     /// Returns the current document. This is a linearizable read: it fails unless a majority confirms
     /// the leader.
     async fn get_document(&self) -> CallResponse {
--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -24,6 +24,10 @@
 /// released at once.
 const MAX_PROBATIONS: usize = 1024;
 
+/// Maximum number of incarnations that are remembered for one suspect: a failing rack takes several
+/// servers that ran the same request.
+const MAX_INCARNATIONS: usize = 16;
+
 /// Tolerance when the start of a send is compared with an earlier crash, because both times are
 /// estimated from the arrival of reports that travel for different times.
 const START_TOLERANCE: Duration = Duration::from_millis(20);
@@ -42,31 +46,47 @@
     Concurrent,
 }
 
+/// Crash of one incarnation. It is remembered while it can be reported again.
+#[derive(Debug, Clone, Copy)]
+struct CrashEvidence {
+    until: Instant,
+    /// Whether it counts against the request.
+    counts: bool,
+}
+
 /// Evidence against one request.
 #[derive(Debug, Clone)]
 pub struct SuspectRecord {
-    /// Incarnations that crashed, with the time until which this is evidence.
-    crashes: BTreeMap<(ServerId, IncarnationStart), Instant>,
-    /// Time of the last counted crash. It stays when a success clears the request, because other
-    /// reports of the same crash may follow.
+    crashes: BTreeMap<(ServerId, IncarnationStart), CrashEvidence>,
+    /// Time of the last counted crash. It stays when a success clears the request.
     last_crash: Instant,
 }
 
 impl SuspectRecord {
     /// Incarnations whose crashes count.
     pub fn incarnations(&self) -> impl Iterator<Item = (&ServerId, IncarnationStart)> {
-        self.crashes.keys().map(|(server, started)| (server, *started))
+        let counted = self.crashes.iter().filter(|(_, evidence)| evidence.counts);
+        counted.map(|((server, started), _)| (server, *started))
     }
 
-    fn remove_oldest(&mut self) {
-        let oldest = self.crashes.iter().min_by_key(|(_, until)| **until);
-        let oldest = oldest.map(|(incarnation, _)| incarnation.clone());
-        oldest.and_then(|incarnation| self.crashes.remove(&incarnation));
+    /// Number of crashes that count.
+    pub fn count(&self) -> usize {
+        self.incarnations().count()
+    }
+
+    fn insert(&mut self, incarnation: (ServerId, IncarnationStart), evidence: CrashEvidence) {
+        if self.crashes.len() >= MAX_INCARNATIONS {
+            let crashes = self.crashes.iter();
+            let oldest = crashes.min_by_key(|(_, evidence)| (evidence.counts, evidence.until));
+            let oldest = oldest.map(|(incarnation, _)| incarnation.clone());
+            oldest.and_then(|incarnation| self.crashes.remove(&incarnation));
+        }
+        self.crashes.insert(incarnation, evidence);
     }
 
     /// Removes evidence that is too old; returns whether the record is still needed.
     fn expire(&mut self, now: Instant) -> bool {
-        self.crashes.retain(|_, until| now < *until);
+        self.crashes.retain(|_, evidence| now < evidence.until);
         now.saturating_duration_since(self.last_crash) < EVIDENCE_LIFETIME
     }
 }
@@ -89,12 +109,14 @@
             return CrashFinding::Concurrent;
         }
         let incarnation = (report.server.clone(), report.started);
+        let until = crashed_at + EVIDENCE_LIFETIME;
         if let Some(record) = self.records.get_mut(&digest) {
             record.expire(now);
             if record.crashes.contains_key(&incarnation) {
                 return CrashFinding::Repeated;
             }
             if sent_at + START_TOLERANCE < record.last_crash {
+                record.insert(incarnation, CrashEvidence { until, counts: false });
                 return CrashFinding::Concurrent;
             }
         } else if self.records.len() >= MAX_SUSPECTS {
@@ -104,12 +126,9 @@
             .records
             .entry(digest)
             .or_insert_with(|| SuspectRecord { crashes: BTreeMap::new(), last_crash: crashed_at });
-        record.crashes.insert(incarnation, crashed_at + EVIDENCE_LIFETIME);
-        if record.crashes.len() > CONVICTION_CRASHES {
-            record.remove_oldest();
-        }
+        record.insert(incarnation, CrashEvidence { until, counts: true });
         record.last_crash = record.last_crash.max(crashed_at);
-        let crashes = record.crashes.len();
+        let crashes = record.count();
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
         if crashes >= CONVICTION_CRASHES || on_probation {
             return CrashFinding::Convicted;
@@ -121,17 +140,25 @@
     pub fn record_served(&mut self, digest: RequestDigest) -> bool {
         let was_on_probation = self.probations.remove(&digest).is_some();
         let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
-        if record.crashes.len() >= CONVICTION_CRASHES {
+        let crashes = record.count();
+        if crashes >= CONVICTION_CRASHES {
             return was_on_probation;
         }
-        let was_suspect = !record.crashes.is_empty();
-        record.crashes.clear();
-        was_suspect || was_on_probation
+        for evidence in record.crashes.values_mut() {
+            evidence.counts = false;
+        }
+        crashes > 0 || was_on_probation
     }
 
     /// Number of crashes that count against the request.
     pub fn counted_crashes(&self, digest: RequestDigest) -> usize {
-        self.records.get(&digest).map_or(0, |record| record.crashes.len())
+        self.records.get(&digest).map_or(0, SuspectRecord::count)
+    }
+
+    /// Incarnations that crashed under the request and count.
+    pub fn crashed_servers(&self, digest: RequestDigest) -> Vec<(ServerId, IncarnationStart)> {
+        let Some(record) = self.records.get(&digest) else { return Vec::new() };
+        record.incarnations().map(|(server, started)| (server.clone(), started)).collect()
     }
 
     /// Starts the probation of a released request; earlier evidence against it is dropped.
@@ -159,7 +186,7 @@
 
     /// Requests with at least one counted crash.
     pub fn suspects(&self) -> impl Iterator<Item = (RequestDigest, &SuspectRecord)> {
-        let records = self.records.iter().filter(|(_, record)| !record.crashes.is_empty());
+        let records = self.records.iter().filter(|(_, record)| record.count() > 0);
         records.map(|(digest, record)| (*digest, record))
     }
 
--- a/src/fleet/crash/mod.rs
+++ b/src/fleet/crash/mod.rs
@@ -1,5 +1,6 @@
 //! Requests that crash the servers that run them: their identity, and the evidence against them.
 
+pub mod controller;
 mod digest;
 mod ledger;
 
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -30,8 +30,13 @@
     pub document: &'static str,
     /// Prefix that is followed by a server id.
     pub servers: &'static str,
+    /// List of the requests in quarantine; followed by `/` and a digest for a release.
+    pub quarantine: &'static str,
 }
 
+/// Path of the quarantine. The platform has no path of its own for it.
+pub const QUARANTINE_PATH: &str = "/.curranthollow/quarantine";
+
 /// Call to the operator address of a control member.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OperatorCall {
@@ -39,6 +44,9 @@
     Leave(ServerId),
     PutDocument,
     GetDocument,
+    GetQuarantine,
+    /// Releases a request; the text should be a digest in hexadecimal.
+    Release(Box<str>),
     Unknown,
 }
 
@@ -57,7 +65,14 @@
     fn operator_call(&self, method: &str, path: &str) -> OperatorCall {
         let paths = self.paths();
         let server = path.strip_prefix(paths.servers).filter(|server| !server.is_empty());
+        let digest = path.strip_prefix(paths.quarantine).and_then(|rest| rest.strip_prefix('/'));
+        if let Some(digest) = digest.filter(|digest| !digest.is_empty())
+            && method == "DELETE"
+        {
+            return OperatorCall::Release(digest.into());
+        }
         match (method, server) {
+            ("GET", _) if path == paths.quarantine => OperatorCall::GetQuarantine,
             ("PUT", _) if path == paths.document => OperatorCall::PutDocument,
             ("GET", _) if path == paths.document => OperatorCall::GetDocument,
             ("PUT", Some(server)) => OperatorCall::Announce(server.into()),
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use super::announcement::{AnnouncementError, IncarnationStart, ServerAnnouncement, ServerState};
-use super::dialect::{CallPaths, HeaderNames, WireDialect};
+use super::dialect::{CallPaths, HeaderNames, QUARANTINE_PATH, WireDialect};
 use super::document::{
     CallerLimits, DocumentError, Repetition, RouteDocument, RouteRule, ServiceRule,
 };
@@ -26,6 +26,7 @@
     readiness: "/.curranthollow/ready",
     document: "/.curranthollow/document",
     servers: "/.curranthollow/servers/",
+    quarantine: QUARANTINE_PATH,
 };
 
 /// The project's own wire dialect.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod caller;
 mod config_file;
+mod crash_ledger;
 mod entry;
 mod harness;
 mod held_bytes;
@@ -11,6 +12,8 @@
 mod members;
 #[path = "../common/mutation.rs"]
 mod mutation;
+mod quarantine_operator;
+mod quarantine_state;
 mod routes;
 mod slow_member;
 mod state;
