--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod config_file;
 mod crash_evidence;
+mod crash_ledger;
 mod crash_server;
 mod crash_watch;
 mod entry;
@@ -14,6 +15,8 @@
 mod members;
 #[path = "../common/mutation.rs"]
 mod mutation;
+mod quarantine_operator;
+mod quarantine_state;
 mod routes;
 mod slow_member;
 mod state;
