--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -140,6 +140,18 @@
     assert_eq!(system.entries[0].metric("entry_suspect_requests"), 0);
 }
 
+/// Guards against a crash that is missed because the server was back before it was checked.
+#[test]
+fn a_new_incarnation_after_a_lost_connection_is_a_crash() {
+    let system = CrashSystem::start(1);
+    let [entry, _] = &system.entries;
+    assert_eq!(call(entry.traffic, "POST", "/book/1", RESET).0, 502);
+    assert_eq!(system.crash_reports(), 0);
+    announce(&system.fleet, "s0", &announcement(system.servers[0].address, false, 2, 1));
+    wait_for("the crash to be reported", || system.crash_reports() == 1);
+    assert_eq!(entry.metric("entry_suspect_requests"), 1);
+}
+
 /// Guards against crash reports about servers that respond with garbage.
 #[test]
 fn an_invalid_response_is_no_crash() {
