Separate crashing requests from their neighbours in a seeded model

The model runs entries, members and servers without a network: one or two crashing requests, innocent ones beside them, failing racks, flapping servers, lost and late reports, leader changes and cut links. It showed innocent requests in quarantine, which callers would have seen as refused:

- A new leader got held reports of several members in an order that no single member had seen; a member now drops held evidence that a success cleared.
- A request that is resent at once met several servers of one failing rack; at most two crashes within 50 ms count now.
A minimum spacing of 50 ms between any two was tried and ruled out: a request that crashes servers within 5 ms was then sent four times after the third.
- A crash that a convicted request explains no longer counts against others.

--- a/src/fleet/crash/controller.rs
+++ b/src/fleet/crash/controller.rs
@@ -197,6 +197,12 @@
             ReportBatch::Served(digests) => {
                 digests.truncate(MAX_MESSAGE_REPORTS);
                 self.counts.served_reports += digests.len() as u64;
+                // Cleared evidence must not reach the next leader: reports that several members hold
+                // arrive there in any order.
+                self.held.retain(|(_, held)| match held {
+                    HeldReport::Crash(report) => !digests.contains(&report.digest),
+                    HeldReport::Served(_) => true,
+                });
                 let digests = digests.iter().map(|digest| HeldReport::Served(*digest));
                 self.held.extend(digests.map(|digest| (now, digest)));
             }
@@ -344,6 +350,7 @@
     ) -> Option<QuarantineEvent> {
         let digest = report.digest;
         if quarantine.contains_key(&digest) || self.proposed.contains_key(&digest) {
+            self.ledger.explain(digest, report.server, report.started);
             return None;
         }
         match self.ledger.record_crash(now, &report) {
--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -1,6 +1,6 @@
 //! Evidence against requests: counts the crashes under each and decides on quarantine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::CrashReport;
@@ -32,6 +32,14 @@
 /// estimated from the arrival of reports that travel for different times.
 const START_TOLERANCE: Duration = Duration::from_millis(20);
 
+/// Time in which at most two crashes count against a request: the send of an entry and its retry. The
+/// servers of a failing rack end one after the other, and a request that is resent at once can meet
+/// several of them.
+const BURST_WINDOW: Duration = Duration::from_millis(50);
+
+/// Maximum number of crashes that are remembered as explained; the oldest goes first.
+const MAX_EXPLAINED: usize = 256;
+
 /// What one report changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashFinding {
@@ -41,8 +49,8 @@
     Convicted,
     /// This crash is counted already.
     Repeated,
-    /// The send began before the last counted crash of the request: the servers may have failed
-    /// together. Also the finding on a crash that is too old to be evidence.
+    /// The send began before the last counted crash of the request, or two crashes count shortly before
+    /// this one: the servers may have failed together. Or a convicted request explains the crash. Also the finding on a crash that is too old to be evidence.
     Concurrent,
 }
 
@@ -60,6 +68,8 @@
     crashes: BTreeMap<(ServerId, IncarnationStart), CrashEvidence>,
     /// Time of the last counted crash. It stays when a success clears the request.
     last_crash: Instant,
+    /// Time of the counted crash before the last one.
+    crashed_before_last: Option<Instant>,
 }
 
 impl SuspectRecord {
@@ -97,6 +107,8 @@
     records: BTreeMap<RequestDigest, SuspectRecord>,
     /// Released requests, with the end of their probation.
     probations: BTreeMap<RequestDigest, Instant>,
+    /// Incarnations that crashed under convicted requests: no evidence against others.
+    explained: VecDeque<(ServerId, IncarnationStart)>,
 }
 
 impl CrashLedger {
@@ -115,27 +127,63 @@
             if record.crashes.contains_key(&incarnation) {
                 return CrashFinding::Repeated;
             }
-            if sent_at + START_TOLERANCE < record.last_crash {
+            let is_concurrent = sent_at + START_TOLERANCE < record.last_crash
+                || record
+                    .crashed_before_last
+                    .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
+            let is_explained =
+                record.count() < CONVICTION_CRASHES && self.explained.contains(&incarnation);
+            if is_concurrent || is_explained {
                 record.insert(incarnation, CrashEvidence { until, counts: false });
                 return CrashFinding::Concurrent;
             }
+        } else if self.explained.contains(&incarnation) {
+            return CrashFinding::Concurrent;
         } else if self.records.len() >= MAX_SUSPECTS {
             self.remove_oldest();
         }
-        let record = self
-            .records
-            .entry(digest)
-            .or_insert_with(|| SuspectRecord { crashes: BTreeMap::new(), last_crash: crashed_at });
+        let record = self.records.entry(digest).or_insert_with(|| SuspectRecord {
+            crashes: BTreeMap::new(),
+            last_crash: crashed_at,
+            crashed_before_last: None,
+        });
+        if !record.crashes.is_empty() {
+            record.crashed_before_last = Some(record.last_crash);
+        }
         record.insert(incarnation, CrashEvidence { until, counts: true });
         record.last_crash = record.last_crash.max(crashed_at);
         let crashes = record.count();
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
         if crashes >= CONVICTION_CRASHES || on_probation {
+            for (server, started) in self.crashed_servers(digest) {
+                self.explain(digest, server, started);
+            }
             return CrashFinding::Convicted;
         }
         CrashFinding::Suspected { crashes }
     }
 
+    /// Records that an incarnation crashed under a convicted request: the crash no longer counts against
+    /// requests that ran beside it.
+    pub fn explain(&mut self, digest: RequestDigest, server: ServerId, started: IncarnationStart) {
+        let incarnation = (server, started);
+        if self.explained.contains(&incarnation) {
+            return;
+        }
+        for (other, record) in &mut self.records {
+            if *other == digest || record.count() >= CONVICTION_CRASHES {
+                continue;
+            }
+            if let Some(evidence) = record.crashes.get_mut(&incarnation) {
+                evidence.counts = false;
+            }
+        }
+        if self.explained.len() >= MAX_EXPLAINED {
+            self.explained.pop_front();
+        }
+        self.explained.push_back(incarnation);
+    }
+
     /// Records that a server completed the request; returns whether it was a suspect or on probation.
     pub fn record_served(&mut self, digest: RequestDigest) -> bool {
         let was_on_probation = self.probations.remove(&digest).is_some();
--- a/src/fleet/crash/mod.rs
+++ b/src/fleet/crash/mod.rs
@@ -17,6 +17,10 @@
 use crate::ids::{RequestDigest, ServerId};
 
 /// Evidence of one entry: a server crashed while it ran a request.
+///
+/// An entry sends a report only if it counts in the entry's own ledger ([`CrashFinding::Suspected`] or
+/// [`CrashFinding::Convicted`]): that ledger knows best which sends and successes of the entry came
+/// before others.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     pub digest: RequestDigest,
--- a/tests/fleet/crash_ledger.rs
+++ b/tests/fleet/crash_ledger.rs
@@ -67,6 +67,7 @@
     one_crash_told_by_three_entries = { &[(100, Crash("a", 1, 90, 0)), (300, Crash("a", 1, 90, 0)), (500, Crash("a", 1, 90, 0))], &[Suspected { crashes: 1 }, Repeated, Repeated], 1 },
     a_rack_fails = { &[(100, Crash("a", 1, 90, 0)), (101, Crash("b", 1, 50, 0)), (102, Crash("c", 1, 200, 0))], &[Suspected { crashes: 1 }, Concurrent, Concurrent], 1 },
     a_rack_fails_and_reports_are_late = { &[(100, Crash("a", 1, 90, 0)), (1900, Crash("b", 1, 50, 1800)), (2100, Crash("c", 1, 60, 2000))], &[Suspected { crashes: 1 }, Concurrent, Concurrent], 1 },
+    resent_into_a_failing_rack = { &[(100, Crash("a", 1, 90, 0)), (110, Crash("b", 1, 7, 0)), (149, Crash("c", 1, 30, 0)), (150, Crash("d", 1, 30, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }, Concurrent, Convicted], 3 },
     resent_at_once_after_a_late_report = { &[(1100, Crash("a", 1, 90, 1000)), (1200, Crash("b", 1, 90, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }], 2 },
     within_the_tolerance = { &[(100, Crash("a", 1, 90, 0)), (200, Crash("b", 1, 120, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }], 2 },
     beyond_the_tolerance = { &[(100, Crash("a", 1, 90, 0)), (200, Crash("b", 1, 121, 0))], &[Suspected { crashes: 1 }, Concurrent], 1 },
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod caller;
 mod config_file;
 mod crash_ledger;
+mod crash_model;
 mod entry;
 mod harness;
 mod held_bytes;
