--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -11,6 +11,9 @@
 /// running, so one or two are no proof.
 pub const CONVICTION_CRASHES: usize = 3;
 
+/// The same for a request that a server has completed since an earlier crash: it ran beside the cause.
+pub const CLEARED_CONVICTION_CRASHES: usize = 6;
+
 /// Time for which a counted crash is evidence.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -70,6 +73,8 @@
     last_crash: Instant,
     /// Time of the counted crash before the last one.
     crashed_before_last: Option<Instant>,
+    /// Whether a success has cleared the request since the record began.
+    was_cleared: bool,
 }
 
 impl SuspectRecord {
@@ -84,6 +89,11 @@
         self.incarnations().count()
     }
 
+    fn is_convicted(&self) -> bool {
+        let limit = if self.was_cleared { CLEARED_CONVICTION_CRASHES } else { CONVICTION_CRASHES };
+        self.count() >= limit
+    }
+
     fn insert(&mut self, incarnation: (ServerId, IncarnationStart), evidence: CrashEvidence) {
         if self.crashes.len() >= MAX_INCARNATIONS {
             let crashes = self.crashes.iter();
@@ -131,8 +141,7 @@
                 || record
                     .crashed_before_last
                     .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
-            let is_explained =
-                record.count() < CONVICTION_CRASHES && self.explained.contains(&incarnation);
+            let is_explained = !record.is_convicted() && self.explained.contains(&incarnation);
             if is_concurrent || is_explained {
                 record.insert(incarnation, CrashEvidence { until, counts: false });
                 return CrashFinding::Concurrent;
@@ -146,6 +155,7 @@
             crashes: BTreeMap::new(),
             last_crash: crashed_at,
             crashed_before_last: None,
+            was_cleared: false,
         });
         if !record.crashes.is_empty() {
             record.crashed_before_last = Some(record.last_crash);
@@ -154,7 +164,7 @@
         record.last_crash = record.last_crash.max(crashed_at);
         let crashes = record.count();
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
-        if crashes >= CONVICTION_CRASHES || on_probation {
+        if record.is_convicted() || on_probation {
             for (server, started) in self.crashed_servers(digest) {
                 self.explain(digest, server, started);
             }
@@ -171,7 +181,7 @@
             return;
         }
         for (other, record) in &mut self.records {
-            if *other == digest || record.count() >= CONVICTION_CRASHES {
+            if *other == digest || record.is_convicted() {
                 continue;
             }
             if let Some(evidence) = record.crashes.get_mut(&incarnation) {
@@ -189,9 +199,10 @@
         let was_on_probation = self.probations.remove(&digest).is_some();
         let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
         let crashes = record.count();
-        if crashes >= CONVICTION_CRASHES {
+        if record.is_convicted() {
             return was_on_probation;
         }
+        record.was_cleared |= crashes > 0;
         for evidence in record.crashes.values_mut() {
             evidence.counts = false;
         }
--- a/src/fleet/crash/mod.rs
+++ b/src/fleet/crash/mod.rs
@@ -10,8 +10,8 @@
 
 pub use self::digest::request_digest;
 pub use self::ledger::{
-    CONVICTION_CRASHES, CrashFinding, CrashLedger, EVIDENCE_LIFETIME, MAX_SUSPECTS,
-    PROBATION_LIFETIME, SuspectRecord,
+    CLEARED_CONVICTION_CRASHES, CONVICTION_CRASHES, CrashFinding, CrashLedger, EVIDENCE_LIFETIME,
+    MAX_SUSPECTS, PROBATION_LIFETIME, SuspectRecord,
 };
 use super::announcement::IncarnationStart;
 use crate::ids::{RequestDigest, ServerId};
--- a/tests/fleet/crash_ledger.rs
+++ b/tests/fleet/crash_ledger.rs
@@ -72,6 +72,7 @@
     within_the_tolerance = { &[(100, Crash("a", 1, 90, 0)), (200, Crash("b", 1, 120, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }], 2 },
     beyond_the_tolerance = { &[(100, Crash("a", 1, 90, 0)), (200, Crash("b", 1, 121, 0))], &[Suspected { crashes: 1 }, Concurrent], 1 },
     served_in_between = { &[(100, Crash("a", 1, 90, 0)), (300, Crash("b", 1, 90, 0)), (400, Served), (600, Crash("c", 1, 90, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }, Suspected { crashes: 1 }], 1 },
+    served_between_crashes_of_others = { &[(0, Crash("z", 1, 9, 0)), (50, Served), (100, Crash("a", 1, 9, 0)), (300, Crash("b", 1, 9, 0)), (500, Crash("c", 1, 9, 0)), (700, Crash("d", 1, 9, 0)), (900, Crash("e", 1, 9, 0)), (1100, Crash("f", 1, 9, 0))], &[Suspected { crashes: 1 }, Suspected { crashes: 1 }, Suspected { crashes: 2 }, Suspected { crashes: 3 }, Suspected { crashes: 4 }, Suspected { crashes: 5 }, Convicted], 6 },
     told_again_after_served = { &[(100, Crash("a", 1, 90, 0)), (200, Served), (300, Crash("a", 1, 90, 0))], &[Suspected { crashes: 1 }, Repeated], 0 },
     told_again_after_concurrent = { &[(100, Crash("a", 1, 90, 0)), (101, Crash("b", 1, 90, 0)), (400, Crash("b", 1, 90, 0))], &[Suspected { crashes: 1 }, Concurrent, Repeated], 1 },
     served_after_conviction = { &[(100, Crash("a", 1, 9, 0)), (300, Crash("b", 1, 9, 0)), (500, Crash("c", 1, 9, 0)), (600, Served)], &[Suspected { crashes: 1 }, Suspected { crashes: 2 }, Convicted], 3 },
@@ -114,6 +115,25 @@
     assert!(ledger.crashed_servers(5).len() <= 16);
 }
 
+/// Guards against innocent requests that are convicted on crashes that a convicted request explains.
+#[test]
+fn a_convicted_request_explains_its_crashes() {
+    let mut now = Instant::now();
+    let mut ledger = CrashLedger::default();
+    for server in ["a", "b"] {
+        now += Duration::from_secs(1);
+        for digest in [1, 2] {
+            ledger.record_crash(now, &report(digest, server, 1, 90, 0));
+        }
+    }
+    now += Duration::from_secs(1);
+    assert_eq!(ledger.record_crash(now, &report(1, "c", 1, 90, 0)), Convicted);
+    assert_eq!(ledger.counted_crashes(1), 3);
+    assert_eq!(ledger.counted_crashes(2), 0);
+    assert_eq!(ledger.record_crash(now, &report(2, "c", 1, 90, 0)), Concurrent);
+    assert_eq!(ledger.record_crash(now, &report(3, "c", 1, 90, 0)), Concurrent);
+}
+
 fn digest_of(head: &str, body: &str) -> RequestDigest {
     let head = head.replace('\n', "\r\n") + "\r\n\r\n";
     let parsed = RequestHead::parse(head.as_bytes(), &HttpLimits::default());
