--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -1,6 +1,6 @@
 //! Evidence against requests: counts the crashes under each and decides on quarantine.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::CrashReport;
@@ -11,6 +11,9 @@
 /// running, so one or two are no proof.
 pub const CONVICTION_CRASHES: usize = 3;
 
+/// The same for a request that a server has completed since an earlier crash: it ran beside the cause.
+pub const CLEARED_CONVICTION_CRASHES: usize = 6;
+
 /// Time for which a counted crash is evidence.
 pub const EVIDENCE_LIFETIME: Duration = Duration::from_secs(60);
 
@@ -32,6 +35,14 @@
 /// estimated from the arrival of reports that travel for different times.
 const START_TOLERANCE: Duration = Duration::from_millis(20);
 
+/// Time in which at most two crashes count against a request: the send of an entry and its retry. The
+/// servers of a failing rack end one after the other, and a request that is resent at once can meet
+/// several of them.
+const BURST_WINDOW: Duration = Duration::from_millis(50);
+
+/// Maximum number of crashes that are remembered as explained; the oldest goes first.
+const MAX_EXPLAINED: usize = 256;
+
 /// What one report changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashFinding {
@@ -41,8 +52,8 @@
     Convicted,
     /// This crash is counted already.
     Repeated,
-    /// The send began before the last counted crash of the request: the servers may have failed
-    /// together. Also the finding on a crash that is too old to be evidence.
+    /// The send began before the last counted crash of the request, or two crashes count shortly before
+    /// this one: the servers may have failed together. Or a convicted request explains the crash. Also the finding on a crash that is too old to be evidence.
     Concurrent,
 }
 
@@ -60,6 +71,10 @@
     crashes: BTreeMap<(ServerId, IncarnationStart), CrashEvidence>,
     /// Time of the last counted crash. It stays when a success clears the request.
     last_crash: Instant,
+    /// Time of the counted crash before the last one.
+    crashed_before_last: Option<Instant>,
+    /// Whether a success has cleared the request since the record began.
+    was_cleared: bool,
 }
 
 impl SuspectRecord {
@@ -74,6 +89,11 @@
         self.incarnations().count()
     }
 
+    fn is_convicted(&self) -> bool {
+        let limit = if self.was_cleared { CLEARED_CONVICTION_CRASHES } else { CONVICTION_CRASHES };
+        self.count() >= limit
+    }
+
     fn insert(&mut self, incarnation: (ServerId, IncarnationStart), evidence: CrashEvidence) {
         if self.crashes.len() >= MAX_INCARNATIONS {
             let crashes = self.crashes.iter();
@@ -97,6 +117,8 @@
     records: BTreeMap<RequestDigest, SuspectRecord>,
     /// Released requests, with the end of their probation.
     probations: BTreeMap<RequestDigest, Instant>,
+    /// Incarnations that crashed under convicted requests: no evidence against others.
+    explained: VecDeque<(ServerId, IncarnationStart)>,
 }
 
 impl CrashLedger {
@@ -115,35 +137,72 @@
             if record.crashes.contains_key(&incarnation) {
                 return CrashFinding::Repeated;
             }
-            if sent_at + START_TOLERANCE < record.last_crash {
+            let is_concurrent = sent_at + START_TOLERANCE < record.last_crash
+                || record
+                    .crashed_before_last
+                    .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
+            let is_explained = !record.is_convicted() && self.explained.contains(&incarnation);
+            if is_concurrent || is_explained {
                 record.insert(incarnation, CrashEvidence { until, counts: false });
                 return CrashFinding::Concurrent;
             }
+        } else if self.explained.contains(&incarnation) {
+            return CrashFinding::Concurrent;
         } else if self.records.len() >= MAX_SUSPECTS {
             self.remove_oldest();
         }
-        let record = self
-            .records
-            .entry(digest)
-            .or_insert_with(|| SuspectRecord { crashes: BTreeMap::new(), last_crash: crashed_at });
+        let record = self.records.entry(digest).or_insert_with(|| SuspectRecord {
+            crashes: BTreeMap::new(),
+            last_crash: crashed_at,
+            crashed_before_last: None,
+            was_cleared: false,
+        });
+        if !record.crashes.is_empty() {
+            record.crashed_before_last = Some(record.last_crash);
+        }
         record.insert(incarnation, CrashEvidence { until, counts: true });
         record.last_crash = record.last_crash.max(crashed_at);
         let crashes = record.count();
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
-        if crashes >= CONVICTION_CRASHES || on_probation {
+        if record.is_convicted() || on_probation {
+            for (server, started) in self.crashed_servers(digest) {
+                self.explain(digest, server, started);
+            }
             return CrashFinding::Convicted;
         }
         CrashFinding::Suspected { crashes }
     }
 
+    /// Records that an incarnation crashed under a convicted request: the crash no longer counts against
+    /// requests that ran beside it.
+    pub fn explain(&mut self, digest: RequestDigest, server: ServerId, started: IncarnationStart) {
+        let incarnation = (server, started);
+        if self.explained.contains(&incarnation) {
+            return;
+        }
+        for (other, record) in &mut self.records {
+            if *other == digest || record.is_convicted() {
+                continue;
+            }
+            if let Some(evidence) = record.crashes.get_mut(&incarnation) {
+                evidence.counts = false;
+            }
+        }
+        if self.explained.len() >= MAX_EXPLAINED {
+            self.explained.pop_front();
+        }
+        self.explained.push_back(incarnation);
+    }
+
     /// Records that a server completed the request; returns whether it was a suspect or on probation.
     pub fn record_served(&mut self, digest: RequestDigest) -> bool {
         let was_on_probation = self.probations.remove(&digest).is_some();
         let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
         let crashes = record.count();
-        if crashes >= CONVICTION_CRASHES {
+        if record.is_convicted() {
             return was_on_probation;
         }
+        record.was_cleared |= crashes > 0;
         for evidence in record.crashes.values_mut() {
             evidence.counts = false;
         }
