--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use prometheus_client::metrics::gauge::Gauge;
 use tokio::sync::watch;
 use tokio::time::timeout_at;
 
+use super::activity::ActiveRequests;
 use super::connections::ConnectionPool;
 use super::metrics::EntryMetrics;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
@@ -27,14 +27,20 @@
 use crate::log_info;
 use crate::suspension::{SuspensionWatch, suspended_time};
 
+/// Factor by which the longest relay time of a service shrinks with each response. A caller that reads
+/// slowly is forgotten after some fifty responses.
+const RELAY_TIME_DECAY: f64 = 0.95;
+
 /// Phase of an entry's life cycle.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EntryPhase {
     Serving,
     /// Requests are still served, and each connection is closed after its next response.
     Stopping,
     /// No connection is accepted, and idle connections are closed.
     Closing,
+    /// The entry is about to exit: requests that have not arrived completely are refused.
+    Ending,
 }
 
 /// Shared state of an entry.
@@ -47,7 +53,7 @@
     pub connections: ConnectionPool,
     pub metrics: EntryMetrics,
     /// Requests whose responses have not been written completely.
-    pub active_requests: Gauge,
+    pub active_requests: Rc<ActiveRequests>,
     /// Bodies of requests that are being received or processed.
     pub held_bytes: HeldBytes,
     pub state: RefCell<FleetReplica>,
@@ -59,6 +65,10 @@
     balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entry_count: Cell<u32>,
+    /// Time at which the entry exits, once it is stopping.
+    stop_end: Cell<Option<Instant>>,
+    /// Longest recent time between a response and the end of its relay, by service.
+    relay_times: RefCell<BTreeMap<ServiceName, Duration>>,
     suspension_watch: Cell<SuspensionWatch>,
     /// Whether a member has confirmed the state since the machine was last suspended.
     state_confirmed: watch::Sender<bool>,
@@ -78,7 +88,7 @@
             phase: watch::Sender::new(EntryPhase::Serving),
             connections: ConnectionPool::default(),
             metrics: EntryMetrics::default(),
-            active_requests: Gauge::default(),
+            active_requests: Rc::default(),
             held_bytes: HeldBytes::default(),
             state: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
@@ -89,6 +99,8 @@
             budgets: RefCell::default(),
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
+            stop_end: Cell::default(),
+            relay_times: RefCell::default(),
             suspension_watch: Cell::new(SuspensionWatch::new(suspended_time())),
             state_confirmed: watch::Sender::new(true),
         })
@@ -154,6 +166,26 @@
         self.has_route_table() && *self.phase.borrow() == EntryPhase::Serving
     }
 
+    /// Starts a planned stop, at the end of which the entry exits.
+    pub fn begin_stop(&self, end: Instant) {
+        self.stop_end.set(Some(end));
+        self.phase.send_replace(EntryPhase::Stopping);
+    }
+
+    /// Whether a request of this service with the given deadline is certain to have its response before
+    /// the entry exits.
+    pub fn can_finish(&self, service: &ServiceName, deadline: Instant) -> bool {
+        let relay_time = || self.relay_times.borrow().get(service).copied().unwrap_or_default();
+        self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
+    }
+
+    /// Records how long the relay of a response took.
+    pub fn record_relay(&self, service: &ServiceName, elapsed: Duration) {
+        let mut relay_times = self.relay_times.borrow_mut();
+        let longest = relay_times.get(service).copied().unwrap_or_default();
+        relay_times.insert(service.clone(), elapsed.max(longest.mul_f64(RELAY_TIME_DECAY)));
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() != EntryPhase::Serving
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep_until;
 
+use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
@@ -67,6 +68,8 @@
     pub received_at: Instant,
     /// Counts the body as held.
     pub share: HeldShare,
+    /// Counts the request as active.
+    pub progress: Rc<RequestProgress>,
 }
 
 /// Response to a caller.
@@ -96,6 +99,12 @@
         Self::not_run("too many request bodies", OVERLOAD_RETRY_AFTER, Duration::from_secs(5))
     }
 
+    /// Creates the response to a request that a stopping entry may be unable to finish. Another entry
+    /// can serve it at once.
+    pub fn stopping() -> Self {
+        Self::not_run("the entry is stopping", Duration::ZERO, Duration::ZERO)
+    }
+
     /// Creates a 503 response: the request did not run and will not, so the caller may retry.
     fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
         let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
@@ -198,7 +207,7 @@
 }
 
 /// Request id for logs.
-fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
+pub fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
     let id = head.headers.get_str(context.dialect.headers().request_id).unwrap_or("-");
     id.chars().filter(char::is_ascii_graphic).take(40).collect()
 }
@@ -231,6 +240,9 @@
     let idempotent = rule.repetition == Repetition::Idempotent;
     let (received_at, deadline) =
         (caller_request.received_at, caller_request.received_at + timeout);
+    if !context.can_finish(&service, deadline) {
+        return Err(LocalResponse::stopping());
+    }
     let request = OutgoingRequest::new(
         context,
         id,
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -20,12 +20,16 @@
 
 impl TestSystem {
     fn start(servers: &[SocketAddr]) -> Self {
+        Self::start_on_line(servers, None)
+    }
+
+    fn start_on_line(servers: &[SocketAddr], line_mbps: Option<f64>) -> Self {
         let fleet = TestFleet::start();
         fleet.put_document(&document(1));
         for (number, address) in servers.iter().enumerate() {
             announce(&fleet, &format!("s{number}"), &announcement(*address, false, 1, 1));
         }
-        let entry = TestEntry::start(&fleet.seeds);
+        let entry = TestEntry::start_on_line(&fleet.seeds, line_mbps);
         wait_for("the entry to be ready", || entry.is_ready());
         Self { fleet, entry }
     }
@@ -301,6 +305,81 @@
     drop(fleet);
 }
 
+/// Guards against a relay that reads and writes a long body by turns, which takes twice as long as the
+/// line needs.
+#[test]
+fn a_long_body_takes_as_long_as_its_line_needs() {
+    const BODY_BYTES: usize = 500_000;
+    const LINE_MBPS: f64 = 4.0;
+    // Part of the line that long bodies use, and the part of a body that is held back for a retry.
+    const LONG_BODY_SHARE: f64 = 0.8;
+    const HELD_BACK_BYTES: usize = 128 << 10;
+    let server = ScriptedServer::start(&[ServerStep::Large(BODY_BYTES)]);
+    let system = TestSystem::start_on_line(&[server.address], Some(LINE_MBPS));
+    let started = Instant::now();
+    let response = system.request("GET", "/read/1", "r1");
+    let elapsed = started.elapsed();
+    assert_eq!(parse_response(&response).1.len(), BODY_BYTES);
+    let rate = LINE_MBPS * 1e6 / 8.0 * LONG_BODY_SHARE;
+    let needed = Duration::from_secs_f64((BODY_BYTES + HELD_BACK_BYTES) as f64 / rate);
+    assert!(elapsed < needed.mul_f64(1.2), "{elapsed:?} instead of {needed:?}");
+}
+
+/// Time after the start of a stop at which less of the grace period of 4 s is left than the 2 s that the
+/// routes allow.
+const LATE_IN_STOP: Duration = Duration::from_millis(2200);
+
+/// Guards against a stopping entry that accepts a request which it cannot finish, and cuts the caller
+/// off at the end of its grace period.
+#[parameterized(
+    idempotent = { "GET /read/1" },
+    at_most_once = { "POST /book/1" },
+)]
+fn a_request_that_outlasts_the_stop_is_refused(line: &str) {
+    let slow = ServerStep::Delay(Duration::from_millis(1800), crate::harness::VALID_RESPONSE);
+    let server = ScriptedServer::start(&[slow]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(LATE_IN_STOP);
+    let text =
+        format!("{line} HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\ncontent-length: 0\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the entry reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    stopping.join().expect("the entry stops");
+    assert_eq!(parse_response(&response).0, 503, "{response}");
+    assert_eq!(header_value(&response, "connection").as_deref(), Some("close"));
+    assert_eq!(header_value(&response, "retry-after").as_deref(), Some("0.000"));
+    let requests = server.requests();
+    let sent = requests.iter().filter(|request| request.starts_with(line)).count();
+    assert_eq!(sent, 0, "a refused request was sent to a server");
+    drop(fleet);
+}
+
+/// Guards against a stop that closes the connection of a caller whose body is still arriving.
+#[test]
+fn an_incomplete_request_is_refused_at_the_end_of_a_stop() {
+    let server = ScriptedServer::start(&[]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let head =
+        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\ncontent-length: 4\r\n\r\nab";
+    stream.write_all(head.as_bytes()).expect("the entry reads");
+    std::thread::sleep(Duration::from_millis(100));
+    let TestSystem { entry, fleet } = system;
+    let started = Instant::now();
+    entry.stop();
+    assert!(started.elapsed() < Duration::from_secs(4), "the stop outlasts its grace period");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    assert_eq!(parse_response(&response).0, 503, "{response}");
+    drop(fleet);
+}
+
 /// Starts a server that answers health checks only, and reports how long after a request its
 /// connection ended.
 fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -13,4 +13,5 @@
 mod planned_client;
 mod planned_soak;
 mod soak;
+mod stop_log;
 mod support;
