Check the status and the log line of a refused deadly request

The status of a request in quarantine is known by now (422). A request that was sent before its refusal gets 502, as one whose server ended beneath it, so the log lines of the entries tell whether any other request was refused.

--- a/tests/fleet_process/crashing_request.rs
+++ b/tests/fleet_process/crashing_request.rs
@@ -45,10 +45,14 @@
     LeaderKill,
 }
 
-/// Sends one request and returns the status of its response, 0 if there is none.
+/// Status of a request in quarantine.
+const QUARANTINED_STATUS: u16 = 422;
+
+/// Sends one request and returns the status of its response, 0 if there is none. The request id names
+/// work and body.
 fn send_request(entry: SocketAddr, route: &str, work: &str, body: &str) -> u16 {
     let text = format!(
-        "POST /{route}/{work} HTTP/1.1\r\nhost: shop\r\nx-request-id: {work}-{}\r\n\
+        "POST /{route}/{work} HTTP/1.1\r\nhost: shop\r\nx-request-id: {work}-{body}-{}\r\n\
          connection: close\r\ncontent-length: {}\r\n\r\n{body}",
         fastrand::u64(..),
         body.len()
@@ -162,13 +166,12 @@
     inject(&mut fleet, beside);
     std::thread::sleep(end.saturating_duration_since(Instant::now()));
 
-    // The quarantine's status: final, and not one that other requests get.
-    let mut refusals = BTreeMap::new();
+    let mut refusals = Vec::new();
     for entry in &entries {
         for number in 0..deadly_count {
             let started = Instant::now();
             let status = send_request(*entry, route, &deadly_work(number), DEADLY_BODY);
-            refusals.insert(status, started.elapsed());
+            refusals.push((status, started.elapsed()));
         }
     }
     stop.store(true, Ordering::Relaxed);
@@ -187,14 +190,14 @@
         check_sends(&servers, number);
     }
     for (status, elapsed) in &refusals {
-        let is_final = matches!(status, 400..=599) && !matches!(status, 408 | 429 | 503 | 504);
-        assert!(is_final, "the deadly request got status {status}");
+        assert_eq!(*status, QUARANTINED_STATUS, "status of the deadly request");
         assert!(*elapsed < REFUSAL_TIME, "the deadly request was refused after {elapsed:?}");
     }
-    // Status 502 is also that of a request whose server ended beneath it; the entry states the reason.
-    for (status, count) in &statuses {
-        let allowed = matches!(status, 0 | 200 | 502 | 503 | 504);
-        assert!(allowed, "{count} other requests got status {status}");
+    assert_eq!(statuses.get(&QUARANTINED_STATUS), None, "other requests: {statuses:?}");
+    // A request that was sent before its refusal gets 502, as one whose server ended beneath it.
+    for line in fleet.entries.iter().flat_map(|entry| entry.log_lines("request_quarantined")) {
+        let is_deadly = line.contains(&format!("request={DEADLY_PREFIX}"));
+        assert!(is_deadly && line.contains(&format!("-{DEADLY_BODY}-")), "refused: {line}");
     }
     for entry in &entries {
         wait_for("a served request", || send_request(*entry, "read", "w/0/2", "") == 200);
--- a/tests/fleet_process/planned_soak.rs
+++ b/tests/fleet_process/planned_soak.rs
@@ -147,7 +147,7 @@
     fn check_entries(&mut self) {
         for (number, entry) in self.fleet.entries.iter().enumerate() {
             let stops = self.stop_counts.get(&number).copied().unwrap_or_default();
-            let logged = entry.count_events("entry_stopped");
+            let logged = entry.log_lines("entry_stopped").len();
             if logged != stops {
                 self.broken.push(format!("entry {number} logged {logged} of {stops} stops"));
             }
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -92,10 +92,11 @@
         self.config.with_extension("log")
     }
 
-    /// Number of lines of `event` in the log of all starts.
-    pub fn count_events(&self, event: &str) -> usize {
+    /// Lines of `event` in the log of all starts.
+    pub fn log_lines(&self, event: &str) -> Vec<String> {
         let log = std::fs::read_to_string(self.log_path()).unwrap_or_default();
-        log.lines().filter(|line| line.contains(&format!("event={event} "))).count()
+        let is_event = |line: &&str| line.contains(&format!("event={event} "));
+        log.lines().filter(is_event).map(str::to_owned).collect()
     }
 }
 
