--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -40,15 +40,16 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use async_channel::{Receiver, Sender};
-use async_std::task;
+use async_std::task::{self, JoinHandle};
 use thiserror::Error;
 
 use self::control::EntryControl;
+use crate::admin::AdminServer;
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
 use crate::http::HttpLimits;
@@ -68,9 +69,12 @@
 /// Number of tasks that settle dropped claims in the background.
 const LATE_SETTLE_TASKS: usize = 16;
 
-/// Interval at which a stopping process checks whether its requests have ended.
+/// Interval at which a stopping process checks whether its callers' connections are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest wait of a stopping process for the responses to operators' calls.
+pub const OPERATOR_STOP_LIMIT: Duration = Duration::from_secs(2);
+
 /// Bound listeners of an entry.
 #[derive(Debug)]
 pub struct EntryListeners {
@@ -101,11 +105,25 @@
     Thread(io::Error),
 }
 
+/// What was still active at one moment of a stop.
+#[derive(Clone, Copy, Debug)]
+pub struct ActiveCounts {
+    /// Requests that are being served.
+    pub requests: usize,
+    /// Requests of which only a part of the head has arrived.
+    pub partial_requests: usize,
+    /// Callers' connections.
+    pub connections: usize,
+}
+
 /// A running entry.
 pub struct EntryProcess {
     context: Arc<EntryContext>,
     hub: LinkHub,
     timers: TimerService,
+    operator: AdminServer,
+    /// Task that accepts callers; taken by the first stop.
+    accept_task: Mutex<Option<JoinHandle<()>>>,
     shutdown_delay: Duration,
 }
 
@@ -165,9 +183,11 @@
         for target in link_targets(config) {
             hub.connect(target);
         }
-        operator::serve(Arc::clone(&context), listeners.operator.into());
-        traffic::listen(Arc::clone(&context), listeners.traffic.into());
-        Ok(Self { context, hub, timers, shutdown_delay: config.shutdown_delay })
+        let operator = operator::serve(Arc::clone(&context), listeners.operator.into());
+        let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic.into());
+        let accept_task = Mutex::new(Some(accept_task));
+        let shutdown_delay = config.shutdown_delay;
+        Ok(Self { context, hub, timers, operator, accept_task, shutdown_delay })
     }
 
     /// Returns the shared state of the entry.
@@ -176,14 +196,21 @@
     }
 
     /// Shuts down gracefully. The health check fails first, and requests are served for the
-    /// shutdown delay, so that the load balancer can react; then the requests in flight finish.
+    /// shutdown delay, so that the load balancer can react; then the requests in flight finish, and
+    /// the process waits until all callers' connections are closed.
     pub async fn stop(&self) {
+        let started = Instant::now();
         self.context.advance("stop");
         if &*self.context.process_state() == "lame_duck" {
             task::sleep(self.shutdown_delay).await;
             self.context.advance("delay_over");
         }
-        while self.context.open_requests() > 0 {
+        let accept_task = self.accept_task.lock().expect("task lock is not poisoned").take();
+        if let Some(accept_task) = accept_task {
+            accept_task.await;
+        }
+        self.log_active("waiting for callers", started);
+        while self.context.open_connections() > 0 {
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
         let (reply, leave_sent) = async_channel::bounded(1);
@@ -192,8 +219,17 @@
             // Gives the link's writer time to send the message to the control leader.
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
+        self.operator.stop();
+        self.operator.finish(OPERATOR_STOP_LIMIT).await;
         self.context.advance("idle");
         self.halt();
+        self.log_active("entry stopped", started);
+    }
+
+    fn log_active(&self, event: &str, started: Instant) {
+        let ActiveCounts { requests, partial_requests, connections } = self.context.active_counts();
+        let after_ms = started.elapsed().as_millis() as u64;
+        log::info!(name:% = self.context.name, requests, partial_requests, connections, after_ms; "{event}");
     }
 
     /// Stops immediately, without waiting for requests in flight.
