--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -388,6 +388,7 @@
         .next()
 }
 
+/// Reads one request with its body; `None` when the connection has ended.
 pub fn read_request(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<String> {
     let mut total = None;
     loop {
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -5,9 +5,13 @@
 //! found its port still in use.
 
 mod blocked_log;
+mod crashing_request;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
 mod harness;
 mod metrics_page;
+mod planned_client;
+mod planned_soak;
 mod soak;
 mod stop_log;
+mod support;
