Stop a process that is still starting

A process whose address is in use, or whose disk does not open, tries again until it succeeds, and did not look at SIGTERM meanwhile: it stayed until it was killed at the end of its grace period.

SIGTERM now ends the attempts.

Test: a_process_that_still_starts_can_be_stopped did not end on the code before (the run was ended after 100 s: the process ignored the signal), and passes now.

--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -69,7 +69,15 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut hangup = signal(SignalKind::hangup())?;
     log_info!("process_started", "name={} zone={}", config.name, config.availability_zone);
-    let role = Rc::new(start_role(&config, &dialect).await);
+    let started_role = tokio::select! {
+        role = start_role(&config, &dialect) => role,
+        _ = terminate.recv() => {
+            log_info!("process_stopped", "name={} reason=\"not started yet\"", config.name);
+            event_log::flush(LOG_FLUSH_TIME);
+            return Ok(());
+        }
+    };
+    let role = Rc::new(started_role);
     if let Some(address) = config.metrics {
         tokio::task::spawn_local(serve_metrics(address, Rc::clone(&role)));
     }
--- a/tests/fleet_process/stop_log.rs
+++ b/tests/fleet_process/stop_log.rs
@@ -1,16 +1,49 @@
 //! Log of a process that stops.
 
 use std::io::Read;
-use std::process::{Command, Stdio};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::harness::{call, free_address, unique_path, wait_for};
 
+/// Longest time for which a process that has no requests may take to exit while it still starts.
+const STARTING_EXIT_TIME: Duration = Duration::from_secs(1);
+
+/// Guards against a process that ignores SIGTERM while it cannot start, and is killed at the end of its
+/// grace period.
+#[test]
+fn a_process_that_still_starts_can_be_stopped() {
+    let occupied = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let traffic = occupied.local_addr().expect("a listener has an address");
+    let mut child = start_entry(traffic, free_address());
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(child.try_wait().expect("the process is a child").is_none(), "it goes on trying");
+    let signalled_at = Instant::now();
+    let log = terminate(&mut child);
+    assert!(signalled_at.elapsed() < STARTING_EXIT_TIME, "{:?}", signalled_at.elapsed());
+    assert!(log.contains("event=process_stopped"), "{log}");
+}
+
 /// Guards against an exit that loses the last lines of the log, which say what a planned stop cut off.
 #[test]
 fn the_last_lines_are_written_before_the_exit() {
-    let (traffic, readiness, seed) = (free_address(), free_address(), free_address());
+    let readiness = free_address();
+    let mut child = start_entry(free_address(), readiness);
+    wait_for("the entry to listen", || {
+        call(readiness, "GET", "/.curranthollow/ready", "").0 == 503
+    });
+    let log = terminate(&mut child);
+    for event in ["process_stopping", "entry_stopped active=0 receiving=0", "process_stopped"] {
+        assert!(log.contains(&format!("event={event}")), "no {event} in\n{log}");
+    }
+}
+
+/// Starts an entry without members.
+fn start_entry(traffic: SocketAddr, readiness: SocketAddr) -> Child {
+    let seed = free_address();
     let config_text = format!(
         r#"{{"name":"e","availability_zone":"a","seeds":["{seed}"],"grace":"1s","entry":{{
         "traffic":"{traffic}","readiness":"{readiness}","retry_ratio":0.2,"retry_slack":1,
@@ -20,17 +53,16 @@
     std::fs::write(&config_path, config_text).expect("the test folder is writable");
     let mut command = Command::new(env!("CARGO_BIN_EXE_curranthollow"));
     command.arg("fleet").arg("--config").arg(&config_path).stdout(Stdio::piped());
-    let mut child = command.spawn().expect("the binary starts");
-    wait_for("the entry to listen", || {
-        call(readiness, "GET", "/.curranthollow/ready", "").0 == 503
-    });
+    command.spawn().expect("the binary starts")
+}
+
+/// Sends SIGTERM and returns the log once the process has exited.
+fn terminate(child: &mut Child) -> String {
     let pid = Pid::from_raw(child.id().cast_signed()).expect("the process id is valid");
     kill_process(pid, Signal::TERM).expect("the process exists");
     child.wait().expect("the process ends");
     let mut log = String::new();
     let output = child.stdout.as_mut().expect("the output is piped");
     output.read_to_string(&mut log).expect("the log is text");
-    for event in ["process_stopping", "entry_stopped active=0 receiving=0", "process_stopped"] {
-        assert!(log.contains(&format!("event={event}")), "no {event} in\n{log}");
-    }
+    log
 }
