--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -126,11 +126,13 @@
     ) -> Result<(), ConnectionEnd> {
         let mut complete = false;
         while !complete {
-            let (written, read) = tokio::join!(
-                caller.write_paced(&output, &self.context.caller_pacer),
-                self.read_part(&mut server, &mut end),
-            );
-            written.map_err(|_| ConnectionEnd::Drop)?;
+            let write = async {
+                let written = caller.write_paced(&output, &self.context.caller_pacer).await;
+                written.map_err(|_| ConnectionEnd::Drop)
+            };
+            let read = async { Ok(self.read_part(&mut server, &mut end).await) };
+            // A caller that has left ends the read, but a server that breaks off does not end the write.
+            let ((), read) = tokio::try_join!(write, read)?;
             self.progress.add_relayed(output.len());
             output.clear();
             // The end of the body is not written, so the caller can see that it is incomplete.
