Refuse incomplete requests early enough to be heard

The refusal of requests that are incomplete at the end of a stop depended on a check each 100 ms that had to fall into the last 200 ms, was left out for short grace periods, and left less time than the drain of the connection takes: bytes that arrive until the exit reset the connection, and the caller may lose the 503. A response that ended late also left no time for its connection to close.

A refused request no longer counts as cut.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -236,6 +236,8 @@
     async fn refuse_partial(&mut self) -> Result<(), ConnectionEnd> {
         log_info!("request_refused", "reason=\"incomplete at the end of the stop\" status=503");
         write_local_response(&mut self.stream, &LocalResponse::stopping(), false).await?;
+        // It is answered, so it no longer counts as active.
+        self.reader = RequestReader::default();
         Err(ConnectionEnd::Close)
     }
 
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -50,8 +50,9 @@
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Time before the exit at which requests that have not arrived completely are refused. It covers the
-/// way of the refusal to the caller on a slow line.
-const REFUSAL_TIME: Duration = Duration::from_millis(200);
+/// way of the refusal to the caller on a slow line, and the time for which its connection is drained:
+/// unread data at the exit would reset the connection and lose the refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(700);
 
 /// Interval at which a stopping entry checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -101,7 +102,8 @@
     pub async fn stop(&self, grace: Duration) {
         let started = Instant::now();
         let end = grace.saturating_sub(GRACE_MARGIN);
-        let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(end);
+        let ending_at = end.saturating_sub(REFUSAL_TIME);
+        let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(ending_at);
         self.context.begin_stop(started + end);
         while started.elapsed() < closing_at {
             sleep(IDLE_CHECK_INTERVAL).await;
@@ -114,19 +116,24 @@
         for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
             pacer.borrow_mut().use_whole_line();
         }
-        let closed_at = started.elapsed() + CLOSING_TIME;
-        while started.elapsed() < end && !self.is_idle() {
-            if started.elapsed() + REFUSAL_TIME >= end {
-                self.context.phase.send_if_modified(|phase| {
-                    std::mem::replace(phase, EntryPhase::Ending) != EntryPhase::Ending
-                });
-            }
-            if started.elapsed() >= closed_at && self.context.active_requests.is_empty() {
-                break;
+        self.wait_for_callers(started + ending_at).await;
+        self.context.phase.send_replace(EntryPhase::Ending);
+        self.wait_for_callers(started + end).await;
+        self.log_stop(started.elapsed(), grace);
+    }
+
+    /// Waits until all requests are answered and their connections are closed, or until `end`.
+    async fn wait_for_callers(&self, end: Instant) {
+        let mut active_until = Instant::now();
+        while Instant::now() < end && !self.is_idle() {
+            let now = Instant::now();
+            if !self.context.active_requests.is_empty() {
+                active_until = now;
+            } else if now.duration_since(active_until) >= CLOSING_TIME {
+                return;
             }
-            sleep(IDLE_CHECK_INTERVAL).await;
+            sleep(IDLE_CHECK_INTERVAL.min(end.saturating_duration_since(now))).await;
         }
-        self.log_stop(started.elapsed(), grace);
     }
 
     /// Logs the end of a stop and each request that it cuts off.
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -359,16 +359,29 @@
     drop(fleet);
 }
 
-/// Guards against a stop that closes the connection of a caller whose body is still arriving.
-#[test]
-fn an_incomplete_request_is_refused_at_the_end_of_a_stop() {
+/// Guards against a stop that closes the connection of a caller whose body is still arriving, and against
+/// a refusal that is lost because more of the body arrives until the exit.
+#[parameterized(
+    stalled = { Duration::from_secs(10) },
+    trickling = { Duration::from_millis(50) },
+)]
+fn an_incomplete_request_is_refused_at_the_end_of_a_stop(byte_interval: Duration) {
     let server = ScriptedServer::start(&[]);
     let system = TestSystem::start(&[server.address]);
     let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
     stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
     let head =
-        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\ncontent-length: 4\r\n\r\nab";
+        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\ncontent-length: 4000\r\n\r\nab";
     stream.write_all(head.as_bytes()).expect("the entry reads");
+    let mut upload = stream.try_clone().expect("the stream can be cloned");
+    std::thread::spawn(move || {
+        loop {
+            std::thread::sleep(byte_interval);
+            if upload.write_all(b"x").is_err() {
+                return;
+            }
+        }
+    });
     std::thread::sleep(Duration::from_millis(100));
     let TestSystem { entry, fleet } = system;
     let started = Instant::now();
