--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -211,7 +211,8 @@
         let report = send.report(now);
         let digest = report.digest;
         let finding = watch.ledger.borrow_mut().record_crash(now, &report);
-        if finding == CrashFinding::Repeated {
+        // Members count a report only once it counts here.
+        if matches!(finding, CrashFinding::Repeated | CrashFinding::Concurrent) {
             return watch.outbox.borrow().end();
         }
         log_info!(
