Serve the connections that wait when an entry stops accepting

When a stopping entry closes its listener, the connections in its accept queue were reset, some with a whole request behind them: with a tenth of a core an entry accepts late. A connection accepted just before did not see the change to the closing phase and stayed open until the exit.

The entry now accepts what waits in the queue before it closes the listener, and a connection that is accepted during a stop looks at the phase first. Between the last accept and the close the kernel may still complete a connection.

No test of its own: the window can't be hit reliably.

--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -33,7 +33,7 @@
     let serve = |stream| {
         tokio::task::spawn_local(serve_link(stream, Rc::clone(&core)));
     };
-    accept_each(listener, "link", serve).await;
+    accept_each(&listener, "link", serve).await;
 }
 
 async fn serve_link(stream: TcpStream, core: SharedCore) {
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -62,7 +62,7 @@
                 tokio::task::spawn_local(async move { service.serve_connection(stream).await });
             }
         };
-        accept_each(listener, "operator", serve).await;
+        accept_each(&listener, "operator", serve).await;
     }
 
     async fn serve_connection(&self, stream: TcpStream) {
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -30,25 +31,45 @@
 /// pause while reading, and on a slow line their data queues behind that of others.
 const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Accepts callers until the process exits.
+/// Accepts callers until the entry closes.
 pub async fn serve(listener: TcpListener, context: Rc<EntryContext>) {
     let serve = |stream| {
         if link::prepare_socket(&stream, CALLER_UNACKED_TIMEOUT).is_ok() {
+            let mut phase = context.phase.subscribe();
+            if context.is_stopping() {
+                // The connection has seen no phase yet.
+                phase.mark_changed();
+            }
             let context = Rc::clone(&context);
-            tokio::task::spawn_local(async move { serve_connection(&context, stream).await });
+            tokio::task::spawn_local(async move {
+                serve_connection(&context, stream, phase).await;
+            });
         }
     };
-    accept_each(listener, "traffic", serve).await;
+    let mut phase = context.phase.subscribe();
+    tokio::select! {
+        // The sender lives as long as the context.
+        _ = phase.wait_for(|phase| *phase >= EntryPhase::Closing) => {}
+        () = accept_each(&listener, "traffic", serve) => {}
+    }
+    // Closing the listener resets the connections that wait in its queue, some with a whole request.
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        serve(stream);
+    }
 }
 
-async fn serve_connection(context: &Rc<EntryContext>, stream: TcpStream) {
+async fn serve_connection(
+    context: &Rc<EntryContext>,
+    stream: TcpStream,
+    phase: watch::Receiver<EntryPhase>,
+) {
     let _connection_guard = GaugeGuard::new(context.metrics.caller_connections.clone());
     let connection = CallerConnection {
         context: Rc::clone(context),
         stream: HttpStream::new(stream),
         reader: RequestReader::default(),
         last_response_at: Instant::now(),
-        phase: context.phase.subscribe(),
+        phase,
         deferred: None,
         in_flight: VecDeque::new(),
         closing: false,
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -22,7 +22,6 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use self::activity::RequestStage;
@@ -64,7 +63,6 @@
 pub struct EntryProcess {
     context: Rc<EntryContext>,
     follower: Rc<FleetFollower>,
-    accept_task: JoinHandle<()>,
 }
 
 impl EntryProcess {
@@ -79,9 +77,9 @@
         let readiness = listen(entry.readiness).await?;
         let follower = FleetFollower::new(Rc::clone(&context), config.seeds.clone());
         tokio::task::spawn_local(Rc::clone(&follower).run());
-        let accept_task = tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
+        tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
         tokio::task::spawn_local(serve_readiness(readiness, Rc::clone(&context)));
-        Ok(Self { context, follower, accept_task })
+        Ok(Self { context, follower })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -111,7 +109,6 @@
                 break;
             }
         }
-        self.accept_task.abort();
         self.context.phase.send_replace(EntryPhase::Closing);
         for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
             pacer.borrow_mut().use_whole_line();
@@ -170,7 +167,7 @@
         let context = Rc::clone(&context);
         tokio::task::spawn_local(async move { serve_readiness_connection(&context, stream).await });
     };
-    accept_each(listener, "readiness", serve).await;
+    accept_each(&listener, "readiness", serve).await;
 }
 
 async fn serve_readiness_connection(context: &EntryContext, stream: TcpStream) {
--- a/src/fleet/listener.rs
+++ b/src/fleet/listener.rs
@@ -26,7 +26,7 @@
 
 /// Passes each accepted connection to `serve` until the process exits; `name` identifies the listener
 /// in logs.
-pub async fn accept_each(listener: TcpListener, name: &str, mut serve: impl FnMut(TcpStream)) {
+pub async fn accept_each(listener: &TcpListener, name: &str, mut serve: impl FnMut(TcpStream)) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => serve(stream),
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -159,7 +159,7 @@
         let role = Rc::clone(&role);
         tokio::task::spawn_local(async move { answer_metrics(&role, stream).await });
     };
-    accept_each(listener, "metrics", serve).await;
+    accept_each(&listener, "metrics", serve).await;
 }
 
 async fn answer_metrics(role: &RunningRole, stream: TcpStream) {
