--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod config_file;
 mod crash_evidence;
 mod crash_ledger;
+mod crash_model;
 mod crash_server;
 mod crash_watch;
 mod entry;
