--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -103,6 +103,10 @@
         let ending_at = end.saturating_sub(REFUSAL_TIME);
         let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(ending_at);
         self.context.begin_stop(started + end);
+        // New requests are few from now on, and a long response that is not complete at the exit is cut.
+        for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
+            pacer.borrow_mut().use_whole_line();
+        }
         while started.elapsed() < closing_at {
             sleep(IDLE_CHECK_INTERVAL).await;
             if self.is_idle() && started.elapsed() >= MIN_SHUTDOWN_TIME {
@@ -110,9 +114,6 @@
             }
         }
         self.context.phase.send_replace(EntryPhase::Closing);
-        for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
-            pacer.borrow_mut().use_whole_line();
-        }
         self.wait_for_callers(started + ending_at).await;
         self.context.phase.send_replace(EntryPhase::Ending);
         self.wait_for_callers(started + end).await;
