Start the entry of both log tests in one place

stop_log and blocked_log each wrote the config of an entry without members and spawned it. start_lone_entry in support.rs serves both; no assertion changes.

--- a/tests/fleet_process/blocked_log.rs
+++ b/tests/fleet_process/blocked_log.rs
@@ -1,9 +1,9 @@
 //! Behaviour of an entry whose standard output is a full pipe.
 
-use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-use crate::harness::{call, exchange, free_address, parse_response, unique_path, wait_for};
+use crate::harness::{call, exchange, free_address, parse_response, wait_for};
+use crate::support::start_lone_entry;
 
 /// Number of requests; their log lines exceed the capacity of a pipe several times.
 const REQUESTS: usize = 1500;
@@ -18,17 +18,8 @@
 /// Guards against requests that block because nothing reads the process's standard output.
 #[test]
 fn full_log_pipe_does_not_delay_requests() {
-    let (traffic, readiness, seed) = (free_address(), free_address(), free_address());
-    let config_text = format!(
-        r#"{{"name":"e","availability_zone":"a","seeds":["{seed}"],"grace":"1s","entry":{{
-        "traffic":"{traffic}","readiness":"{readiness}","retry_ratio":0.2,"retry_slack":1,
-        "retry_window":"10s"}}}}"#
-    );
-    let config_path = unique_path().with_extension("jsonc");
-    std::fs::write(&config_path, config_text).expect("the test folder is writable");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_curranthollow"));
-    command.arg("fleet").arg("--config").arg(&config_path).stdout(Stdio::piped());
-    let mut child = command.spawn().expect("the binary starts");
+    let traffic = free_address();
+    let mut child = start_lone_entry(traffic, free_address());
     wait_for("the entry to listen", || call(traffic, "GET", "/read/1", "").0 == 503);
     for number in 0..REQUESTS {
         let started = Instant::now();
--- a/tests/fleet_process/stop_log.rs
+++ b/tests/fleet_process/stop_log.rs
@@ -1,13 +1,14 @@
 //! Log of a process that stops.
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener};
-use std::process::{Child, Command, Stdio};
+use std::net::TcpListener;
+use std::process::Child;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::harness::{call, free_address, unique_path, wait_for};
+use crate::harness::{call, free_address, wait_for};
+use crate::support::start_lone_entry;
 
 /// Longest time for which a process that has no requests may take to exit while it still starts.
 const STARTING_EXIT_TIME: Duration = Duration::from_secs(1);
@@ -18,7 +19,7 @@
 fn a_process_that_still_starts_can_be_stopped() {
     let occupied = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let traffic = occupied.local_addr().expect("a listener has an address");
-    let mut child = start_entry(traffic, free_address());
+    let mut child = start_lone_entry(traffic, free_address());
     std::thread::sleep(Duration::from_millis(500));
     assert!(child.try_wait().expect("the process is a child").is_none(), "it goes on trying");
     let signalled_at = Instant::now();
@@ -31,7 +32,7 @@
 #[test]
 fn the_last_lines_are_written_before_the_exit() {
     let readiness = free_address();
-    let mut child = start_entry(free_address(), readiness);
+    let mut child = start_lone_entry(free_address(), readiness);
     wait_for("the entry to listen", || {
         call(readiness, "GET", "/.curranthollow/ready", "").0 == 503
     });
@@ -41,21 +42,6 @@
     }
 }
 
-/// Starts an entry without members.
-fn start_entry(traffic: SocketAddr, readiness: SocketAddr) -> Child {
-    let seed = free_address();
-    let config_text = format!(
-        r#"{{"name":"e","availability_zone":"a","seeds":["{seed}"],"grace":"1s","entry":{{
-        "traffic":"{traffic}","readiness":"{readiness}","retry_ratio":0.2,"retry_slack":1,
-        "retry_window":"10s"}}}}"#
-    );
-    let config_path = unique_path().with_extension("jsonc");
-    std::fs::write(&config_path, config_text).expect("the test folder is writable");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_curranthollow"));
-    command.arg("fleet").arg("--config").arg(&config_path).stdout(Stdio::piped());
-    command.spawn().expect("the binary starts")
-}
-
 /// Sends SIGTERM and returns the log once the process has exited.
 fn terminate(child: &mut Child) -> String {
     let pid = Pid::from_raw(child.id().cast_signed()).expect("the process id is valid");
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -25,6 +25,21 @@
 /// Prefix of the work id of a deadly request.
 pub const DEADLY_PREFIX: &str = "deadly";
 
+/// Starts an entry without members, with its log in a pipe.
+pub fn start_lone_entry(traffic: SocketAddr, readiness: SocketAddr) -> Child {
+    let seed = free_address();
+    let config_text = format!(
+        r#"{{"name":"e","availability_zone":"a","seeds":["{seed}"],"grace":"1s","entry":{{
+        "traffic":"{traffic}","readiness":"{readiness}","retry_ratio":0.2,"retry_slack":1,
+        "retry_window":"10s"}}}}"#
+    );
+    let config_path = unique_path().with_extension("jsonc");
+    std::fs::write(&config_path, config_text).expect("the test folder is writable");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_curranthollow"));
+    command.arg("fleet").arg("--config").arg(&config_path).stdout(Stdio::piped());
+    command.spawn().expect("the binary starts")
+}
+
 /// Fleet process with its config file; killed on drop.
 pub struct FleetChild {
     config: PathBuf,
