Compute a request's id for logs once, and say what can_finish knows

The id was read and filtered twice for each request since the stop log names the requests it cuts; it is now passed on. The comment of can_finish called its answer certain, though it counts the relay time of earlier responses, and none before the first. Behaviour is unchanged.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -207,11 +207,12 @@
         // On a connection that will be closed, the response to a further request would be lost.
         self.closing |= !keep_alive || self.context.is_stopping();
         let progress = Rc::clone(&request.progress);
-        progress.set_received(&request::request_id(&self.context, &request.head));
+        let id = request::request_id(&self.context, &request.head);
+        progress.set_received(&id);
         let (context, task_progress) = (Rc::clone(&self.context), Rc::clone(&progress));
         let task = tokio::task::spawn_local(async move {
             let _task_progress = task_progress;
-            request::handle_request(&context, request).await
+            request::handle_request(&context, request, id).await
         });
         self.in_flight.push_back(InFlightRequest {
             task,
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -36,7 +36,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EntryPhase {
     Serving,
-    /// Requests are still served, and each connection is closed after its next response.
+    /// Requests that can finish before the exit are still served, the others are refused. Each connection
+    /// is closed after its next response.
     Stopping,
     /// No connection is accepted, and idle connections are closed.
     Closing,
@@ -175,8 +176,9 @@
         self.phase.send_replace(EntryPhase::Stopping);
     }
 
-    /// Whether a request of this service with the given deadline is certain to have its response before
-    /// the entry exits.
+    /// Whether a request of this service with the given deadline is expected to have its whole response
+    /// before the entry exits. The relay time is that of earlier responses; before the first one it
+    /// counts as nothing.
     pub fn can_finish(&self, service: &ServiceName, deadline: Instant) -> bool {
         let relay_time = || self.relay_times.borrow().get(service).copied().unwrap_or_default();
         self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -142,13 +142,13 @@
     rule.is_none_or(|rule| rule.repetition == Repetition::Idempotent)
 }
 
-/// Handles a request and returns its response.
+/// Handles a request and returns its response; `id` is the request id for logs.
 pub async fn handle_request(
     context: &Rc<EntryContext>,
     caller_request: CallerRequest,
+    id: Box<str>,
 ) -> CallerResponse {
     let received_at = caller_request.received_at;
-    let id = request_id(context, &caller_request.head);
     context.check_suspension();
     let state_deadline = received_at
         + requested_timeout(context, &caller_request.head)
