--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -52,8 +52,9 @@
     Convicted,
     /// This crash is counted already.
     Repeated,
-    /// The send began before the last counted crash of the request, or two crashes count shortly before
-    /// this one: the servers may have failed together. Or a convicted request explains the crash. Also the finding on a crash that is too old to be evidence.
+    /// The crash does not count: the send began before the last counted crash of the request, or two
+    /// crashes count shortly before this one, so the servers may have failed together; a convicted
+    /// request explains it; or it is too old to be evidence.
     Concurrent,
 }
 
