Answer requests that a stopping entry cannot finish

`can_finish` is asked when a request is taken, so a request from before the SIGTERM with a deadline beyond the exit was cut.

Such a request is now answered by the entry: 504 if a server may have run it, 503 if nothing reached one or the servers refused it without a run. This happens 50 ms after the last sixth of the grace period has begun, or 1 s before its end, whichever is later: up to then servers may be at work, and an earlier answer counts as a loss. With 6 s of grace 650 ms are left for the answer and the clean end of its connection, with 3 s 150 ms. A grace period below 2.7 s has no room for both; there the answer comes 100 ms before the exit. A request whose deadline leaves 100 ms before the exit ends by itself and is not given up.

A response that is arriving from its server at that moment is no longer held back for a retry: what there is goes to the caller, and the rest follows until the exit.

Ruled out: an answer from `timeout_response`, which calls every send in flight possibly run, also one that waits for a server. Requests now count the sends that may have reached a server.

`LocalResponse` moves to a file of its own, and relay and send share `BodyEnd::read`.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -11,10 +11,11 @@
 
 use super::activity::RequestProgress;
 use super::context::{EntryContext, EntryPhase};
+use super::local_response::LocalResponse;
 use super::metrics::GaugeGuard;
 use super::reader::{ReadEvent, RequestReader};
 use super::relay::{ConnectionEnd, ResponseRelay, write_local_response};
-use super::request::{self, CallerRequest, CallerResponse, LocalResponse};
+use super::request::{self, CallerRequest, CallerResponse};
 use crate::fleet::link;
 use crate::fleet::listener::accept_each;
 use crate::fleet::stream::HttpStream;
@@ -155,7 +156,7 @@
         let phase = *self.phase.borrow_and_update();
         if self.reader.has_partial_request() {
             return match phase {
-                EntryPhase::Ending => self.refuse_partial().await,
+                EntryPhase::Ending | EntryPhase::GivingUp => self.refuse_partial().await,
                 _ => Ok(()),
             };
         }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -32,6 +32,10 @@
 /// slowly is forgotten after some fifty responses.
 const RELAY_TIME_DECAY: f64 = 0.95;
 
+/// Time before the exit by which a request must be answered. It covers the way of a short response to
+/// its caller.
+pub const ANSWER_TIME: Duration = Duration::from_millis(100);
+
 /// Phase of an entry's life cycle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EntryPhase {
@@ -43,6 +47,8 @@
     Closing,
     /// The entry is about to exit: requests that have not arrived completely are refused.
     Ending,
+    /// Requests without a response are answered by the entry, if the exit would cut them off.
+    GivingUp,
 }
 
 /// Shared state of an entry.
@@ -181,7 +187,18 @@
     /// counts as nothing.
     pub fn can_finish(&self, service: &ServiceName, deadline: Instant) -> bool {
         let relay_time = || self.relay_times.borrow().get(service).copied().unwrap_or_default();
-        self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
+        self.stop_end.get().is_none_or(|end| deadline + relay_time().max(ANSWER_TIME) <= end)
+    }
+
+    /// Waits until a stopping entry gives up the request with this deadline. Never completes if the
+    /// request ends in time by itself.
+    pub async fn wait_for_give_up(&self, deadline: Instant) {
+        let mut phase = self.phase.subscribe();
+        // The wait cannot fail: the sender lives as long as the context.
+        let _ = phase.wait_for(|phase| *phase >= EntryPhase::GivingUp).await;
+        if self.stop_end.get().is_some_and(|end| deadline + ANSWER_TIME <= end) {
+            std::future::pending().await
+        }
     }
 
     /// Records how long the relay of a response took.
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -17,7 +17,7 @@
 };
 use super::crash_outbox::{CrashNotice, CrashOutbox, NoticePosition};
 use super::local_quarantine::LocalQuarantine;
-use super::request::LocalResponse;
+use super::local_response::LocalResponse;
 use super::send::{OutgoingRequest, SendError, ServerBody, ServerResponse};
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::balance::ChosenServer;
--- /dev/null
+++ b/src/fleet/entry/local_response.rs
@@ -0,0 +1,55 @@
+//! Responses that an entry generates itself.
+
+use std::time::Duration;
+
+use super::request::CallerResponse;
+use super::send::SendError;
+
+/// `retry-after` while the entry holds too many request bodies.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Upper limit of `retry-after`, as a fraction of the remaining time.
+const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
+
+/// Response that the entry generates itself.
+#[derive(Debug)]
+pub struct LocalResponse {
+    pub status: u16,
+    pub reason: &'static str,
+    pub retry_after: Option<Duration>,
+    /// Error of the last send, for logs.
+    pub cause: Option<SendError>,
+}
+
+impl LocalResponse {
+    /// Creates a response that makes no statement about whether the request ran.
+    pub fn new(status: u16, reason: &'static str) -> Self {
+        Self { status, reason, retry_after: None, cause: None }
+    }
+
+    /// Creates the response to a request whose body does not fit into memory.
+    pub fn overloaded() -> Self {
+        Self::not_run("too many request bodies", OVERLOAD_RETRY_AFTER, Duration::from_secs(5))
+    }
+
+    /// Creates the response to a request that a stopping entry may be unable to finish. Another entry
+    /// can serve it at once.
+    pub fn stopping() -> Self {
+        Self::not_run("the entry is stopping", Duration::ZERO, Duration::ZERO)
+    }
+
+    /// Creates the response to a request whose server may still work on it when the entry exits.
+    pub fn given_up() -> Self {
+        Self::new(504, "no response before the entry stops")
+    }
+
+    /// Creates a 503 response: the request did not run and will not, so the caller may retry.
+    pub fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
+        let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
+        Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
+    }
+
+    pub fn with_cause(self, cause: SendError) -> CallerResponse {
+        CallerResponse::Local(Self { cause: Some(cause), ..self })
+    }
+}
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -10,6 +10,7 @@
 mod crash_watch;
 mod follow;
 pub mod local_quarantine;
+mod local_response;
 mod measure;
 mod metrics;
 mod reader;
@@ -25,7 +26,7 @@
 use tokio::time::{sleep, timeout};
 
 use self::activity::RequestStage;
-use self::context::{EntryContext, EntryPhase};
+use self::context::{ANSWER_TIME, EntryContext, EntryPhase};
 use self::follow::FleetFollower;
 use super::config::{EntryConfig, FleetConfig};
 use super::dialect::WireDialect;
@@ -53,6 +54,13 @@
 /// unread data at the exit would reset the connection and lose the refusal.
 const REFUSAL_TIME: Duration = Duration::from_millis(700);
 
+/// Fraction of the grace period for which servers may work on requests. A request that may outlast the
+/// exit and has no response by then is answered by the entry. Users count an earlier answer as a loss.
+const SERVER_TIME_FRACTION: f64 = 5.0 / 6.0;
+
+/// Time for which a response that a server has sent until then may be on its way.
+const RESPONSE_TRAVEL_TIME: Duration = Duration::from_millis(50);
+
 /// Interval at which a stopping entry checks whether it is idle.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -102,6 +110,9 @@
         let end = grace.saturating_sub(GRACE_MARGIN);
         let ending_at = end.saturating_sub(REFUSAL_TIME);
         let closing_at = grace.mul_f64(CLOSING_FRACTION).max(MIN_SHUTDOWN_TIME).min(ending_at);
+        let giving_up_at = (grace.mul_f64(SERVER_TIME_FRACTION) + RESPONSE_TRAVEL_TIME)
+            .max(ending_at)
+            .min(end.saturating_sub(ANSWER_TIME));
         self.context.begin_stop(started + end);
         // New requests are few from now on, and a long response that is not complete at the exit is cut.
         for pacer in [&self.context.server_pacer, &self.context.caller_pacer] {
@@ -113,10 +124,15 @@
                 break;
             }
         }
-        self.context.phase.send_replace(EntryPhase::Closing);
-        self.wait_for_callers(started + ending_at).await;
-        self.context.phase.send_replace(EntryPhase::Ending);
-        self.wait_for_callers(started + end).await;
+        let phases = [
+            (EntryPhase::Closing, ending_at),
+            (EntryPhase::Ending, giving_up_at),
+            (EntryPhase::GivingUp, end),
+        ];
+        for (phase, phase_end) in phases {
+            self.context.phase.send_replace(phase);
+            self.wait_for_callers(started + phase_end).await;
+        }
         self.log_stop(started.elapsed(), grace);
     }
 
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -6,7 +6,7 @@
 
 use super::activity::RequestProgress;
 use super::context::EntryContext;
-use super::request::LocalResponse;
+use super::local_response::LocalResponse;
 use super::send::{BodyEnd, ServerBody, ServerResponse};
 use crate::fleet::stream::{HttpStream, RelayFraming};
 use crate::http::{BodyFraming, ResponseHead};
@@ -153,13 +153,7 @@
         end: &mut BodyEnd,
     ) -> Option<(Vec<u8>, bool)> {
         let mut part = Vec::new();
-        let read = match end {
-            BodyEnd::Framed(decoder) => {
-                let pacer = &self.context.server_pacer;
-                server.read_body_paced(decoder, &mut part, RELAY_PART_BYTES, pacer).await.ok()
-            }
-            BodyEnd::Close => server.read_to_close(&mut part, RELAY_PART_BYTES).await.ok(),
-        };
-        read.map(|is_last| (part, is_last))
+        let read = end.read(self.context, server, &mut part, RELAY_PART_BYTES).await;
+        read.ok().map(|is_last| (part, is_last))
     }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -1,7 +1,7 @@
 //! Handles one request: routing, server selection, retries and the response.
 
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::crash_watch::QUARANTINED_STATUS;
+use super::local_response::LocalResponse;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
 use super::send::{
@@ -36,9 +37,6 @@
 /// `retry-after` before the first document is in force.
 const NO_DOCUMENT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `retry-after` while the entry holds too many request bodies.
-const OVERLOAD_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Fraction of the caller's timeout for which a request waits for the first document, or for the
 /// state to be confirmed after a suspension. After a loss of all processes the document arrives within
 /// half a second, and many callers retry only once.
@@ -47,9 +45,6 @@
 /// Timeout assumed before the first document for a caller that states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Upper limit of `retry-after`, as a fraction of the remaining time.
-const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
-
 /// Multiple of the mean latency after which a hedged send starts.
 const HEDGE_LATENCY_FACTOR: f64 = 1.4;
 
@@ -79,44 +74,6 @@
     Local(LocalResponse),
 }
 
-/// Response that the entry generates itself.
-#[derive(Debug)]
-pub struct LocalResponse {
-    pub status: u16,
-    pub reason: &'static str,
-    pub retry_after: Option<Duration>,
-    /// Error of the last send, for logs.
-    pub cause: Option<SendError>,
-}
-
-impl LocalResponse {
-    /// Creates a response that makes no statement about whether the request ran.
-    pub fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None, cause: None }
-    }
-
-    /// Creates the response to a request whose body does not fit into memory.
-    pub fn overloaded() -> Self {
-        Self::not_run("too many request bodies", OVERLOAD_RETRY_AFTER, Duration::from_secs(5))
-    }
-
-    /// Creates the response to a request that a stopping entry may be unable to finish. Another entry
-    /// can serve it at once.
-    pub fn stopping() -> Self {
-        Self::not_run("the entry is stopping", Duration::ZERO, Duration::ZERO)
-    }
-
-    /// Creates a 503 response: the request did not run and will not, so the caller may retry.
-    fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
-        let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
-        Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
-    }
-
-    fn with_cause(self, cause: SendError) -> CallerResponse {
-        CallerResponse::Local(Self { cause: Some(cause), ..self })
-    }
-}
-
 type SendFuture = Pin<Box<dyn Future<Output = SendReport>>>;
 
 /// State of one request while it is handled.
@@ -154,8 +111,14 @@
         + requested_timeout(context, &caller_request.head)
             .unwrap_or(DEFAULT_CALLER_TIMEOUT)
             .mul_f64(STATE_WAIT_FRACTION);
-    context.wait_for_route_table(state_deadline).await;
-    context.wait_for_confirmed_state(state_deadline).await;
+    let state_ready = async {
+        context.wait_for_route_table(state_deadline).await;
+        context.wait_for_confirmed_state(state_deadline).await;
+    };
+    tokio::select! {
+        () = state_ready => {}
+        () = context.wait_for_give_up(state_deadline) => {}
+    }
     let driver = match prepare(context, caller_request, id.clone()) {
         Ok(driver) => driver,
         Err(local) => {
@@ -283,16 +246,20 @@
         }
         self.start_send(CrowdedPolicy::ProbeAgain, None);
         self.hedge_at = self.hedge_time(now);
+        let context = Rc::clone(&self.context);
+        let mut give_up = pin!(context.wait_for_give_up(self.request.deadline));
         loop {
             let pending_hedge = self.hedge_at.filter(|_| self.sends_in_flight.len() == 1);
             let wake_at = pending_hedge.unwrap_or(self.request.deadline).min(self.request.deadline);
             tokio::select! {
+                // A send whose response has begun ends when the others are given up; it comes first.
                 biased;
                 Some(report) = self.sends_in_flight.next() => {
                     if let Some(response) = self.handle_send_report(report) {
                         return response;
                     }
                 }
+                () = &mut give_up => return self.given_up_response(),
                 () = sleep_until(wake_at.into()) => {
                     let now = Instant::now();
                     if now >= self.request.deadline {
@@ -489,4 +456,15 @@
         }
         CallerResponse::Local(self.refuse("the time is over before a server was reached"))
     }
+
+    /// Response to a request that a stopping entry gives up. What was not sent will not be.
+    fn given_up_response(self) -> CallerResponse {
+        if let Some(error_response) = self.error_response {
+            return CallerResponse::Relayed(error_response);
+        }
+        let may_have_run = self.request.possible_runs.get() > 0;
+        let local =
+            if may_have_run { LocalResponse::given_up() } else { LocalResponse::stopping() };
+        CallerResponse::Local(local)
+    }
 }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one server and validates the response.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -46,6 +46,8 @@
     pub request_id: Option<Box<[u8]>>,
     pub idempotent: bool,
     pub deadline: Instant,
+    /// Sends that may have reached a server, less those that the server refused without a run.
+    pub possible_runs: Cell<u32>,
     /// The deadline, counting the time for which the machine is suspended.
     real_deadline: SuspensionDeadline,
 }
@@ -79,6 +81,29 @@
     Close,
 }
 
+impl BodyEnd {
+    fn of(framing: Option<BodyFraming>) -> Self {
+        framing.map_or(Self::Close, |framing| Self::Framed(BodyDecoder::new(framing)))
+    }
+
+    /// Appends body bytes to `body` until the body is complete or longer than `limit`; returns whether
+    /// it is complete. Cancel-safe.
+    pub async fn read(
+        &mut self,
+        context: &EntryContext,
+        stream: &mut HttpStream,
+        body: &mut Vec<u8>,
+        limit: usize,
+    ) -> Result<bool, HttpError> {
+        match self {
+            Self::Framed(decoder) => {
+                stream.read_body_paced(decoder, body, limit, &context.server_pacer).await
+            }
+            Self::Close => Ok(stream.read_to_close(body, limit).await?),
+        }
+    }
+}
+
 /// Why a send returned no response that can be forwarded.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -193,6 +218,7 @@
             request_id,
             idempotent,
             deadline,
+            possible_runs: Cell::default(),
             real_deadline: SuspensionDeadline::new(deadline, context.known_suspension()),
         }
     }
@@ -345,6 +371,9 @@
     };
     // Other requests avoid the server while the evidence is checked.
     drop(guard);
+    if matches!(result, Err(SendError::NotRun { .. } | SendError::OtherServer)) {
+        request.possible_runs.update(|count| count - 1);
+    }
     if let Some(watched) = watched {
         watched.end(context, request, &result).await;
     }
@@ -377,6 +406,7 @@
     let bytes = request.encode(context, &chosen.server, time_left);
     *watched = WatchedSend::begin(context, chosen);
     // From here on the server may have received the request.
+    request.possible_runs.update(|count| count + 1);
     let head_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
     let fully_written = head_written
         && stream.write_until_response(request.long_body()).await.map_err(HttpError::from)?;
@@ -389,19 +419,12 @@
         Err(error) => return Err(error.into()),
     };
     let mut buffered = Vec::new();
-    let (complete, end) = match framing {
-        Some(framing) => {
-            let mut decoder = BodyDecoder::new(framing);
-            let pacer = &context.server_pacer;
-            let complete = stream
-                .read_body_paced(&mut decoder, &mut buffered, MAX_BUFFERED_BYTES, pacer)
-                .await?;
-            (complete, BodyEnd::Framed(decoder))
-        }
-        None => {
-            let complete = stream.read_to_close(&mut buffered, MAX_BUFFERED_BYTES).await;
-            (complete.map_err(HttpError::from)?, BodyEnd::Close)
-        }
+    let mut end = BodyEnd::of(framing);
+    let complete = tokio::select! {
+        biased;
+        complete = end.read(context, &mut stream, &mut buffered, MAX_BUFFERED_BYTES) => complete?,
+        // The caller gets the rest as it arrives, for as long as the entry runs.
+        () = context.wait_for_give_up(request.deadline) => false,
     };
     let (server, service) = (chosen.server.clone(), request.service.clone());
     let deadline = request.deadline;
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -13,9 +13,9 @@
 };
 
 /// Fleet with one entry and servers of the service `rounds`.
-struct TestSystem {
-    fleet: TestFleet,
-    entry: TestEntry,
+pub struct TestSystem {
+    pub fleet: TestFleet,
+    pub entry: TestEntry,
 }
 
 impl TestSystem {
@@ -24,8 +24,12 @@
     }
 
     fn start_on_line(servers: &[SocketAddr], line_mbps: Option<f64>) -> Self {
+        Self::start_with_document(servers, line_mbps, &document(1))
+    }
+
+    pub fn start_with_document(servers: &[SocketAddr], line_mbps: Option<f64>, text: &str) -> Self {
         let fleet = TestFleet::start();
-        fleet.put_document(&document(1));
+        fleet.put_document(text);
         for (number, address) in servers.iter().enumerate() {
             announce(&fleet, &format!("s{number}"), &announcement(*address, false, 1, 1));
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -21,3 +21,4 @@
 mod routes;
 mod slow_member;
 mod state;
+mod stop;
--- /dev/null
+++ b/tests/fleet/stop.rs
@@ -0,0 +1,131 @@
+//! Tests of requests that a stopping entry cannot finish.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+use yare::parameterized;
+
+use crate::entry::TestSystem;
+use crate::harness::{
+    HEALTH_PAGE, ScriptedServer, ServerStep, TEST_TIMEOUT, VALID_RESPONSE, document, header_value,
+    parse_response, read_request, wait_for,
+};
+
+/// Grace period of test entries.
+const GRACE: Duration = Duration::from_secs(4);
+
+/// Time that a server needs which is still at work when its entry exits.
+const ENDLESS: Duration = Duration::from_secs(20);
+
+/// Starts a system whose routes allow more time than the grace period.
+fn start_with_long_timeout(servers: &[SocketAddr]) -> TestSystem {
+    let text = document(2).replace(r#""timeout_ms":2000"#, r#""timeout_ms":20000"#);
+    TestSystem::start_with_document(servers, None, &text)
+}
+
+/// Connects to the entry and sends `text`.
+fn send(system: &TestSystem, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    stream.write_all(text.as_bytes()).expect("the entry reads");
+    stream
+}
+
+fn request(line: &str) -> String {
+    format!("{line} HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\ncontent-length: 0\r\n\r\n")
+}
+
+/// Number of requests that reached servers, without health probes.
+fn sent_count(servers: &[ScriptedServer]) -> usize {
+    let requests = servers.iter().flat_map(ScriptedServer::requests);
+    requests.filter(|request| !request.starts_with("GET /health")).count()
+}
+
+/// Guards against a stop that ends a caller's connection without a response because its server is still
+/// at work, and against a response of the entry's own while the server may still end in time.
+#[parameterized(
+    idempotent = { &["GET /read/1"], &[504] },
+    at_most_once = { &["POST /book/1"], &[504] },
+    unsent_behind_another = { &["GET /read/1", "POST /book/1"], &[504, 503] },
+)]
+fn a_request_whose_server_is_at_work_at_the_exit_is_answered(lines: &[&str], statuses: &[u16]) {
+    let endless = ServerStep::Delay(ENDLESS, VALID_RESPONSE);
+    let server = ScriptedServer::start(&[endless.clone(), endless]);
+    let system = start_with_long_timeout(&[server.address]);
+    let text: String = lines.iter().map(|line| request(line)).collect();
+    let mut stream = send(&system, &text);
+    let servers = [server];
+    wait_for("the server to get the request", || sent_count(&servers) > 0);
+    let TestSystem { entry, fleet } = system;
+    let stopped_at = Instant::now();
+    let stopping = std::thread::spawn(move || entry.stop());
+    let mut response = [0; 12];
+    stream.read_exact(&mut response).expect("the entry answers before it exits");
+    let answered_after = stopped_at.elapsed();
+    let mut text = String::from_utf8_lossy(&response).into_owned();
+    stream.read_to_string(&mut text).expect("the connection ends cleanly");
+    stopping.join().expect("the entry stops");
+    let received: Vec<u16> = text.split("HTTP/1.1 ").skip(1).map(status_number).collect();
+    assert_eq!(received, statuses, "{text}");
+    assert!(text.contains("connection: close"), "{text}");
+    assert!(answered_after >= GRACE.mul_f64(5.0 / 6.0), "{answered_after:?}");
+    assert_eq!(sent_count(&servers), 1);
+    drop(fleet);
+}
+
+fn status_number(text: &str) -> u16 {
+    text[..3].parse().expect("a status is a number")
+}
+
+/// Guards against a stop that drops a response which is arriving from its server: held back for a retry,
+/// it was cut off at the exit although the caller could have had all of it.
+#[test]
+fn a_response_that_is_arriving_is_relayed_to_the_end() {
+    let (server, permissions) = paused_server();
+    let system = start_with_long_timeout(&[server]);
+    let mut stream = send(&system, &request("GET /read/1"));
+    // The server has begun its response.
+    let permission = permissions.recv_timeout(TEST_TIMEOUT).expect("the server gets the request");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    let mut response = vec![0; 12];
+    stream.read_exact(&mut response).expect("the response begins before the exit");
+    permission.send(()).expect("the server waits");
+    stream.read_to_end(&mut response).expect("the connection ends cleanly");
+    stopping.join().expect("the entry stops");
+    let response = String::from_utf8_lossy(&response);
+    assert_eq!(parse_response(&response), (200, "ok".into()));
+    assert_eq!(header_value(&response, "connection").as_deref(), Some("close"));
+    drop(fleet);
+}
+
+/// Starts a server that holds back the last byte of each response until it is permitted.
+fn paused_server() -> (SocketAddr, mpsc::Receiver<mpsc::Sender<()>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let (sender, permissions) = mpsc::channel();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let sender = sender.clone();
+            std::thread::spawn(move || {
+                let mut input = Vec::new();
+                while let Some(request) = read_request(&mut stream, &mut input) {
+                    if request.starts_with("GET /health") {
+                        let _ = stream.write_all(HEALTH_PAGE.as_bytes());
+                        continue;
+                    }
+                    let response = VALID_RESPONSE.replace("ID", "r1");
+                    let (begin, last) = response.split_at(response.len() - 1);
+                    let _ = stream.write_all(begin.as_bytes());
+                    let (permission, permitted) = mpsc::channel();
+                    let _ = sender.send(permission);
+                    let _ = permitted.recv();
+                    let _ = stream.write_all(last.as_bytes());
+                }
+            });
+        }
+    });
+    (address, permissions)
+}
