Start no retry that a stopping entry cannot finish

A stopping entry asked `can_finish` once, when it took a request.

Retries, hedged sends and attempts that take the place of an unsent one are now started by a stopping entry only if the deadline and the relay end before the exit, as for new requests. If nothing can have run, the caller gets 503 with `Retry-After: 0` at once, so that another entry serves it; otherwise the server's error, or 502.

Considered and not done: a retry of a request that may have run could start if its usual latency fits before the exit. It would serve some callers that now get 502, but a long response could be cut off at the exit again.

Evidence: the three cases of a_stopping_entry_starts_no_send_that_may_outlast_it failed before (a second server got the request; `Retry-After` of 0.375 s after it) and pass now, with the other tests of a stop.

--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -289,7 +289,7 @@
 
     fn start_hedge(&mut self, now: Instant) {
         self.hedge_at = None;
-        if !self.context.allows_hedge(&self.request) {
+        if !self.context.allows_hedge(&self.request) || !self.can_finish() {
             return;
         }
         let entry_count = self.context.entry_count();
@@ -327,7 +327,7 @@
         if self.send_count >= self.rule.max_attempts || now >= self.request.deadline {
             return false;
         }
-        if !self.context.allows_retry(&self.request) {
+        if !self.context.allows_retry(&self.request) || !self.can_finish() {
             return false;
         }
         let entry_count = self.context.entry_count();
@@ -405,6 +405,8 @@
             self.refuse("no server has room")
         } else if matches!(error, SendError::Expired) {
             self.refuse("the time is over before a server was reached")
+        } else if !self.can_finish() {
+            LocalResponse::stopping()
         } else {
             self.refuse("all servers that were tried refused")
         };
@@ -421,6 +423,7 @@
             self.unsent_attempts += 1;
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
+                && self.can_finish()
                 && !matches!(
                     error,
                     SendError::NoServer(_) | SendError::Expired | SendError::Quarantined
@@ -440,6 +443,11 @@
         self.retry(now, CrowdedPolicy::ProbeAgain)
     }
 
+    /// Whether a further send is expected to have its response before the entry exits.
+    fn can_finish(&self) -> bool {
+        self.context.can_finish(&self.request.service, self.request.deadline)
+    }
+
     fn refuse(&self, reason: &'static str) -> LocalResponse {
         let time_left = self.request.deadline.saturating_duration_since(Instant::now());
         let delay = self.rule.target_latency.mul_f64(RETRY_AFTER_FRACTION);
--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -79,6 +79,41 @@
     text[..3].parse().expect("a status is a number")
 }
 
+const REFUSED: &str = "HTTP/1.1 503 Service Unavailable\r\nx-request-id: ID\r\nx-not-run: 1\r\n\
+                       content-length: 0\r\n\r\n";
+
+/// Guards against a retry or a hedged send that a stopping entry starts although it may not end before
+/// the exit.
+#[parameterized(
+    refused = { "POST /book/1", Duration::from_millis(400), REFUSED, 503 },
+    broken = { "GET /read/1", Duration::from_millis(400), "no response\r\n\r\n", 502 },
+    hedged = { "GET /read/1", Duration::from_secs(2), VALID_RESPONSE, 200 },
+)]
+fn a_stopping_entry_starts_no_send_that_may_outlast_it(
+    line: &str,
+    delay: Duration,
+    response: &'static str,
+    status: u16,
+) {
+    // Whichever server comes first.
+    let step = ServerStep::Delay(delay, response);
+    let servers = [(); 2].map(|()| ScriptedServer::start(std::slice::from_ref(&step)));
+    let addresses = servers.each_ref().map(|server| server.address);
+    let system = start_with_long_timeout(&addresses);
+    let mut stream = send(&system, &request(line));
+    wait_for("a server to get the request", || sent_count(&servers) > 0);
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the connection ends cleanly");
+    stopping.join().expect("the entry stops");
+    assert_eq!(parse_response(&text).0, status, "{text}");
+    let retry_after = header_value(&text, "retry-after");
+    assert_eq!(retry_after.as_deref(), (status == 503).then_some("0.000"));
+    assert_eq!(sent_count(&servers), 1);
+    drop(fleet);
+}
+
 /// Guards against a stop that drops a response which is arriving from its server: held back for a retry,
 /// it was cut off at the exit although the caller could have had all of it.
 #[test]
