Count the bytes of request bodies as they are read

uploads_beyond_the_memory_are_refused failed now and then: a held upload was refused with 503 at its last byte, and a later one had taken its place. Callers would see the same beside the bound of 72 MiB.

Product and test both had a part in it:

- The entry counted a body only after each 64 KiB and at its end, so up to 80 KiB of each body in memory were not counted.
The three held uploads left room for the fourth, which did not exist.
Each read is counted now.
- The test did not wait until the held bytes had arrived.
It now waits for the exact sum on the new gauge entry_held_body_bytes.

The test is stricter than before: no byte of the refused upload stays counted, all held uploads are served, and the memory is free at the end.

--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -90,6 +90,7 @@
     pub fn metrics(&self) -> String {
         let metrics = &self.context.metrics;
         metrics.idle_connections.set(self.context.connections.len() as i64);
+        metrics.held_body_bytes.set(self.context.held_bytes.total() as i64);
         metrics.suspect_requests.set(self.context.crash_watch.suspect_count() as i64);
         metrics.revision.set(self.context.state.borrow().revision().cast_signed());
         metrics.fresh_members.set(self.follower.fresh_members(Instant::now()) as i64);
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -50,9 +50,6 @@
     }
 }
 
-/// Number of bytes of a body that are read between two checks of the bytes held.
-const BODY_STEP_BYTES: usize = 64 << 10;
-
 /// Request whose body is still arriving.
 struct PartialRequest {
     head: RequestHead,
@@ -180,8 +177,10 @@
     let limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
     loop {
         let deadline = stream.last_read_at().max(resumed_at) + BODY_STALL_TIMEOUT;
-        let step_limit = limit.min(request.body.len() + BODY_STEP_BYTES);
-        let read = stream.read_body(&mut request.decoder, &mut request.body, step_limit);
+        // Each read is counted at once. Bytes that are counted late let a new request take memory that
+        // is in use, and the request that holds it is refused instead.
+        let read_limit = limit.min(request.body.len());
+        let read = stream.read_body(&mut request.decoder, &mut request.body, read_limit);
         let result = timeout_at(deadline.into(), read).await;
         if !request.share.grow_to(request.body.len()) {
             return Err(ReadError::Overloaded);
--- a/tests/fleet/caller.rs
+++ b/tests/fleet/caller.rs
@@ -129,47 +129,74 @@
     assert_eq!(parse_response(&response).1.len(), LARGE_BODY);
 }
 
+/// Holds uploads of one size at the entry of a [`CallerSystem`].
+struct UploadSystem {
+    system: CallerSystem,
+    upload_bytes: usize,
+}
+
+impl UploadSystem {
+    fn start(upload_bytes: usize) -> Self {
+        let system = CallerSystem::start(15_000, 3000, &[]);
+        // The timeout counts from the head, and the uploads are held for long.
+        let patient = document_with_limits(2, 15_000, 3000)
+            .replace("\"timeout_ms\":2000", "\"timeout_ms\":60000");
+        system.fleet.put_document(&patient);
+        wait_for("the entry to follow", || system.entry.metric("entry_document_version") == 2);
+        Self { system, upload_bytes }
+    }
+
+    fn held_bytes(&self) -> usize {
+        self.system.entry.metric("entry_held_body_bytes") as usize
+    }
+
+    /// Sends the head of an upload and `bytes` of its body.
+    fn begin(&self, bytes: usize) -> TcpStream {
+        let mut stream = self.system.connect();
+        let head = format!(
+            "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\nconnection: close\r\n\
+             content-length: {}\r\n\r\n",
+            self.upload_bytes
+        );
+        send(&mut stream, &head);
+        // The entry may refuse the upload before its end.
+        let _ = stream.write_all(&vec![b'x'; bytes]);
+        stream
+    }
+
+    /// Sends an upload without its last byte and waits until the entry holds the rest of `count` uploads.
+    fn hold(&self, count: usize) -> TcpStream {
+        let expected = count * (self.upload_bytes - 1);
+        let stream = self.begin(self.upload_bytes - 1);
+        wait_for("the entry to hold an upload", || self.held_bytes() == expected);
+        stream
+    }
+
+    /// Sends the last byte of a held upload; returns the status of the response.
+    fn finish(&self, mut stream: TcpStream) -> u16 {
+        send(&mut stream, "x");
+        parse_response(&read_to_end(stream)).0
+    }
+}
+
 /// Guards against a machine that runs out of memory because many callers upload at once: what fits is
-/// served, the rest is refused as not run, and the memory is free again afterwards.
+/// served, the rest is refused as not run, and the memory is free again afterwards. Bytes that are in
+/// memory but not counted let a later upload take the place of a held one.
 #[test]
 fn uploads_beyond_the_memory_are_refused() {
     const UPLOAD: usize = 24 << 20;
-    let system = CallerSystem::start(15_000, 3000, &[]);
-    // The timeout counts from the head, and the uploads are held for long.
-    let patient = document_with_limits(2, 15_000, 3000)
-        .replace("\"timeout_ms\":2000", "\"timeout_ms\":60000");
-    system.fleet.put_document(&patient);
-    std::thread::sleep(Duration::from_secs(1));
-    let head = format!(
-        "POST /book/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: b1\r\nconnection: close\r\n\
-         content-length: {UPLOAD}\r\n\r\n"
-    );
-    let upload = || {
-        let mut stream = system.connect();
-        send(&mut stream, &head);
-        // All but the last byte: the body stays held until the test ends it.
-        let mut response = String::new();
-        if stream.write_all(&vec![b'x'; UPLOAD - 1]).is_err() {
-            let _ = stream.read_to_string(&mut response);
-        }
-        (stream, response)
-    };
-    let mut held: Vec<_> = (0..3).map(|_| upload()).collect();
-    assert!(held.iter().all(|(_, response)| response.is_empty()));
-    let mut refused = upload();
-    send_ignoring_errors(&mut refused.0);
-    let mut response = refused.1;
-    let _ = refused.0.read_to_string(&mut response);
+    let uploads = UploadSystem::start(UPLOAD);
+    let mut held: Vec<_> = (1..=3).map(|count| uploads.hold(count)).collect();
+    let mut refused = uploads.begin(UPLOAD);
+    let mut response = String::new();
+    let _ = refused.read_to_string(&mut response);
     // The caller may see the reset of its unread bytes instead of the response.
     assert!(response.is_empty() || parse_response(&response).0 == 503, "{response}");
-    let (mut first, _) = held.remove(0);
-    send(&mut first, "x");
-    assert_eq!(parse_response(&read_to_end(first)).0, 200);
-    let (mut next, _) = upload();
-    send(&mut next, "x");
-    assert_eq!(parse_response(&read_to_end(next)).0, 200);
-}
-
-fn send_ignoring_errors(stream: &mut TcpStream) {
-    let _ = stream.write_all(b"x");
+    assert_eq!(uploads.held_bytes(), 3 * (UPLOAD - 1));
+    assert_eq!(uploads.finish(held.remove(0)), 200);
+    let next = uploads.hold(3);
+    for stream in held.into_iter().chain([next]) {
+        assert_eq!(uploads.finish(stream), 200);
+    }
+    wait_for("the memory to be free", || uploads.held_bytes() == 0);
 }
