Answer operators' calls before a control member exits

A control member of a fleet exited 400 ms after the SIGTERM, whatever it was doing. Operators and servers whose document, announcement or release was being decided, or still arriving, saw a closed connection.

Cause: the stop slept for the time of the leadership transfer and nothing counted calls. Now each call counts from its first byte until its response is written. The leader hands over as before; then idle connections are closed, and the member exits as soon as no call is left. Calls that are incomplete when an outcome would come after the exit get 503 "nothing was changed" and are not proposed; calls without an outcome shortly before the exit get 503 "the outcome is not known". Responses during the stop close their connections.

Each of the three tests in control_stop got no response before: a change whose majority is gone, a document that arrives in two halves 800 ms apart, and one whose second half never comes. All three pass, and the processes exit by themselves within the grace period.

--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control member: replicates the settings document and the server list, and streams both to the
 //! entries.
 
+mod call_tracker;
 mod core;
 pub mod disk;
 mod followers;
@@ -22,9 +23,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, sleep_until};
 
+use self::call_tracker::{CallTracker, StopPhase};
 use self::core::{ControlCore, CoreParts, SharedCore};
 use self::disk::{DiskReport, OpenedDisk};
-use self::operator::OperatorService;
+use self::operator::{CALL_TIMEOUT, OperatorService};
 use self::peers::PeerLinks;
 use super::config::{ControlConfig, FleetConfig};
 use super::dialect::WireDialect;
@@ -55,6 +57,19 @@
 /// Time allowed for the leadership transfer before the process exits.
 const TRANSFER_TIME: Duration = Duration::from_millis(400);
 
+/// Time before the end of the grace period at which the process exits even if calls are in progress.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Time before the exit at which calls without an outcome are answered. It covers the way of the response
+/// to the operator.
+const ENDING_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which closed connections wait for their peers before the process exits.
+const CLOSING_TIME: Duration = Duration::from_millis(600);
+
+/// Interval at which a stopping member checks whether calls are in progress.
+const CALL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Errors that prevent a control member from starting.
 #[derive(Debug, Error)]
 pub enum ControlError {
@@ -67,6 +82,7 @@
 /// A running control member.
 pub struct ControlProcess {
     core: SharedCore,
+    calls: Rc<CallTracker>,
     disk_latency: Histogram,
 }
 
@@ -86,10 +102,10 @@
         tokio::task::spawn_local(run_timers(Rc::clone(&core)));
         tokio::task::spawn_local(handle_disk_reports(Rc::clone(&core), report_queue));
         tokio::task::spawn_local(followers::serve(link_listener, Rc::clone(&core)));
-        tokio::task::spawn_local(
-            OperatorService::new(Rc::clone(&core), dialect).serve(operator_listener),
-        );
-        Ok(Self { core, disk_latency })
+        let calls = Rc::new(CallTracker::default());
+        let operator_service = OperatorService::new(Rc::clone(&core), dialect, Rc::clone(&calls));
+        tokio::task::spawn_local(operator_service.serve(operator_listener));
+        Ok(Self { core, calls, disk_latency })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -101,10 +117,47 @@
         self.core.borrow().metrics().encode(&self.disk_latency)
     }
 
-    /// Transfers leadership to another member and waits for the transfer.
-    pub async fn stop(&self) {
-        self.core.borrow_mut().transfer_leadership(Instant::now());
-        sleep(TRANSFER_TIME).await;
+    /// Transfers leadership to another member, answers the calls in progress and returns within `grace`,
+    /// or after the time for the transfer if that is longer.
+    pub async fn stop(&self, grace: Duration) {
+        let started = Instant::now();
+        let end = grace.saturating_sub(GRACE_MARGIN).max(TRANSFER_TIME);
+        let ending_at = end.saturating_sub(ENDING_TIME);
+        let refusing_at = ending_at.saturating_sub(CALL_TIMEOUT);
+        self.calls.enter(StopPhase::Stopping);
+        self.core.borrow_mut().transfer_leadership(started);
+        sleep(TRANSFER_TIME.min(ending_at)).await;
+        let phases = [
+            (StopPhase::Closing, refusing_at),
+            (StopPhase::Refusing, ending_at),
+            (StopPhase::Ending, end),
+        ];
+        for (phase, until) in phases {
+            self.calls.enter(phase);
+            self.wait_for_calls(started + until).await;
+        }
+        sleep((started + TRANSFER_TIME).saturating_duration_since(Instant::now())).await;
+        log_info!(
+            "member_stopped",
+            "calls={} connections={} after_ms={} grace_ms={}",
+            self.calls.calls(),
+            self.calls.connections(),
+            started.elapsed().as_millis(),
+            grace.as_millis()
+        );
+    }
+
+    /// Waits until all calls are answered and their connections are closed, or until `end`.
+    async fn wait_for_calls(&self, end: Instant) {
+        let mut called_until = Instant::now();
+        while Instant::now() < end && self.calls.connections() > 0 {
+            if self.calls.calls() > 0 {
+                called_until = Instant::now();
+            } else if called_until.elapsed() >= CLOSING_TIME {
+                return;
+            }
+            sleep(CALL_CHECK_INTERVAL).await;
+        }
     }
 }
 
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, timeout_at};
 
+use super::call_tracker::{CallTracker, StopPhase};
 use super::core::SharedCore;
 use super::quarantine_list::{QuarantineList, parse_digest};
 use crate::fleet::announcement::{ServerAnnouncement, ServerState};
@@ -25,7 +26,7 @@
 
 /// Timeout for the outcome of a call. It is below the second after which servers and operators call
 /// another member.
-const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Maximum number of concurrent connections.
 const MAX_CONNECTIONS: usize = 1500;
@@ -44,52 +45,112 @@
     core: SharedCore,
     dialect: Rc<dyn WireDialect>,
     limits: HttpLimits,
+    calls: Rc<CallTracker>,
 }
 
 impl OperatorService {
-    pub fn new(core: SharedCore, dialect: Rc<dyn WireDialect>) -> Rc<Self> {
+    pub fn new(core: SharedCore, dialect: Rc<dyn WireDialect>, calls: Rc<CallTracker>) -> Rc<Self> {
         let idle_timeout = Duration::from_secs(30);
         let limits = HttpLimits { idle_timeout, ..HttpLimits::default() };
-        Rc::new(Self { core, dialect, limits })
+        Rc::new(Self { core, dialect, limits, calls })
     }
 
-    /// Accepts connections until the process exits.
+    /// Accepts connections until the stop closes them.
     pub async fn serve(self: Rc<Self>, listener: TcpListener) {
         let serve = |stream| {
-            let has_capacity = Rc::strong_count(&self) <= MAX_CONNECTIONS;
+            let has_capacity = self.calls.connections() < MAX_CONNECTIONS;
             if has_capacity && link::prepare_socket(&stream, link::USER_TIMEOUT).is_ok() {
                 let service = Rc::clone(&self);
-                tokio::task::spawn_local(async move { service.serve_connection(stream).await });
+                let connection_guard = self.calls.begin_connection();
+                tokio::task::spawn_local(async move {
+                    service.serve_connection(stream).await;
+                    drop(connection_guard);
+                });
             }
         };
-        accept_each(&listener, "operator", serve).await;
+        tokio::select! {
+            () = self.calls.reach(StopPhase::Closing) => {}
+            () = accept_each(&listener, "operator", serve) => {}
+        }
     }
 
     async fn serve_connection(&self, stream: TcpStream) {
         let mut stream = HttpStream::new(stream);
-        loop {
-            let read = timeout(self.limits.idle_timeout, self.read_call(&mut stream));
-            let (head, body) = match read.await {
-                Ok(Ok(Some(call))) => call,
-                Ok(Err(error)) => {
-                    let Some(status) = error.response_status() else { return };
-                    let body = self.dialect.error_body(&error.to_string());
-                    let _ = stream.write(&self.encode(&CallResponse { status, body }, false)).await;
-                    return stream.close().await;
-                }
-                Ok(Ok(None)) | Err(_) => return,
-            };
-            let keep_alive = head.keep_alive();
-            let response = self.handle_call(&head, &body).await;
-            if stream.write(&self.encode(&response, keep_alive)).await.is_err() {
-                return;
+        while self.wait_for_call(&mut stream).await {
+            // A call counts from its first byte until its response is written.
+            let _call_guard = self.calls.begin_call();
+            match self.serve_call(&mut stream).await {
+                Ok(true) => {}
+                Ok(false) => break,
+                Err(_) => return,
+            }
+        }
+        stream.close().await;
+    }
+
+    /// Waits for the first byte of a call; `false` if there will be none.
+    async fn wait_for_call(&self, stream: &mut HttpStream) -> bool {
+        if !stream.buffered().is_empty() {
+            return true;
+        }
+        tokio::select! {
+            read = timeout(self.limits.idle_timeout, stream.fill()) => {
+                read.is_ok_and(|read| read.is_ok_and(|count| count > 0))
             }
-            if !keep_alive {
-                return stream.close().await;
+            () = self.calls.reach(StopPhase::Closing) => {
+                stream.fill_available().is_ok() && !stream.buffered().is_empty()
             }
         }
     }
 
+    /// Reads and answers one call; returns whether the connection stays open.
+    async fn serve_call(&self, stream: &mut HttpStream) -> Result<bool, HttpError> {
+        let read = tokio::select! {
+            biased;
+            read = timeout(self.limits.idle_timeout, self.read_call(stream)) => read,
+            () = self.calls.reach(StopPhase::Refusing) => {
+                log_info!("call_refused", "reason=\"incomplete at the end of the stop\" status=503");
+                stream.write(&self.encode(&self.stopping(), false)).await?;
+                return Ok(false);
+            }
+        };
+        let (head, body) = match read {
+            Ok(Ok(Some(call))) => call,
+            Ok(Err(error)) => {
+                let Some(status) = error.response_status() else { return Err(error) };
+                let body = self.dialect.error_body(&error.to_string());
+                stream.write(&self.encode(&CallResponse { status, body }, false)).await?;
+                return Ok(false);
+            }
+            Ok(Ok(None)) => return Ok(false),
+            Err(_) => return Err(HttpError::Timeout("reading a call")),
+        };
+        let response = self.answer_before_exit(&head, &body).await;
+        // The next call on this connection goes to another member.
+        let keep_alive = head.keep_alive() && self.calls.phase() == StopPhase::Serving;
+        stream.write(&self.encode(&response, keep_alive)).await?;
+        Ok(keep_alive)
+    }
+
+    /// Handles a call; near the exit, says truthfully what is known about it.
+    async fn answer_before_exit(&self, head: &RequestHead, body: &[u8]) -> CallResponse {
+        if self.calls.phase() >= StopPhase::Refusing {
+            return self.stopping();
+        }
+        tokio::select! {
+            biased;
+            response = self.handle_call(head, body) => response,
+            () = self.calls.reach(StopPhase::Ending) => {
+                self.failure(503, "the member stops; the outcome is not known")
+            }
+        }
+    }
+
+    /// Response to a call that was not proposed.
+    fn stopping(&self) -> CallResponse {
+        self.failure(503, "the member stops; nothing was changed")
+    }
+
     async fn read_call(
         &self,
         stream: &mut HttpStream,
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -86,7 +86,7 @@
     let started = Instant::now();
     match &*role {
         RunningRole::Entry(entry) => entry.stop(config.grace).await,
-        RunningRole::Control(control) => control.stop().await,
+        RunningRole::Control(control) => control.stop(config.grace).await,
     }
     log_info!("process_stopped", "name={} after_ms={}", config.name, started.elapsed().as_millis());
     event_log::flush(LOG_FLUSH_TIME);
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -5,6 +5,7 @@
 //! found its port still in use.
 
 mod blocked_log;
+mod control_stop;
 mod crashing_request;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
