Expect the relay time of a route, not that of its service

That was too much and too little:

- One caller that read slowly, or one route with long responses, made every request of the service count as long: more were refused than needed.
A response relayed in 2.5 s led to a 503 for a request on another route that had 3.3 s left.
- An entry that had relayed nothing since its start expected no relay time at all.
It took a request 0.4 s after the SIGTERM and cut its response of 1.2 MB off at the exit, on a line of 4 Mbit/s, after 692 kB.

Relay times are now kept by route, without the time for which a write waited for the caller to read. Routes that leave the document are dropped.

A caller that reads slowly can still have its own response cut off at the exit.

Evidence: a_slow_relay_does_not_refuse_other_requests (503 instead of 200, both cases) and an_entry_without_history_takes_no_request_whose_response_may_be_long (cut off) failed before and pass now.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -16,11 +16,12 @@
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
-use crate::fleet::document::CallerLimits;
+use crate::fleet::document::{CallerLimits, RouteRule};
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
 use crate::fleet::held_bytes::HeldBytes;
 use crate::fleet::line::LinePacer;
 use crate::fleet::link::FreshnessNotice;
+use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::update::{FleetReplica, FleetUpdate};
 use crate::http::ResponseHead;
@@ -28,10 +29,6 @@
 use crate::log_info;
 use crate::suspension::{SuspensionWatch, suspended_time};
 
-/// Factor by which the longest relay time of a service shrinks with each response. A caller that reads
-/// slowly is forgotten after some fifty responses.
-const RELAY_TIME_DECAY: f64 = 0.95;
-
 /// Time before the exit by which a request must be answered. It covers the way of a short response to
 /// its caller.
 pub const ANSWER_TIME: Duration = Duration::from_millis(100);
@@ -76,8 +73,7 @@
     entry_count: Cell<u32>,
     /// Time at which the entry exits, once it is stopping.
     stop_end: Cell<Option<Instant>>,
-    /// Longest recent time between a response and the end of its relay, by service.
-    relay_times: RefCell<BTreeMap<ServiceName, Duration>>,
+    pub relay_times: RefCell<RelayTimes>,
     suspension_watch: Cell<SuspensionWatch>,
     /// Whether a member has confirmed the state since the machine was last suspended.
     state_confirmed: watch::Sender<bool>,
@@ -110,7 +106,7 @@
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
             stop_end: Cell::default(),
-            relay_times: RefCell::default(),
+            relay_times: RefCell::new(RelayTimes::new(entry.line_mbps)),
             suspension_watch: Cell::new(SuspensionWatch::new(suspended_time())),
             state_confirmed: watch::Sender::new(true),
         })
@@ -182,12 +178,11 @@
         self.phase.send_replace(EntryPhase::Stopping);
     }
 
-    /// Whether a request of this service with the given deadline is expected to have its whole response
-    /// before the entry exits. The relay time is that of earlier responses; before the first one it
-    /// counts as nothing.
-    pub fn can_finish(&self, service: &ServiceName, deadline: Instant) -> bool {
-        let relay_time = || self.relay_times.borrow().get(service).copied().unwrap_or_default();
-        self.stop_end.get().is_none_or(|end| deadline + relay_time().max(ANSWER_TIME) <= end)
+    /// Whether a request of this route with the given deadline is expected to have its whole response
+    /// before the entry exits.
+    pub fn can_finish(&self, rule: &RouteRule, deadline: Instant) -> bool {
+        let relay_time = || self.relay_times.borrow().expected(rule).max(ANSWER_TIME);
+        self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
     }
 
     /// Waits until a stopping entry gives up the request with this deadline. Never completes if the
@@ -201,13 +196,6 @@
         }
     }
 
-    /// Records how long the relay of a response took.
-    pub fn record_relay(&self, service: &ServiceName, elapsed: Duration) {
-        let mut relay_times = self.relay_times.borrow_mut();
-        let longest = relay_times.get(service).copied().unwrap_or_default();
-        relay_times.insert(service.clone(), elapsed.max(longest.mul_f64(RELAY_TIME_DECAY)));
-    }
-
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() != EntryPhase::Serving
     }
@@ -322,6 +310,7 @@
                 state.revision()
             );
             self.metrics.document_version.set(document.version as i64);
+            self.relay_times.borrow_mut().retain(document.routes.values());
             self.route_table.send_replace(Some(Rc::new(RouteTable::new(document))));
         }
         if servers_changed {
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -69,8 +69,8 @@
         stream: &mut HttpStream,
         response: ServerResponse,
     ) -> Result<(), ConnectionEnd> {
-        let ServerResponse { mut head, body, server: server_id, service, deadline } = response;
-        let started = Instant::now();
+        let ServerResponse { mut head, body, server: server_id, rule, deadline } = response;
+        let (started, waited_before) = (Instant::now(), stream.write_wait());
         let no_body = self.method == "HEAD" || matches!(head.status, 204 | 304);
         head.headers.remove_hop_by_hop();
         if !no_body {
@@ -110,7 +110,9 @@
                 result
             }
         };
-        self.context.record_relay(&service, started.elapsed());
+        let caller_wait = stream.write_wait() - waited_before;
+        let elapsed = started.elapsed().saturating_sub(caller_wait);
+        self.context.relay_times.borrow_mut().record(&rule, elapsed);
         result
     }
 
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -205,10 +205,9 @@
     let requested_timeout = requested_timeout(context, &caller_request.head);
     let timeout = requested_timeout.map_or(rule.timeout, |requested| requested.min(rule.timeout));
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
-    let idempotent = rule.repetition == Repetition::Idempotent;
     let (received_at, deadline) =
         (caller_request.received_at, caller_request.received_at + timeout);
-    if !context.can_finish(&service, deadline) {
+    if !context.can_finish(&rule, deadline) {
         return Err(LocalResponse::stopping());
     }
     let request = OutgoingRequest::new(
@@ -217,7 +216,7 @@
         service,
         caller_request.head,
         HeldBody { bytes: caller_request.body, _share: caller_request.share },
-        idempotent,
+        Rc::clone(&rule),
         deadline,
     );
     Ok(RequestDriver {
@@ -445,7 +444,7 @@
 
     /// Whether a further send is expected to have its response before the entry exits.
     fn can_finish(&self) -> bool {
-        self.context.can_finish(&self.request.service, self.request.deadline)
+        self.context.can_finish(&self.rule, self.request.deadline)
     }
 
     fn refuse(&self, reason: &'static str) -> LocalResponse {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -12,6 +12,7 @@
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::crash::request_digest;
+use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
@@ -44,6 +45,7 @@
     body: HeldBody,
     digest: OnceCell<RequestDigest>,
     pub request_id: Option<Box<[u8]>>,
+    rule: Rc<RouteRule>,
     pub idempotent: bool,
     pub deadline: Instant,
     /// Sends that may have reached a server, less those that the server refused without a run.
@@ -63,7 +65,8 @@
     pub head: ResponseHead,
     pub body: ServerBody,
     pub server: ServerId,
-    pub service: ServiceName,
+    /// Route of the request.
+    pub rule: Rc<RouteRule>,
     /// Deadline of the request.
     pub deadline: Instant,
 }
@@ -188,7 +191,7 @@
         service: ServiceName,
         mut caller_head: RequestHead,
         body: HeldBody,
-        idempotent: bool,
+        rule: Rc<RouteRule>,
         deadline: Instant,
     ) -> Self {
         let header_names = *context.dialect.headers();
@@ -216,7 +219,8 @@
             body,
             digest: OnceCell::new(),
             request_id,
-            idempotent,
+            idempotent: rule.repetition == Repetition::Idempotent,
+            rule,
             deadline,
             possible_runs: Cell::default(),
             real_deadline: SuspensionDeadline::new(deadline, context.known_suspension()),
@@ -426,18 +430,18 @@
         // The caller gets the rest as it arrives, for as long as the entry runs.
         () = context.wait_for_give_up(request.deadline) => false,
     };
-    let (server, service) = (chosen.server.clone(), request.service.clone());
+    let (server, rule) = (chosen.server.clone(), Rc::clone(&request.rule));
     let deadline = request.deadline;
     if !complete {
         let body = ServerBody::Streaming { buffered, stream, end, framing };
-        return Ok(ServerResponse { head, body, server, service, deadline });
+        return Ok(ServerResponse { head, body, server, rule, deadline });
     }
     // Without a request id, a late copy of this response would look like the next one.
     if fully_written && framing.is_some() && request.request_id.is_some() {
         context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
     let body = ServerBody::Complete(buffered);
-    Ok(ServerResponse { head, body, server, service, deadline })
+    Ok(ServerResponse { head, body, server, rule, deadline })
 }
 
 /// Reads the response to this request and skips late responses to earlier ones.
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -42,6 +42,8 @@
     start: usize,
     /// Maximum number of bytes in one read.
     read_bytes: usize,
+    /// Time for which writes have waited until the peer had read enough.
+    write_wait: Duration,
     /// Arrival time of the newest bytes.
     last_read_at: Instant,
     /// Arrival time of the oldest buffered bytes, or of earlier bytes that were still in the buffer when
@@ -53,7 +55,21 @@
     pub fn new(stream: TcpStream) -> Self {
         let now = Instant::now();
         let (input, start, read_bytes) = (Vec::new(), 0, READ_BYTES);
-        Self { stream, input, start, read_bytes, last_read_at: now, buffered_since: now }
+        let write_wait = Duration::ZERO;
+        Self {
+            stream,
+            input,
+            start,
+            read_bytes,
+            write_wait,
+            last_read_at: now,
+            buffered_since: now,
+        }
+    }
+
+    /// Time for which writes have waited until the peer had read enough.
+    pub fn write_wait(&self) -> Duration {
+        self.write_wait
     }
 
     /// Time at which the newest bytes arrived.
@@ -297,7 +313,10 @@
     }
 
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        let started = Instant::now();
+        let result = self.stream.write_all(bytes).await;
+        self.write_wait += started.elapsed();
+        result
     }
 
     /// Shuts down the sending side and waits briefly for the peer to close.
--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -9,8 +9,8 @@
 
 use crate::entry::TestSystem;
 use crate::harness::{
-    HEALTH_PAGE, ScriptedServer, ServerStep, TEST_TIMEOUT, VALID_RESPONSE, document, header_value,
-    parse_response, read_request, wait_for,
+    HEALTH_PAGE, ScriptedServer, ServerStep, TEST_TIMEOUT, VALID_RESPONSE, document, exchange,
+    header_value, parse_response, read_request, wait_for,
 };
 
 /// Grace period of test entries.
@@ -118,7 +118,7 @@
 /// it was cut off at the exit although the caller could have had all of it.
 #[test]
 fn a_response_that_is_arriving_is_relayed_to_the_end() {
-    let (server, permissions) = paused_server();
+    let (server, permissions) = paused_server("GET", 2);
     let system = start_with_long_timeout(&[server]);
     let mut stream = send(&system, &request("GET /read/1"));
     // The server has begun its response.
@@ -131,13 +131,91 @@
     stream.read_to_end(&mut response).expect("the connection ends cleanly");
     stopping.join().expect("the entry stops");
     let response = String::from_utf8_lossy(&response);
-    assert_eq!(parse_response(&response), (200, "ok".into()));
+    assert_eq!(parse_response(&response), (200, "xx".into()));
     assert_eq!(header_value(&response, "connection").as_deref(), Some("close"));
     drop(fleet);
 }
 
-/// Starts a server that holds back the last byte of each response until it is permitted.
-fn paused_server() -> (SocketAddr, mpsc::Receiver<mpsc::Sender<()>>) {
+/// Guards against a stop that refuses what it could finish: a response that took long because of its
+/// caller or on another route made all requests of its service count as long.
+#[parameterized(
+    slow_caller = { "GET", 64 << 20 },
+    other_route = { "POST", 1 << 20 },
+)]
+fn a_slow_relay_does_not_refuse_other_requests(method: &'static str, body_bytes: usize) {
+    const SLOW_TIME: Duration = Duration::from_millis(2500);
+    let is_caller_slow = method == "GET";
+    let path = if is_caller_slow { "/read/1" } else { "/book/1" };
+    let (server, permissions) = paused_server(method, body_bytes);
+    let system = TestSystem::start_with_document(&[server], None, &document(1));
+    let mut stream = send(&system, &close_request(method, path));
+    let permission = permissions.recv_timeout(TEST_TIMEOUT).expect("the server gets the request");
+    if is_caller_slow {
+        permission.send(()).expect("the server waits");
+        std::thread::sleep(SLOW_TIME);
+    } else {
+        std::thread::spawn(move || {
+            std::thread::sleep(SLOW_TIME);
+            permission.send(()).expect("the server waits");
+        });
+    }
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the response is complete");
+    assert_eq!(parse_response(&response).1.len(), body_bytes);
+    let traffic = system.entry.traffic;
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    // The timeout of 2 s and the slow relay do not fit into the rest of the grace period.
+    std::thread::sleep(Duration::from_millis(400));
+    let status = |method, path| {
+        let text = close_request(method, path);
+        parse_response(&exchange(traffic, text.as_bytes()).expect("the entry responds")).0
+    };
+    assert_eq!(status("HEAD", "/read/2"), 200);
+    if !is_caller_slow {
+        assert_eq!(status("HEAD", "/book/2"), 503);
+    }
+    stopping.join().expect("the entry stops");
+    drop(fleet);
+}
+
+fn close_request(method: &str, path: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\nconnection: close\r\n\
+         content-length: 0\r\n\r\n"
+    )
+}
+
+/// Guards against a stopping entry that has relayed nothing since its start, takes a request that fits
+/// before the exit without its response, and cuts off the long response.
+#[test]
+fn an_entry_without_history_takes_no_request_whose_response_may_be_long() {
+    const BODY_BYTES: usize = 1_200_000;
+    let head =
+        VALID_RESPONSE.replace("content-length: 2", &format!("content-length: {BODY_BYTES}"));
+    let response = head.trim_end_matches("ok").to_owned() + &"x".repeat(BODY_BYTES);
+    let late = ServerStep::Delay(Duration::from_millis(1500), response.leak());
+    let server = ScriptedServer::start(&[late]);
+    let system = TestSystem::start_with_document(&[server.address], Some(4.0), &document(1));
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(Duration::from_millis(400));
+    stream.write_all(request("POST /book/1").as_bytes()).expect("the entry reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the connection ends cleanly");
+    stopping.join().expect("the entry stops");
+    assert_eq!(parse_response(&response).0, 503, "{} bytes", response.len());
+    drop(fleet);
+}
+
+/// Starts a server that holds back the last byte of its responses to requests with this method until it
+/// is permitted, and sends others at once.
+fn paused_server(
+    method: &'static str,
+    body_bytes: usize,
+) -> (SocketAddr, mpsc::Receiver<mpsc::Sender<()>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
     let address = listener.local_addr().expect("a listener has an address");
     let (sender, permissions) = mpsc::channel();
@@ -152,11 +230,23 @@
                         continue;
                     }
                     let response = VALID_RESPONSE.replace("ID", "r1");
-                    let (begin, last) = response.split_at(response.len() - 1);
-                    let _ = stream.write_all(begin.as_bytes());
+                    if !request.starts_with(method) {
+                        let _ = stream.write_all(response.trim_end_matches("ok").as_bytes());
+                        continue;
+                    }
+                    let length = format!("content-length: {body_bytes}");
+                    let mut response = response.replace("content-length: 2", &length);
+                    response.truncate(response.len() - 2);
+                    response += &"x".repeat(body_bytes);
                     let (permission, permitted) = mpsc::channel();
+                    let (begin, last) = response.split_at(response.len() - 1);
+                    // A long response ends only when the caller has read it.
+                    let mut begun = stream.try_clone().expect("the stream can be cloned");
+                    let begin = begin.to_owned();
+                    let writing = std::thread::spawn(move || begun.write_all(begin.as_bytes()));
                     let _ = sender.send(permission);
                     let _ = permitted.recv();
+                    let _ = writing.join();
                     let _ = stream.write_all(last.as_bytes());
                 }
             });
