Refuse the requests of slow callers that a stopping entry cannot finish

A connection now keeps the longest time for which the relay of one response waited for its caller. Requests that a stopping entry takes from it count this time too. The first response of a slow caller can still be cut off.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -229,6 +229,7 @@
         self.closing |= self.context.is_stopping() && self.deferred.is_none();
         let closes = self.closing && self.in_flight.is_empty() && self.deferred.is_none();
         let keep_alive = in_flight.keep_alive && !closes;
+        let waited_before = self.stream.write_wait();
         match response {
             CallerResponse::Local(response) => {
                 write_local_response(&mut self.stream, &response, keep_alive).await?
@@ -244,6 +245,8 @@
             }
         }
         self.last_response_at = Instant::now();
+        let caller_wait = self.stream.write_wait() - waited_before;
+        self.reader.longest_caller_wait = self.reader.longest_caller_wait.max(caller_wait);
         if !keep_alive {
             return Err(ConnectionEnd::Close);
         }
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -67,6 +67,8 @@
 #[derive(Default)]
 pub struct RequestReader {
     partial: Option<Box<PartialRequest>>,
+    /// Longest time for which the relay of a response waited for this caller to read.
+    pub longest_caller_wait: Duration,
 }
 
 impl RequestReader {
@@ -138,7 +140,8 @@
         }
         Ok(self.partial.take().map(|request| {
             let PartialRequest { head, received_at, body, share, progress, .. } = *request;
-            CallerRequest { head, body, received_at, share, progress }
+            let caller_wait = self.longest_caller_wait;
+            CallerRequest { head, body, received_at, caller_wait, share, progress }
         }))
     }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -62,6 +62,8 @@
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub received_at: Instant,
+    /// Longest time for which the relay of an earlier response waited for this caller to read.
+    pub caller_wait: Duration,
     /// Counts the body as held.
     pub share: HeldShare,
     /// Counts the request as active.
@@ -207,7 +209,7 @@
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
     let (received_at, deadline) =
         (caller_request.received_at, caller_request.received_at + timeout);
-    if !context.can_finish(&rule, deadline) {
+    if !context.can_finish(&rule, deadline + caller_request.caller_wait) {
         return Err(LocalResponse::stopping());
     }
     let request = OutgoingRequest::new(
--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -179,6 +179,39 @@
     drop(fleet);
 }
 
+/// Guards against a stopping entry that takes a request of a caller which reads slowly, and cuts its
+/// response off at the exit.
+#[test]
+fn a_caller_that_has_read_slowly_is_refused_in_time() {
+    const BODY_BYTES: usize = 64 << 20;
+    let responses = [(); 2].map(|()| ServerStep::Large(BODY_BYTES));
+    let server = ScriptedServer::start(&responses);
+    let system = TestSystem::start_with_document(&[server.address], None, &document(1));
+    let mut stream = send(&system, &request("POST /book/1"));
+    std::thread::sleep(Duration::from_millis(2500));
+    read_head(&mut stream);
+    stream.read_exact(&mut vec![0; BODY_BYTES]).expect("the response is complete");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(Duration::from_millis(400));
+    stream.write_all(request("POST /book/2").as_bytes()).expect("the entry reads");
+    stopping.join().expect("the entry stops");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the connection ends cleanly");
+    assert_eq!(parse_response(&response).0, 503, "{} bytes", response.len());
+    drop(fleet);
+}
+
+/// Reads up to the body of a response.
+fn read_head(stream: &mut TcpStream) {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("the response goes on");
+        head.push(byte[0]);
+    }
+}
+
 fn close_request(method: &str, path: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\nconnection: close\r\n\
