Write the last log lines for as long as the grace period leaves

An exit waits 100 ms for its last lines.

The exit now waits for the last lines until 150 ms before the end of the grace period, and at least 100 ms. A standard output that blocks still holds up no exit beyond the grace period.

Evidence: the_last_lines_are_written_while_the_grace_period_lasts (a reader that is late by 400 ms, grace period 1 s) failed before and passes now.

--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -27,9 +27,12 @@
 /// Delay between attempts to start.
 const START_RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time for which the exit of a process waits for its last log lines to be written.
+/// Minimum time for which the exit of a process waits for its last log lines to be written.
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(100);
 
+/// Time before the end of the grace period at which it no longer waits for them.
+const LOG_FLUSH_MARGIN: Duration = Duration::from_millis(150);
+
 /// Errors that prevent a process from running.
 #[derive(Debug, Error)]
 pub enum ProcessError {
@@ -89,7 +92,8 @@
         RunningRole::Control(control) => control.stop().await,
     }
     log_info!("process_stopped", "name={} after_ms={}", config.name, started.elapsed().as_millis());
-    event_log::flush(LOG_FLUSH_TIME);
+    let time_left = config.grace.saturating_sub(started.elapsed() + LOG_FLUSH_MARGIN);
+    event_log::flush(time_left.max(LOG_FLUSH_TIME));
     Ok(())
 }
 
