Lose no queued connection when a fleet listener closes

Callers whose connection the kernel had completed were reset when a stopping entry or control member closed its listener, some with a whole request sent.

The last accepts asked the runtime, which knows only of connections that its last poll of the kernel reported; what came later stayed in the queue. And between the last accept and the close the kernel goes on completing handshakes. Ruled out: shutdown of the listener, which resets the queue on Linux.

The operator port of control members, which had no such step, uses the same.

--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -14,7 +14,7 @@
 use crate::fleet::dialect::{OperatorCall, WireDialect};
 use crate::fleet::document::RouteDocument;
 use crate::fleet::link::{self, CallOutcome};
-use crate::fleet::listener::accept_each;
+use crate::fleet::listener::accept_until;
 use crate::fleet::state::FleetCommand;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
@@ -68,10 +68,8 @@
                 });
             }
         };
-        tokio::select! {
-            () = self.calls.reach(StopPhase::Closing) => {}
-            () = accept_each(&listener, "operator", serve) => {}
-        }
+        let closing = self.calls.reach(StopPhase::Closing);
+        accept_until(closing, listener, "operator", serve).await;
     }
 
     async fn serve_connection(&self, stream: TcpStream) {
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -17,7 +16,7 @@
 use super::relay::{ConnectionEnd, ResponseRelay, write_local_response};
 use super::request::{self, CallerRequest, CallerResponse};
 use crate::fleet::link;
-use crate::fleet::listener::accept_each;
+use crate::fleet::listener::accept_until;
 use crate::fleet::stream::HttpStream;
 use crate::http::HttpError;
 use crate::log_info;
@@ -48,15 +47,11 @@
         }
     };
     let mut phase = context.phase.subscribe();
-    tokio::select! {
+    let closing = async {
         // The sender lives as long as the context.
-        _ = phase.wait_for(|phase| *phase >= EntryPhase::Closing) => {}
-        () = accept_each(&listener, "traffic", serve) => {}
-    }
-    // Closing the listener resets the connections that wait in its queue, some with a whole request.
-    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
-        serve(stream);
-    }
+        let _ = phase.wait_for(|phase| *phase >= EntryPhase::Closing).await;
+    };
+    accept_until(closing, listener, "traffic", serve).await;
 }
 
 async fn serve_connection(
--- a/src/fleet/listener.rs
+++ b/src/fleet/listener.rs
@@ -1,12 +1,14 @@
 //! Listening sockets of a fleet process.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::listen::{HANDSHAKE_TIME, stop_handshakes};
 use crate::log_warn;
 
 /// Delay after a failed accept, for example when no file descriptors are left.
@@ -37,3 +39,43 @@
         }
     }
 }
+
+/// Passes accepted connections to `serve` until `closing` completes, then closes the listener.
+///
+/// The kernel completes handshakes without the process, and closing a listener resets the connections in
+/// its queue, some with a whole request. Therefore no handshake begins during the close, and all
+/// connections whose handshake has ended are passed on.
+pub async fn accept_until(
+    closing: impl Future<Output = ()>,
+    listener: TcpListener,
+    name: &str,
+    mut serve: impl FnMut(TcpStream),
+) {
+    tokio::select! {
+        () = closing => {}
+        () = accept_each(&listener, name, &mut serve) => {}
+    }
+    if let Err(error) = stop_handshakes(&listener) {
+        log_warn!("handshakes_not_stopped", "listener={name} error=\"{error}\"");
+    }
+    let _ = timeout(HANDSHAKE_TIME, accept_each(&listener, name, &mut serve)).await;
+    if let Err(error) = accept_queued(listener, serve) {
+        log_warn!("accept_failed", "listener={name} error=\"{error}\"");
+    }
+}
+
+/// Passes all connections in the queue of the kernel to `serve`. The runtime accepts only those whose
+/// arrival it has noticed, and a limited number at a time; this asks the kernel itself.
+fn accept_queued(listener: TcpListener, mut serve: impl FnMut(TcpStream)) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => continue,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        serve(TcpStream::from_std(stream)?);
+    }
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod harness;
 mod held_bytes;
+mod listener;
 mod malformed;
 mod members;
 #[path = "../common/mutation.rs"]
