Bound the stop of an entry and answer what is in progress

A stopping entry of the settings tree waited for its callers without a limit of its own. Whoever ended it after some time cut requests off, and callers saw closed connections without a status.

What there was: shutdown_delay (how long the health check fails first), a deadline for each request, and limits of 2 s for each step of a control process's hand-over; nothing for the wait of an entry. The setting grace concerns servers that drain.

The new config key shutdown_limit (default 15 min, above the longest deadline of the examples, so that nothing is cut that finishes today) bounds the wait. A second before its end a request whose head or body is incomplete, or which still waits for a server, gets 503 stopping, not run; one that a server may have run gets 504 with the new code interrupted, unknown; only a response that has begun breaks off. The message to the control leader has a limit of 500 ms. A key below shutdown_delay and 2 s is refused before the start.

With the limit alone, all three cases of stop_limit (a running request, half a head, half a body) ended without a response; with the change all get their status within 3 s and the process exits by itself.

--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,13 @@
 /// Default delay before a stopping entry refuses connections.
 const DEFAULT_SHUTDOWN_DELAY: Duration = Duration::from_secs(5);
 
+/// Default time from the stop signal until an entry has answered all callers; longer than the deadlines of
+/// ordinary settings, so that requests in progress can finish.
+const DEFAULT_SHUTDOWN_LIMIT: Duration = Duration::from_secs(15 * 60);
+
+/// Minimum time between the end of the shutdown delay and that of the shutdown limit.
+const MIN_FINISHING_TIME: Duration = Duration::from_secs(2);
+
 /// Default maximum number of open caller connections.
 const DEFAULT_OPEN_CONNECTIONS: u32 = 20_000;
 
@@ -51,6 +58,8 @@
     pub traffic_threads: u32,
     /// Time for which a stopping entry fails health checks before it refuses connections.
     pub shutdown_delay: Duration,
+    /// Time from the stop signal until an entry has answered all callers.
+    pub shutdown_limit: Duration,
     pub log_level: LogLevel,
     pub limits: ProcessLimits,
 }
@@ -135,6 +144,7 @@
             buffer_size: buffer_size.unwrap_or(DEFAULT_BUFFER_SIZE),
         };
         let delay = process_document.shutdown_delay.as_deref().and_then(parse_duration);
+        let shutdown_limit = process_document.shutdown_limit.as_deref().and_then(parse_duration);
         Self {
             role: process_document.role,
             name: process_document.name.into(),
@@ -151,6 +161,7 @@
                 .traffic_threads
                 .map_or(DEFAULT_TRAFFIC_THREADS, |count| count.get() as u32),
             shutdown_delay: delay.unwrap_or(DEFAULT_SHUTDOWN_DELAY),
+            shutdown_limit: shutdown_limit.unwrap_or(DEFAULT_SHUTDOWN_LIMIT),
             log_level: process_document.log_level.unwrap_or(LogLevel::Info),
             limits,
         }
@@ -195,6 +206,7 @@
         check.check_peers();
         check.check_own_peer();
         check.check_limits();
+        check.check_shutdown();
         check.errors.sort_by_key(|error| (error.line, error.column));
         check.errors
     }
@@ -290,6 +302,14 @@
         }
     }
 
+    fn check_shutdown(&mut self) {
+        let minimum = self.config.shutdown_delay + MIN_FINISHING_TIME;
+        if self.config.shutdown_limit < minimum {
+            let message = format!("expected at least shutdown_delay and 2s, {minimum:?}");
+            self.report("shutdown_limit", message);
+        }
+    }
+
     fn check_limits(&mut self) {
         let limits = &self.config.limits;
         if limits.head_size > limits.buffer_size {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -143,6 +143,7 @@
         root_token_sha256: None,
         traffic_threads: 2,
         shutdown_delay: Duration::ZERO,
+        shutdown_limit: Duration::from_secs(60),
         log_level: LogLevel::Info,
         limits: ProcessLimits {
             open_connections: 1000,
--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -57,10 +57,12 @@
     ServerInvalid,
     /// No response came before the deadline.
     DeadlineExceeded,
+    /// The process exits before the outcome is known.
+    Interrupted,
 }
 
 /// HTTP status, code and run state of each reason.
-const FAILURE_TABLE: [(FailureReason, u16, &str, RunState); 19] = [
+const FAILURE_TABLE: [(FailureReason, u16, &str, RunState); 20] = [
     (FailureReason::NoService, 404, "no_service", RunState::NotRun),
     (FailureReason::Malformed, 400, "malformed_request", RunState::NotRun),
     (FailureReason::SettingsStale, 503, "settings_stale", RunState::NotRun),
@@ -80,6 +82,7 @@
     (FailureReason::ServerFailed, 502, "server_failed", RunState::Unknown),
     (FailureReason::ServerInvalid, 502, "server_invalid", RunState::Unknown),
     (FailureReason::DeadlineExceeded, 504, "deadline_exceeded", RunState::Unknown),
+    (FailureReason::Interrupted, 504, "interrupted", RunState::Unknown),
 ];
 
 /// Body of an error response.
--- a/src/entry/claimed.rs
+++ b/src/entry/claimed.rs
@@ -72,7 +72,7 @@
         let (reason, message) = share_exceeded();
         return RequestEnd::Failed(reason, message);
     };
-    let content = match read_body_in_time(caller, body, limit, plan.deadline).await {
+    let content = match read_body_in_time(context, caller, body, limit, plan.deadline).await {
         Ok(content) => content,
         Err(RequestEnd::Failed(FailureReason::BodyTooLarge, _)) => {
             let text = format!("requests that need a claim are limited to {limit} bytes");
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -72,6 +72,8 @@
     stopping: AtomicBool,
     /// Closed when idle caller connections must be closed.
     finishing: (Sender<()>, Receiver<()>),
+    /// Closed when requests in progress must be answered, because the process is about to exit.
+    ending: (Sender<()>, Receiver<()>),
     open_connections: AtomicUsize,
     open_requests: AtomicUsize,
     /// Subset of `open_requests` of which only a part of the head has arrived.
@@ -128,6 +130,7 @@
             process_state: Mutex::new(StateChart::process().initial().into()),
             stopping: AtomicBool::new(false),
             finishing: async_channel::bounded(1),
+            ending: async_channel::bounded(1),
             open_connections: AtomicUsize::new(0),
             open_requests: AtomicUsize::new(0),
             partial_requests: AtomicUsize::new(0),
@@ -192,6 +195,16 @@
         let _ = self.finishing.1.recv().await;
     }
 
+    /// Makes all requests in progress end with a response now.
+    pub fn begin_ending(&self) {
+        self.ending.0.close();
+    }
+
+    /// Waits until requests in progress must be answered.
+    pub async fn wait_until_ending(&self) {
+        let _ = self.ending.1.recv().await;
+    }
+
     /// Current life-cycle state of the process.
     pub fn process_state(&self) -> Box<str> {
         self.process_state.lock().expect("process state lock is not poisoned").clone()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -52,6 +52,7 @@
 use crate::admin::AdminServer;
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
+use crate::deadline::with_timeout;
 use crate::http::HttpLimits;
 use crate::ids::GroupId;
 use crate::link::{HelloMessage, LinkConfig, LinkEvent, LinkHub, LinkTarget, ProcessRole};
@@ -75,6 +76,13 @@
 /// Longest wait of a stopping process for the responses to operators' calls.
 pub const OPERATOR_STOP_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time before the end of the stop at which requests in progress are answered. It covers the way of the
+/// responses to callers on slow lines, and the steps after the last response.
+const ENDING_TIME: Duration = Duration::from_secs(1);
+
+/// Longest wait of a stopping process for its message to the control leader.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+
 /// Bound listeners of an entry.
 #[derive(Debug)]
 pub struct EntryListeners {
@@ -125,6 +133,7 @@
     /// Task that accepts callers; taken by the first stop.
     accept_task: Mutex<Option<JoinHandle<()>>>,
     shutdown_delay: Duration,
+    shutdown_limit: Duration,
 }
 
 impl EntryListeners {
@@ -186,8 +195,8 @@
         let operator = operator::serve(Arc::clone(&context), listeners.operator.into());
         let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic.into());
         let accept_task = Mutex::new(Some(accept_task));
-        let shutdown_delay = config.shutdown_delay;
-        Ok(Self { context, hub, timers, operator, accept_task, shutdown_delay })
+        let (shutdown_delay, shutdown_limit) = (config.shutdown_delay, config.shutdown_limit);
+        Ok(Self { context, hub, timers, operator, accept_task, shutdown_delay, shutdown_limit })
     }
 
     /// Returns the shared state of the entry.
@@ -197,7 +206,8 @@
 
     /// Shuts down gracefully. The health check fails first, and requests are served for the
     /// shutdown delay, so that the load balancer can react; then the requests in flight finish, and
-    /// the process waits until all callers' connections are closed.
+    /// the process waits until all callers' connections are closed. Requests that are still in progress
+    /// shortly before the end of the shutdown limit are answered as interrupted.
     pub async fn stop(&self) {
         let started = Instant::now();
         self.context.advance("stop");
@@ -210,20 +220,36 @@
             accept_task.await;
         }
         self.log_active("waiting for callers", started);
-        while self.context.open_connections() > 0 {
+        let end = started + self.shutdown_limit;
+        self.wait_for_callers(end - ENDING_TIME).await;
+        if self.context.open_connections() > 0 {
+            self.log_active("answering requests in progress", started);
+            self.context.begin_ending();
+            self.wait_for_callers(end).await;
+        }
+        let _ = with_timeout(LEAVE_TIME, self.send_leave()).await;
+        self.operator.stop();
+        self.operator.finish(OPERATOR_STOP_LIMIT).await;
+        self.context.advance("idle");
+        self.halt();
+        self.log_active("entry stopped", started);
+    }
+
+    /// Waits until all callers' connections are closed, or until `end`.
+    async fn wait_for_callers(&self, end: Instant) {
+        while self.context.open_connections() > 0 && Instant::now() < end {
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
+    }
+
+    /// Tells the control leader that this entry leaves.
+    async fn send_leave(&self) {
         let (reply, leave_sent) = async_channel::bounded(1);
         if self.context.inbox.send(ControlInput::Leave(reply)).await.is_ok() {
             let _ = leave_sent.recv().await;
             // Gives the link's writer time to send the message to the control leader.
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
-        self.operator.stop();
-        self.operator.finish(OPERATOR_STOP_LIMIT).await;
-        self.context.advance("idle");
-        self.halt();
-        self.log_active("entry stopped", started);
     }
 
     fn log_active(&self, event: &str, started: Instant) {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -71,12 +71,8 @@
         return send_failure(caller, &head, &mut body, failure, &request_id, false).await;
     };
     context.metrics.in_flight.get_or_create(&plan.labels).inc();
-    let end = if plan.idempotent {
-        serve_idempotent(context, caller, &head, &mut body, &plan, &request_id, keep_alive).await
-    } else {
-        claimed::serve_claimed(context, caller, &head, &mut body, &plan, &request_id, keep_alive)
-            .await
-    };
+    let end = serve_before_exit(context, caller, &head, &mut body, &plan, &request_id, keep_alive);
+    let end = end.await;
     context.metrics.in_flight.get_or_create(&plan.labels).dec();
     let outcome = match &end {
         RequestEnd::Complete => "complete",
@@ -103,6 +99,47 @@
     }
 }
 
+/// Serves a planned request. When the process exits before the outcome is known, the caller is told so.
+async fn serve_before_exit(
+    context: &Arc<EntryContext>,
+    caller: &mut CallerConnection,
+    head: &RequestHead,
+    body: &mut RequestBody,
+    plan: &RequestPlan,
+    request_id: &str,
+    keep_alive: bool,
+) -> RequestEnd {
+    {
+        let served = async {
+            if plan.idempotent {
+                serve_idempotent(context, caller, head, body, plan, request_id, keep_alive).await
+            } else {
+                claimed::serve_claimed(context, caller, head, body, plan, request_id, keep_alive)
+                    .await
+            }
+        };
+        let ending = context.wait_until_ending();
+        pin_mut!(served, ending);
+        // Polls `served` first: a request that was not sent to a server ends as not run.
+        if let Either::Left((end, _)) = select(served, ending).await {
+            return end;
+        }
+    }
+    if caller.has_response_started() {
+        return RequestEnd::Broken(HttpError::Timeout("relaying a response before the exit"));
+    }
+    let text = "the entry exits before the outcome is known";
+    RequestEnd::Failed(FailureReason::Interrupted, text.into())
+}
+
+/// Outcome of a request that no server has received when the process exits.
+fn not_started() -> RequestEnd {
+    RequestEnd::Failed(
+        FailureReason::Stopping,
+        "the entry exits; the request was not started".into(),
+    )
+}
+
 /// Failure for a team that has used up its share of the process limits.
 pub fn share_exceeded() -> (FailureReason, Box<str>) {
     (FailureReason::QueueFull, "the team has used up its share of this entry".into())
@@ -142,7 +179,9 @@
     let buffer_guard = size.and_then(|size| context.share.try_buffer(&plan.service.team, size));
     let retry_body = match &buffer_guard {
         Some(_) => {
-            match read_body_in_time(caller, body, MAX_RETRY_BODY_BYTES, plan.deadline).await {
+            match read_body_in_time(context, caller, body, MAX_RETRY_BODY_BYTES, plan.deadline)
+                .await
+            {
                 Ok(content) => Some(content),
                 Err(end) => return end,
             }
@@ -259,15 +298,20 @@
 /// Reads a request body of at most `limit` bytes into memory. A body that has not arrived at the
 /// deadline is refused, so that a slow caller cannot hold up a planned stop.
 pub async fn read_body_in_time(
+    context: &EntryContext,
     caller: &mut CallerConnection,
     body: &mut RequestBody,
     limit: u64,
     deadline: Instant,
 ) -> Result<Vec<u8>, RequestEnd> {
     let time_left = deadline.saturating_duration_since(Instant::now());
-    match with_timeout(time_left, caller.read_whole_body(body, limit)).await {
-        Ok(Ok(content)) => Ok(content),
-        Ok(Err(error)) => Err(caller_failure(error)),
+    let content = caller.read_whole_body(body, limit);
+    let ending = context.wait_until_ending();
+    pin_mut!(content, ending);
+    match with_timeout(time_left, select(content, ending)).await {
+        Ok(Either::Left((Ok(content), _))) => Ok(content),
+        Ok(Either::Left((Err(error), _))) => Err(caller_failure(error)),
+        Ok(Either::Right(_)) => Err(not_started()),
         Err(_) => {
             let text = "the body did not arrive before the deadline";
             Err(RequestEnd::Failed(FailureReason::DeadlineBeforeStart, text.into()))
@@ -299,7 +343,8 @@
     queued.inc();
     let slot = plan.runtime.acquire(plan.class, tried, plan.deadline);
     let closed = caller.closed();
-    pin_mut!(slot, closed);
+    let ending = context.wait_until_ending();
+    pin_mut!(slot, closed, ending);
     // Only requests that have to wait count against the team's share of the queue.
     let ready_slot = slot.as_mut().now_or_never();
     let queue_guard = match &ready_slot {
@@ -320,7 +365,8 @@
         }
     };
     pin_mut!(slot);
-    let result = match select(slot, closed).await {
+    let gone = select(closed, ending);
+    let result = match select(slot, gone).await {
         // The settings lease may have expired while the request waited.
         Either::Left((Ok(_), _)) if !context.may_serve(Instant::now()) => {
             let text = "the settings lease of this entry has run out";
@@ -330,7 +376,8 @@
         Either::Left((Err(reason), _)) => {
             Err(RequestEnd::Failed(reason, "the request was not started".into()))
         }
-        Either::Right(_) => Err(RequestEnd::CallerGone),
+        Either::Right((Either::Left(_), _)) => Err(RequestEnd::CallerGone),
+        Either::Right((Either::Right(_), _)) => Err(not_started()),
     };
     queued.dec();
     drop(queue_guard);
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -10,7 +10,7 @@
 use futures_util::{FutureExt, pin_mut};
 
 use super::announce::receive_announcement;
-use super::answer::malformed_response;
+use super::answer::{FailureReason, failure_response, malformed_response};
 use super::context::EntryContext;
 use super::page;
 use super::request::serve_request;
@@ -99,10 +99,11 @@
         // A request counts as open from its first byte, so a planned stop does not cut it off.
         let open_guard = context.count_open_request();
         let partial_guard = context.count_partial_request();
-        let head = match connection.next_head().await {
-            Ok(Some(head)) => head,
-            Ok(None) => return,
-            Err(error) => return refuse_request(context, connection, &error).await,
+        let head = match read_head(context, &mut connection).await {
+            Some(Ok(Some(head))) => head,
+            Some(Ok(None)) => return,
+            Some(Err(error)) => return refuse_request(context, connection, &error).await,
+            None => return refuse_incomplete(context, connection).await,
         };
         drop(partial_guard);
         let result = dispatch(context, &mut connection, head).await;
@@ -139,6 +140,30 @@
     }
 }
 
+/// Reads a head; `None` if it is incomplete when the process exits.
+async fn read_head(
+    context: &EntryContext,
+    connection: &mut CallerConnection,
+) -> Option<Result<Option<RequestHead>, HttpError>> {
+    let head = connection.next_head();
+    let ending = context.wait_until_ending();
+    pin_mut!(head, ending);
+    match select(head, ending).await {
+        Either::Left((head, _)) => Some(head),
+        Either::Right(_) => None,
+    }
+}
+
+/// Refuses a request whose head is incomplete when the process exits.
+async fn refuse_incomplete(context: &Arc<EntryContext>, connection: CallerConnection) {
+    let request_id = context.next_request_id();
+    let text = "the entry exits; the request was incomplete";
+    let (head, content) = failure_response(FailureReason::Stopping, text, &request_id);
+    log::info!(request_id:%, code = FailureReason::Stopping.code(); "request refused");
+    // The caller may have closed the connection already.
+    let _ = connection.refuse(head, &content).await;
+}
+
 async fn refuse_request(
     context: &Arc<EntryContext>,
     connection: CallerConnection,
--- a/src/http/caller.rs
+++ b/src/http/caller.rs
@@ -22,6 +22,8 @@
     stream: BufferedStream,
     limits: HttpLimits,
     peer: SocketAddr,
+    /// Bytes of a final response to the current request were written.
+    response_started: bool,
 }
 
 /// Progress of reading a request body.
@@ -58,7 +60,8 @@
     /// Wraps an accepted stream.
     pub fn new(stream: TcpStream, limits: HttpLimits) -> Result<Self, HttpError> {
         let peer = stream.peer_addr()?;
-        Ok(Self { stream: BufferedStream::new(stream)?, limits, peer })
+        let stream = BufferedStream::new(stream)?;
+        Ok(Self { stream, limits, peer, response_started: false })
     }
 
     /// Address of the remote end.
@@ -72,6 +75,7 @@
         if !self.wait_for_input().await? {
             return Ok(None);
         }
+        self.response_started = false;
         let timeout = self.limits.head_timeout;
         with_http_timeout(timeout, "reading a head", self.read_head()).await?.map(Some)
     }
@@ -127,7 +131,8 @@
     ) -> Result<Option<Vec<u8>>, HttpError> {
         if body.awaits_continue {
             body.awaits_continue = false;
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+            let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+            self.stream.write(interim, self.limits.stall_timeout).await?;
         }
         self.stream.read_body(&mut body.decoder, &self.limits).await
     }
@@ -151,8 +156,14 @@
         Ok(content)
     }
 
-    /// Writes raw bytes; fails after the stall timeout without progress.
+    /// Whether a part of the response to the current request was written, so that no other can follow.
+    pub fn has_response_started(&self) -> bool {
+        self.response_started
+    }
+
+    /// Writes bytes of a response; fails after the stall timeout without progress.
     pub async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        self.response_started = true;
         self.stream.write(bytes, self.limits.stall_timeout).await
     }
 
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -71,6 +71,7 @@
     entry_data = { ENTRY_CONFIG, "\"traffic_threads\": 2,", "\"data_folder\": \"data\",", "21:18: data_folder: this key is not allowed for entry" },
     no_data = { CONTROL_CONFIG, "\"data_folder\": \"data/control-1\",", "", "2:1: data_folder: this key is required for control" },
     control_traffic = { CONTROL_CONFIG, "\"operator\"", "\"traffic\": \"127.0.0.1:7410\", \"operator\"", "8:16: listen.traffic: this key is not allowed for control" },
+    limit = { ENTRY_CONFIG, "\"traffic_threads\": 2,", "\"shutdown_limit\": \"3s\",", "21:21: shutdown_limit: expected at least shutdown_delay and 2s, 7s" },
     head = { ENTRY_CONFIG, "\"head_size\": \"32KiB\"", "\"head_size\": \"128KiB\"", "24:55: limits.head_size: expected at most buffer_size (64KiB), found 128KiB" },
 )]
 fn reports_inconsistent_values(base: &str, from: &str, to: &str, expected: &str) {
@@ -94,6 +95,7 @@
     let config = ProcessConfig::parse(CONTROL_CONFIG).unwrap();
     assert_eq!(config.traffic_threads, 2);
     assert_eq!(config.shutdown_delay, Duration::from_secs(5));
+    assert_eq!(config.shutdown_limit, Duration::from_secs(15 * 60));
     assert_eq!(config.limits.open_connections, 20_000);
     assert_eq!(config.limits.head_size, 32 * 1024);
     assert_eq!(config.limits.buffer_size, 64 * 1024);
--- a/tests/entry_parts.rs
+++ b/tests/entry_parts.rs
@@ -168,6 +168,7 @@
         FailureReason::ServerFailed => 16,
         FailureReason::ServerInvalid => 17,
         FailureReason::DeadlineExceeded => 18,
+        FailureReason::Interrupted => 19,
     }
 }
 
@@ -176,7 +177,7 @@
 #[test]
 fn failure_table_is_complete() {
     let rows: BTreeSet<usize> = FailureReason::ALL.into_iter().map(position).collect();
-    assert_eq!(rows, (0..19).collect());
+    assert_eq!(rows, (0..20).collect());
     let mut codes = BTreeSet::new();
     let mut lines = Vec::new();
     for reason in FailureReason::ALL {
--- a/tests/process/main.rs
+++ b/tests/process/main.rs
@@ -17,6 +17,7 @@
 mod proxy;
 mod restarts;
 mod settings;
+mod stop_limit;
 mod stops;
 mod support;
 mod teams;
