Lose no connection when an entry closes its listener

Callers that connected to a stopping entry of the settings tree in the moment of the close were reset: between the last accept and the close the kernel goes on completing handshakes. The accepts themselves ask the kernel, so nothing else was left in the queue.

The first packets of new handshakes are dropped now before the close, as in fleet mode, those that have begun get 50 ms, and then the queue is emptied. listen takes the listener of the standard library, because the socket filter is set on a duplicate of it; the harness of the tests binds one accordingly.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -193,7 +193,7 @@
             hub.connect(target);
         }
         let operator = operator::serve(Arc::clone(&context), listeners.operator.into());
-        let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic.into());
+        let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic);
         let accept_task = Mutex::new(Some(accept_task));
         let (shutdown_delay, shutdown_limit) = (config.shutdown_delay, config.shutdown_limit);
         Ok(Self { context, hub, timers, operator, accept_task, shutdown_delay, shutdown_limit })
--- a/src/entry/traffic.rs
+++ b/src/entry/traffic.rs
@@ -15,7 +15,7 @@
 use super::page;
 use super::request::serve_request;
 use crate::http::{CallerConnection, HttpError, RequestHead};
-use crate::listen::ACCEPT_BACKLOG;
+use crate::listen::{ACCEPT_BACKLOG, HANDSHAKE_TIME, stop_handshakes};
 
 /// Path of the health check for the load balancer.
 pub const HEALTH_PATH: &str = "/.curranthollow/health";
@@ -32,8 +32,10 @@
 
 /// Accepts caller connections until the process finishes; the returned task ends when the listener
 /// is closed.
-pub fn listen(context: Arc<EntryContext>, listener: TcpListener) -> JoinHandle<()> {
+pub fn listen(context: Arc<EntryContext>, listener: std::net::TcpListener) -> JoinHandle<()> {
     task::spawn(async move {
+        let socket = listener.try_clone();
+        let listener = TcpListener::from(listener);
         while let Some(accepted) = accept_until_finishing(&context, &listener).await {
             let Ok(stream) = accepted else {
                 // Typically the process is out of file descriptors; a short delay avoids a busy
@@ -44,7 +46,11 @@
             spawn_connection(&context, stream);
         }
         // Closing the listener resets the connections in its queue, whose callers may have sent a
-        // request already.
+        // request already. Without new handshakes none is added after the last accept.
+        if let Err(error) = socket.and_then(|socket| stop_handshakes(&socket)) {
+            log::warn!(error:%; "new handshakes cannot be stopped");
+        }
+        task::sleep(HANDSHAKE_TIME).await;
         for _ in 0..ACCEPT_BACKLOG {
             let Some(Ok((stream, _))) = listener.accept().now_or_never() else {
                 return;
--- a/tests/entry/harness.rs
+++ b/tests/entry/harness.rs
@@ -1,12 +1,12 @@
 //! An in-process entry whose settings and servers are set directly.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_std::io::{ReadExt, WriteExt};
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpStream;
 use async_std::task;
 use curranthollow::directory::{AnnouncedState, LifeState, ServerAnnouncement, ServiceKey};
 use curranthollow::entry::{
@@ -59,7 +59,7 @@
         let expires_at = Instant::now() + Duration::from_secs(3600);
         context.set_lease(Some(SuspensionDeadline::new(expires_at, suspended_time())));
         context.advance("ready");
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
         listen(Arc::clone(&context), listener);
         Self { context, address }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a single entry without control processes.
 
+mod close;
 mod early;
 mod fairness;
 mod harness;
