Look for a request before an idle connection is closed

A request that had arrived at an entry when it decided to close the idle connection could be read and dropped after the close was sent.

Cause: the check before the close of a stop, and the idle limit, asked the runtime, which knows only of bytes that its last poll of the kernel reported; on a busy machine that can be some milliseconds ago. The idle limit did not look again at all. Both ask the kernel now right before the close; what has arrived is served. What arrives after the close was sent can't be answered (HTTP/1.1), and is still dropped.

bytes_in_the_kernel_are_seen_before_a_connection_closes failed before (no byte seen) and passes now. How often callers met it was not measured.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -130,7 +130,7 @@
                     self.refuse_malformed(&error).await
                 }
                 CallerEvent::Read(ReadEvent::Overloaded) => self.refuse_overloaded().await,
-                CallerEvent::Read(ReadEvent::IdleTimeout) => Err(ConnectionEnd::Close),
+                CallerEvent::Read(ReadEvent::IdleTimeout) => self.close_if_idle(),
                 CallerEvent::PhaseChanged => self.follow_phase().await,
             };
             match result {
@@ -158,6 +158,11 @@
         if phase < EntryPhase::Closing {
             return Ok(());
         }
+        self.close_if_idle()
+    }
+
+    /// Ends the connection unless bytes of a request have arrived.
+    fn close_if_idle(&mut self) -> Result<(), ConnectionEnd> {
         match self.stream.fill_available() {
             Ok(_) if !self.stream.buffered().is_empty() => Ok(()),
             _ => Err(ConnectionEnd::Close),
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -1,9 +1,10 @@
 //! Buffered HTTP/1.1 connection on the single-threaded runtime.
 
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, Read};
 use std::time::{Duration, Instant};
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout};
@@ -299,7 +300,11 @@
     pub fn fill_available(&mut self) -> io::Result<bool> {
         let was_empty = self.buffered().is_empty();
         self.input.reserve(READ_BYTES);
-        match self.stream.try_read_buf(&mut self.input) {
+        let mut read = self.stream.try_read_buf(&mut self.input);
+        if read.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock) {
+            read = self.read_from_kernel();
+        }
+        match read {
             Ok(_) => {
                 self.last_read_at = Instant::now();
                 if was_empty {
@@ -312,6 +317,15 @@
         }
     }
 
+    /// Reads without the runtime, which knows only of bytes that its last poll of the kernel reported.
+    fn read_from_kernel(&mut self) -> io::Result<usize> {
+        let length = self.input.len();
+        self.input.resize(length + READ_BYTES, 0);
+        let read = (&*SockRef::from(&self.stream)).read(&mut self.input[length..]);
+        self.input.truncate(length + *read.as_ref().unwrap_or(&0));
+        read
+    }
+
     pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
         let started = Instant::now();
         let result = self.stream.write_all(bytes).await;
--- a/tests/fleet/listener.rs
+++ b/tests/fleet/listener.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::fleet::listener::{accept_until, listen};
+use curranthollow::fleet::stream::HttpStream;
 use futures_util::FutureExt;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -60,6 +61,25 @@
     assert_eq!(lost, 0, "connections were reset in {CLOSES} closes");
 }
 
+/// Guards against a request that is dropped by the close of its connection because the runtime has not
+/// noticed it yet.
+#[test]
+fn bytes_in_the_kernel_are_seen_before_a_connection_closes() {
+    let seen = run_local(async {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).await.expect("a port is free");
+        let address = listener.local_addr().expect("a listener has an address");
+        let mut caller = TcpStream::connect(address).expect("the queue has room");
+        let (stream, _) = listener.accept().await.expect("the caller is in the queue");
+        let mut stream = HttpStream::new(stream);
+        // The runtime notes that nothing has arrived.
+        assert!(!stream.fill_available().expect("the connection is open"));
+        caller.write_all(b"GET").expect("the connection is open");
+        stream.fill_available().expect("the connection is open");
+        stream.buffered().to_vec()
+    });
+    assert_eq!(seen, b"GET");
+}
+
 /// Closes a listener while callers connect; returns how many of them were neither served nor refused.
 fn close_beside_callers() -> usize {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
