Count attempts in sequence as separate crashes at an entry

An entry without control sent a crashing request a fourth time and answered 502 instead of 422.

Cause: the ledger counts at most two crashes within 50 ms, because the servers of a failing rack end one after the other. Three attempts of one caller on loopback can take less, so the third crash did not count.

Ruled out: members that still seemed in touch.

The ledger of an entry records its own sends, whose times are exact. There, a send that began after the last crash was known is a new attempt, however soon it came. Reports at the leader are counted as before: their times are estimates.

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -74,6 +74,8 @@
     last_crash: Instant,
     /// Time of the counted crash before the last one.
     crashed_before_last: Option<Instant>,
+    /// Time at which the last counted crash was recorded.
+    recorded_at: Instant,
     /// Whether a success has cleared the request since the record began.
     was_cleared: bool,
 }
@@ -120,9 +122,16 @@
     probations: BTreeMap<RequestDigest, Instant>,
     /// Incarnations that crashed under convicted requests: no evidence against others.
     explained: VecDeque<(ServerId, IncarnationStart)>,
+    /// Whether all reports are about sends of this process, so that their times are exact.
+    is_local: bool,
 }
 
 impl CrashLedger {
+    /// Creates the ledger of an entry, which records its own sends only.
+    pub fn of_entry() -> Self {
+        Self { is_local: true, ..Self::default() }
+    }
+
     /// Records a report that arrived at `now`.
     pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
         let digest = report.digest;
@@ -138,10 +147,13 @@
             if record.crashes.contains_key(&incarnation) {
                 return CrashFinding::Repeated;
             }
-            let is_concurrent = sent_at + START_TOLERANCE < record.last_crash
-                || record
-                    .crashed_before_last
-                    .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
+            let is_burst = record
+                .crashed_before_last
+                .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
+            // A send that began after the last crash was known is a new attempt, however soon it came.
+            let is_new_attempt = self.is_local && sent_at >= record.recorded_at;
+            let is_concurrent =
+                sent_at + START_TOLERANCE < record.last_crash || (is_burst && !is_new_attempt);
             let is_explained = !record.is_convicted() && self.explained.contains(&incarnation);
             if is_concurrent || is_explained {
                 record.insert(incarnation, CrashEvidence { until, counts: false });
@@ -156,6 +168,7 @@
             crashes: BTreeMap::new(),
             last_crash: crashed_at,
             crashed_before_last: None,
+            recorded_at: now,
             was_cleared: false,
         });
         if !record.crashes.is_empty() {
@@ -163,6 +176,7 @@
         }
         record.insert(incarnation, CrashEvidence { until, counts: true });
         record.last_crash = record.last_crash.max(crashed_at);
+        record.recorded_at = now;
         let crashes = record.count();
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
         if record.is_convicted() || on_probation {
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -65,7 +65,7 @@
 impl Default for CrashWatch {
     fn default() -> Self {
         Self {
-            ledger: RefCell::default(),
+            ledger: RefCell::new(CrashLedger::of_entry()),
             quarantine: RefCell::default(),
             pending: RefCell::default(),
             outbox: RefCell::default(),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod crash_server;
 mod crash_watch;
 mod entry;
+mod entry_ledger;
 mod harness;
 mod held_bytes;
 mod malformed;
