Hold suspects at an entry while control decides

Callers of innocent requests got the final status 422 from one entry, for up to a minute, although control was in touch and did not quarantine them.

Change: while a link takes reports and control has lately been confirmed, three own crashes only hold the request. It gets 503 with a Retry-After; after 1 s one attempt may pass, a further crash doubles the hold, a success ends it and clears the evidence. Without control a hold turns into the final refusal. The attempt that crashed waits up to 250 ms for control's decision. New log events, two metrics, and unit tests of the decision.

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -214,7 +214,8 @@
         let was_on_probation = self.probations.remove(&digest).is_some();
         let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
         let crashes = record.count();
-        if record.is_convicted() {
+        // Control has the last word on a conviction; an entry only holds the request until then.
+        if record.is_convicted() && !self.is_local {
             return was_on_probation;
         }
         record.was_cleared |= crashes > 0;
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -1,5 +1,4 @@
-//! Watches sends for crashes of servers: gathers evidence, tells the control members and decides which
-//! requests are not sent on.
+//! Watches sends for crashes of servers: gathers evidence and tells the control members.
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -17,15 +16,15 @@
 };
 use super::crash_outbox::{CrashNotice, CrashOutbox, NoticePosition};
 use super::local_quarantine::LocalQuarantine;
-use super::request::LocalResponse;
 use super::send::{OutgoingRequest, SendError, ServerBody, ServerResponse};
+use super::suspect_hold::SuspectHolds;
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::balance::ChosenServer;
 use crate::fleet::crash::{CrashFinding, CrashLedger};
 use crate::fleet::link::{self, LinkFrame};
 use crate::http::BodyFraming;
 use crate::ids::{RequestDigest, ServerId};
-use crate::log_info;
+use crate::{log_info, log_routine};
 
 /// Time for which the end of a broken send waits until the evidence is checked and told. The request
 /// can come again right after its response, at any entry.
@@ -35,21 +34,20 @@
 /// round trip; a part of [`MAX_REPORT_WAIT`] remains for the report.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Time after a lost connection for which the end of a send waits for control's decision on a request
+/// that is held. The attempt has failed anyway, and its caller learns the final status when it comes again.
+const MAX_DECISION_WAIT: Duration = Duration::from_millis(250);
+
 /// Interval at which old evidence is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Number of counted crashes from which this entry does not retry a request: the next one would
-/// convict it.
-const MAX_CRASHES_FOR_RETRY: usize = 1;
-
-/// Status of a request in quarantine. It is final, so callers do not repeat the request as after 503, and
-/// it blames the request and not the service, unlike 500.
-pub const QUARANTINED_STATUS: u16 = 422;
-
 /// Evidence of this entry and the notices about it.
 pub struct CrashWatch {
-    ledger: RefCell<CrashLedger>,
-    quarantine: RefCell<LocalQuarantine>,
+    pub(super) ledger: RefCell<CrashLedger>,
+    pub(super) quarantine: RefCell<LocalQuarantine>,
+    pub(super) holds: RefCell<SuspectHolds>,
+    /// Changes with each decision of control.
+    decided: watch::Sender<()>,
     pending: RefCell<PendingEvidence>,
     outbox: RefCell<CrashOutbox>,
     /// Position behind the newest notice.
@@ -67,6 +65,8 @@
         Self {
             ledger: RefCell::new(CrashLedger::of_entry()),
             quarantine: RefCell::default(),
+            holds: RefCell::default(),
+            decided: watch::Sender::new(()),
             pending: RefCell::default(),
             outbox: RefCell::default(),
             added: watch::Sender::new(0),
@@ -89,6 +89,10 @@
         for digest in digests {
             self.ledger.borrow_mut().remove(*digest);
             self.quarantine.borrow_mut().remove(*digest);
+            self.holds.borrow_mut().remove(*digest);
+        }
+        if !digests.is_empty() {
+            self.decided.send_replace(());
         }
     }
 
@@ -98,13 +102,43 @@
         self.ledger.borrow().len()
     }
 
-    fn expire(&self, now: Instant) {
+    /// Number of requests on which control has not decided after the third crash.
+    pub fn held_count(&self) -> usize {
+        self.expire(Instant::now());
+        self.holds.borrow().len()
+    }
+
+    /// Whether a member takes reports and has lately been up to date. The link of a killed member closes
+    /// at once.
+    pub(super) fn has_control(&self, now: Instant) -> bool {
+        self.accepting_links.get() > 0 && self.quarantine.borrow().has_control(now)
+    }
+
+    /// Takes a request out of service on the evidence of this entry.
+    fn convict(&self, now: Instant, digest: RequestDigest) {
+        if self.has_control(now) {
+            let hold_time = self.holds.borrow_mut().hold(now, digest);
+            let hold_ms = hold_time.map_or(-1, |time| time.as_millis() as i64);
+            log_info!("suspect_held", "digest={digest:032x} hold_ms={hold_ms}");
+        } else {
+            self.quarantine_locally(now, digest);
+        }
+    }
+
+    pub(super) fn quarantine_locally(&self, now: Instant, digest: RequestDigest) {
+        self.holds.borrow_mut().remove(digest);
+        let added = self.quarantine.borrow_mut().add(now, digest);
+        log_info!("quarantined_locally", "digest={digest:032x} added={added}");
+    }
+
+    pub(super) fn expire(&self, now: Instant) {
         if now.saturating_duration_since(self.expired_at.get()) < EXPIRY_INTERVAL {
             return;
         }
         self.expired_at.set(now);
         self.ledger.borrow_mut().expire(now);
         self.quarantine.borrow_mut().expire(now);
+        self.holds.borrow_mut().expire(now);
     }
 
     fn add_notice(&self, now: Instant, notice: CrashNotice) -> NoticePosition {
@@ -122,69 +156,31 @@
         // The wait cannot fail: the sender lives as long as the watch.
         let _ = told.wait_for(|told| *told >= position).await;
     }
-}
-
-impl EntryContext {
-    /// Whether the request must not be sent.
-    pub fn is_quarantined(&self, request: &OutgoingRequest) -> bool {
-        let now = Instant::now();
-        self.crash_watch.expire(now);
-        let state = self.state.borrow();
-        let quarantine = self.crash_watch.quarantine.borrow();
-        if !state.has_quarantine() && quarantine.is_empty() {
-            return false;
-        }
-        let digest = request.digest();
-        state.is_quarantined(digest) || quarantine.contains(now, digest)
-    }
 
-    /// Whether the request may be sent again after a failed send.
-    pub fn allows_retry(&self, request: &OutgoingRequest) -> bool {
-        self.counted_crashes(request) <= MAX_CRASHES_FOR_RETRY && !self.is_quarantined(request)
-    }
-
-    /// Whether the request may be sent to a second server while the first has not answered.
-    pub fn allows_hedge(&self, request: &OutgoingRequest) -> bool {
-        self.counted_crashes(request) == 0 && !self.is_quarantined(request)
-    }
-
-    /// Refuses a request in quarantine, for good. After a send that may have reached a server, the response
-    /// makes no statement about whether the request ran.
-    pub fn refuse_quarantined(
-        &self,
-        request: &OutgoingRequest,
-        may_have_run: bool,
-    ) -> LocalResponse {
-        let status = if may_have_run { 502 } else { QUARANTINED_STATUS };
-        self.metrics.quarantined_requests.inc();
-        log_info!(
-            "request_quarantined",
-            "request={} digest={:032x} status={status}",
-            request.id,
-            request.digest()
-        );
-        LocalResponse::new(status, "the request crashed several servers")
-    }
-
-    fn counted_crashes(&self, request: &OutgoingRequest) -> usize {
-        self.crash_watch.expire(Instant::now());
-        let ledger = self.crash_watch.ledger.borrow();
-        if ledger.is_empty() { 0 } else { ledger.counted_crashes(request.digest()) }
+    /// Waits until control has decided on a request that is held.
+    async fn wait_until_decided(&self, digest: RequestDigest) {
+        let mut decided = self.decided.subscribe();
+        // The wait cannot fail: the sender lives as long as the watch.
+        let _ = decided.wait_for(|()| !self.holds.borrow().contains(digest)).await;
     }
+}
 
+impl EntryContext {
     /// Withdraws the evidence against a request that a server completed.
     fn record_served(&self, request: &OutgoingRequest, response: &ServerResponse) {
         let watch = &self.crash_watch;
-        if watch.ledger.borrow().is_empty() || !is_complete(request, response) {
+        let is_watching = !watch.ledger.borrow().is_empty() || !watch.holds.borrow().is_empty();
+        if !is_watching || !is_complete(request, response) || self.is_quarantined(request) {
             return;
         }
         let digest = request.digest();
-        if !watch.ledger.borrow_mut().record_served(digest) {
+        let was_held = watch.holds.borrow_mut().remove(digest);
+        if !watch.ledger.borrow_mut().record_served(digest) && !was_held {
             return;
         }
         log_info!(
             "suspect_cleared",
-            "request={} digest={digest:032x} server={}",
+            "request={} digest={digest:032x} server={} was_held={was_held}",
             request.id,
             response.server
         );
@@ -213,6 +209,13 @@
         let finding = watch.ledger.borrow_mut().record_crash(now, &report);
         // Members count a report only once it counts here.
         if matches!(finding, CrashFinding::Repeated | CrashFinding::Concurrent) {
+            log_routine!(
+                "crash_not_counted",
+                "request={} digest={digest:032x} server={} started={} finding={finding:?}",
+                send.request,
+                report.server,
+                report.started
+            );
             return watch.outbox.borrow().end();
         }
         log_info!(
@@ -228,8 +231,7 @@
         );
         self.metrics.crashes_reported.inc();
         if finding == CrashFinding::Convicted && !self.state.borrow().is_quarantined(digest) {
-            let added = watch.quarantine.borrow_mut().add(now, digest);
-            log_info!("quarantined_locally", "digest={digest:032x} added={added}");
+            watch.convict(now, digest);
         }
         watch.add_notice(now, CrashNotice::Crash(report))
     }
@@ -281,6 +283,12 @@
                 let wait_until = (broken_at + MAX_REPORT_WAIT).min(request.deadline);
                 let report = self.report_crash(context, request, broken_at);
                 let _ = timeout_at(wait_until.into(), report).await;
+                let watch = &context.crash_watch;
+                if !watch.holds.borrow().is_empty() {
+                    let wait_until = (broken_at + MAX_DECISION_WAIT).min(request.deadline);
+                    let decision = watch.wait_until_decided(request.digest());
+                    let _ = timeout_at(wait_until.into(), decision).await;
+                }
             }
             Err(_) => {}
         }
--- a/src/fleet/entry/local_quarantine.rs
+++ b/src/fleet/entry/local_quarantine.rs
@@ -65,7 +65,8 @@
         self.added.is_empty()
     }
 
-    fn has_control(&self, now: Instant) -> bool {
+    /// Whether a member has confirmed lately that it is up to date.
+    pub fn has_control(&self, now: Instant) -> bool {
         self.control_seen_at
             .is_some_and(|at| now.saturating_duration_since(at) < FRESHNESS_LIFETIME)
     }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -59,7 +59,9 @@
     opened_connections: Family<ServiceLabel, SharedCounter>,
     pub crashes_reported: SharedCounter,
     pub quarantined_requests: SharedCounter,
+    pub held_requests: SharedCounter,
     pub suspect_requests: Gauge,
+    pub held_suspects: Gauge,
     pub idle_connections: Gauge,
     pub caller_connections: Gauge,
     pub document_version: Gauge,
@@ -87,7 +89,9 @@
             opened_connections: Family::default(),
             crashes_reported: SharedCounter::default(),
             quarantined_requests: SharedCounter::default(),
+            held_requests: SharedCounter::default(),
             suspect_requests: Gauge::default(),
+            held_suspects: Gauge::default(),
             idle_connections: Gauge::default(),
             caller_connections: Gauge::default(),
             document_version: Gauge::default(),
@@ -121,8 +125,11 @@
         registry.register("crashes_reported", "Crashes of servers under a request", crashes);
         let quarantined = self.quarantined_requests.clone();
         registry.register("quarantined_requests", "Requests in quarantine", quarantined);
+        let held = self.held_requests.clone();
+        registry.register("held_requests", "Refusals until control decides on a suspect", held);
         let gauges = [
             ("suspect_requests", "Requests with evidence of a crash", &self.suspect_requests),
+            ("held_suspects", "Suspects on which control has not decided", &self.held_suspects),
             ("idle_connections", "Idle connections to servers", &self.idle_connections),
             ("caller_connections", "Connections of callers", &self.caller_connections),
             ("document_version", "Version of the document in force", &self.document_version),
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod context;
 pub mod crash_evidence;
+mod crash_gate;
 pub mod crash_outbox;
 mod crash_watch;
 mod follow;
@@ -16,6 +17,7 @@
 mod relay;
 mod request;
 mod send;
+pub mod suspect_hold;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -91,6 +93,7 @@
         let metrics = &self.context.metrics;
         metrics.idle_connections.set(self.context.connections.len() as i64);
         metrics.suspect_requests.set(self.context.crash_watch.suspect_count() as i64);
+        metrics.held_suspects.set(self.context.crash_watch.held_count() as i64);
         metrics.revision.set(self.context.state.borrow().revision().cast_signed());
         metrics.fresh_members.set(self.follower.fresh_members(Instant::now()) as i64);
         metrics.encode()
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -11,7 +11,7 @@
 
 use super::activity::RequestProgress;
 use super::context::EntryContext;
-use super::crash_watch::QUARANTINED_STATUS;
+use super::crash_gate::QUARANTINED_STATUS;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
 use super::send::{
@@ -107,7 +107,7 @@
     }
 
     /// Creates a 503 response: the request did not run and will not, so the caller may retry.
-    fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
+    pub fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
         let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
         Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
     }
@@ -277,8 +277,7 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
-        if self.context.is_quarantined(&self.request) {
-            let response = self.context.refuse_quarantined(&self.request, self.may_have_run);
+        if let Some(response) = self.context.refuse_suspect(&self.request, self.may_have_run) {
             return CallerResponse::Local(response);
         }
         self.start_send(CrowdedPolicy::ProbeAgain, None);
@@ -401,7 +400,7 @@
             Err(error) => error,
         };
         let was_hedged = !self.sends_in_flight.is_empty();
-        if matches!(error, SendError::NoServer(_) | SendError::Quarantined) && was_hedged {
+        if (matches!(error, SendError::NoServer(_)) || error.is_withheld()) && was_hedged {
             // A hedged send that found no server with room, or whose request must not be sent.
             self.take_back_send(charged_at);
             return None;
@@ -434,6 +433,8 @@
             self.context.refuse_quarantined(&self.request, self.may_have_run)
         } else if self.may_have_run {
             LocalResponse::new(502, "the server's response is lost")
+        } else if let SendError::Held(remaining) = error {
+            self.context.refuse_held(&self.request, remaining)
         } else if matches!(error, SendError::NoServer(_)) {
             self.refuse("no server has room")
         } else if matches!(error, SendError::Expired) {
@@ -454,10 +455,8 @@
             self.unsent_attempts += 1;
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
-                && !matches!(
-                    error,
-                    SendError::NoServer(_) | SendError::Expired | SendError::Quarantined
-                );
+                && !matches!(error, SendError::NoServer(_) | SendError::Expired)
+                && !error.is_withheld();
             if may_retry {
                 // Nothing reached a server, so this attempt takes the place of the last one.
                 self.send_count -= 1;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one server and validates the response.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -10,6 +10,7 @@
 use super::context::EntryContext;
 use super::crash_watch::WatchedSend;
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
+use super::suspect_hold::SendDecision;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::crash::request_digest;
 use crate::fleet::held_bytes::HeldShare;
@@ -43,6 +44,8 @@
     caller_head: RequestHead,
     body: HeldBody,
     digest: OnceCell<RequestDigest>,
+    /// Whether this is the only attempt that is allowed after a hold.
+    pub is_trial: Cell<bool>,
     pub request_id: Option<Box<[u8]>>,
     pub idempotent: bool,
     pub deadline: Instant,
@@ -94,6 +97,9 @@
     /// The request was put into quarantine before anything was sent.
     #[error("not sent: the request crashed several servers")]
     Quarantined,
+    /// The request was held for this time before anything was sent.
+    #[error("not sent: the request may have crashed servers")]
+    Held(Duration),
     /// The server stated that it did not run the request.
     #[error("refused by the server with status {status}")]
     NotRun { status: u16 },
@@ -113,7 +119,12 @@
 
     /// Whether the request was sent to a server.
     pub fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired | Self::Quarantined)
+        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired) && !self.is_withheld()
+    }
+
+    /// Whether the evidence against the request prevented the send.
+    pub fn is_withheld(&self) -> bool {
+        matches!(self, Self::Quarantined | Self::Held(_))
     }
 
     /// Whether the server ended the connection before its response was complete. Timeouts and invalid
@@ -136,7 +147,7 @@
     fn outcome(&self) -> SendOutcome {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
-            Self::Expired | Self::Quarantined => SendOutcome::Abandoned,
+            Self::Expired | Self::Quarantined | Self::Held(_) => SendOutcome::Abandoned,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -147,6 +158,7 @@
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::Expired => "not_sent",
             Self::Quarantined => "quarantined",
+            Self::Held(_) => "held",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer => "other_server",
             Self::Broken(_) => "broken",
@@ -190,6 +202,7 @@
             caller_head,
             body,
             digest: OnceCell::new(),
+            is_trial: Cell::new(false),
             request_id,
             idempotent,
             deadline,
@@ -308,6 +321,7 @@
     let chosen = match chosen {
         Ok(chosen) => chosen,
         Err(counts) => {
+            context.return_trial(&request);
             return SendReport {
                 server: None,
                 charged_at,
@@ -347,6 +361,8 @@
     drop(guard);
     if let Some(watched) = watched {
         watched.end(context, request, &result).await;
+    } else {
+        context.return_trial(request);
     }
     result
 }
@@ -370,8 +386,10 @@
     if time_left.is_zero() {
         return Err(SendError::Expired);
     }
-    if context.is_quarantined(request) {
-        return Err(SendError::Quarantined);
+    match context.decide_send(request) {
+        SendDecision::Allowed | SendDecision::Trial => {}
+        SendDecision::Held(remaining) => return Err(SendError::Held(remaining)),
+        SendDecision::Quarantined => return Err(SendError::Quarantined),
     }
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server, time_left);
--- a/tests/fleet/entry_ledger.rs
+++ b/tests/fleet/entry_ledger.rs
@@ -42,3 +42,24 @@
     let expected = [Suspected { crashes: 1 }, Suspected { crashes: 2 }, third];
     assert_eq!(findings(ledger, crashes), expected);
 }
+
+/// Guards against an innocent request that stays convicted at an entry after a server completed it.
+#[test]
+fn a_success_clears_the_own_evidence_of_an_entry() {
+    let now = Instant::now();
+    let mut ledger = CrashLedger::of_entry();
+    for (number, server) in ["a", "b", "c"].iter().enumerate() {
+        let now = now + Duration::from_secs(number as u64);
+        let report = CrashReport {
+            digest: DIGEST,
+            server: (*server).into(),
+            started: 1,
+            ran_for: Duration::from_millis(90),
+            age: Duration::ZERO,
+        };
+        ledger.record_crash(now, &report);
+    }
+    assert_eq!(ledger.counted_crashes(DIGEST), 3);
+    assert!(ledger.record_served(DIGEST));
+    assert_eq!(ledger.counted_crashes(DIGEST), 0);
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -22,3 +22,4 @@
 mod routes;
 mod slow_member;
 mod state;
+mod suspect_hold;
