Report crashes of restarted servers under their new incarnation

A deadly request went on crashing servers that had just come back, and these crashes did not count against it.

Cause: a restarted server listens before its new incarnation is announced, and entries that try it send it requests at once. The crash was then attributed to the incarnation in the replica, which had crashed under the same request about 2.1 s before, and the ledgers dropped it as told already.

Ruled out for these sends: a missing proof (the address refused connections or a new incarnation was announced) and a success that cleared the suspect.

Change: an entry remembers which incarnations it saw crash. A send that began more than 100 ms later reached the next incarnation, and its crash is reported under that number once it is announced. An entry that has not seen the first crash still reports the old number.

--- a/src/fleet/entry/crash_evidence.rs
+++ b/src/fleet/entry/crash_evidence.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::announcement::{IncarnationStart, ServerState};
-use crate::fleet::crash::CrashReport;
+use crate::fleet::crash::{CrashReport, EVIDENCE_LIFETIME};
 use crate::fleet::update::ServerView;
 use crate::ids::{RequestDigest, ServerId};
 
@@ -102,6 +102,58 @@
     ReplicaVerdict::PlannedStop
 }
 
+/// Minimum time between the crash of an incarnation and a send that its successor can have received. A
+/// send that begins sooner may have used a connection whose end was not yet known.
+const MIN_RESTART_TIME: Duration = Duration::from_millis(100);
+
+/// Incarnations of which this entry knows that they crashed: the newest one of each server. A server can
+/// run requests again before its next incarnation is announced, and its next crash is another one.
+#[derive(Debug, Default)]
+pub struct CrashedIncarnations {
+    newest: BTreeMap<ServerId, (IncarnationStart, Instant)>,
+}
+
+impl CrashedIncarnations {
+    /// Records that an incarnation crashed at `crashed_at`.
+    pub fn record(&mut self, server: &ServerId, started: IncarnationStart, crashed_at: Instant) {
+        let is_newer = self.newest.get(server).is_none_or(|(known, _)| *known < started);
+        if is_newer {
+            self.newest.insert(server.clone(), (started, crashed_at));
+        }
+    }
+
+    /// Incarnation that the send reached; `None` if it is not announced yet.
+    pub fn find_reached(
+        &self,
+        send: &BrokenSend,
+        servers: &BTreeMap<ServerId, ServerView>,
+    ) -> Option<IncarnationStart> {
+        let Some((crashed, crashed_at)) = self.newest.get(&send.server) else {
+            return Some(send.started);
+        };
+        if send.started > *crashed || send.sent_at < *crashed_at + MIN_RESTART_TIME {
+            return Some(send.started);
+        }
+        let Some(view) = servers.get(&send.server) else { return Some(send.started) };
+        let announced = view.announcement.started;
+        (announced > *crashed).then_some(announced)
+    }
+
+    pub fn expire(&mut self, now: Instant) {
+        self.newest.retain(|_, (_, crashed_at)| {
+            now.saturating_duration_since(*crashed_at) < EVIDENCE_LIFETIME
+        });
+    }
+
+    pub fn len(&self) -> usize {
+        self.newest.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.newest.is_empty()
+    }
+}
+
 /// Lost connections to servers that did not refuse the next connection.
 #[derive(Debug, Default)]
 pub struct PendingEvidence {
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -12,7 +12,8 @@
 
 use super::context::EntryContext;
 use super::crash_evidence::{
-    BrokenSend, CrashProof, MAX_PENDING_EVIDENCE, PendingEvidence, ReplicaVerdict, judge,
+    BrokenSend, CrashProof, CrashedIncarnations, MAX_PENDING_EVIDENCE, PendingEvidence,
+    ReplicaVerdict, judge,
 };
 use super::crash_outbox::{CrashNotice, CrashOutbox, NoticePosition};
 use super::local_quarantine::LocalQuarantine;
@@ -49,6 +50,7 @@
     /// Changes with each decision of control.
     decided: watch::Sender<()>,
     pending: RefCell<PendingEvidence>,
+    crashed: RefCell<CrashedIncarnations>,
     outbox: RefCell<CrashOutbox>,
     /// Position behind the newest notice.
     added: watch::Sender<NoticePosition>,
@@ -68,6 +70,7 @@
             holds: RefCell::default(),
             decided: watch::Sender::new(()),
             pending: RefCell::default(),
+            crashed: RefCell::default(),
             outbox: RefCell::default(),
             added: watch::Sender::new(0),
             told: watch::Sender::new(0),
@@ -139,6 +142,7 @@
         self.ledger.borrow_mut().expire(now);
         self.quarantine.borrow_mut().expire(now);
         self.holds.borrow_mut().expire(now);
+        self.crashed.borrow_mut().expire(now);
     }
 
     fn add_notice(&self, now: Instant, notice: CrashNotice) -> NoticePosition {
@@ -204,8 +208,15 @@
     /// Records a crash and tells the control members; returns the position behind the notice.
     fn record_crash(&self, now: Instant, send: &BrokenSend, proof: CrashProof) -> NoticePosition {
         let watch = &self.crash_watch;
-        let report = send.report(now);
+        let mut report = send.report(now);
         let digest = report.digest;
+        let reached = watch.crashed.borrow().find_reached(send, self.state.borrow().servers());
+        let Some(reached) = reached else {
+            watch.pending.borrow_mut().add(now, send.clone());
+            return watch.outbox.borrow().end();
+        };
+        report.started = reached;
+        watch.crashed.borrow_mut().record(&send.server, reached, send.broken_at);
         let finding = watch.ledger.borrow_mut().record_crash(now, &report);
         // Members count a report only once it counts here.
         if matches!(finding, CrashFinding::Repeated | CrashFinding::Concurrent) {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod crash_model;
 mod crash_server;
 mod crash_watch;
+mod crashed_incarnations;
 mod entry;
 mod entry_ledger;
 mod harness;
