Send different suspects to different servers

An innocent request that ran beside a deadly one was convicted by the leader, and the deadly one was convicted late, because the crashes they shared then counted as explained.

They ran on the same three servers, and the report on the innocent one reached the leader first.

Change: a suspect gets servers in an order that depends on its digest, the same at all entries, and none on which its entry runs another suspect. If no such server has room, a request that the next crash would convict is refused with 503; others take any server.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -12,6 +12,7 @@
 use super::connections::ConnectionPool;
 use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
+use super::suspect_runs::SuspectRuns;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
@@ -60,6 +61,7 @@
     pub held_bytes: HeldBytes,
     pub state: RefCell<FleetReplica>,
     pub crash_watch: CrashWatch,
+    pub suspect_runs: RefCell<SuspectRuns>,
     pub random: RefCell<fastrand::Rng>,
     /// Schedules of long bodies from servers and to callers.
     pub server_pacer: RefCell<LinePacer>,
@@ -95,6 +97,7 @@
             held_bytes: HeldBytes::default(),
             state: RefCell::default(),
             crash_watch: CrashWatch::default(),
+            suspect_runs: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
             server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
             caller_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
--- a/src/fleet/entry/crash_gate.rs
+++ b/src/fleet/entry/crash_gate.rs
@@ -10,7 +10,7 @@
 
 /// Number of counted crashes from which this entry does not retry a request: the next one would
 /// convict it.
-const MAX_CRASHES_FOR_RETRY: usize = 1;
+pub const MAX_CRASHES_FOR_RETRY: usize = 1;
 
 /// Status of a request in quarantine. It is final, so callers do not repeat the request as after 503, and
 /// it blames the request and not the service, unlike 500.
@@ -115,7 +115,8 @@
         LocalResponse::new(status, "the request crashed several servers")
     }
 
-    fn counted_crashes(&self, request: &OutgoingRequest) -> usize {
+    /// Number of crashes that count against the request in this entry's own ledger.
+    pub fn counted_crashes(&self, request: &OutgoingRequest) -> usize {
         self.crash_watch.expire(Instant::now());
         let ledger = self.crash_watch.ledger.borrow();
         if ledger.is_empty() { 0 } else { ledger.counted_crashes(request.digest()) }
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod send;
 pub mod suspect_hold;
+pub mod suspect_runs;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -11,6 +11,7 @@
 use super::crash_watch::WatchedSend;
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
 use super::suspect_hold::SendDecision;
+use super::suspect_runs;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::crash::request_digest;
 use crate::fleet::held_bytes::HeldShare;
@@ -317,8 +318,8 @@
 ) -> SendReport {
     let already_tried = tried.borrow().clone();
     let chosen =
-        measure::choose_server(&context, &request.service, &already_tried, crowded_policy).await;
-    let chosen = match chosen {
+        suspect_runs::choose_server(&context, &request, &already_tried, crowded_policy).await;
+    let (chosen, _suspect_run) = match chosen {
         Ok(chosen) => chosen,
         Err(counts) => {
             context.return_trial(&request);
--- a/tests/fleet/suspect_hold.rs
+++ b/tests/fleet/suspect_hold.rs
@@ -6,6 +6,7 @@
 use curranthollow::fleet::entry::suspect_hold::{
     FIRST_HOLD_TIME, HOLD_MEMORY, MAX_HELD, MAX_HOLD_TIME, SendDecision, SuspectHolds,
 };
+use curranthollow::fleet::entry::suspect_runs::SuspectRuns;
 use yare::parameterized;
 
 const DIGEST: u128 = 7;
@@ -80,3 +81,19 @@
     holds.expire(now);
     assert!(holds.is_empty());
 }
+
+/// Guards against an innocent request that is convicted because it was sent to the same servers as the one
+/// that crashed them.
+#[test]
+fn suspects_do_not_share_a_server() {
+    let mut runs = SuspectRuns::default();
+    assert!(runs.begin(&"a".into(), 1));
+    assert!(runs.begin(&"a".into(), 1), "copies of one request are no evidence against another");
+    assert!(!runs.begin(&"a".into(), 2));
+    assert!(runs.begin(&"b".into(), 2));
+    assert_eq!(runs.servers_of_others(1), ["b".into()]);
+    runs.end(&"a".into(), 1);
+    assert!(!runs.begin(&"a".into(), 2), "one copy still runs");
+    runs.end(&"a".into(), 1);
+    assert!(runs.begin(&"a".into(), 2));
+}
