Delay the third send of a suspect until its crash counts

Entries in touch with control sent a deadly request more often than the leader needed, and answered 503 where 422 was due.

Cause: an entry counts three attempts in sequence within 50 ms, the leader does not.

Change: a suspect is sent only once a further crash would be outside the burst, at most 70 ms after its first crash. The attempt that crashed waits up to 500 ms (250 ms before) for control's decision, which can take longer on a busy machine. A suspect for which no separate server has room takes any server instead of being refused.

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -230,6 +230,12 @@
         self.records.get(&digest).map_or(0, SuspectRecord::count)
     }
 
+    /// Time until which the next crash under the request would belong to a burst and not count.
+    pub fn burst_end(&self, digest: RequestDigest) -> Option<Instant> {
+        let earlier = self.records.get(&digest)?.crashed_before_last?;
+        Some(earlier + BURST_WINDOW)
+    }
+
     /// Incarnations that crashed under the request and count.
     pub fn crashed_servers(&self, digest: RequestDigest) -> Vec<(ServerId, IncarnationStart)> {
         let Some(record) = self.records.get(&digest) else { return Vec::new() };
--- a/src/fleet/entry/crash_gate.rs
+++ b/src/fleet/entry/crash_gate.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use tokio::time::sleep_until;
+
 use super::context::EntryContext;
 use super::request::LocalResponse;
 use super::send::OutgoingRequest;
@@ -10,13 +12,25 @@
 
 /// Number of counted crashes from which this entry does not retry a request: the next one would
 /// convict it.
-pub const MAX_CRASHES_FOR_RETRY: usize = 1;
+const MAX_CRASHES_FOR_RETRY: usize = 1;
+
+/// Time by which the leader may take crashes to be closer together, because it estimates their times from
+/// the arrival of reports.
+const BURST_MARGIN: Duration = Duration::from_millis(20);
 
 /// Status of a request in quarantine. It is final, so callers do not repeat the request as after 503, and
 /// it blames the request and not the service, unlike 500.
 pub const QUARANTINED_STATUS: u16 = 422;
 
 impl EntryContext {
+    /// Waits until a further crash would count against a suspect at the leader as well.
+    pub async fn wait_for_burst_end(&self, request: &OutgoingRequest) {
+        let burst_end = self.crash_watch.ledger.borrow().burst_end(request.digest());
+        if let Some(burst_end) = burst_end {
+            sleep_until((burst_end + BURST_MARGIN).min(request.deadline).into()).await;
+        }
+    }
+
     /// Decides whether the request may be sent now, and claims the trial after a hold for it.
     pub fn decide_send(&self, request: &OutgoingRequest) -> SendDecision {
         if self.is_quarantined(request) {
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -37,7 +37,7 @@
 
 /// Time after a lost connection for which the end of a send waits for control's decision on a request
 /// that is held. The attempt has failed anyway, and its caller learns the final status when it comes again.
-const MAX_DECISION_WAIT: Duration = Duration::from_millis(250);
+const MAX_DECISION_WAIT: Duration = Duration::from_millis(500);
 
 /// Interval at which old evidence is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
--- a/src/fleet/entry/suspect_runs.rs
+++ b/src/fleet/entry/suspect_runs.rs
@@ -6,7 +6,6 @@
 use tokio::time::timeout;
 
 use super::context::EntryContext;
-use super::crash_gate::MAX_CRASHES_FOR_RETRY;
 use super::measure::{self, CrowdedPolicy, ProbeCounts};
 use super::send::OutgoingRequest;
 use crate::fleet::balance::{ChosenServer, rendezvous_score};
@@ -69,22 +68,19 @@
 
 /// Chooses a server. Suspects get servers in an order that depends on the request, at all entries: copies
 /// of one suspect meet on one server and crash only that one, and different suspects run on different
-/// ones. A request that the next crash would convict gets no other server.
+/// ones, as long as there are enough with room.
 pub async fn choose_server(
     context: &Rc<EntryContext>,
     request: &OutgoingRequest,
     tried: &[ServerId],
     crowded_policy: CrowdedPolicy,
 ) -> Result<(ChosenServer, Option<SuspectRun>), ProbeCounts> {
-    let crashes = context.counted_crashes(request);
-    if crashes > 0 {
+    if context.counted_crashes(request) > 0 {
+        context.wait_for_burst_end(request).await;
         let separate = choose_separate_server(context, request, tried);
         if let Ok(Some((chosen, run))) = timeout(MAX_CHOICE_TIME, separate).await {
             return Ok((chosen, Some(run)));
         }
-        if crashes > MAX_CRASHES_FOR_RETRY {
-            return Err(ProbeCounts::default());
-        }
     }
     let chosen = measure::choose_server(context, &request.service, tried, crowded_policy).await?;
     Ok((chosen, None))
