Keep back reports on requests that were served a moment before

The leader convicted a popular innocent request (GET, every 150 ms at each of three entries) on three crashes that three entries had reported within 0.3 s. That entries served it in between follows from its rate; it is not in the logs.

Cause: a success clears a suspect only at an entry that has counted a crash against it. The others reported a crash even if a server completed the same request for them right before.

Change: while there are suspects, an entry remembers which requests were completed (it computed these digests already). A crash within 1 s after a success does not count. The time is below the stable window of 3 s, because a request can begin to crash servers that completed it before.

--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -18,6 +18,7 @@
 use super::crash_outbox::{CrashNotice, CrashOutbox, NoticePosition};
 use super::local_quarantine::LocalQuarantine;
 use super::send::{OutgoingRequest, SendError, ServerBody, ServerResponse};
+use super::served_digests::ServedDigests;
 use super::suspect_hold::SuspectHolds;
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::balance::ChosenServer;
@@ -51,6 +52,7 @@
     decided: watch::Sender<()>,
     pending: RefCell<PendingEvidence>,
     crashed: RefCell<CrashedIncarnations>,
+    served: RefCell<ServedDigests>,
     outbox: RefCell<CrashOutbox>,
     /// Position behind the newest notice.
     added: watch::Sender<NoticePosition>,
@@ -71,6 +73,7 @@
             decided: watch::Sender::new(()),
             pending: RefCell::default(),
             crashed: RefCell::default(),
+            served: RefCell::default(),
             outbox: RefCell::default(),
             added: watch::Sender::new(0),
             told: watch::Sender::new(0),
@@ -178,6 +181,7 @@
             return;
         }
         let digest = request.digest();
+        watch.served.borrow_mut().record(Instant::now(), digest);
         let was_held = watch.holds.borrow_mut().remove(digest);
         if !watch.ledger.borrow_mut().record_served(digest) && !was_held {
             return;
@@ -217,6 +221,16 @@
         };
         report.started = reached;
         watch.crashed.borrow_mut().record(&send.server, reached, send.broken_at);
+        if watch.served.borrow().contains(send.broken_at, digest) {
+            log_routine!(
+                "crash_not_counted",
+                "request={} digest={digest:032x} server={} started={} finding=Served",
+                send.request,
+                report.server,
+                report.started
+            );
+            return watch.outbox.borrow().end();
+        }
         let finding = watch.ledger.borrow_mut().record_crash(now, &report);
         // Members count a report only once it counts here.
         if matches!(finding, CrashFinding::Repeated | CrashFinding::Concurrent) {
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -17,6 +17,7 @@
 mod relay;
 mod request;
 mod send;
+pub mod served_digests;
 pub mod suspect_hold;
 pub mod suspect_runs;
 
--- a/tests/fleet/suspect_hold.rs
+++ b/tests/fleet/suspect_hold.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use curranthollow::fleet::entry::served_digests::{MAX_SERVED, SERVED_LIFETIME, ServedDigests};
 use curranthollow::fleet::entry::suspect_hold::SendDecision::{Allowed, Held, Quarantined, Trial};
 use curranthollow::fleet::entry::suspect_hold::{
     FIRST_HOLD_TIME, HOLD_MEMORY, MAX_HELD, MAX_HOLD_TIME, SendDecision, SuspectHolds,
@@ -97,3 +98,22 @@
     runs.end(&"a".into(), 1);
     assert!(runs.begin(&"a".into(), 2));
 }
+
+/// Guards against a popular request that is convicted on crashes of others between its successes, and
+/// against memory that grows with the number of completed requests.
+#[test]
+fn a_request_completed_shortly_before_is_no_suspect() {
+    let start = Instant::now();
+    let half = SERVED_LIFETIME / 2;
+    let mut served = ServedDigests::default();
+    served.record(start, DIGEST);
+    served.record(start + half, DIGEST);
+    assert!(!served.contains(start + half, DIGEST + 1));
+    served.record(start + SERVED_LIFETIME, DIGEST + 1);
+    assert!(served.contains(start + SERVED_LIFETIME, DIGEST), "completed again");
+    assert!(!served.contains(start + half + SERVED_LIFETIME, DIGEST));
+    for digest in 100..2 * MAX_SERVED as u128 {
+        served.record(start + SERVED_LIFETIME, digest);
+    }
+    assert!(served.len() <= MAX_SERVED);
+}
