--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -11,7 +11,7 @@
 
 use super::activity::RequestProgress;
 use super::context::EntryContext;
-use super::crash_watch::QUARANTINED_STATUS;
+use super::crash_gate::QUARANTINED_STATUS;
 use super::local_response::LocalResponse;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
@@ -242,8 +242,7 @@
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
         self.context.prepare_digest(&self.request).await;
-        if self.context.is_quarantined(&self.request) {
-            let response = self.context.refuse_quarantined(&self.request, self.may_have_run);
+        if let Some(response) = self.context.refuse_suspect(&self.request, self.may_have_run) {
             return CallerResponse::Local(response);
         }
         self.start_send(CrowdedPolicy::ProbeAgain, None);
@@ -372,7 +371,7 @@
             Err(error) => error,
         };
         let was_hedged = !self.sends_in_flight.is_empty();
-        if matches!(error, SendError::NoServer(_) | SendError::Quarantined) && was_hedged {
+        if (matches!(error, SendError::NoServer(_)) || error.is_withheld()) && was_hedged {
             // A hedged send that found no server with room, or whose request must not be sent.
             self.take_back_send(charged_at);
             return None;
@@ -405,6 +404,8 @@
             self.context.refuse_quarantined(&self.request, self.may_have_run)
         } else if self.may_have_run {
             LocalResponse::new(502, "the server's response is lost")
+        } else if let SendError::Held(remaining) = error {
+            self.context.refuse_held(&self.request, remaining)
         } else if matches!(error, SendError::NoServer(_)) {
             self.refuse("no server has room")
         } else if matches!(error, SendError::Expired) {
@@ -428,10 +429,8 @@
             let may_retry = self.unsent_attempts < MAX_UNSENT_ATTEMPTS
                 && now < self.request.deadline
                 && self.can_finish()
-                && !matches!(
-                    error,
-                    SendError::NoServer(_) | SendError::Expired | SendError::Quarantined
-                );
+                && !matches!(error, SendError::NoServer(_) | SendError::Expired)
+                && !error.is_withheld();
             if may_retry {
                 // Nothing reached a server, so this attempt takes the place of the last one.
                 self.send_count -= 1;
