Wait for the first request of a connection during a stop

A caller that connected to an entry just before its listener closed, and whose request was still on its way, got a closed connection without a response. The entry closed each connection that had no bytes at half of the grace period, even one that it had accepted a moment ago, and then read the request and dropped it.

An idle connection is now closed 500 ms after its accept or its last response at the earliest, until the entry is about to exit.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -7,6 +7,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep_until;
 
 use super::activity::RequestProgress;
 use super::context::{EntryContext, EntryPhase};
@@ -31,6 +32,10 @@
 /// pause while reading, and on a slow line their data queues behind that of others.
 const CALLER_UNACKED_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after an accept or a response for which a stopping entry waits for the next request. It arrives a
+/// round trip later, on a slow line behind the data of others.
+const NEXT_REQUEST_WAIT: Duration = Duration::from_millis(500);
+
 /// Accepts callers until the entry closes.
 pub async fn serve(listener: TcpListener, context: Rc<EntryContext>) {
     let serve = |stream| {
@@ -66,6 +71,7 @@
         reader: RequestReader::default(),
         last_response_at: Instant::now(),
         phase,
+        closes_at: None,
         deferred: None,
         in_flight: VecDeque::new(),
         closing: false,
@@ -101,6 +107,8 @@
     /// Time of the last response, or of the accept.
     last_response_at: Instant,
     phase: watch::Receiver<EntryPhase>,
+    /// Time at which the idle connection is closed, set by a stop.
+    closes_at: Option<Instant>,
     /// At-most-once request that starts when all requests before it are answered.
     deferred: Option<CallerRequest>,
     in_flight: VecDeque<InFlightRequest>,
@@ -144,6 +152,7 @@
     /// Reacts to a stop of the entry. A request that has arrived, even if only in part, still gets a
     /// response; after it the connection is closed.
     async fn follow_phase(&mut self) -> Result<(), ConnectionEnd> {
+        self.closes_at = None;
         if !self.in_flight.is_empty() || self.deferred.is_some() {
             self.closing = true;
             return Ok(());
@@ -158,6 +167,11 @@
         if phase < EntryPhase::Closing {
             return Ok(());
         }
+        let closes_at = self.last_response_at + NEXT_REQUEST_WAIT;
+        if phase == EntryPhase::Closing && Instant::now() < closes_at {
+            self.closes_at = Some(closes_at);
+            return Ok(());
+        }
         self.close_if_idle()
     }
 
@@ -185,11 +199,18 @@
             stream.closed(MAX_PIPELINE_BYTES).await;
             ReadEvent::Closed
         };
+        let closes = async {
+            match self.closes_at {
+                Some(closes_at) => sleep_until(closes_at.into()).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             response = next_response(in_flight) => CallerEvent::Response(response),
             event = read => CallerEvent::Read(event),
             _ = self.phase.changed(), if !self.closing => CallerEvent::PhaseChanged,
+            () = closes, if !self.closing => CallerEvent::PhaseChanged,
         }
     }
 
--- a/tests/fleet/listener.rs
+++ b/tests/fleet/listener.rs
@@ -13,7 +13,7 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
-use crate::harness::TEST_TIMEOUT;
+use crate::harness::{TEST_TIMEOUT, TestEntry, TestFleet, document, parse_response, wait_for};
 
 /// Connections in the queue of the kernel, which has room for 128.
 const QUEUED: usize = 100;
@@ -130,3 +130,44 @@
     }
     lost
 }
+
+/// Time between a connect and its request: several round trips to a caller.
+const REQUEST_DELAY: Duration = Duration::from_millis(60);
+
+/// Time after the start of a stop at which callers begin and cease to connect. The listener is closed 2.5 s
+/// after the start.
+const CONNECTING: [Duration; 2] = [Duration::from_millis(2300), Duration::from_millis(2700)];
+
+/// Guards against closing a connection that was accepted just before the close while its first request is
+/// still on its way.
+#[test]
+fn the_first_request_of_a_connection_is_answered_during_a_stop() {
+    let fleet = TestFleet::start();
+    fleet.put_document(&document(1));
+    let entry = TestEntry::start(&fleet.seeds);
+    wait_for("the entry to be ready", || entry.is_ready());
+    let (traffic, started) = (entry.traffic, Instant::now());
+    let stopping = thread::spawn(move || entry.stop());
+    thread::sleep(CONNECTING[0]);
+    let mut callers = Vec::new();
+    while started.elapsed() < CONNECTING[1] {
+        let Ok(stream) = TcpStream::connect_timeout(&traffic, HANDSHAKE_TIMEOUT) else { break };
+        callers.push(thread::spawn(move || send_late(stream)));
+        thread::sleep(Duration::from_millis(10));
+    }
+    let statuses: Vec<_> =
+        callers.into_iter().map(|caller| caller.join().expect("no caller panics")).collect();
+    stopping.join().expect("the entry stops");
+    // No server is announced, so a request that is read is refused.
+    assert!(statuses.len() > 5 && statuses.iter().all(|status| *status == 503), "{statuses:?}");
+}
+
+/// Sends a request some time after the connect; returns the status of the response, or 0.
+fn send_late(mut stream: TcpStream) -> u16 {
+    thread::sleep(REQUEST_DELAY);
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let mut response = String::new();
+    let _ = stream.write_all(b"GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r\r\n\r\n");
+    let _ = stream.read_to_string(&mut response);
+    parse_response(&response).0
+}
