Hold back no response for a retry that a stopping entry would not start

A stopping entry still held back the first 128 KiB of a response so that a broken one could be retried, although no retry starts any more when the deadline lies beyond the exit. Such a response now begins at once, from the SIGTERM on; if its server breaks off, the caller sees it end early instead of getting a 502.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -196,6 +196,17 @@
         }
     }
 
+    /// Waits until a stopping entry would start no further send of a request. Never completes if one could
+    /// finish before the exit.
+    pub async fn wait_for_last_send(&self, rule: &RouteRule, deadline: Instant) {
+        let mut phase = self.phase.subscribe();
+        // The wait cannot fail: the sender lives as long as the context.
+        let _ = phase.wait_for(|phase| *phase >= EntryPhase::Stopping).await;
+        if self.can_finish(rule, deadline) {
+            std::future::pending().await
+        }
+    }
+
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() != EntryPhase::Serving
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -253,7 +253,7 @@
             let pending_hedge = self.hedge_at.filter(|_| self.sends_in_flight.len() == 1);
             let wake_at = pending_hedge.unwrap_or(self.request.deadline).min(self.request.deadline);
             tokio::select! {
-                // A send whose response has begun ends when the others are given up; it comes first.
+                // A response that begins at this moment is not given up.
                 biased;
                 Some(report) = self.sends_in_flight.next() => {
                     if let Some(response) = self.handle_send_report(report) {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -427,8 +427,8 @@
     let complete = tokio::select! {
         biased;
         complete = end.read(context, &mut stream, &mut buffered, MAX_BUFFERED_BYTES) => complete?,
-        // The caller gets the rest as it arrives, for as long as the entry runs.
-        () = context.wait_for_give_up(request.deadline) => false,
+        // Nothing is held back for a retry that would not start: the exit may come first.
+        () = context.wait_for_last_send(&request.rule, request.deadline) => false,
     };
     let (server, rule) = (chosen.server.clone(), Rc::clone(&request.rule));
     let deadline = request.deadline;
--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -114,8 +114,8 @@
     drop(fleet);
 }
 
-/// Guards against a stop that drops a response which is arriving from its server: held back for a retry,
-/// it was cut off at the exit although the caller could have had all of it.
+/// Guards against a stop that drops a response which is arriving from its server: held back for a retry
+/// that would not start, it was cut off at the exit although the caller could have had all of it.
 #[test]
 fn a_response_that_is_arriving_is_relayed_to_the_end() {
     let (server, permissions) = paused_server("GET", 2);
@@ -124,9 +124,11 @@
     // The server has begun its response.
     let permission = permissions.recv_timeout(TEST_TIMEOUT).expect("the server gets the request");
     let TestSystem { entry, fleet } = system;
+    let stopped_at = Instant::now();
     let stopping = std::thread::spawn(move || entry.stop());
     let mut response = vec![0; 12];
     stream.read_exact(&mut response).expect("the response begins before the exit");
+    assert!(stopped_at.elapsed() < GRACE / 2, "held back for {:?}", stopped_at.elapsed());
     permission.send(()).expect("the server waits");
     stream.read_to_end(&mut response).expect("the connection ends cleanly");
     stopping.join().expect("the entry stops");
