Count the crashes under a request in their order, not in that of the reports

A crashing request went on after a change of the leader although the members held three reports about it.

Reports that wait for the next incarnation of a server meet the same rule.

Change: the ledger keeps the times of all crashes under a request and counts them in their order after each report.

Ruled out: a lost report (the members held all of them).

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -61,23 +61,33 @@
 /// Crash of one incarnation. It is remembered while it can be reported again.
 #[derive(Debug, Clone, Copy)]
 struct CrashEvidence {
-    until: Instant,
+    sent_at: Instant,
+    crashed_at: Instant,
+    /// Time at which the crash became known here.
+    recorded_at: Instant,
+    state: EvidenceState,
     /// Whether it counts against the request.
     counts: bool,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EvidenceState {
+    Open,
+    /// A server has completed the request since.
+    Cleared,
+    /// A convicted request explains the crash.
+    Explained,
+}
+
 /// Evidence against one request.
 #[derive(Debug, Clone)]
 pub struct SuspectRecord {
     crashes: BTreeMap<(ServerId, IncarnationStart), CrashEvidence>,
     /// Time of the last counted crash. It stays when a success clears the request.
     last_crash: Instant,
-    /// Time of the counted crash before the last one.
-    crashed_before_last: Option<Instant>,
-    /// Time at which the last counted crash was recorded.
-    recorded_at: Instant,
     /// Whether a success has cleared the request since the record began.
     was_cleared: bool,
+    is_convicted: bool,
 }
 
 impl SuspectRecord {
@@ -92,15 +102,42 @@
         self.incarnations().count()
     }
 
-    fn is_convicted(&self) -> bool {
-        let limit = if self.was_cleared { CLEARED_CONVICTION_CRASHES } else { CONVICTION_CRASHES };
-        self.count() >= limit
+    fn conviction_limit(&self) -> usize {
+        if self.was_cleared { CLEARED_CONVICTION_CRASHES } else { CONVICTION_CRASHES }
+    }
+
+    /// Decides which crashes count, in the order of the crashes: late reports arrive in any order.
+    fn recount(&mut self, is_local: bool) {
+        let mut ordered: Vec<_> = self
+            .crashes
+            .values_mut()
+            .filter(|evidence| evidence.state != EvidenceState::Explained)
+            .collect();
+        ordered.sort_by_key(|evidence| evidence.crashed_at);
+        let mut last: Option<CrashEvidence> = None;
+        let mut before_last: Option<Instant> = None;
+        for evidence in ordered {
+            let is_burst =
+                before_last.is_some_and(|earlier| evidence.crashed_at < earlier + BURST_WINDOW);
+            let is_concurrent = last.is_some_and(|last| {
+                // A send that began after the last crash was known is a new attempt, however soon it came.
+                let is_new_attempt = is_local && evidence.sent_at >= last.recorded_at;
+                evidence.sent_at + START_TOLERANCE < last.crashed_at
+                    || (is_burst && !is_new_attempt)
+            });
+            evidence.counts = evidence.state == EvidenceState::Open && !is_concurrent;
+            if is_concurrent {
+                continue;
+            }
+            before_last = last.map(|last| last.crashed_at);
+            last = Some(*evidence);
+        }
     }
 
     fn insert(&mut self, incarnation: (ServerId, IncarnationStart), evidence: CrashEvidence) {
         if self.crashes.len() >= MAX_INCARNATIONS {
             let crashes = self.crashes.iter();
-            let oldest = crashes.min_by_key(|(_, evidence)| (evidence.counts, evidence.until));
+            let oldest = crashes.min_by_key(|(_, evidence)| (evidence.counts, evidence.crashed_at));
             let oldest = oldest.map(|(incarnation, _)| incarnation.clone());
             oldest.and_then(|incarnation| self.crashes.remove(&incarnation));
         }
@@ -109,7 +146,7 @@
 
     /// Removes evidence that is too old; returns whether the record is still needed.
     fn expire(&mut self, now: Instant) -> bool {
-        self.crashes.retain(|_, evidence| now < evidence.until);
+        self.crashes.retain(|_, evidence| now < evidence.crashed_at + EVIDENCE_LIFETIME);
         now.saturating_duration_since(self.last_crash) < EVIDENCE_LIFETIME
     }
 }
@@ -132,8 +169,19 @@
         Self { is_local: true, ..Self::default() }
     }
 
-    /// Records a report that arrived at `now`.
+    /// Records a report that arrived at `now` and convicts the request once enough crashes count.
     pub fn record_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
+        let finding = self.add_crash(now, report);
+        let is_counted = matches!(finding, CrashFinding::Suspected { .. });
+        if !is_counted || !self.is_due(now, report.digest) {
+            return finding;
+        }
+        self.convict(report.digest);
+        CrashFinding::Convicted
+    }
+
+    /// Records a report that arrived at `now` without a conviction.
+    fn add_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
         let digest = report.digest;
         let crashed_at = now.checked_sub(report.age).unwrap_or(now);
         let sent_at = crashed_at.checked_sub(report.ran_for).unwrap_or(crashed_at);
@@ -141,25 +189,13 @@
             return CrashFinding::Concurrent;
         }
         let incarnation = (report.server.clone(), report.started);
-        let until = crashed_at + EVIDENCE_LIFETIME;
+        let is_explained = self.explained.contains(&incarnation);
         if let Some(record) = self.records.get_mut(&digest) {
             record.expire(now);
             if record.crashes.contains_key(&incarnation) {
                 return CrashFinding::Repeated;
             }
-            let is_burst = record
-                .crashed_before_last
-                .is_some_and(|earlier| crashed_at < earlier + BURST_WINDOW);
-            // A send that began after the last crash was known is a new attempt, however soon it came.
-            let is_new_attempt = self.is_local && sent_at >= record.recorded_at;
-            let is_concurrent =
-                sent_at + START_TOLERANCE < record.last_crash || (is_burst && !is_new_attempt);
-            let is_explained = !record.is_convicted() && self.explained.contains(&incarnation);
-            if is_concurrent || is_explained {
-                record.insert(incarnation, CrashEvidence { until, counts: false });
-                return CrashFinding::Concurrent;
-            }
-        } else if self.explained.contains(&incarnation) {
+        } else if is_explained {
             return CrashFinding::Concurrent;
         } else if self.records.len() >= MAX_SUSPECTS {
             self.remove_oldest();
@@ -167,25 +203,43 @@
         let record = self.records.entry(digest).or_insert_with(|| SuspectRecord {
             crashes: BTreeMap::new(),
             last_crash: crashed_at,
-            crashed_before_last: None,
-            recorded_at: now,
             was_cleared: false,
+            is_convicted: false,
         });
-        if !record.crashes.is_empty() {
-            record.crashed_before_last = Some(record.last_crash);
+        let state = match is_explained && !record.is_convicted {
+            true => EvidenceState::Explained,
+            false => EvidenceState::Open,
+        };
+        let evidence =
+            CrashEvidence { sent_at, crashed_at, recorded_at: now, state, counts: false };
+        record.insert(incarnation.clone(), evidence);
+        record.recount(self.is_local);
+        if !record.crashes[&incarnation].counts {
+            return CrashFinding::Concurrent;
         }
-        record.insert(incarnation, CrashEvidence { until, counts: true });
         record.last_crash = record.last_crash.max(crashed_at);
-        record.recorded_at = now;
-        let crashes = record.count();
+        CrashFinding::Suspected { crashes: record.count() }
+    }
+
+    /// Whether enough crashes count to convict the request.
+    fn is_due(&self, now: Instant, digest: RequestDigest) -> bool {
+        self.records
+            .get(&digest)
+            .is_some_and(|record| record.count() >= self.limit(now, digest, record))
+    }
+
+    fn limit(&self, now: Instant, digest: RequestDigest, record: &SuspectRecord) -> usize {
         let on_probation = self.probations.get(&digest).is_some_and(|until| now < *until);
-        if record.is_convicted() || on_probation {
-            for (server, started) in self.crashed_servers(digest) {
-                self.explain(digest, server, started);
-            }
-            return CrashFinding::Convicted;
+        if on_probation { 1 } else { record.conviction_limit() }
+    }
+
+    /// Convicts a request: its crashes no longer count against others.
+    fn convict(&mut self, digest: RequestDigest) {
+        let Some(record) = self.records.get_mut(&digest) else { return };
+        record.is_convicted = true;
+        for (server, started) in self.crashed_servers(digest) {
+            self.explain(digest, server, started);
         }
-        CrashFinding::Suspected { crashes }
     }
 
     /// Records that an incarnation crashed under a convicted request: the crash no longer counts against
@@ -196,10 +250,11 @@
             return;
         }
         for (other, record) in &mut self.records {
-            if *other == digest || record.is_convicted() {
+            if *other == digest || record.is_convicted {
                 continue;
             }
             if let Some(evidence) = record.crashes.get_mut(&incarnation) {
+                evidence.state = EvidenceState::Explained;
                 evidence.counts = false;
             }
         }
@@ -215,11 +270,15 @@
         let Some(record) = self.records.get_mut(&digest) else { return was_on_probation };
         let crashes = record.count();
         // Control has the last word on a conviction; an entry only holds the request until then.
-        if record.is_convicted() && !self.is_local {
+        if record.is_convicted && !self.is_local {
             return was_on_probation;
         }
+        record.is_convicted = false;
         record.was_cleared |= crashes > 0;
         for evidence in record.crashes.values_mut() {
+            if evidence.state == EvidenceState::Open {
+                evidence.state = EvidenceState::Cleared;
+            }
             evidence.counts = false;
         }
         crashes > 0 || was_on_probation
--- a/tests/fleet/crash_ledger.rs
+++ b/tests/fleet/crash_ledger.rs
@@ -115,6 +115,21 @@
     assert!(ledger.crashed_servers(5).len() <= 16);
 }
 
+/// Guards against evidence that a new leader drops because it gets older reports after newer ones.
+#[test]
+fn the_order_of_reports_does_not_matter() {
+    let now = Instant::now() + Duration::from_secs(600);
+    let reports =
+        [("a", 3000), ("b", 2000), ("c", 1000)].map(|(name, age)| report(7, name, 1, 30, age));
+    for order in [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]] {
+        let mut ledger = CrashLedger::default();
+        for number in order {
+            ledger.record_crash(now, &reports[number]);
+        }
+        assert_eq!(ledger.counted_crashes(7), 3, "{order:?}");
+    }
+}
+
 /// Guards against innocent requests that are convicted on crashes that a convicted request explains.
 #[test]
 fn a_convicted_request_explains_its_crashes() {
