Let suspects settle at the leader before an ambiguous conviction

Callers of innocent requests got the final status because the leader convicted their requests.

The requests had run beside a crashing one, or in a failing rack, and were served 34 to 195 ms later. A conviction of the innocent one also explained the crashes of the deadly one, which went on.

Change: three crashes convict at once only if no other cause is known for them; otherwise the suspect settles for 200 ms, and the strongest is decided first. A new leader collects held reports for 100 ms. At most 64 suspects settle.

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -237,7 +237,10 @@
 
     /// Time at which [`Self::tick`] is due next.
     pub fn next_tick(&self, now: Instant) -> Instant {
-        let due = self.node.next_deadline().min(self.next_report_at);
+        let mut due = self.node.next_deadline().min(self.next_report_at);
+        if let Some(decision_at) = self.quarantine.next_decision() {
+            due = due.min(decision_at);
+        }
         due.max(now + Duration::from_millis(5))
     }
 
--- a/src/fleet/crash/controller.rs
+++ b/src/fleet/crash/controller.rs
@@ -24,6 +24,19 @@
 /// Time after which a proposal without an effect may be repeated.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time between the crash that would convict a suspect and the decision, if there are other causes for its
+/// crashes. Successes and the reports about these causes arrive meanwhile; it is a small part of the
+/// stable window.
+pub const SETTLING_TIME: Duration = Duration::from_millis(200);
+
+/// Maximum number of suspects that settle at a time, because each decision looks at all suspects; further
+/// ones are convicted at once.
+const MAX_SETTLING: usize = 64;
+
+/// Time for which a new leader decides on nothing, because the reports that other members hold arrive in
+/// any order.
+const GATHERING_TIME: Duration = Duration::from_millis(100);
+
 /// Leader that a member knows.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum KnownLeader {
@@ -123,9 +136,14 @@
     /// Reports of entries in the last [`HOLD_TIME`]. A leader that has just been lost may have received
     /// none of them.
     held: VecDeque<(Instant, HeldReport)>,
+    /// Suspects with enough counted crashes that may be explained by others, with the time at which the
+    /// leader decides.
+    settling: BTreeMap<RequestDigest, (Instant, CrashReport)>,
     /// Convictions that are not committed yet, with the time of the proposal.
     proposed: BTreeMap<RequestDigest, (Instant, CrashedServers)>,
     in_force: BTreeMap<RequestDigest, QuarantineRecord>,
+    /// Time until which a new leader collects the reports that other members hold.
+    gathers_until: Option<Instant>,
     counts: QuarantineCounts,
 }
 
@@ -159,6 +177,7 @@
         }
         self.leader = leader;
         self.ledger = CrashLedger::default();
+        self.settling.clear();
         self.proposed.clear();
         self.in_force.clear();
         self.expire_held(now);
@@ -170,6 +189,7 @@
                 actions.extend(batches.map(QuarantineAction::Forward));
             }
             KnownLeader::ThisMember => {
+                self.gathers_until = Some(now + GATHERING_TIME);
                 actions.extend(self.follow_state(now, quarantine));
                 for batch in self.held_batches(now) {
                     self.count_batch(now, batch, quarantine, &mut actions);
@@ -179,6 +199,11 @@
         actions
     }
 
+    /// Time at which [`Self::tick`] has to decide on a suspect.
+    pub fn next_decision(&self) -> Option<Instant> {
+        self.settling.values().map(|(due_at, _)| *due_at).min()
+    }
+
     /// Handles reports of an entry.
     pub fn on_entry_batch(
         &mut self,
@@ -253,6 +278,7 @@
         self.expire_held(now);
         let mut actions = self.follow_state(now, quarantine);
         self.ledger.expire(now);
+        self.decide_settled(now, quarantine, &mut actions);
         self.proposed.retain(|_, (proposed_at, _)| {
             now.saturating_duration_since(*proposed_at) < PROPOSAL_TIMEOUT
         });
@@ -287,6 +313,7 @@
             if self.in_force.contains_key(digest) {
                 continue;
             }
+            self.settling.remove(digest);
             let (_, crashed) = self.proposed.remove(digest).unwrap_or((now, Vec::new()));
             let record = QuarantineRecord { since: now, release_proposed: None, crashed };
             self.in_force.insert(*digest, record);
@@ -337,6 +364,9 @@
             ReportBatch::Served(digests) => {
                 for digest in digests {
                     self.ledger.record_served(digest);
+                    if !self.ledger.is_due(now, digest) {
+                        self.settling.remove(&digest);
+                    }
                 }
             }
         }
@@ -353,23 +383,80 @@
             self.ledger.explain(digest, report.server, report.started);
             return None;
         }
-        match self.ledger.record_crash(now, &report) {
+        match self.ledger.add_crash(now, &report) {
             CrashFinding::Repeated | CrashFinding::Concurrent => None,
             CrashFinding::Suspected { crashes } => {
+                if !self.ledger.is_due(now, digest) {
+                    return Some(QuarantineEvent::Suspected { report, crashes });
+                }
+                let gathers_until = self.gathers_until.filter(|until| now < *until);
+                let may_settle = self.settling.len() < MAX_SETTLING;
+                let is_plain = gathers_until.is_none() && self.ledger.is_separated(now, digest);
+                if is_plain || !may_settle {
+                    return Some(self.convict(now, report, quarantine));
+                }
+                let due_at = gathers_until.unwrap_or(now + SETTLING_TIME);
+                self.settling.entry(digest).or_insert_with(|| (due_at, report.clone()));
                 Some(QuarantineEvent::Suspected { report, crashes })
             }
-            CrashFinding::Convicted => {
-                let crashes = self.ledger.counted_crashes(digest);
-                if quarantine.len() + self.proposed.len() >= MAX_QUARANTINED {
-                    self.counts.refusals += 1;
-                    return Some(QuarantineEvent::Refused { report, crashes });
-                }
-                self.counts.convictions += 1;
-                let crashed = self.ledger.crashed_servers(digest);
-                self.proposed.insert(digest, (now, crashed));
-                Some(QuarantineEvent::Convicted { report, crashes })
+            CrashFinding::Convicted => None,
+        }
+    }
+
+    /// Decides on the suspects that have settled and on stronger ones, those with most crashes first:
+    /// crashes under a convicted request no longer count against the others.
+    fn decide_settled(
+        &mut self,
+        now: Instant,
+        quarantine: &ReplicatedQuarantine,
+        actions: &mut Vec<QuarantineAction>,
+    ) {
+        let due = self.settling.iter().filter(|(_, (due_at, _))| now >= *due_at);
+        let weakest = due.map(|(digest, _)| self.ledger.counted_crashes(*digest)).min();
+        let Some(weakest) = weakest else { return };
+        let mut ranked = Vec::new();
+        for digest in self.settling.keys() {
+            let crashes = self.ledger.counted_crashes(*digest);
+            if crashes >= weakest {
+                ranked.push((crashes, self.ledger.clear_crashes(now, *digest), *digest));
+            }
+        }
+        ranked.sort_unstable();
+        let mut convicted = Vec::new();
+        for (_, _, digest) in ranked.into_iter().rev() {
+            let Some((_, report)) = self.settling.remove(&digest) else { continue };
+            if !self.ledger.is_settled(now, digest) {
+                continue;
             }
+            let event = self.convict(now, report, quarantine);
+            if matches!(event, QuarantineEvent::Convicted { .. }) {
+                convicted.push(digest);
+            }
+            actions.push(QuarantineAction::Log(event));
+        }
+        if !convicted.is_empty() {
+            actions.push(QuarantineAction::Propose(FleetCommand::Quarantine(convicted)));
+        }
+    }
+
+    fn convict(
+        &mut self,
+        now: Instant,
+        report: CrashReport,
+        quarantine: &ReplicatedQuarantine,
+    ) -> QuarantineEvent {
+        let digest = report.digest;
+        self.settling.remove(&digest);
+        self.ledger.convict(digest);
+        let crashes = self.ledger.counted_crashes(digest);
+        if quarantine.len() + self.proposed.len() >= MAX_QUARANTINED {
+            self.counts.refusals += 1;
+            return QuarantineEvent::Refused { report, crashes };
         }
+        self.counts.convictions += 1;
+        let crashed = self.ledger.crashed_servers(digest);
+        self.proposed.insert(digest, (now, crashed));
+        QuarantineEvent::Convicted { report, crashes }
     }
 
     fn expire_held(&mut self, now: Instant) {
--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -40,6 +40,10 @@
 /// several of them.
 const BURST_WINDOW: Duration = Duration::from_millis(50);
 
+/// Time in which crashes of several servers can have one cause: the time in which a rack fails, and the
+/// differences between the delays of reports.
+const RACK_WINDOW: Duration = Duration::from_millis(40);
+
 /// Maximum number of crashes that are remembered as explained; the oldest goes first.
 const MAX_EXPLAINED: usize = 256;
 
@@ -181,7 +185,7 @@
     }
 
     /// Records a report that arrived at `now` without a conviction.
-    fn add_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
+    pub fn add_crash(&mut self, now: Instant, report: &CrashReport) -> CrashFinding {
         let digest = report.digest;
         let crashed_at = now.checked_sub(report.age).unwrap_or(now);
         let sent_at = crashed_at.checked_sub(report.ran_for).unwrap_or(crashed_at);
@@ -222,7 +226,7 @@
     }
 
     /// Whether enough crashes count to convict the request.
-    fn is_due(&self, now: Instant, digest: RequestDigest) -> bool {
+    pub fn is_due(&self, now: Instant, digest: RequestDigest) -> bool {
         self.records
             .get(&digest)
             .is_some_and(|record| record.count() >= self.limit(now, digest, record))
@@ -233,8 +237,66 @@
         if on_probation { 1 } else { record.conviction_limit() }
     }
 
+    /// Whether the evidence convicts the request at once: other causes are known for few of its crashes.
+    pub fn is_separated(&self, now: Instant, digest: RequestDigest) -> bool {
+        let Some(record) = self.records.get(&digest) else { return false };
+        let (limit, count) = (self.limit(now, digest, record), record.count());
+        let clear = self.clear_crashes(now, digest);
+        clear >= limit || count > limit && clear + 1 >= limit || count > limit + 1
+    }
+
+    /// Whether the evidence convicts a request that no server has completed during its settling time.
+    pub fn is_settled(&self, now: Instant, digest: RequestDigest) -> bool {
+        let Some(record) = self.records.get(&digest) else { return false };
+        let limit = self.limit(now, digest, record);
+        record.count() >= limit && self.clear_crashes(now, digest) + 1 >= limit
+    }
+
+    /// Number of counted crashes for which no other cause is known: no other suspect with as many crashes
+    /// ran there, and no server without the request crashed at the same time.
+    pub fn clear_crashes(&self, now: Instant, digest: RequestDigest) -> usize {
+        let Some(record) = self.records.get(&digest) else { return 0 };
+        let count = record.count();
+        let mut clear: BTreeMap<_, _> = record
+            .crashes
+            .iter()
+            .filter(|(_, evidence)| evidence.counts)
+            .map(|(incarnation, evidence)| (incarnation, evidence.crashed_at))
+            .collect();
+        let Some(first) = clear.values().min().copied() else { return 0 };
+        // Reports of others about the newest crash may still be on their way.
+        let newest = record.crashes.iter().filter(|(_, evidence)| {
+            evidence.counts && now.saturating_duration_since(evidence.recorded_at) < RACK_WINDOW
+        });
+        let newest = newest.max_by_key(|(_, evidence)| evidence.crashed_at);
+        let newest = newest.map(|(incarnation, _)| incarnation);
+        for (other, other_record) in &self.records {
+            if *other == digest || other_record.last_crash + RACK_WINDOW < first {
+                continue;
+            }
+            let may_gain = newest.is_some_and(|newest| !other_record.crashes.contains_key(newest));
+            let strength = other_record.count() + usize::from(may_gain);
+            let is_as_strong = !other_record.is_convicted && strength >= count;
+            for (incarnation, evidence) in &other_record.crashes {
+                if is_as_strong && evidence.counts {
+                    clear.remove(incarnation);
+                }
+                if record.crashes.contains_key(incarnation) || self.explained.contains(incarnation)
+                {
+                    continue;
+                }
+                clear.retain(|_, crashed_at| {
+                    let later = evidence.crashed_at.max(*crashed_at);
+                    let earlier = evidence.crashed_at.min(*crashed_at);
+                    later.duration_since(earlier) >= RACK_WINDOW
+                });
+            }
+        }
+        clear.len()
+    }
+
     /// Convicts a request: its crashes no longer count against others.
-    fn convict(&mut self, digest: RequestDigest) {
+    pub fn convict(&mut self, digest: RequestDigest) {
         let Some(record) = self.records.get_mut(&digest) else { return };
         record.is_convicted = true;
         for (server, started) in self.crashed_servers(digest) {
--- /dev/null
+++ b/tests/fleet/crash_settling.rs
@@ -0,0 +1,88 @@
+//! Tests of the leader's decision between requests that ran on the same crashing servers.
+
+use std::time::{Duration, Instant};
+
+use curranthollow::fleet::crash::CrashReport;
+use curranthollow::fleet::crash::controller::{
+    KnownLeader, QuarantineAction, QuarantineController, ReportBatch, SETTLING_TIME,
+};
+use curranthollow::fleet::state::{FleetCommand, FleetState};
+use curranthollow::ids::RequestDigest;
+use yare::parameterized;
+
+const DEADLY: RequestDigest = 1;
+const BESIDE: RequestDigest = 2;
+const OTHER: RequestDigest = 3;
+
+/// Event at a time in milliseconds since the election.
+enum LeaderEvent {
+    Crash(RequestDigest, &'static str),
+    Served(RequestDigest),
+}
+
+use LeaderEvent::{Crash, Served};
+
+fn report(digest: RequestDigest, server: &str) -> CrashReport {
+    CrashReport {
+        digest,
+        server: server.into(),
+        started: 1,
+        ran_for: Duration::from_millis(30),
+        age: Duration::ZERO,
+    }
+}
+
+/// Returns the requests that the leader convicts within `end` milliseconds, in order.
+fn convicted(events: &[(u64, LeaderEvent)], end: u64) -> Vec<RequestDigest> {
+    let start = Instant::now() + Duration::from_secs(600);
+    let state = FleetState::default();
+    let quarantine = state.quarantine();
+    let mut controller = QuarantineController::default();
+    controller.set_leader(start, KnownLeader::ThisMember, quarantine);
+    let mut found = Vec::new();
+    for at in 0..end {
+        let now = start + Duration::from_millis(at);
+        let mut actions = controller.tick(now, quarantine);
+        for (_, event) in events.iter().filter(|(event_at, _)| *event_at == at) {
+            let batch = match event {
+                Crash(digest, server) => ReportBatch::Crashes(vec![report(*digest, server)]),
+                Served(digest) => ReportBatch::Served(vec![*digest]),
+            };
+            actions.extend(controller.on_entry_batch(now, batch, quarantine));
+        }
+        for action in actions {
+            if let QuarantineAction::Propose(FleetCommand::Quarantine(digests)) = action {
+                found.extend(digests);
+            }
+        }
+    }
+    found
+}
+
+/// Guards against innocent requests that are convicted because they ran beside crashing ones or in a
+/// failing rack, and against crashing requests that wait although their evidence is plain.
+#[parameterized(
+    alone = { &[(200, Crash(DEADLY, "a")), (400, Crash(DEADLY, "b")), (600, Crash(DEADLY, "c"))], 601, &[DEADLY] },
+    beside_the_deadly_one = { &[(200, Crash(DEADLY, "a")), (201, Crash(BESIDE, "a")), (400, Crash(DEADLY, "b")), (401, Crash(BESIDE, "b")), (600, Crash(BESIDE, "c")), (601, Crash(DEADLY, "c")), (700, Crash(DEADLY, "d"))], 2000, &[DEADLY] },
+    told_first_and_equal = { &[(200, Crash(DEADLY, "a")), (201, Crash(BESIDE, "a")), (400, Crash(DEADLY, "b")), (401, Crash(BESIDE, "b")), (600, Crash(BESIDE, "c")), (601, Crash(DEADLY, "c"))], 2000, &[] },
+    in_a_rack_and_beside_another = { &[(200, Crash(BESIDE, "a")), (205, Crash(OTHER, "r")), (230, Crash(BESIDE, "b")), (400, Crash(BESIDE, "c"))], 2000, &[] },
+    in_a_rack_and_served = { &[(200, Crash(BESIDE, "a")), (205, Crash(OTHER, "r")), (400, Crash(BESIDE, "b")), (600, Crash(BESIDE, "c")), (750, Served(BESIDE))], 2000, &[] },
+    in_a_rack_and_not_served = { &[(200, Crash(BESIDE, "a")), (205, Crash(OTHER, "r")), (400, Crash(BESIDE, "b")), (600, Crash(BESIDE, "c"))], 2000, &[BESIDE] },
+)]
+fn the_leader_separates_requests(
+    events: &[(u64, LeaderEvent)],
+    end: u64,
+    expected: &[RequestDigest],
+) {
+    assert_eq!(convicted(events, end), expected);
+}
+
+/// Guards against a crashing request that waits longer than the settling time beside a failing rack.
+#[test]
+fn settling_ends_in_time() {
+    let events =
+        [(200, Crash(7, "a")), (205, Crash(8, "r")), (400, Crash(7, "b")), (600, Crash(7, "c"))];
+    let due = 600 + SETTLING_TIME.as_millis() as u64;
+    assert_eq!(convicted(&events, due), []);
+    assert_eq!(convicted(&events, due + 1), [7]);
+}
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod crash_ledger;
 mod crash_model;
 mod crash_server;
+mod crash_settling;
 mod crash_watch;
 mod crashed_incarnations;
 mod entry;
