Empty the accept queue of an idle process before it exits

A stopping entry or control member without requests went through the phases of its stop without a wait between them.

The stop now waits for the accepting task once it enters the closing phase, at most until the exit.

--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -21,7 +21,8 @@
 use sha2::{Digest, Sha256};
 use thiserror::Error;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, sleep_until};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, sleep_until, timeout_at};
 
 use self::call_tracker::{CallTracker, StopPhase};
 use self::core::{ControlCore, CoreParts, SharedCore};
@@ -83,6 +84,8 @@
 pub struct ControlProcess {
     core: SharedCore,
     calls: Rc<CallTracker>,
+    /// Task that accepts operators; taken by the stop.
+    accept_task: RefCell<Option<JoinHandle<()>>>,
     disk_latency: Histogram,
 }
 
@@ -104,8 +107,8 @@
         tokio::task::spawn_local(followers::serve(link_listener, Rc::clone(&core)));
         let calls = Rc::new(CallTracker::default());
         let operator_service = OperatorService::new(Rc::clone(&core), dialect, Rc::clone(&calls));
-        tokio::task::spawn_local(operator_service.serve(operator_listener));
-        Ok(Self { core, calls, disk_latency })
+        let accept_task = tokio::task::spawn_local(operator_service.serve(operator_listener));
+        Ok(Self { core, calls, accept_task: RefCell::new(Some(accept_task)), disk_latency })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -134,6 +137,10 @@
         ];
         for (phase, until) in phases {
             self.calls.enter(phase);
+            // An idle member can still have calls in the queue of its listener.
+            if let Some(accept_task) = self.accept_task.take() {
+                let _ = timeout_at((started + end).into(), accept_task).await;
+            }
             self.wait_for_calls(started + until).await;
         }
         sleep((started + TRANSFER_TIME).saturating_duration_since(Instant::now())).await;
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -22,12 +22,14 @@
 pub mod suspect_hold;
 pub mod suspect_runs;
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, timeout, timeout_at};
 
 use self::activity::RequestStage;
 use self::context::{ANSWER_TIME, EntryContext, EntryPhase};
@@ -75,6 +77,8 @@
 pub struct EntryProcess {
     context: Rc<EntryContext>,
     follower: Rc<FleetFollower>,
+    /// Task that accepts callers; taken by the stop.
+    accept_task: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl EntryProcess {
@@ -89,9 +93,9 @@
         let readiness = listen(entry.readiness).await?;
         let follower = FleetFollower::new(Rc::clone(&context), config.seeds.clone());
         tokio::task::spawn_local(Rc::clone(&follower).run());
-        tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
+        let accept_task = tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
         tokio::task::spawn_local(serve_readiness(readiness, Rc::clone(&context)));
-        Ok(Self { context, follower })
+        Ok(Self { context, follower, accept_task: RefCell::new(Some(accept_task)) })
     }
 
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
@@ -137,6 +141,11 @@
         ];
         for (phase, phase_end) in phases {
             self.context.phase.send_replace(phase);
+            // An idle entry can still have callers in the queue of its listener.
+            if let Some(accept_task) = self.accept_task.take() {
+                let _ = timeout_at((started + end).into(), accept_task).await;
+                tokio::task::yield_now().await;
+            }
             self.wait_for_callers(started + phase_end).await;
         }
         self.log_stop(started.elapsed(), grace);
