Let every server run a request before the deadly one is sent

The twelve requests could leave one server out, and the deadly request goes to the emptiest one. Cause by reading, the choice of the server was not logged.

The test now sends requests until each server runs one. It checks the same, and counts the sends before the deadly request, so that a hedged send cannot stand for the retry.

--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -207,16 +207,21 @@
 fn a_request_on_a_crashed_server_is_retried_and_served() {
     let system = CrashSystem::start(4);
     let [entry, _] = &system.entries;
-    let callers: Vec<_> = (0..12)
-        .map(|number| spawn_call(entry.traffic, "GET", &format!("/read/{number}"), LONG))
-        .collect();
-    wait_for("the servers to get the requests", || system.count(LONG) == 12);
+    let mut callers = Vec::new();
+    // The deadly request goes to any server, so each of them has to run another one.
+    wait_for("all servers to run a request", || {
+        let path = format!("/read/{}", callers.len());
+        callers.push(spawn_call(entry.traffic, "GET", &path, LONG));
+        wait_for("a server to get the request", || system.count(LONG) >= callers.len());
+        system.servers.iter().all(|server| server.count(LONG) > 0)
+    });
+    let sent_before = system.count(LONG);
     assert_eq!(call(entry.traffic, "POST", "/book/1", DEADLY).0, 502);
     for caller in callers {
         assert_eq!(caller.join().expect("the caller ends"), 200);
     }
     assert_eq!(system.running_servers(), 3);
-    assert!(system.count(LONG) > 12, "no request ran on the crashed server");
+    assert!(system.count(LONG) > sent_before, "no request ran on the crashed server");
 }
 
 fn spawn_call(
