Return the trial of a suspect that its server refused to run

After a hold one attempt may pass. If its server refused it without a run, or was another server than expected, the attempt proved nothing, but the request stayed held for as long again, on a crowded service each time. Such a trial is returned now. A trial that was sent to a server that has just left the replica counts as used: it was returned before, and the next one could follow at once.

Found by review.

--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -405,13 +405,15 @@
     };
     // Other requests avoid the server while the evidence is checked.
     drop(guard);
-    if matches!(result, Err(SendError::NotRun { .. } | SendError::OtherServer)) {
+    let was_refused = matches!(result, Err(SendError::NotRun { .. } | SendError::OtherServer));
+    if was_refused {
         request.possible_runs.update(|count| count - 1);
     }
+    if was_refused || result.as_ref().is_err_and(|error| !error.was_sent()) {
+        context.return_trial(request);
+    }
     if let Some(watched) = watched {
         watched.end(context, request, &result).await;
-    } else {
-        context.return_trial(request);
     }
     result
 }
