End the hold of a suspect a minute after its last crash

A held request got one attempt a second, or one in up to 16 s, for as long as it came again within a minute, although the ledger had forgotten the evidence. Requests whose responses are long, end with the connection or are errors have no success that ends a hold earlier.

Found by review. The hold now ends when its evidence does. The new case no_crash_for_a_minute of suspects_are_held_until_control_decides guards it: with the time counted from the end of the hold, each trial moves that end.

--- a/src/fleet/entry/suspect_hold.rs
+++ b/src/fleet/entry/suspect_hold.rs
@@ -13,7 +13,8 @@
 /// that control does not quarantine is sent rarely.
 pub const MAX_HOLD_TIME: Duration = Duration::from_secs(16);
 
-/// Time after the end of its hold for which a request that did not come again is remembered.
+/// Time after its last crash for which a request is held. Evidence is no older, and some requests have no
+/// success that ends the hold, for example those with long responses.
 pub const HOLD_MEMORY: Duration = Duration::from_secs(60);
 
 /// Maximum number of held requests; a full table takes no more.
@@ -36,6 +37,8 @@
 struct HoldRecord {
     length: Duration,
     until: Instant,
+    /// Time of the crash that began the hold or made it longer.
+    crashed_at: Instant,
 }
 
 /// Held requests. Like a circuit breaker, a hold that is over lets one attempt pass and holds the others
@@ -55,7 +58,7 @@
             None if self.records.len() >= MAX_HELD => return None,
             None => FIRST_HOLD_TIME,
         };
-        self.records.insert(digest, HoldRecord { length, until: now + length });
+        self.records.insert(digest, HoldRecord { length, until: now + length, crashed_at: now });
         Some(length)
     }
 
@@ -93,9 +96,10 @@
         self.records.contains_key(&digest)
     }
 
-    /// Removes holds of requests that did not come again.
+    /// Removes holds whose evidence is too old.
     pub fn expire(&mut self, now: Instant) {
-        self.records.retain(|_, record| now.saturating_duration_since(record.until) < HOLD_MEMORY);
+        let age = |record: &HoldRecord| now.saturating_duration_since(record.crashed_at);
+        self.records.retain(|_, record| age(record) < HOLD_MEMORY);
     }
 
     pub fn len(&self) -> usize {
--- a/tests/fleet/suspect_hold.rs
+++ b/tests/fleet/suspect_hold.rs
@@ -43,6 +43,7 @@
     trial_without_a_send = { &[(0, Crash), (1000, Arrives(Trial)), (1010, Unsent), (1011, Arrives(Trial)), (1012, Arrives(held(999)))] },
     unsent_in_the_hold = { &[(0, Crash), (1000, Arrives(Trial)), (1010, Unsent), (1020, Crash), (1021, Arrives(held(1999)))] },
     control_is_lost_in_the_hold = { &[(0, Crash), (1, Arrives(held(999))), (2, ArrivesAlone(Quarantined))] },
+    no_crash_for_a_minute = { &[(0, Crash), (1000, Arrives(Trial)), (59_000, Arrives(Trial)), (59_001, Arrives(held(999))), (60_000, Arrives(Allowed))] },
     control_is_lost_after_the_hold = { &[(0, Crash), (1000, ArrivesAlone(Trial))] },
 )]
 fn suspects_are_held_until_control_decides(events: &[(u64, HoldEvent)]) {
@@ -50,6 +51,7 @@
     let mut holds = SuspectHolds::default();
     for (at, event) in events {
         let now = start + Duration::from_millis(*at);
+        holds.expire(now);
         match *event {
             Crash => {
                 holds.hold(now, DIGEST);
