Count crashes of overlapping copies that are far apart

A request whose runs take longer than the pause between its copies was sent on for up to twice its run time after the third server had ended. A crash counted only if its send began after the last counted crash, a rule that keeps the servers of a failing rack from counting one by one. Of copies that overlap, one crash counted for each run time: with runs of 2 s and a copy each 100 ms at another entry the leader convicted 3.8 s after the third end.

Ruled out: reports that are lost or dropped by a bound; all of them arrived and were found concurrent.

A crash 250 ms or more after the last counted one counts now, whenever its send began: a rack fails within 40 ms, so the distance between the crashes tells the two cases apart. An innocent request that runs beside the crashing one is told apart by the settling at the leader, as before.

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -44,6 +44,11 @@
 /// differences between the delays of reports.
 const RACK_WINDOW: Duration = Duration::from_millis(40);
 
+/// Time between two crashes from which they are separate, whenever their sends began. It is several times
+/// [`RACK_WINDOW`] and covers a report that waits behind long responses on a slow line. Without it, copies
+/// that run longer than the pause between them would count once for each run.
+const SEPARATION_TIME: Duration = Duration::from_millis(250);
+
 /// Maximum number of crashes that are remembered as explained; the oldest goes first.
 const MAX_EXPLAINED: usize = 256;
 
@@ -56,9 +61,9 @@
     Convicted,
     /// This crash is counted already.
     Repeated,
-    /// The crash does not count: the send began before the last counted crash of the request, or two
-    /// crashes count shortly before this one, so the servers may have failed together; a convicted
-    /// request explains it; or it is too old to be evidence.
+    /// The crash does not count: it came shortly after the last counted crash of the request and its send
+    /// began before that one, or two crashes count shortly before this one, so the servers may have failed
+    /// together; a convicted request explains it; or it is too old to be evidence.
     Concurrent,
 }
 
@@ -126,8 +131,9 @@
             let is_concurrent = last.is_some_and(|last| {
                 // A send that began after the last crash was known is a new attempt, however soon it came.
                 let is_new_attempt = is_local && evidence.sent_at >= last.recorded_at;
-                evidence.sent_at + START_TOLERANCE < last.crashed_at
-                    || (is_burst && !is_new_attempt)
+                let overlaps = evidence.sent_at + START_TOLERANCE < last.crashed_at
+                    && evidence.crashed_at < last.crashed_at + SEPARATION_TIME;
+                overlaps || (is_burst && !is_new_attempt)
             });
             evidence.counts = evidence.state == EvidenceState::Open && !is_concurrent;
             if is_concurrent {
