Repeat the proposal of a conviction that is not committed

A request that the leader had convicted could be sent on for 3 s and until its next crash: the Raft node refuses proposals while leadership is being transferred or its log is full, the refusal reached nobody, and for 3 s all reports about the request were taken for explained by the pending conviction.

Found by a reviewer by reading; how often it happens in a fleet is not measured. The comment that the member repeats such a request held for releases only.

The leader now proposes a conviction again after 500 ms until it is in force. A second commit of it has no effect (updates_carry_the_quarantine::repeated). Releases repeat at the same interval, 3 s before.

quarantine_proposals (new) failed before: no second proposal.

--- a/src/fleet/crash/controller.rs
+++ b/src/fleet/crash/controller.rs
@@ -21,8 +21,9 @@
 /// Time that a request spends in quarantine. A new leader starts it again.
 pub const QUARANTINE_TIME: Duration = Duration::from_secs(300);
 
-/// Time after which a proposal without an effect may be repeated.
-const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a proposal without an effect is repeated. The node refuses proposals while leadership is
+/// being transferred. It is longer than a commit and a small part of the stable window.
+pub const PROPOSAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time between the crash that would convict a suspect and the decision, if there are other causes for its
 /// crashes. Successes and the reports about these causes arrive meanwhile; it is a small part of the
@@ -139,7 +140,7 @@
     /// Suspects with enough counted crashes that may be explained by others, with the time at which the
     /// leader decides.
     settling: BTreeMap<RequestDigest, (Instant, CrashReport)>,
-    /// Convictions that are not committed yet, with the time of the proposal.
+    /// Convictions that are not committed yet, with the time of the last proposal.
     proposed: BTreeMap<RequestDigest, (Instant, CrashedServers)>,
     in_force: BTreeMap<RequestDigest, QuarantineRecord>,
     /// Time until which a new leader collects the reports that other members hold.
@@ -279,9 +280,7 @@
         let mut actions = self.follow_state(now, quarantine);
         self.ledger.expire(now);
         self.decide_settled(now, quarantine, &mut actions);
-        self.proposed.retain(|_, (proposed_at, _)| {
-            now.saturating_duration_since(*proposed_at) < PROPOSAL_TIMEOUT
-        });
+        actions.extend(self.repeat_proposals(now));
         let mut due = Vec::new();
         for (digest, record) in &mut self.in_force {
             let is_pending = record.release_proposed.is_some_and(|proposed_at| {
@@ -299,6 +298,20 @@
         actions
     }
 
+    /// Proposes convictions again that are not committed in time. A proposal that is committed twice has no
+    /// further effect.
+    fn repeat_proposals(&mut self, now: Instant) -> Option<QuarantineAction> {
+        let mut due = Vec::new();
+        for (digest, (proposed_at, _)) in &mut self.proposed {
+            if now.saturating_duration_since(*proposed_at) < PROPOSAL_TIMEOUT {
+                continue;
+            }
+            *proposed_at = now;
+            due.push(*digest);
+        }
+        (!due.is_empty()).then_some(QuarantineAction::Propose(FleetCommand::Quarantine(due)))
+    }
+
     /// Follows the replicated state after committed commands.
     pub fn follow_state(
         &mut self,
--- a/tests/fleet/crash_settling.rs
+++ b/tests/fleet/crash_settling.rs
@@ -32,16 +32,17 @@
     }
 }
 
-/// Returns the requests that the leader convicts within `end` milliseconds, in order.
+/// Returns the requests that the leader convicts within `end` milliseconds, in order. Proposals are
+/// committed at once.
 fn convicted(events: &[(u64, LeaderEvent)], end: u64) -> Vec<RequestDigest> {
     let start = Instant::now() + Duration::from_secs(600);
-    let state = FleetState::default();
-    let quarantine = state.quarantine();
+    let mut state = FleetState::default();
     let mut controller = QuarantineController::default();
-    controller.set_leader(start, KnownLeader::ThisMember, quarantine);
+    controller.set_leader(start, KnownLeader::ThisMember, state.quarantine());
     let mut found = Vec::new();
     for at in 0..end {
         let now = start + Duration::from_millis(at);
+        let quarantine = state.quarantine();
         let mut actions = controller.tick(now, quarantine);
         for (_, event) in events.iter().filter(|(event_at, _)| *event_at == at) {
             let batch = match event {
@@ -51,7 +52,9 @@
             actions.extend(controller.on_entry_batch(now, batch, quarantine));
         }
         for action in actions {
-            if let QuarantineAction::Propose(FleetCommand::Quarantine(digests)) = action {
+            let QuarantineAction::Propose(command) = action else { continue };
+            state.apply(at + 1, command.clone());
+            if let FleetCommand::Quarantine(digests) = command {
                 found.extend(digests);
             }
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -22,6 +22,7 @@
 #[path = "../common/mutation.rs"]
 mod mutation;
 mod quarantine_operator;
+mod quarantine_proposals;
 mod quarantine_state;
 mod routes;
 mod slow_member;
