Refuse half a head at the end of a stop

A caller that had sent a part of a request's head to a stopping entry got no response: the connection ended with the process. Requests whose body was incomplete have been refused with 503 since, but those do not count as begun before their head is complete, and the bytes in the buffer only kept the connection from being closed.

The entry now refuses it in the same way and at the same time.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -158,7 +158,8 @@
             return Ok(());
         }
         let phase = *self.phase.borrow_and_update();
-        if self.reader.has_partial_request() {
+        // Bytes that the reader has left in the buffer are the start of a head.
+        if self.reader.has_partial_request() || !self.stream.buffered().is_empty() {
             return match phase {
                 EntryPhase::Ending | EntryPhase::GivingUp => self.refuse_partial().await,
                 _ => Ok(()),
--- a/tests/fleet/entry.rs
+++ b/tests/fleet/entry.rs
@@ -397,6 +397,24 @@
     drop(fleet);
 }
 
+/// Guards against a stop that closes a connection without a response while a head is still arriving.
+#[test]
+fn half_a_head_is_refused_at_the_end_of_a_stop() {
+    let server = ScriptedServer::start(&[]);
+    let system = TestSystem::start(&[server.address]);
+    let mut stream = TcpStream::connect(system.entry.traffic).expect("the entry listens");
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    std::thread::sleep(LATE_IN_STOP);
+    stream.write_all(b"GET /read/1 HTTP/1.1\r\nhost: sh").expect("the entry reads");
+    let mut response = String::new();
+    stream.read_to_string(&mut response).expect("the entry closes after its response");
+    stopping.join().expect("the entry stops");
+    assert_eq!(parse_response(&response).0, 503, "{response}");
+    drop(fleet);
+}
+
 /// Starts a server that answers health checks only, and reports how long after a request its
 /// connection ended.
 fn silent_server() -> (SocketAddr, mpsc::Receiver<Duration>) {
