Count a member as up to date only while a quorum commits

A leader says it is up to date before it has committed an entry of its term. A leader says so after it has lost its majority, until it steps down. A follower says so at the first append of such a leader (A and B). A follower takes any Raft message, also one of a candidate, for a sign of life of its leader. Reads have the same fault. Ruled out by reading: read_index waits for an entry of the term and for a quorum's answers to a round begun after the read. Heartbeats of servers that are acknowledged by any member: meant so; they are reported to the next leader.

Change: the node keeps the time at which a quorum was last seen to follow a leader with a committed entry of its term. A leader takes it from the answers of its voters. Notices carry it as leader_age, and a member sends one at once when its leader has committed instead of when it is elected. The entries' limit of 1.2 s is unchanged. A leader that steps down keeps the time, so entries don't leave it for that alone.

tests/consensus/behaviour.rs builds an append message by hand; it names the new field, and its checks are unchanged.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -73,6 +73,7 @@
     }
 
     pub(super) fn become_follower(&mut self, term: TermNumber, leader: Option<MemberId>) {
+        self.quorum_seen_at = self.quorum_seen_at();
         if term > self.hard_state.term {
             self.set_hard_state(term, None);
         }
@@ -205,8 +206,16 @@
         self.has_seen_leader = true;
         self.reset_election_deadline();
         match body {
-            MessageBody::Append { prev_index, prev_term, commit, round, entries } => {
+            MessageBody::Append {
+                prev_index,
+                prev_term,
+                commit,
+                round,
+                entries,
+                quorum_age_ms,
+            } => {
                 self.on_append(from, (prev_index, prev_term), commit, round, entries);
+                self.record_quorum_age(commit, quorum_age_ms);
             }
             chunk => self.on_snapshot_chunk(from, chunk),
         }
--- a/src/consensus/message.rs
+++ b/src/consensus/message.rs
@@ -108,6 +108,9 @@
         commit: LogIndex,
         round: u64,
         entries: Vec<LogEntry>,
+        /// Time since a quorum responded to the leader; 0 from leaders of older versions.
+        #[serde(default)]
+        quorum_age_ms: u32,
     },
     /// The log up to `match_index` is synced and equals the leader's log.
     AppendAccepted {
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod election;
 pub mod formation;
+mod freshness;
 pub mod host;
 mod host_group;
 mod host_loop;
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -125,6 +125,8 @@
     pub(super) commit_index: LogIndex,
     pub(super) election_deadline: Instant,
     pub(super) last_leader_contact: Option<Instant>,
+    /// See [`Self::quorum_seen_at`]; as a leader, the value from before.
+    pub(super) quorum_seen_at: Option<Instant>,
     /// Whether a leader has been known since the start.
     pub(super) has_seen_leader: bool,
     pub(super) votes: BTreeSet<MemberId>,
@@ -220,6 +222,7 @@
             commit_index: index,
             election_deadline: now,
             last_leader_contact: None,
+            quorum_seen_at: None,
             has_seen_leader: false,
             votes: BTreeSet::new(),
             own_vote_sequence: None,
--- a/src/consensus/replicate.rs
+++ b/src/consensus/replicate.rs
@@ -118,7 +118,10 @@
     fn send_append(&mut self, peer: MemberId, prev_index: LogIndex, entries: Vec<LogEntry>) {
         let Some(prev_term) = self.log.term_at(prev_index) else { return };
         let (commit, round) = (self.commit_index, self.reads.round);
-        self.send(peer, MessageBody::Append { prev_index, prev_term, commit, round, entries });
+        let quorum_age_ms = self.quorum_age_ms();
+        let body =
+            MessageBody::Append { prev_index, prev_term, commit, round, entries, quorum_age_ms };
+        self.send(peer, body);
     }
 
     pub(super) fn replicate_all(&mut self) {
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -81,8 +81,7 @@
     heartbeat_tracker: HeartbeatTracker,
     quarantine: QuarantineController,
     leading_since: Option<Instant>,
-    leader_seen_at: Option<Instant>,
-    has_leader: watch::Sender<bool>,
+    has_committed_leader: watch::Sender<bool>,
     next_report_at: Instant,
     entries: u32,
     started: Instant,
@@ -133,8 +132,7 @@
             heartbeat_tracker: HeartbeatTracker::default(),
             quarantine: QuarantineController::default(),
             leading_since: None,
-            leader_seen_at: None,
-            has_leader: watch::Sender::new(false),
+            has_committed_leader: watch::Sender::new(false),
             next_report_at: now,
             entries: 0,
             started: now,
@@ -183,9 +181,9 @@
         self.revision.subscribe()
     }
 
-    /// Subscribes to whether a leader is known.
+    /// Subscribes to whether a leader is known that has committed an entry of its term.
     pub fn subscribe_leader(&self) -> watch::Receiver<bool> {
-        self.has_leader.subscribe()
+        self.has_committed_leader.subscribe()
     }
 
     /// Time at which the core was created.
@@ -224,10 +222,8 @@
 
     /// Builds the status notice that is sent to entries.
     pub fn freshness_notice(&self, now: Instant) -> FreshnessNotice {
-        let leader_age = match self.node.role() {
-            Role::Leader => Some(Duration::ZERO),
-            _ => self.leader_seen_at.map(|seen_at| now.duration_since(seen_at)),
-        };
+        let seen_at = self.node.quorum_seen_at();
+        let leader_age = seen_at.map(|seen_at| now.saturating_duration_since(seen_at));
         let set = self.node.members();
         let voters = set.members.values().filter(|record| record.voter);
         let members = voters.filter_map(|record| record.name.parse().ok()).collect();
@@ -341,9 +337,6 @@
 
     fn on_raft(&mut self, now: Instant, message: RaftMessage) {
         self.handle(now, RaftEvent::Message(message));
-        if self.node.role() == Role::Follower && self.node.leader().is_some() {
-            self.leader_seen_at = Some(now);
-        }
         if !self.join_requests.is_empty() || self.node.role() == Role::Leader {
             self.propose_member_change(now);
         }
@@ -383,8 +376,8 @@
             self.perform(now, action);
         }
         self.follow_leader(now);
-        let has_leader = self.node.role() == Role::Leader || self.node.leader().is_some();
-        self.has_leader
+        let has_leader = self.node.has_committed_leader();
+        self.has_committed_leader
             .send_if_modified(|had_leader| std::mem::replace(had_leader, has_leader) != has_leader);
     }
 
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -114,7 +114,7 @@
                 changed = revision_changes.changed() => changed.map_err(|_| LinkError::Closed)?,
                 changed = leader_changes.changed() => {
                     changed.map_err(|_| LinkError::Closed)?;
-                    // An entry that has just started waits for a member with a leader.
+                    // An entry that has just started waits for a member that is up to date.
                     self.next_notice = Instant::now();
                 }
                 message = reader.receive() => {
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -59,8 +59,8 @@
 /// Periodic status notice from a member to an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FreshnessNotice {
-    /// Time since the member last heard from an elected leader, 0 on the leader itself; `None` if it
-    /// has not heard from one.
+    /// Time since a quorum was last known to follow a leader that has committed an entry of its term;
+    /// `None` if the member has known no such leader.
     pub leader_age: Option<Duration>,
     /// Link addresses of the voters.
     pub members: Vec<SocketAddr>,
--- a/tests/consensus/behaviour.rs
+++ b/tests/consensus/behaviour.rs
@@ -228,6 +228,7 @@
         commit: 0,
         round: 0,
         entries: Vec::new(),
+        quorum_age_ms: 0,
     };
     let message = RaftMessage { group: 0, from: 2, to: 1, term: 1, body };
     node.handle(now, RaftEvent::Message(message));
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -4,5 +4,6 @@
 mod faults;
 mod fleet_schedule;
 mod formation;
+mod freshness;
 mod harness;
 mod rules;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -13,6 +13,7 @@
 mod crashed_incarnations;
 mod entry;
 mod entry_ledger;
+mod freshness;
 mod harness;
 mod held_bytes;
 mod listener;
