Let a paused leader step down before it counts answers

What callers could see: a control member that was paused for longer than the election timeout wakes up as a leader. Answers that had waited in its sockets count as the voice of a quorum, so it says for up to another timeout that it is up to date, although the others may have a new leader by then.

The check for a quorum ran on timer ticks only; it runs before each event now, with the time of the event. Answers that waited less long than the election timeout still count: no other leader is elected in that time.

rules::a_paused_leader_steps_down_before_it_counts_answers failed before (role Leader, time renewed) and passes. Not covered: a paused follower, and a suspended machine, whose steady clock stands still.

--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -19,11 +19,14 @@
         }
     }
 
-    fn on_leader_tick(&mut self) {
-        if !self.has_active_quorum() {
-            // A leader without contact to a quorum must not keep answering callers.
-            return self.become_follower(self.hard_state.term, None);
+    /// Ends the leadership of a member without contact to a quorum, which must not keep answering callers.
+    pub(super) fn step_down_without_quorum(&mut self) {
+        if self.role == Role::Leader && !self.has_active_quorum() {
+            self.become_follower(self.hard_state.term, None);
         }
+    }
+
+    fn on_leader_tick(&mut self) {
         if self.transfer.is_some_and(|(_, deadline)| self.now >= deadline) {
             self.transfer = None;
         }
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -245,6 +245,8 @@
     pub fn handle(&mut self, now: Instant, event: RaftEvent) -> Vec<RaftAction> {
         self.now = now;
         let before = (self.role, self.hard_state.term, self.leader);
+        // Checked before answers are counted that may have waited while this process was paused.
+        self.step_down_without_quorum();
         match event {
             RaftEvent::Tick => self.on_tick(),
             RaftEvent::Message(message) => self.on_message(message),
--- a/tests/consensus/rules.rs
+++ b/tests/consensus/rules.rs
@@ -194,6 +194,21 @@
     assert_eq!(chunk_offsets(&leader.message(2, 2, refused(32))), [0]);
 }
 
+/// Guards against a leader that was paused, and takes answers that waited meanwhile for a sign that a
+/// quorum still follows it. The others may have another leader by then.
+#[test]
+fn a_paused_leader_steps_down_before_it_counts_answers() {
+    let mut leader = TestNode::new(0);
+    leader.lead();
+    let answer = MessageBody::AppendAccepted { match_index: 1, round: 0 };
+    leader.message(2, 2, answer.clone());
+    let seen_at = leader.node.quorum_seen_at();
+    assert_eq!(seen_at, Some(leader.now));
+    leader.now += RaftConfig::default().election_timeout;
+    leader.message(2, 2, answer);
+    assert_eq!((leader.node.role(), leader.node.quorum_seen_at()), (Role::Follower, seen_at));
+}
+
 /// Guards against a member that loses contact to the leader only and then wins an election, or
 /// raises its term and later deposes the leader, although the other members still follow that
 /// leader.
