Lengthen the first election timeout after each failed election

A member that restarts has 80 to 160 ms for an election until it has known a leader, and then asks anew with a higher term.

Hypotheses: A. split votes; B. messages lost with links that open anew; C. the syncs of the candidate's and the voter's term, one after the other, take longer than the timeout. A and B delay an election, but are not needed for this.

Change: each election of a member that timed out doubles its short timeout, up to the normal one. A pre-vote that fails doesn't count: then the others are not there.

--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -9,7 +9,7 @@
     pub election_timeout: Duration,
     /// Replaces `election_timeout` until the node first learns of a leader after a start. It can be
     /// shorter, because a pre-vote does not disturb an existing leader and a split vote is then
-    /// repeated sooner.
+    /// repeated sooner. It doubles after each election that timed out, up to `election_timeout`.
     pub first_election_timeout: Duration,
     /// Interval between heartbeats; must be well below the election timeout.
     pub heartbeat_interval: Duration,
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -12,6 +12,9 @@
         if self.now < self.election_deadline {
             return;
         }
+        if self.role == Role::Candidate {
+            self.failed_elections = self.failed_elections.saturating_add(1);
+        }
         self.reset_election_deadline();
         self.leader = None;
         if self.members().is_voter(self.member) {
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -15,6 +15,9 @@
 use super::snapshot::IncomingSnapshot;
 use crate::ids::{GroupId, LogIndex, MemberId, TermNumber};
 
+/// Maximum number of times that the first election timeout is doubled.
+const MAX_DOUBLINGS: u32 = 16;
+
 /// Role of a member in its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
@@ -129,6 +132,8 @@
     pub(super) quorum_seen_at: Option<Instant>,
     /// Whether a leader has been known since the start.
     pub(super) has_seen_leader: bool,
+    /// Elections of this member that timed out since the start.
+    pub(super) failed_elections: u32,
     pub(super) votes: BTreeSet<MemberId>,
     /// Sequence of the `Persist` action that makes this member's vote for itself durable.
     pub(super) own_vote_sequence: Option<u64>,
@@ -224,6 +229,7 @@
             last_leader_contact: None,
             quorum_seen_at: None,
             has_seen_leader: false,
+            failed_elections: 0,
             votes: BTreeSet::new(),
             own_vote_sequence: None,
             progress: BTreeMap::new(),
@@ -506,12 +512,20 @@
     pub(super) fn reset_election_deadline(&mut self) {
         let min_timeout = match self.has_seen_leader {
             true => self.config.election_timeout,
-            false => self.config.first_election_timeout,
+            false => self.first_election_timeout(),
         };
         let jitter_us = self.random.u64(0..min_timeout.as_micros().max(1) as u64);
         self.election_deadline = self.now + min_timeout + Duration::from_micros(jitter_us);
     }
 
+    /// Minimum election timeout before a leader is known. It doubles with each election that timed out:
+    /// two syncs on a busy disk may take longer than the short timeout.
+    fn first_election_timeout(&self) -> Duration {
+        let first = self.config.first_election_timeout;
+        let longer = first.saturating_mul(1 << self.failed_elections.min(MAX_DOUBLINGS));
+        longer.min(self.config.election_timeout.max(first))
+    }
+
     pub(super) fn shared_snapshot(&self) -> Option<SharedSnapshot> {
         self.snapshot.as_ref().map(Arc::clone)
     }
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -7,3 +7,4 @@
 mod freshness;
 mod harness;
 mod rules;
+mod slow_disk;
