Hold suspects for a second after control is back

What callers saw: servers end under a deadly request just after control is back in touch, because the decisions of the new leader are still on their way.

Taken: a request with at least one counted crash at this entry gets 503 with Retry-After until a second after control is back, the time that a leader needs to collect reports, let suspects settle, commit and send the update. Attempts after a failed send are not held, so an innocent request still gets its retry, and requests without evidence pass. While control is out of touch nothing changes.

An entry now notes that control is back with the notice that says so, not up to 80 ms later with the next check of its links.

The crash model does not play this hold yet.

--- a/src/fleet/entry/crash_gate.rs
+++ b/src/fleet/entry/crash_gate.rs
@@ -68,12 +68,23 @@
         may_have_run: bool,
     ) -> Option<LocalResponse> {
         match self.decide_send(request) {
-            SendDecision::Allowed | SendDecision::Trial => None,
+            SendDecision::Allowed => {
+                self.regain_hold(request).map(|remaining| self.refuse_held(request, remaining))
+            }
+            SendDecision::Trial => None,
             SendDecision::Held(remaining) => Some(self.refuse_held(request, remaining)),
             SendDecision::Quarantined => Some(self.refuse_quarantined(request, may_have_run)),
         }
     }
 
+    /// Remaining time for which the request is not sent, because servers crashed under it and control has
+    /// just come back. A request that was sent already may be repeated.
+    fn regain_hold(&self, request: &OutgoingRequest) -> Option<Duration> {
+        let remaining = self.crash_watch.quarantine.borrow().regain_hold(Instant::now())?;
+        let is_suspect = !request.is_trial.get() && self.counted_crashes(request) > 0;
+        is_suspect.then_some(remaining)
+    }
+
     /// Refuses a request that was not sent and is held for the `remaining` time.
     pub fn refuse_held(&self, request: &OutgoingRequest, remaining: Duration) -> LocalResponse {
         self.metrics.held_requests.inc();
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -90,6 +90,11 @@
         self.quarantine.borrow_mut().record_control(now);
     }
 
+    /// Records that control is in touch, at the start or again.
+    pub fn record_regained(&self, now: Instant) {
+        self.quarantine.borrow_mut().record_regained(now);
+    }
+
     /// Drops the own evidence against requests that the replica quarantines from now on.
     pub fn drop_decided(&self, digests: &[RequestDigest]) {
         for digest in digests {
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -133,6 +133,9 @@
     fn log_freshness_change(&self, now: Instant) {
         let fresh = self.has_fresh_member(now);
         let had_fresh = self.had_fresh_member.replace(fresh);
+        if fresh && !had_fresh {
+            self.context.crash_watch.record_regained(now);
+        }
         if had_fresh != fresh {
             let revision = self.context.state.borrow().revision();
             let event = if fresh { "control_regained" } else { "control_lost" };
@@ -277,6 +280,7 @@
 
     fn accept_notice(&self, now: Instant, address: SocketAddr, notice: FreshnessNotice) {
         self.plan.borrow_mut().record_fresh(now, address);
+        self.log_freshness_change(now);
         self.context.confirm_state();
         self.context.crash_watch.record_control(now);
         self.context.update_entry_count(&notice);
--- a/src/fleet/entry/local_quarantine.rs
+++ b/src/fleet/entry/local_quarantine.rs
@@ -13,6 +13,10 @@
 /// Maximum number of requests in the local quarantine; a full one takes no more.
 pub const MAX_LOCAL_QUARANTINE: usize = 1024;
 
+/// Time after control is back in touch for which requests with evidence against them are held. A new leader
+/// collects reports for 100 ms and lets suspects settle for 200 ms; the rest is for the commit and the update.
+pub const REGAIN_HOLD_TIME: Duration = Duration::from_secs(1);
+
 /// Quarantine that applies until the replica decides.
 #[derive(Debug, Default)]
 pub struct LocalQuarantine {
@@ -22,6 +26,9 @@
     control_seen_at: Option<Instant>,
     /// Time until which control was last known to be out of touch.
     control_missed_until: Option<Instant>,
+    has_been_in_touch: bool,
+    /// Time at which control was last back in touch.
+    regained_at: Option<Instant>,
 }
 
 impl LocalQuarantine {
@@ -43,6 +50,20 @@
         self.control_seen_at = Some(now);
     }
 
+    /// Records that a first member is up to date, at the start or after none was.
+    pub fn record_regained(&mut self, now: Instant) {
+        if std::mem::replace(&mut self.has_been_in_touch, true) {
+            self.regained_at = Some(now);
+        }
+    }
+
+    /// Remaining time for which suspects are held because control has just come back; its decisions may be
+    /// on their way.
+    pub fn regain_hold(&self, now: Instant) -> Option<Duration> {
+        let until = self.regained_at? + REGAIN_HOLD_TIME;
+        (now < until).then(|| until.saturating_duration_since(now))
+    }
+
     pub fn contains(&self, now: Instant, digest: RequestDigest) -> bool {
         self.added.get(&digest).is_some_and(|added_at| self.applies(now, *added_at))
     }
--- a/tests/fleet/crash_evidence.rs
+++ b/tests/fleet/crash_evidence.rs
@@ -14,7 +14,7 @@
     CrashNotice, CrashOutbox, MAX_NOTICES, NOTICE_LIFETIME,
 };
 use curranthollow::fleet::entry::local_quarantine::{
-    LOCAL_QUARANTINE_LIFETIME, LocalQuarantine, MAX_LOCAL_QUARANTINE,
+    LOCAL_QUARANTINE_LIFETIME, LocalQuarantine, MAX_LOCAL_QUARANTINE, REGAIN_HOLD_TIME,
 };
 use curranthollow::fleet::link::LinkMessage;
 use curranthollow::fleet::update::ServerView;
@@ -203,6 +203,22 @@
     assert!(quarantine.is_empty());
 }
 
+/// Guards against suspects that are sent on before the decisions of a new leader arrive, and against a hold
+/// at the start, when there is nothing to wait for, or without end.
+#[test]
+fn suspects_are_held_shortly_after_control_is_back() {
+    let start = Instant::now();
+    let mut quarantine = LocalQuarantine::default();
+    quarantine.record_regained(start);
+    assert_eq!(quarantine.regain_hold(start), None, "the first contact");
+    let regained = start + Duration::from_secs(9);
+    quarantine.record_regained(regained);
+    assert_eq!(quarantine.regain_hold(regained), Some(REGAIN_HOLD_TIME));
+    let later = regained + REGAIN_HOLD_TIME / 4;
+    assert_eq!(quarantine.regain_hold(later), Some(REGAIN_HOLD_TIME * 3 / 4));
+    assert_eq!(quarantine.regain_hold(regained + REGAIN_HOLD_TIME), None);
+}
+
 /// Guards against memory that an attacker fills, and against a new digest that takes the place of an old
 /// one.
 #[test]
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod caller;
 mod config_file;
+mod control_regained;
 mod crash_evidence;
 mod crash_ledger;
 mod crash_model;
