--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -12,6 +12,9 @@
         if self.now < self.election_deadline {
             return;
         }
+        if self.role == Role::Candidate {
+            self.failed_elections = self.failed_elections.saturating_add(1);
+        }
         self.reset_election_deadline();
         self.leader = None;
         if self.members().is_voter(self.member) {
@@ -19,11 +22,14 @@
         }
     }
 
-    fn on_leader_tick(&mut self) {
-        if !self.has_active_quorum() {
-            // A leader without contact to a quorum must not keep answering callers.
-            return self.become_follower(self.hard_state.term, None);
+    /// Ends the leadership of a member without contact to a quorum, which must not keep answering callers.
+    pub(super) fn step_down_without_quorum(&mut self) {
+        if self.role == Role::Leader && !self.has_active_quorum() {
+            self.become_follower(self.hard_state.term, None);
         }
+    }
+
+    fn on_leader_tick(&mut self) {
         if self.transfer.is_some_and(|(_, deadline)| self.now >= deadline) {
             self.transfer = None;
         }
@@ -73,6 +79,7 @@
     }
 
     pub(super) fn become_follower(&mut self, term: TermNumber, leader: Option<MemberId>) {
+        self.quorum_seen_at = self.quorum_seen_at();
         if term > self.hard_state.term {
             self.set_hard_state(term, None);
         }
@@ -205,8 +212,16 @@
         self.has_seen_leader = true;
         self.reset_election_deadline();
         match body {
-            MessageBody::Append { prev_index, prev_term, commit, round, entries } => {
+            MessageBody::Append {
+                prev_index,
+                prev_term,
+                commit,
+                round,
+                entries,
+                quorum_age_ms,
+            } => {
                 self.on_append(from, (prev_index, prev_term), commit, round, entries);
+                self.record_quorum_age(commit, quorum_age_ms);
             }
             chunk => self.on_snapshot_chunk(from, chunk),
         }
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -4,5 +4,7 @@
 mod faults;
 mod fleet_schedule;
 mod formation;
+mod freshness;
 mod harness;
 mod rules;
+mod slow_disk;
