Expect unknown callers of a stopping entry to read slowly

Callers that read a long response at 2 or 4 Mbit/s got part of it and the end of the connection, although they had sent the request 1.8 to 2.3 s after the SIGTERM, when the entry could still refuse it.

Cause: the time for which a response waits for its caller was taken from the earlier responses of the connection, and the first one counted as read at once. It fills the send buffer and then waits for the caller.

Ruled out: the pace of the entry (these entries know no line speed and do not pace), the server (it had sent all of the response within 0.6 s).

The entry now keeps the longest recent response of each route. The part of it that is longer than any response of the connection so far is expected to be read at 2 Mbit/s, the speed of the slowest lines. A request that does not fit before the exit is refused at once, unsent.

--- a/src/fleet/entry/activity.rs
+++ b/src/fleet/entry/activity.rs
@@ -98,6 +98,11 @@
         self.relayed_bytes.set(self.relayed_bytes.get() + bytes as u64);
     }
 
+    /// Declared size of the response, or what was relayed of it.
+    pub fn response_bytes(&self) -> u64 {
+        self.response.get().and_then(|(_, size)| size).unwrap_or(self.relayed_bytes.get())
+    }
+
     fn report(&self, now: Instant) -> ProgressReport {
         let response = self.response.get();
         ProgressReport {
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -267,7 +267,7 @@
         }
         self.last_response_at = Instant::now();
         let caller_wait = self.stream.write_wait() - waited_before;
-        self.reader.longest_caller_wait = self.reader.longest_caller_wait.max(caller_wait);
+        self.reader.caller_pace.record(caller_wait, in_flight.progress.response_bytes());
         if !keep_alive {
             return Err(ConnectionEnd::Close);
         }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -12,6 +12,7 @@
 use super::connections::ConnectionPool;
 use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
+use super::request::CallerRequest;
 use super::suspect_runs::SuspectRuns;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
@@ -188,6 +189,14 @@
         self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
     }
 
+    /// Whether a request that was not sent yet is expected to have its whole response before the entry exits,
+    /// although its caller may read slowly.
+    pub fn can_begin(&self, rule: &RouteRule, deadline: Instant, request: &CallerRequest) -> bool {
+        let is_bodiless = &*request.head.method == "HEAD";
+        let bytes = if is_bodiless { 0 } else { self.relay_times.borrow().expected_bytes(rule) };
+        self.can_finish(rule, deadline + request.caller_pace.expected_wait(bytes))
+    }
+
     /// Waits until a stopping entry gives up the request with this deadline. Never completes if the
     /// request ends in time by itself.
     pub async fn wait_for_give_up(&self, deadline: Instant) {
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -11,6 +11,7 @@
 use super::request::CallerRequest;
 use crate::fleet::document::CallerLimits;
 use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::relay_times::CallerPace;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead};
 
@@ -64,8 +65,8 @@
 #[derive(Default)]
 pub struct RequestReader {
     partial: Option<Box<PartialRequest>>,
-    /// Longest time for which the relay of a response waited for this caller to read.
-    pub longest_caller_wait: Duration,
+    /// How the caller has read the responses so far.
+    pub caller_pace: CallerPace,
 }
 
 impl RequestReader {
@@ -137,8 +138,8 @@
         }
         Ok(self.partial.take().map(|request| {
             let PartialRequest { head, received_at, body, share, progress, .. } = *request;
-            let caller_wait = self.longest_caller_wait;
-            CallerRequest { head, body, received_at, caller_wait, share, progress }
+            let caller_pace = self.caller_pace;
+            CallerRequest { head, body, received_at, caller_pace, share, progress }
         }))
     }
 }
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -112,7 +112,11 @@
         };
         let caller_wait = stream.write_wait() - waited_before;
         let elapsed = started.elapsed().saturating_sub(caller_wait);
-        self.context.relay_times.borrow_mut().record(&rule, elapsed);
+        self.context.relay_times.borrow_mut().record(
+            &rule,
+            elapsed,
+            self.progress.response_bytes(),
+        );
         result
     }
 
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -21,6 +21,7 @@
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::relay_times::CallerPace;
 use crate::fleet::routes::choose_target;
 use crate::http::RequestHead;
 use crate::ids::ServiceName;
@@ -62,8 +63,8 @@
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub received_at: Instant,
-    /// Longest time for which the relay of an earlier response waited for this caller to read.
-    pub caller_wait: Duration,
+    /// How the caller has read the earlier responses.
+    pub caller_pace: CallerPace,
     /// Counts the body as held.
     pub share: HeldShare,
     /// Counts the request as active.
@@ -209,7 +210,7 @@
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
     let (received_at, deadline) =
         (caller_request.received_at, caller_request.received_at + timeout);
-    if !context.can_finish(&rule, deadline + caller_request.caller_wait) {
+    if !context.can_begin(&rule, deadline, &caller_request) {
         return Err(LocalResponse::stopping());
     }
     let request = OutgoingRequest::new(
--- a/src/fleet/relay_times.rs
+++ b/src/fleet/relay_times.rs
@@ -1,57 +1,100 @@
-//! Expected time between a server's response and the end of its relay to the caller, by route.
+//! Expected size of a response, and expected time between a server's response and the end of its relay
+//! to the caller, by route.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::document::RouteRule;
 
-/// Factor by which the longest relay time of a route shrinks with each response. Half of it is left
-/// after 34 responses, so that it outlives the short ones between two long ones.
-const LONGEST_TIME_DECAY: f64 = 0.98;
+/// Factor by which the longest relay of a route shrinks with each response. Half of it is left after 34
+/// responses, so that it outlives the short ones between two long ones.
+const LONGEST_RELAY_DECAY: f64 = 0.98;
 
 /// Size of a response that counts as possible before a route's responses are known: two responses of
 /// half a megabyte at the same time.
-const UNKNOWN_RESPONSE_BYTES: f64 = 1e6;
+const UNKNOWN_RESPONSE_BYTES: u64 = 1_000_000;
 
-/// Longest recent relay time of each route. A route starts with the time that a long response needs on
-/// the line, at most its timeout.
+/// Slowest rate, in bits per second, at which a caller is expected to read before it is known: the speed of
+/// the slowest lines in use.
+const UNKNOWN_CALLER_BITS_PER_S: f64 = 2e6;
+
+/// Longest recent relay of a route.
+#[derive(Debug, Clone, Copy, PartialEq)]
+struct LongestRelay {
+    elapsed: Duration,
+    bytes: u64,
+}
+
+/// Longest recent relay of each route. A route starts with the time that a long response needs on the
+/// line, at most its timeout.
 #[derive(Debug)]
 pub struct RelayTimes {
     unknown_time: Duration,
     /// By the name of the route.
-    longest_times: BTreeMap<Box<str>, Duration>,
+    longest_relays: BTreeMap<Box<str>, LongestRelay>,
 }
 
 impl RelayTimes {
     /// Creates the times for a line of the given speed; one that is not known counts as fast.
     pub fn new(line_mbps: Option<f64>) -> Self {
-        let seconds = |mbps| UNKNOWN_RESPONSE_BYTES * 8.0 / (mbps * 1e6);
+        let seconds = |mbps| UNKNOWN_RESPONSE_BYTES as f64 * 8.0 / (mbps * 1e6);
         let unknown_time = line_mbps.map(seconds).map(Duration::try_from_secs_f64);
         let unknown_time =
             unknown_time.map_or(Duration::ZERO, |time| time.unwrap_or(Duration::MAX));
-        Self { unknown_time, longest_times: BTreeMap::new() }
+        Self { unknown_time, longest_relays: BTreeMap::new() }
     }
 
     pub fn expected(&self, rule: &RouteRule) -> Duration {
-        let longest = self.longest_times.get(&rule.name).copied();
+        let longest = self.longest_relays.get(&rule.name).map(|relay| relay.elapsed);
         longest.unwrap_or_else(|| self.unknown_time.min(rule.timeout))
     }
 
-    /// Records how long the relay of a response took, without the time for which it waited for its
-    /// caller to read.
-    pub fn record(&mut self, rule: &RouteRule, elapsed: Duration) {
-        let longest = elapsed.max(self.expected(rule).mul_f64(LONGEST_TIME_DECAY));
-        self.longest_times.insert(rule.name.clone(), longest);
+    pub fn expected_bytes(&self, rule: &RouteRule) -> u64 {
+        let longest = self.longest_relays.get(&rule.name).map(|relay| relay.bytes);
+        longest.unwrap_or(UNKNOWN_RESPONSE_BYTES)
+    }
+
+    /// Records the size of a response and how long its relay took, without the time for which it waited
+    /// for its caller to read.
+    pub fn record(&mut self, rule: &RouteRule, elapsed: Duration, bytes: u64) {
+        let mut longest = LongestRelay { elapsed, bytes };
+        longest.elapsed = elapsed.max(self.expected(rule).mul_f64(LONGEST_RELAY_DECAY));
+        if let Some(known) = self.longest_relays.get(&rule.name) {
+            longest.bytes = bytes.max((known.bytes as f64 * LONGEST_RELAY_DECAY) as u64);
+        }
+        self.longest_relays.insert(rule.name.clone(), longest);
     }
 
     /// Drops routes that are not in force any more.
     pub fn retain<'a>(&mut self, rules: impl Iterator<Item = &'a RouteRule>) {
         let mut kept = BTreeMap::new();
         for rule in rules {
-            if let Some(time) = self.longest_times.remove(&rule.name) {
-                kept.insert(rule.name.clone(), time);
+            if let Some(relay) = self.longest_relays.remove(&rule.name) {
+                kept.insert(rule.name.clone(), relay);
             }
         }
-        self.longest_times = kept;
+        self.longest_relays = kept;
+    }
+}
+
+/// How a caller has read the responses on its connection.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct CallerPace {
+    longest_wait: Duration,
+    longest_bytes: u64,
+}
+
+impl CallerPace {
+    /// Records for how long a response of this size waited for its caller to read.
+    pub fn record(&mut self, wait: Duration, bytes: u64) {
+        self.longest_wait = self.longest_wait.max(wait);
+        self.longest_bytes = self.longest_bytes.max(bytes);
+    }
+
+    /// Longest time for which a response of this size is expected to wait. The part that is longer than any
+    /// response so far may be read slowly.
+    pub fn expected_wait(&self, bytes: u64) -> Duration {
+        let unknown_bits = bytes.saturating_sub(self.longest_bytes) as f64 * 8.0;
+        self.longest_wait + Duration::from_secs_f64(unknown_bits / UNKNOWN_CALLER_BITS_PER_S)
     }
 }
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -14,6 +14,7 @@
 mod planned_client;
 mod planned_soak;
 mod repeat_client;
+mod slow_callers;
 mod soak;
 mod stop_log;
 mod support;
