Count all responses that are due on the line of a stopping entry

Callers that share an entry's line of 4 Mbit/s got part of a long response and the end of the connection, although they had sent the request 0.03 to 0.3 s after the SIGTERM, when the entry could still refuse it.

Cause: whether a request fits before the exit was decided by its own deadline and the longest recent relay of its route. What the line owed others then did not count, and neither did a longer response of the route that was still on its way.

The entry now adds up what is due: the rest of the responses that are being written, and the expected size of those that their servers still work on. Each counts from the latest time at which it may be available. A request that does not fit behind them before the exit is refused unsent.

--- a/src/fleet/entry/activity.rs
+++ b/src/fleet/entry/activity.rs
@@ -6,6 +6,9 @@
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
+use crate::fleet::document::RouteRule;
+use crate::fleet::line::DueResponse;
+
 /// Stage of a request in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RequestStage {
@@ -27,6 +30,8 @@
     /// Start of the response and its declared body size, if known.
     response: Cell<Option<(Instant, Option<u64>)>>,
     relayed_bytes: Cell<u64>,
+    /// Route and deadline of a request that is handled and whose response has a body.
+    expected: RefCell<Option<(Rc<RouteRule>, Instant)>>,
 }
 
 /// Progress of a request at one moment.
@@ -60,6 +65,7 @@
             stage: Cell::new(RequestStage::Receiving),
             response: Cell::default(),
             relayed_bytes: Cell::default(),
+            expected: RefCell::default(),
         });
         self.requests.borrow_mut().insert(number, Rc::downgrade(&progress));
         progress
@@ -73,6 +79,30 @@
         self.len() == 0
     }
 
+    /// Size of the longest response that is being written, by the name of its route.
+    pub fn longest_declared(&self) -> BTreeMap<Box<str>, u64> {
+        let mut longest = BTreeMap::new();
+        for request in self.requests.borrow().values().filter_map(Weak::upgrade) {
+            let Some((_, Some(size))) = request.response.get() else { continue };
+            if let Some((rule, _)) = &*request.expected.borrow() {
+                let bytes = longest.entry(rule.name.clone()).or_default();
+                *bytes = size.max(*bytes);
+            }
+        }
+        longest
+    }
+
+    /// Responses that are still due. One without a known size is expected to have that of its route.
+    pub fn due_responses(
+        &self,
+        now: Instant,
+        route_bytes: impl Fn(&RouteRule) -> u64,
+    ) -> Vec<DueResponse> {
+        let requests = self.requests.borrow();
+        let requests = requests.values().filter_map(Weak::upgrade);
+        requests.filter_map(|request| request.due_response(now, &route_bytes)).collect()
+    }
+
     /// Progress of all requests, the oldest first.
     pub fn report(&self, now: Instant) -> Vec<ProgressReport> {
         let requests = self.requests.borrow();
@@ -87,6 +117,26 @@
         self.stage.set(RequestStage::Handling);
     }
 
+    /// Records the route and the deadline of a request whose response has a body.
+    pub fn expect_response(&self, rule: &Rc<RouteRule>, deadline: Instant) {
+        *self.expected.borrow_mut() = Some((Rc::clone(rule), deadline));
+    }
+
+    fn due_response(
+        &self,
+        now: Instant,
+        route_bytes: impl Fn(&RouteRule) -> u64,
+    ) -> Option<DueResponse> {
+        let expected = self.expected.borrow();
+        let (rule, deadline) = expected.as_ref()?;
+        let (available_at, size) = match self.response.get() {
+            Some((_, size)) => (now, size),
+            None => (now.max(*deadline), None),
+        };
+        let bytes = size.unwrap_or_else(|| route_bytes(rule));
+        Some(DueResponse { available_at, bytes: bytes.saturating_sub(self.relayed_bytes.get()) })
+    }
+
     /// Records the start of the response.
     pub fn begin_response(&self, now: Instant, body_bytes: Option<u64>) {
         self.stage.set(RequestStage::Responding);
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -21,7 +21,7 @@
 use crate::fleet::document::{CallerLimits, RouteRule};
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
 use crate::fleet::held_bytes::HeldBytes;
-use crate::fleet::line::LinePacer;
+use crate::fleet::line::{DueResponse, LinePacer};
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
@@ -192,9 +192,19 @@
     /// Whether a request that was not sent yet is expected to have its whole response before the entry exits,
     /// although its caller may read slowly.
     pub fn can_begin(&self, rule: &RouteRule, deadline: Instant, request: &CallerRequest) -> bool {
+        let Some(end) = self.stop_end.get() else { return true };
+        let relay_times = self.relay_times.borrow();
+        let longest_declared = self.active_requests.longest_declared();
+        let expected_bytes = |rule: &RouteRule| {
+            let declared = longest_declared.get(&rule.name).copied().unwrap_or_default();
+            relay_times.expected_bytes(rule).max(declared)
+        };
         let is_bodiless = &*request.head.method == "HEAD";
-        let bytes = if is_bodiless { 0 } else { self.relay_times.borrow().expected_bytes(rule) };
-        self.can_finish(rule, deadline + request.caller_pace.expected_wait(bytes))
+        let bytes = if is_bodiless { 0 } else { expected_bytes(rule) };
+        let others = self.active_requests.due_responses(Instant::now(), expected_bytes);
+        let response = DueResponse { available_at: deadline, bytes };
+        self.caller_pacer.borrow().latest_end(others, response) + ANSWER_TIME <= end
+            && self.can_finish(rule, deadline + request.caller_pace.expected_wait(bytes))
     }
 
     /// Waits until a stopping entry gives up the request with this deadline. Never completes if the
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -213,6 +213,9 @@
     if !context.can_begin(&rule, deadline, &caller_request) {
         return Err(LocalResponse::stopping());
     }
+    if &*caller_request.head.method != "HEAD" {
+        caller_request.progress.expect_response(&rule, deadline);
+    }
     let request = OutgoingRequest::new(
         context,
         id,
--- a/src/fleet/line.rs
+++ b/src/fleet/line.rs
@@ -22,6 +22,14 @@
 /// Line speed in bits per second from which pacing makes no difference: a piece takes 0.3 ms.
 const FAST_LINE_BITS_PER_S: f64 = 100e6;
 
+/// Response that a line still has to carry.
+#[derive(Debug, Clone, Copy)]
+pub struct DueResponse {
+    /// Latest time at which its server has it ready.
+    pub available_at: Instant,
+    pub bytes: u64,
+}
+
 /// Schedule of the pieces of all long bodies in one direction of a line.
 #[derive(Debug)]
 pub struct LinePacer {
@@ -48,6 +56,23 @@
         self.bytes_per_second = self.whole_line;
     }
 
+    /// Time at which the line has carried `response` and all that is due before it or with it, if each response
+    /// becomes available as late as it may.
+    pub fn latest_end(&self, mut others: Vec<DueResponse>, response: DueResponse) -> Instant {
+        let Some(rate) = self.whole_line else { return response.available_at };
+        others.push(response);
+        others.sort_by_key(|due| due.available_at);
+        let (mut latest_end, mut bytes) = (response.available_at, 0);
+        for due in others.iter().rev() {
+            bytes += due.bytes;
+            if due.available_at <= response.available_at {
+                let end = due.available_at + Duration::from_secs_f64(bytes as f64 / rate);
+                latest_end = latest_end.max(end);
+            }
+        }
+        latest_end
+    }
+
     /// Whether long bodies are paced.
     pub fn is_active(&self) -> bool {
         self.bytes_per_second.is_some()
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod entry_ledger;
 mod harness;
 mod held_bytes;
+mod line_due;
 mod listener;
 mod malformed;
 mod members;
--- a/tests/fleet_process/slow_callers.rs
+++ b/tests/fleet_process/slow_callers.rs
@@ -309,7 +309,13 @@
 }
 
 /// Guards against a stop that takes a request of a slow caller and cuts its response off at the exit.
-#[parameterized(fast_line = { 1 }, second_fast_line = { 6 }, short_grace = { 2 })]
+#[parameterized(
+    fast_line = { 1 },
+    second_fast_line = { 6 },
+    short_grace = { 2 },
+    shared_line = { 7 },
+    second_shared_line = { 10 },
+)]
 fn a_stop_finishes_or_refuses_the_requests_of_slow_callers(seed: u64) {
     run_stop(seed);
 }
