Expect a long response after a few short ones

A caller got 364,457 of 1,329,625 bytes of a response that it had requested 4 ms after the SIGTERM on a shared line of 4 Mbit/s.

Cause: a route that had relayed nothing counted as one with responses of a megabyte, but after its first short response as one with short responses only. The expected time of a relay shrank slowly from its first value, the expected size did not.

--- a/src/fleet/relay_times.rs
+++ b/src/fleet/relay_times.rs
@@ -25,8 +25,8 @@
     bytes: u64,
 }
 
-/// Longest recent relay of each route. A route starts with the time that a long response needs on the
-/// line, at most its timeout.
+/// Longest recent relay of each route. A route starts with a long response and the time that it needs on the
+/// line, at most the route's timeout.
 #[derive(Debug)]
 pub struct RelayTimes {
     unknown_time: Duration,
@@ -57,11 +57,11 @@
     /// Records the size of a response and how long its relay took, without the time for which it waited
     /// for its caller to read.
     pub fn record(&mut self, rule: &RouteRule, elapsed: Duration, bytes: u64) {
-        let mut longest = LongestRelay { elapsed, bytes };
-        longest.elapsed = elapsed.max(self.expected(rule).mul_f64(LONGEST_RELAY_DECAY));
-        if let Some(known) = self.longest_relays.get(&rule.name) {
-            longest.bytes = bytes.max((known.bytes as f64 * LONGEST_RELAY_DECAY) as u64);
-        }
+        let known_bytes = self.expected_bytes(rule) as f64 * LONGEST_RELAY_DECAY;
+        let longest = LongestRelay {
+            elapsed: elapsed.max(self.expected(rule).mul_f64(LONGEST_RELAY_DECAY)),
+            bytes: bytes.max(known_bytes as u64),
+        };
         self.longest_relays.insert(rule.name.clone(), longest);
     }
 
--- a/tests/fleet_process/slow_callers.rs
+++ b/tests/fleet_process/slow_callers.rs
@@ -315,6 +315,7 @@
     short_grace = { 2 },
     shared_line = { 7 },
     second_shared_line = { 10 },
+    short_responses_before = { 9 },
 )]
 fn a_stop_finishes_or_refuses_the_requests_of_slow_callers(seed: u64) {
     run_stop(seed);
