Test requests beside changes of the document and signals that meet

The soak of planned work stops processes that are not stopping already, and its documents differ in the version only; callers could have lost requests beside other changes without a test that notices.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod crash_settling;
 mod crash_watch;
 mod crashed_incarnations;
+mod document_change;
 mod entry;
 mod entry_ledger;
 mod harness;
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -12,6 +12,7 @@
 mod harness;
 mod metrics_page;
 mod planned_client;
+mod planned_signals;
 mod planned_soak;
 mod repeat_client;
 mod slow_callers;
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -56,7 +56,7 @@
         Self { config, text, child: None, address }
     }
 
-    fn write_config(&self, seeds: &[SocketAddr], form: bool) {
+    pub fn write_config(&self, seeds: &[SocketAddr], form: bool) {
         let seeds = serde_json::json!(seeds).to_string();
         let text = self.text.replace("SEEDS", &seeds).replace("FORM", &form.to_string());
         // Renamed, so that a process that starts meanwhile reads either text and no part of one.
