Let the kernel transmit the end of a response after the exit

A caller that reads at 2 Mbit/s got 1,215,864, 1,179,776 (two runs) of 1,280,000 bytes of a response that it had requested a second before the SIGTERM: the exit after 2.7 s cut off what the entry had not written yet.

Cause: the kernel transmits what a process has written even after its exit, but its send buffer had room for about a quarter of a megabyte.

A stopping entry now asks for a send buffer of 1 MB on connections whose long response is still being written, if the system grants more than the buffer has by itself. The exit still cuts off what the entry does not have by then or the buffer does not hold; what the entry takes on during a stop does not count on it.

Ruled out: a reset of the connection at the exit (the caller reads on to the clean end now).

--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -132,6 +132,9 @@
     ) -> Result<(), ConnectionEnd> {
         let mut complete = false;
         while !complete {
+            if self.context.is_stopping() {
+                caller.enlarge_send_buffer();
+            }
             let write = async {
                 let written = caller.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Read};
 use std::time::{Duration, Instant};
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout};
@@ -24,6 +24,9 @@
 /// Time for which a closing connection waits for the peer to read the remaining data.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Size of a send buffer that holds the end of a long response: two seconds of a line of 4 Mbit/s.
+const LARGE_SEND_BUFFER_BYTES: usize = 1 << 20;
+
 /// Maximum number of interim responses before a final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
@@ -45,6 +48,7 @@
     read_bytes: usize,
     /// Time for which writes have waited until the peer had read enough.
     write_wait: Duration,
+    has_large_send_buffer: bool,
     /// Arrival time of the newest bytes.
     last_read_at: Instant,
     /// Arrival time of the oldest buffered bytes, or of earlier bytes that were still in the buffer when
@@ -63,6 +67,7 @@
             start,
             read_bytes,
             write_wait,
+            has_large_send_buffer: false,
             last_read_at: now,
             buffered_since: now,
         }
@@ -333,6 +338,20 @@
         result
     }
 
+    /// Lets the kernel take more of a response than the peer has read: it transmits the rest even after the
+    /// process has exited.
+    pub fn enlarge_send_buffer(&mut self) {
+        if std::mem::replace(&mut self.has_large_send_buffer, true) {
+            return;
+        }
+        let socket = SockRef::from(&self.stream);
+        let is_smaller = |granted| socket.send_buffer_size().is_ok_and(|bytes| bytes < granted);
+        if granted_send_buffer().is_ok_and(is_smaller) {
+            // If it fails, less of the response is transmitted after the exit.
+            let _ = socket.set_send_buffer_size(LARGE_SEND_BUFFER_BYTES);
+        }
+    }
+
     /// Shuts down the sending side and waits briefly for the peer to close.
     ///
     /// Closing a socket with unread bytes resets the connection, which may discard the last response.
@@ -352,6 +371,14 @@
     }
 }
 
+/// Size, as the kernel counts it, that the system grants to a large send buffer. A buffer that has already
+/// grown beyond it by itself would shrink to it.
+fn granted_send_buffer() -> io::Result<usize> {
+    let probe = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    probe.set_send_buffer_size(LARGE_SEND_BUFFER_BYTES)?;
+    probe.send_buffer_size()
+}
+
 /// Framing of a response body that is relayed to the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayFraming {
--- a/tests/fleet_process/slow_callers.rs
+++ b/tests/fleet_process/slow_callers.rs
@@ -320,3 +320,28 @@
 fn a_stop_finishes_or_refuses_the_requests_of_slow_callers(seed: u64) {
     run_stop(seed);
 }
+
+/// Guards against an exit that cuts off a response whose rest the kernel could have transmitted after it.
+#[test]
+fn the_end_of_a_response_is_transmitted_after_the_exit() {
+    const GRACE: Duration = Duration::from_secs(3);
+    const RATE: f64 = CALLER_RATES[0];
+    // 930 KB fit before the exit, 3.7 s after the request.
+    const RESPONSE_BYTES: usize = 1_280_000;
+    let fleet = FleetProcesses::start(3, &[None], GRACE);
+    wait_for("the first document", || fleet.call("PUT", "/.curranthollow/document", &document(1)));
+    let _servers = fleet.start_servers(2);
+    let entry = &fleet.entries[0];
+    wait_for("a served request", || call(entry.address, "GET", "/read/w/0/2", "").0 == 200);
+    let mut stream = connect_slowly(entry.address).expect("the entry listens");
+    let text =
+        format!("GET /read/w/0/{RESPONSE_BYTES} HTTP/1.1\r\nhost: shop\r\nx-request-id: r\r\n\r\n");
+    stream.write_all(text.as_bytes()).expect("the entry reads");
+    let caller = std::thread::spawn(move || read_slowly(&mut stream, RATE).0);
+    std::thread::sleep(Duration::from_secs(1));
+    entry.signal(Signal::TERM);
+    let response = caller.join().expect("the caller does not panic");
+    let response = String::from_utf8_lossy(&response);
+    let (_, body) = response.split_once("\r\n\r\n").expect("a head arrives");
+    assert_eq!(body.len(), RESPONSE_BYTES, "log {:?}", entry.log_path());
+}
