--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -12,6 +12,7 @@
 use super::connections::ConnectionPool;
 use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
+use super::request::CallerRequest;
 use super::suspect_runs::SuspectRuns;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
@@ -20,7 +21,7 @@
 use crate::fleet::document::{CallerLimits, RouteRule};
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
 use crate::fleet::held_bytes::HeldBytes;
-use crate::fleet::line::LinePacer;
+use crate::fleet::line::{DueResponse, LinePacer};
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
@@ -188,6 +189,27 @@
         self.stop_end.get().is_none_or(|end| deadline + relay_time() <= end)
     }
 
+    /// Whether a request that was not sent yet is expected to have its whole response before the entry exits,
+    /// although its caller may read slowly.
+    pub fn can_begin(&self, rule: &RouteRule, deadline: Instant, request: &CallerRequest) -> bool {
+        let Some(end) = self.stop_end.get() else { return true };
+        let relay_times = self.relay_times.borrow();
+        let longest_declared = self.active_requests.longest_declared();
+        let declared_bytes =
+            |rule: &RouteRule| longest_declared.get(&rule.name).copied().unwrap_or_default();
+        let route_bytes =
+            |rule: &RouteRule| relay_times.expected_bytes(rule).max(declared_bytes(rule));
+        let is_bodiless = &*request.head.method == "HEAD";
+        let others = self.active_requests.due_responses(Instant::now(), route_bytes);
+        let bytes = if is_bodiless { 0 } else { route_bytes(rule) };
+        let response = DueResponse { available_at: deadline, bytes };
+        // A route and a caller of which nothing is known do not count as slow.
+        let known_bytes = relay_times.known_bytes(rule).max(declared_bytes(rule));
+        let caller_bytes = if is_bodiless { 0 } else { known_bytes };
+        self.caller_pacer.borrow().latest_end(others, response) + ANSWER_TIME <= end
+            && self.can_finish(rule, deadline + request.caller_pace.expected_wait(caller_bytes))
+    }
+
     /// Waits until a stopping entry gives up the request with this deadline. Never completes if the
     /// request ends in time by itself.
     pub async fn wait_for_give_up(&self, deadline: Instant) {
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -112,7 +112,11 @@
         };
         let caller_wait = stream.write_wait() - waited_before;
         let elapsed = started.elapsed().saturating_sub(caller_wait);
-        self.context.relay_times.borrow_mut().record(&rule, elapsed);
+        self.context.relay_times.borrow_mut().record(
+            &rule,
+            elapsed,
+            self.progress.response_bytes(),
+        );
         result
     }
 
@@ -128,6 +132,9 @@
     ) -> Result<(), ConnectionEnd> {
         let mut complete = false;
         while !complete {
+            if self.context.is_stopping() {
+                caller.enlarge_send_buffer();
+            }
             let write = async {
                 let written = caller.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
