Convict no suspect whose crashes another suspect explains

Cause: the leader compared a suspect only with others that have as many counted crashes, and only by these. A crashing request in parallel copies ends three servers, but one end counts: the other sends began before it. An innocent request that runs shorter on the same servers counts three and is convicted at once; the ends of the crashing one then count as explained, and it goes on.

Change: no conviction while another suspect ran on every server that counts, ends counted or not. A suspect that settles is convicted as soon as the reports about its newest crash are complete (40 ms) and it is separated. One that is not decided waits for its next crash or for a success of another request; the fifth counted crash convicts in any case.

Evidence: crash_settling, four new tests. Three failed before (ends_of_parallel_copies_explain_crashes convicted the innocent request; a_suspect_settles_until_it_is_separated, a_success_of_its_equal_convicts_a_suspect). The fourth, the_wait_for_a_difference_is_bounded, passed before and keeps the bound of the new wait.

--- a/src/fleet/crash/controller.rs
+++ b/src/fleet/crash/controller.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
+pub use super::settling::SETTLING_TIME;
+use super::settling::SettlingSuspects;
 use super::{CrashFinding, CrashLedger, CrashReport};
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::state::{FleetCommand, MAX_QUARANTINED};
@@ -24,15 +26,6 @@
 /// Time after which a proposal without an effect may be repeated.
 const PROPOSAL_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time between the crash that would convict a suspect and the decision, if there are other causes for its
-/// crashes. Successes and the reports about these causes arrive meanwhile; it is a small part of the
-/// stable window.
-pub const SETTLING_TIME: Duration = Duration::from_millis(200);
-
-/// Maximum number of suspects that settle at a time, because each decision looks at all suspects; further
-/// ones are convicted at once.
-const MAX_SETTLING: usize = 64;
-
 /// Time for which a new leader decides on nothing, because the reports that other members hold arrive in
 /// any order.
 const GATHERING_TIME: Duration = Duration::from_millis(100);
@@ -136,9 +129,7 @@
     /// Reports of entries in the last [`HOLD_TIME`]. A leader that has just been lost may have received
     /// none of them.
     held: VecDeque<(Instant, HeldReport)>,
-    /// Suspects with enough counted crashes that may be explained by others, with the time at which the
-    /// leader decides.
-    settling: BTreeMap<RequestDigest, (Instant, CrashReport)>,
+    settling: SettlingSuspects,
     /// Convictions that are not committed yet, with the time of the proposal.
     proposed: BTreeMap<RequestDigest, (Instant, CrashedServers)>,
     in_force: BTreeMap<RequestDigest, QuarantineRecord>,
@@ -177,7 +168,7 @@
         }
         self.leader = leader;
         self.ledger = CrashLedger::default();
-        self.settling.clear();
+        self.settling = SettlingSuspects::default();
         self.proposed.clear();
         self.in_force.clear();
         self.expire_held(now);
@@ -201,7 +192,7 @@
 
     /// Time at which [`Self::tick`] has to decide on a suspect.
     pub fn next_decision(&self) -> Option<Instant> {
-        self.settling.values().map(|(due_at, _)| *due_at).min()
+        self.settling.next_decision()
     }
 
     /// Handles reports of an entry.
@@ -313,7 +304,7 @@
             if self.in_force.contains_key(digest) {
                 continue;
             }
-            self.settling.remove(digest);
+            self.settling.remove(*digest);
             let (_, crashed) = self.proposed.remove(digest).unwrap_or((now, Vec::new()));
             let record = QuarantineRecord { since: now, release_proposed: None, crashed };
             self.in_force.insert(*digest, record);
@@ -364,10 +355,8 @@
             ReportBatch::Served(digests) => {
                 for digest in digests {
                     self.ledger.record_served(digest);
-                    if !self.ledger.is_due(now, digest) {
-                        self.settling.remove(&digest);
-                    }
                 }
+                self.settling.record_served(now, &self.ledger);
             }
         }
     }
@@ -390,44 +379,26 @@
                     return Some(QuarantineEvent::Suspected { report, crashes });
                 }
                 let gathers_until = self.gathers_until.filter(|until| now < *until);
-                let may_settle = self.settling.len() < MAX_SETTLING;
                 let is_plain = gathers_until.is_none() && self.ledger.is_separated(now, digest);
-                if is_plain || !may_settle {
+                if is_plain || !self.settling.has_room() {
                     return Some(self.convict(now, report, quarantine));
                 }
-                let due_at = gathers_until.unwrap_or(now + SETTLING_TIME);
-                self.settling.entry(digest).or_insert_with(|| (due_at, report.clone()));
+                self.settling.add(now, gathers_until, &report);
                 Some(QuarantineEvent::Suspected { report, crashes })
             }
             CrashFinding::Convicted => None,
         }
     }
 
-    /// Decides on the suspects that have settled and on stronger ones, those with most crashes first:
-    /// crashes under a convicted request no longer count against the others.
     fn decide_settled(
         &mut self,
         now: Instant,
         quarantine: &ReplicatedQuarantine,
         actions: &mut Vec<QuarantineAction>,
     ) {
-        let due = self.settling.iter().filter(|(_, (due_at, _))| now >= *due_at);
-        let weakest = due.map(|(digest, _)| self.ledger.counted_crashes(*digest)).min();
-        let Some(weakest) = weakest else { return };
-        let mut ranked = Vec::new();
-        for digest in self.settling.keys() {
-            let crashes = self.ledger.counted_crashes(*digest);
-            if crashes >= weakest {
-                ranked.push((crashes, self.ledger.clear_crashes(now, *digest), *digest));
-            }
-        }
-        ranked.sort_unstable();
         let mut convicted = Vec::new();
-        for (_, _, digest) in ranked.into_iter().rev() {
-            let Some((_, report)) = self.settling.remove(&digest) else { continue };
-            if !self.ledger.is_settled(now, digest) {
-                continue;
-            }
+        for report in self.settling.decide(now, &mut self.ledger) {
+            let digest = report.digest;
             let event = self.convict(now, report, quarantine);
             if matches!(event, QuarantineEvent::Convicted { .. }) {
                 convicted.push(digest);
@@ -446,7 +417,7 @@
         quarantine: &ReplicatedQuarantine,
     ) -> QuarantineEvent {
         let digest = report.digest;
-        self.settling.remove(&digest);
+        self.settling.remove(digest);
         self.ledger.convict(digest);
         let crashes = self.ledger.counted_crashes(digest);
         if quarantine.len() + self.proposed.len() >= MAX_QUARANTINED {
--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -42,7 +42,7 @@
 
 /// Time in which crashes of several servers can have one cause: the time in which a rack fails, and the
 /// differences between the delays of reports.
-const RACK_WINDOW: Duration = Duration::from_millis(40);
+pub(super) const RACK_WINDOW: Duration = Duration::from_millis(40);
 
 /// Maximum number of crashes that are remembered as explained; the oldest goes first.
 const MAX_EXPLAINED: usize = 256;
@@ -74,6 +74,13 @@
     counts: bool,
 }
 
+impl CrashEvidence {
+    /// Whether the reports of others about this crash have arrived.
+    fn is_complete(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.recorded_at) >= RACK_WINDOW
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EvidenceState {
     Open,
@@ -106,6 +113,17 @@
         self.incarnations().count()
     }
 
+    /// Whether the request ran on this incarnation when it crashed, and nothing else explains the crash.
+    fn is_open(&self, incarnation: &(ServerId, IncarnationStart)) -> bool {
+        let evidence = self.crashes.get(incarnation);
+        evidence.is_some_and(|evidence| evidence.state == EvidenceState::Open)
+    }
+
+    /// Whether the reports of others about all counted crashes have arrived.
+    fn is_complete(&self, now: Instant) -> bool {
+        self.crashes.values().all(|evidence| !evidence.counts || evidence.is_complete(now))
+    }
+
     fn conviction_limit(&self) -> usize {
         if self.was_cleared { CLEARED_CONVICTION_CRASHES } else { CONVICTION_CRASHES }
     }
@@ -237,19 +255,45 @@
         if on_probation { 1 } else { record.conviction_limit() }
     }
 
-    /// Whether the evidence convicts the request at once: other causes are known for few of its crashes.
+    /// Whether the evidence convicts the request at once: other causes are known for few of its crashes, or
+    /// it has so many that a longer wait would cost more servers than are allowed.
     pub fn is_separated(&self, now: Instant, digest: RequestDigest) -> bool {
         let Some(record) = self.records.get(&digest) else { return false };
         let (limit, count) = (self.limit(now, digest, record), record.count());
+        let is_covered = self.is_covered(now, digest);
+        if count > limit + 1 {
+            return !is_covered || record.is_complete(now);
+        }
         let clear = self.clear_crashes(now, digest);
-        clear >= limit || count > limit && clear + 1 >= limit || count > limit + 1
+        !is_covered && (clear >= limit || count > limit && clear + 1 >= limit)
     }
 
     /// Whether the evidence convicts a request that no server has completed during its settling time.
     pub fn is_settled(&self, now: Instant, digest: RequestDigest) -> bool {
         let Some(record) = self.records.get(&digest) else { return false };
         let limit = self.limit(now, digest, record);
-        record.count() >= limit && self.clear_crashes(now, digest) + 1 >= limit
+        record.count() >= limit
+            && self.clear_crashes(now, digest) + 1 >= limit
+            && !self.is_covered(now, digest)
+    }
+
+    /// Whether another suspect ran on every server that counts against this one. It explains all of these
+    /// crashes as well, also those that do not count against it: copies that run side by side, and a send
+    /// that began before its last counted crash. The next crash or success tells the two apart.
+    fn is_covered(&self, now: Instant, digest: RequestDigest) -> bool {
+        let Some(record) = self.records.get(&digest) else { return false };
+        if self.limit(now, digest, record) == 1 {
+            // The request was convicted before.
+            return false;
+        }
+        let known = record.crashes.iter();
+        let known = known.filter(|(_, evidence)| evidence.counts && evidence.is_complete(now));
+        let known: Vec<_> = known.map(|(incarnation, _)| incarnation).collect();
+        self.records.iter().any(|(other, other_record)| {
+            *other != digest
+                && !other_record.is_convicted
+                && known.iter().all(|incarnation| other_record.is_open(incarnation))
+        })
     }
 
     /// Number of counted crashes for which no other cause is known: no other suspect with as many crashes
@@ -265,9 +309,8 @@
             .collect();
         let Some(first) = clear.values().min().copied() else { return 0 };
         // Reports of others about the newest crash may still be on their way.
-        let newest = record.crashes.iter().filter(|(_, evidence)| {
-            evidence.counts && now.saturating_duration_since(evidence.recorded_at) < RACK_WINDOW
-        });
+        let newest = record.crashes.iter();
+        let newest = newest.filter(|(_, evidence)| evidence.counts && !evidence.is_complete(now));
         let newest = newest.max_by_key(|(_, evidence)| evidence.crashed_at);
         let newest = newest.map(|(incarnation, _)| incarnation);
         for (other, other_record) in &self.records {
--- a/src/fleet/crash/mod.rs
+++ b/src/fleet/crash/mod.rs
@@ -3,6 +3,7 @@
 pub mod controller;
 mod digest;
 mod ledger;
+mod settling;
 
 use std::time::Duration;
 
--- a/tests/fleet/crash_settling.rs
+++ b/tests/fleet/crash_settling.rs
@@ -15,19 +15,23 @@
 const OTHER: RequestDigest = 3;
 
 /// Event at a time in milliseconds since the election.
+#[derive(Clone, Copy)]
 enum LeaderEvent {
+    /// A server ended under a request that had run for 30 ms.
     Crash(RequestDigest, &'static str),
+    /// The same for another run time, in milliseconds.
+    LongCrash(RequestDigest, &'static str, u64),
     Served(RequestDigest),
 }
 
-use LeaderEvent::{Crash, Served};
+use LeaderEvent::{Crash, LongCrash, Served};
 
-fn report(digest: RequestDigest, server: &str) -> CrashReport {
+fn report(digest: RequestDigest, server: &str, ran_for: u64) -> CrashReport {
     CrashReport {
         digest,
         server: server.into(),
         started: 1,
-        ran_for: Duration::from_millis(30),
+        ran_for: Duration::from_millis(ran_for),
         age: Duration::ZERO,
     }
 }
@@ -45,7 +49,10 @@
         let mut actions = controller.tick(now, quarantine);
         for (_, event) in events.iter().filter(|(event_at, _)| *event_at == at) {
             let batch = match event {
-                Crash(digest, server) => ReportBatch::Crashes(vec![report(*digest, server)]),
+                Crash(digest, server) => ReportBatch::Crashes(vec![report(*digest, server, 30)]),
+                LongCrash(digest, server, ran_for) => {
+                    ReportBatch::Crashes(vec![report(*digest, server, *ran_for)])
+                }
                 Served(digest) => ReportBatch::Served(vec![*digest]),
             };
             actions.extend(controller.on_entry_batch(now, batch, quarantine));
@@ -86,3 +93,66 @@
     assert_eq!(convicted(&events, due), []);
     assert_eq!(convicted(&events, due + 1), [7]);
 }
+
+/// Servers that ended under both requests, one after the other; the innocent one is told first.
+const SHARED: [(u64, LeaderEvent); 6] = [
+    (200, Crash(BESIDE, "a")),
+    (201, Crash(DEADLY, "a")),
+    (400, Crash(BESIDE, "b")),
+    (401, Crash(DEADLY, "b")),
+    (600, Crash(BESIDE, "c")),
+    (601, Crash(DEADLY, "c")),
+];
+
+/// Guards against the conviction of an innocent request that ran beside parallel copies of a crashing one:
+/// of these, one end counts.
+#[test]
+fn ends_of_parallel_copies_explain_crashes() {
+    let events = [
+        (200, LongCrash(DEADLY, "a", 80)),
+        (201, Crash(BESIDE, "a")),
+        (260, LongCrash(DEADLY, "b", 100)),
+        (261, Crash(BESIDE, "b")),
+        (340, Crash(BESIDE, "c")),
+        (341, LongCrash(DEADLY, "c", 170)),
+        (420, Crash(DEADLY, "d")),
+        (500, Crash(DEADLY, "e")),
+    ];
+    assert_eq!(convicted(&events, 2000), [DEADLY]);
+}
+
+/// Guards against a crashing request that waits for the end of the settling time although the reports
+/// about its newest crash are complete.
+#[test]
+fn a_suspect_settles_until_it_is_separated() {
+    let events = [
+        (200, Crash(DEADLY, "a")),
+        (201, Crash(BESIDE, "a")),
+        (400, Crash(DEADLY, "b")),
+        (401, Crash(BESIDE, "b")),
+        (600, Crash(DEADLY, "c")),
+    ];
+    assert_eq!(convicted(&events, 640), []);
+    assert_eq!(convicted(&events, 641), [DEADLY]);
+}
+
+/// Guards against a crashing request that is sent on after its equal beside it has been served.
+#[test]
+fn a_success_of_its_equal_convicts_a_suspect() {
+    let mut events = SHARED.to_vec();
+    events.push((2000, Served(BESIDE)));
+    assert_eq!(convicted(&events, 2000), []);
+    assert_eq!(convicted(&events, 2002), [DEADLY]);
+}
+
+/// Guards against a crashing request that goes on because another one runs wherever it runs: the fifth
+/// end decides.
+#[test]
+fn the_wait_for_a_difference_is_bounded() {
+    let mut events = SHARED.to_vec();
+    events.push((800, Crash(DEADLY, "d")));
+    events.push((801, Crash(BESIDE, "d")));
+    events.push((1000, Crash(DEADLY, "e")));
+    assert_eq!(convicted(&events, 1000), []);
+    assert_eq!(convicted(&events, 1041), [DEADLY]);
+}
