Hold suspects without control until two trials have crashed

Cause: without control, three crashes in the entry's own ledger put a request into its own quarantine. They are no proof: while two crashing requests went round and no member led, an innocent one met three of their crashes within 0.3 and 0.6 s. An entry knows only its own sends, so nothing in its ledger tells the two apart.

Ruled out: comparing the suspects of the entry (the crashing requests were sent by other entries), and no own decision at all (a crashing request would be sent on for as long as control is away).

Change: without control the request is held as with control: 503 and one trial after 1 s, then after 2 s. After two crashed trials it is quarantined. Crashes of earlier sends during a hold are no trials. The price is two more servers for each entry that is out of touch; the rule binds machines in touch with control. Without control, the response to a crashed attempt does not wait for a decision. A full table of holds falls back to the quarantine.

--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -120,13 +120,12 @@
         self.accepting_links.get() > 0 && self.quarantine.borrow().has_control(now)
     }
 
-    /// Takes a request out of service on the evidence of this entry.
-    fn convict(&self, now: Instant, digest: RequestDigest) {
-        if self.has_control(now) {
-            let hold_time = self.holds.borrow_mut().hold(now, digest);
-            let hold_ms = hold_time.map_or(-1, |time| time.as_millis() as i64);
-            log_info!("suspect_held", "digest={digest:032x} hold_ms={hold_ms}");
-        } else {
+    /// Holds a request on the evidence of this entry.
+    fn hold(&self, now: Instant, digest: RequestDigest) {
+        let hold_time = self.holds.borrow_mut().hold(now, digest);
+        let hold_ms = hold_time.map_or(-1, |time| time.as_millis() as i64);
+        log_info!("suspect_held", "digest={digest:032x} hold_ms={hold_ms}");
+        if hold_time.is_none() && !self.has_control(now) {
             self.quarantine_locally(now, digest);
         }
     }
@@ -268,7 +267,7 @@
         );
         self.metrics.crashes_reported.inc();
         if finding == CrashFinding::Convicted && !self.state.borrow().is_quarantined(digest) {
-            watch.convict(now, digest);
+            watch.hold(now, digest);
         }
         watch.add_notice(now, CrashNotice::Crash(report))
     }
@@ -326,7 +325,7 @@
                 let report = self.report_crash(context, request, broken_at);
                 let _ = timeout_at(wait_until.into(), report).await;
                 let watch = &context.crash_watch;
-                if !watch.holds.borrow().is_empty() {
+                if !watch.holds.borrow().is_empty() && watch.has_control(Instant::now()) {
                     let wait_until = (broken_at + MAX_DECISION_WAIT).min(request.deadline);
                     let decision = watch.wait_until_decided(request.digest());
                     let _ = timeout_at(wait_until.into(), decision).await;
--- a/src/fleet/entry/suspect_hold.rs
+++ b/src/fleet/entry/suspect_hold.rs
@@ -17,6 +17,10 @@
 /// success that ends the hold, for example those with long responses.
 pub const HOLD_MEMORY: Duration = Duration::from_secs(60);
 
+/// Number of crashed trials after which an entry without control quarantines a held request. Three crashes alone
+/// are no proof: while several requests crash servers, an innocent one can meet them all within 0.3 s.
+pub const CONVICTING_TRIALS: usize = 2;
+
 /// Maximum number of held requests; a full table takes no more.
 pub const MAX_HELD: usize = 1024;
 
@@ -36,6 +40,8 @@
 #[derive(Debug, Clone, Copy)]
 struct HoldRecord {
     length: Duration,
+    /// Number of trials that crashed.
+    crashed_trials: usize,
     until: Instant,
     /// Time of the crash that began the hold or made it longer.
     crashed_at: Instant,
@@ -53,16 +59,24 @@
     /// full.
     pub fn hold(&mut self, now: Instant, digest: RequestDigest) -> Option<Duration> {
         self.expire(now);
-        let length = match self.records.get(&digest) {
-            Some(record) => (record.length * 2).min(MAX_HOLD_TIME),
+        let (length, crashed_trials) = match self.records.get(&digest) {
+            Some(record) => {
+                // What crashed during the hold had been sent before.
+                let was_trial = now >= record.crashed_at + record.length;
+                let length = (record.length * 2).min(MAX_HOLD_TIME);
+                (length, record.crashed_trials + usize::from(was_trial))
+            }
             None if self.records.len() >= MAX_HELD => return None,
-            None => FIRST_HOLD_TIME,
+            None => (FIRST_HOLD_TIME, 0),
         };
-        self.records.insert(digest, HoldRecord { length, until: now + length, crashed_at: now });
+        let until = now + length;
+        let record = HoldRecord { length, crashed_trials, until, crashed_at: now };
+        self.records.insert(digest, record);
         Some(length)
     }
 
-    /// Decides on a send. Without control, a hold becomes a quarantine: nobody else decides.
+    /// Decides on a send. Without control, a hold becomes a quarantine after [`CONVICTING_TRIALS`]: nobody
+    /// else decides.
     pub fn decide(
         &mut self,
         now: Instant,
@@ -71,10 +85,10 @@
     ) -> SendDecision {
         let Some(record) = self.records.get_mut(&digest) else { return SendDecision::Allowed };
         if now < record.until {
-            return match has_control {
-                true => SendDecision::Held(record.until.saturating_duration_since(now)),
-                false => SendDecision::Quarantined,
-            };
+            if !has_control && record.crashed_trials >= CONVICTING_TRIALS {
+                return SendDecision::Quarantined;
+            }
+            return SendDecision::Held(record.until.saturating_duration_since(now));
         }
         record.until = now + record.length;
         SendDecision::Trial
