Let a new leader decide on its last reports

A crashing request was sent on after the election of a leader, until its next crash.

Cause: a new leader decides when it has collected reports for 100 ms. If the report about the newest crash of a suspect arrives at the end of that time, the reports of others about this crash may be missing, so the suspect can't be told from one that ran on the servers before. It then waited for its next crash, although nothing further was to come.

Change: the decision waits until 40 ms after the report, as under a leader that is in office.

Evidence: crash_settling::a_new_leader_decides_on_its_last_reports failed before (no conviction).

--- a/src/fleet/crash/settling.rs
+++ b/src/fleet/crash/settling.rs
@@ -43,7 +43,8 @@
     /// `gathers_until`.
     pub fn add(&mut self, now: Instant, gathers_until: Option<Instant>, report: &CrashReport) {
         let digest = report.digest;
-        let complete_at = gathers_until.unwrap_or(now + RACK_WINDOW);
+        let reported_at = now + RACK_WINDOW;
+        let complete_at = gathers_until.map_or(reported_at, |until| until.max(reported_at));
         let due_at = gathers_until.unwrap_or(now + SETTLING_TIME);
         let suspect = self.settling.entry(digest).or_insert_with(|| SettlingSuspect {
             complete_at,
--- a/tests/fleet/crash_settling.rs
+++ b/tests/fleet/crash_settling.rs
@@ -136,6 +136,21 @@
     assert_eq!(convicted(&events, 641), [DEADLY]);
 }
 
+/// Guards against a crashing request on which a new leader does not decide because its last report arrived
+/// at the end of the time for which it collects reports.
+#[test]
+fn a_new_leader_decides_on_its_last_reports() {
+    let events = [
+        (10, Crash(DEADLY, "a")),
+        (11, Crash(BESIDE, "a")),
+        (50, Crash(DEADLY, "b")),
+        (51, Crash(BESIDE, "b")),
+        (95, Crash(DEADLY, "c")),
+    ];
+    assert_eq!(convicted(&events, 135), []);
+    assert_eq!(convicted(&events, 136), [DEADLY]);
+}
+
 /// Guards against a crashing request that is sent on after its equal beside it has been served.
 #[test]
 fn a_success_of_its_equal_convicts_a_suspect() {
