Report a crash also if its request ends while it is hashed

Callers saw nothing of it: an idempotent request with a long body that crashed its server could come again without evidence, because its caller left, or its deadline passed, while the entry still hashed the body.

Cause: after a lost connection the hash ran in the future of the request, which both cancel; only the check after it was a task. Ruled out: the check and the report themselves, which went on.

Change: hash and report are one task. It keeps the request until the digest is known.

The deadline has no test of its own.

--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -306,11 +306,11 @@
     }
 
     /// Records the end of the send. After a lost connection, this waits briefly until the evidence is
-    /// checked and told; the check goes on if the wait is cancelled.
+    /// checked and told; that goes on if the wait is cancelled.
     pub async fn end(
         self,
         context: &Rc<EntryContext>,
-        request: &OutgoingRequest,
+        request: &Rc<OutgoingRequest>,
         result: &Result<ServerResponse, SendError>,
     ) {
         match result {
@@ -320,10 +320,13 @@
             }
             Err(error) if error.is_lost_connection() => {
                 let broken_at = Instant::now();
-                // Before the wait, which cancels what the report has not passed on to a task.
+                let (task_context, task_request) = (Rc::clone(context), Rc::clone(request));
+                let report = tokio::task::spawn_local(async move {
+                    task_request.prepare_digest().await;
+                    self.report_crash(&task_context, &task_request, broken_at).await;
+                });
                 request.prepare_digest().await;
                 let wait_until = (broken_at + MAX_REPORT_WAIT).min(request.deadline);
-                let report = self.report_crash(context, request, broken_at);
                 let _ = timeout_at(wait_until.into(), report).await;
                 let watch = &context.crash_watch;
                 if !watch.holds.borrow().is_empty() {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -382,7 +382,7 @@
 
 async fn send_to(
     context: &Rc<EntryContext>,
-    request: &OutgoingRequest,
+    request: &Rc<OutgoingRequest>,
     chosen: &ChosenServer,
 ) -> Result<ServerResponse, SendError> {
     crate::log_routine!(
--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -1,7 +1,9 @@
 //! Tests of requests that crash servers, with real members and entries on loopback, and of the evidence
 //! against them.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use yare::parameterized;
 
@@ -104,6 +106,27 @@
     assert_eq!(system.count(DEADLY), 3);
 }
 
+/// Guards against a crash that is not reported because the caller leaves while the body of the request is
+/// hashed; an unoptimized build takes longer for this one than the caller waits.
+#[test]
+fn a_crash_is_reported_although_the_caller_leaves_while_the_request_is_hashed() {
+    let system = CrashSystem::start(2);
+    let [entry, _] = &system.entries;
+    let body = format!("{}{LONG}", "x".repeat(8 << 20));
+    let text = format!(
+        "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(entry.traffic).expect("the entry accepts");
+    caller.write_all(text.as_bytes()).expect("the entry reads");
+    wait_for("a server to get the request", || system.count(LONG) == 1);
+    let server = system.servers.iter().find(|server| server.count(LONG) == 1);
+    server.expect("a server has the request").crash();
+    std::thread::sleep(Duration::from_millis(20));
+    drop(caller);
+    wait_for("the crash to be reported", || system.crash_reports() == 1);
+}
+
 /// Guards against copies of the same request at several entries that crash more servers than allowed
 /// before all entries know.
 #[test]
