Count crashes of servers under long responses

Callers saw responses that broke off, and a request whose server sends more than 128 KiB and then crashes could come again at any entry and end server after server; a suspect with long responses stayed one, although servers completed them.

Cause: a send ended for the evidence when the relay of its response began (ServerBody::Streaming): the relay did not know the request any more, and a broken relay said only that it was broken. Ruled out: the leader and the ledgers, which count such crashes like others once they are reported.

Change: the watched send travels with the streaming body and ends with it, in one place for both: complete with a length or chunks clears, a lost connection is checked and reported, everything else (caller gone, timeout, body without a length) says nothing. Its identity is the digest, computed by a task that drops the request afterwards. A relay that is paced or has a slow caller reads the loss late, when a server that was stopped as planned can be back: if the connection was not known to be open within the last 100 ms, the loss is no evidence.

Evidence: 15 tests crash_relay. On the code before 7 of them fail: no report after a torn response (length, chunks, at-most-once, reset without a length, request of 3 MiB), no clearance (length, chunks). With the change, three mutations fail as they should: no limit on late losses (planned stop behind a slow caller), no clearance, clearance without a length. digest_cost: 1.27 GB/s.

--- a/src/fleet/entry/crash_evidence.rs
+++ b/src/fleet/entry/crash_evidence.rs
@@ -104,7 +104,7 @@
 
 /// Minimum time between the crash of an incarnation and a send that its successor can have received. A
 /// send that begins sooner may have used a connection whose end was not yet known.
-const MIN_RESTART_TIME: Duration = Duration::from_millis(100);
+pub const MIN_RESTART_TIME: Duration = Duration::from_millis(100);
 
 /// Incarnations of which this entry knows that they crashed: the newest one of each server. A server can
 /// run requests again before its next incarnation is announced, and its next crash is another one.
--- a/src/fleet/entry/crash_gate.rs
+++ b/src/fleet/entry/crash_gate.rs
@@ -6,8 +6,9 @@
 
 use super::context::EntryContext;
 use super::local_response::LocalResponse;
-use super::send::OutgoingRequest;
+use super::outgoing::OutgoingRequest;
 use super::suspect_hold::SendDecision;
+use crate::ids::RequestDigest;
 use crate::log_info;
 
 /// Number of counted crashes from which this entry does not retry a request: the next one would
@@ -92,13 +93,15 @@
     pub fn is_quarantined(&self, request: &OutgoingRequest) -> bool {
         let now = Instant::now();
         self.crash_watch.expire(now);
-        let state = self.state.borrow();
-        let quarantine = self.crash_watch.quarantine.borrow();
-        if !state.has_quarantine() && quarantine.is_empty() {
-            return false;
-        }
-        let digest = request.digest();
-        state.is_quarantined(digest) || quarantine.contains(now, digest)
+        let is_empty = !self.state.borrow().has_quarantine()
+            && self.crash_watch.quarantine.borrow().is_empty();
+        !is_empty && self.is_digest_quarantined(now, request.digest())
+    }
+
+    /// Whether the request with this digest is in quarantine.
+    pub fn is_digest_quarantined(&self, now: Instant, digest: RequestDigest) -> bool {
+        self.state.borrow().is_quarantined(digest)
+            || self.crash_watch.quarantine.borrow().contains(now, digest)
     }
 
     /// Whether the request may be sent again after a failed send.
--- a/src/fleet/entry/crash_watch.rs
+++ b/src/fleet/entry/crash_watch.rs
@@ -1,45 +1,22 @@
-//! Watches sends for crashes of servers: gathers evidence and tells the control members.
+//! Gathers evidence of crashes of servers and tells the control members.
 
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{timeout, timeout_at};
 
 use super::context::EntryContext;
-use super::crash_evidence::{
-    BrokenSend, CrashProof, CrashedIncarnations, MAX_PENDING_EVIDENCE, PendingEvidence,
-    ReplicaVerdict, judge,
-};
+use super::crash_evidence::{BrokenSend, CrashProof, CrashedIncarnations, PendingEvidence};
 use super::crash_outbox::{CrashNotice, CrashOutbox, NoticePosition};
 use super::local_quarantine::LocalQuarantine;
-use super::send::{OutgoingRequest, SendError, ServerBody, ServerResponse};
+use super::outgoing::OutgoingRequest;
 use super::served_digests::ServedDigests;
 use super::suspect_hold::SuspectHolds;
-use crate::fleet::announcement::IncarnationStart;
-use crate::fleet::balance::ChosenServer;
 use crate::fleet::crash::{CrashFinding, CrashLedger};
 use crate::fleet::link::{self, LinkFrame};
-use crate::http::BodyFraming;
-use crate::ids::{RequestDigest, ServerId};
+use crate::ids::RequestDigest;
 use crate::{log_info, log_routine};
 
-/// Time for which the end of a broken send waits until the evidence is checked and told. The request
-/// can come again right after its response, at any entry.
-const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
-
-/// Timeout of the connection attempt that checks a server. A host without the server refuses within a
-/// round trip; a part of [`MAX_REPORT_WAIT`] remains for the report.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(40);
-
-/// Time after a lost connection for which the end of a send waits for control's decision on a request
-/// that is held. The attempt has failed anyway, and its caller learns the final status when it comes again.
-const MAX_DECISION_WAIT: Duration = Duration::from_millis(500);
-
 /// Interval at which old evidence is removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -50,7 +27,7 @@
     pub(super) holds: RefCell<SuspectHolds>,
     /// Changes with each decision of control.
     decided: watch::Sender<()>,
-    pending: RefCell<PendingEvidence>,
+    pub(super) pending: RefCell<PendingEvidence>,
     crashed: RefCell<CrashedIncarnations>,
     served: RefCell<ServedDigests>,
     outbox: RefCell<CrashOutbox>,
@@ -60,7 +37,8 @@
     told: watch::Sender<NoticePosition>,
     /// Number of links to members that accept notices.
     accepting_links: Cell<usize>,
-    running_checks: Cell<usize>,
+    /// Number of servers whose address is being checked.
+    pub(super) running_checks: Cell<usize>,
     expired_at: Cell<Instant>,
 }
 
@@ -120,6 +98,11 @@
         self.accepting_links.get() > 0 && self.quarantine.borrow().has_control(now)
     }
 
+    /// Whether a success can change anything.
+    pub(super) fn awaits_successes(&self) -> bool {
+        !self.ledger.borrow().is_empty() || !self.holds.borrow().is_empty()
+    }
+
     /// Takes a request out of service on the evidence of this entry.
     fn convict(&self, now: Instant, digest: RequestDigest) {
         if self.has_control(now) {
@@ -155,7 +138,7 @@
     }
 
     /// Waits until a link has sent the notices before `position`.
-    async fn wait_until_told(&self, position: NoticePosition) {
+    pub(super) async fn wait_until_told(&self, position: NoticePosition) {
         if self.accepting_links.get() == 0 {
             return;
         }
@@ -165,7 +148,7 @@
     }
 
     /// Waits until control has decided on a request that is held.
-    async fn wait_until_decided(&self, digest: RequestDigest) {
+    pub(super) async fn wait_until_decided(&self, digest: RequestDigest) {
         let mut decided = self.decided.subscribe();
         // The wait cannot fail: the sender lives as long as the watch.
         let _ = decided.wait_for(|()| !self.holds.borrow().contains(digest)).await;
@@ -185,26 +168,22 @@
         }
     }
 
-    /// Withdraws the evidence against a request that a server completed.
-    fn record_served(&self, request: &OutgoingRequest, response: &ServerResponse) {
-        let watch = &self.crash_watch;
-        let is_watching = !watch.ledger.borrow().is_empty() || !watch.holds.borrow().is_empty();
-        if !is_watching || !is_complete(request, response) || self.is_quarantined(request) {
+    /// Withdraws the evidence against a request that `server` completed; `request_id` is for logs.
+    pub(super) fn record_served(&self, request_id: &str, digest: RequestDigest, server: &str) {
+        let (watch, now) = (&self.crash_watch, Instant::now());
+        if !watch.awaits_successes() || self.is_digest_quarantined(now, digest) {
             return;
         }
-        let digest = request.digest();
-        watch.served.borrow_mut().record(Instant::now(), digest);
+        watch.served.borrow_mut().record(now, digest);
         let was_held = watch.holds.borrow_mut().remove(digest);
         if !watch.ledger.borrow_mut().record_served(digest) && !was_held {
             return;
         }
         log_info!(
             "suspect_cleared",
-            "request={} digest={digest:032x} server={} was_held={was_held}",
-            request.id,
-            response.server
+            "request={request_id} digest={digest:032x} server={server} was_held={was_held}"
         );
-        watch.add_notice(Instant::now(), CrashNotice::Served(digest));
+        watch.add_notice(now, CrashNotice::Served(digest));
     }
 
     /// Confirms pending evidence from the servers in the replica.
@@ -222,7 +201,12 @@
     }
 
     /// Records a crash and tells the control members; returns the position behind the notice.
-    fn record_crash(&self, now: Instant, send: &BrokenSend, proof: CrashProof) -> NoticePosition {
+    pub(super) fn record_crash(
+        &self,
+        now: Instant,
+        send: &BrokenSend,
+        proof: CrashProof,
+    ) -> NoticePosition {
         let watch = &self.crash_watch;
         let mut report = send.report(now);
         let digest = report.digest;
@@ -274,142 +258,6 @@
     }
 }
 
-/// Whether the server completed the request. The crash of a server looks like the end of a body without
-/// a length.
-fn is_complete(request: &OutgoingRequest, response: &ServerResponse) -> bool {
-    response.head.status < 500
-        && matches!(response.body, ServerBody::Complete(_))
-        && BodyFraming::of_response(&request.method, &response.head).is_ok()
-}
-
-/// Send in progress, with what is needed to report a crash of its server.
-pub struct WatchedSend {
-    server: ServerId,
-    started: IncarnationStart,
-    address: SocketAddr,
-    sent_at: Instant,
-    /// Known suspension of the machine when the send began.
-    suspension: Duration,
-}
-
-impl WatchedSend {
-    /// Creates the record of a send that begins now; `None` if the server has left the replica.
-    pub fn begin(context: &EntryContext, chosen: &ChosenServer) -> Option<Self> {
-        let started = context.state.borrow().servers().get(&chosen.server)?.announcement.started;
-        Some(Self {
-            server: chosen.server.clone(),
-            started,
-            address: chosen.address,
-            sent_at: Instant::now(),
-            suspension: context.known_suspension(),
-        })
-    }
-
-    /// Records the end of the send. After a lost connection, this waits briefly until the evidence is
-    /// checked and told; that goes on if the wait is cancelled.
-    pub async fn end(
-        self,
-        context: &Rc<EntryContext>,
-        request: &Rc<OutgoingRequest>,
-        result: &Result<ServerResponse, SendError>,
-    ) {
-        match result {
-            Ok(response) => {
-                context.prepare_digest(request).await;
-                context.record_served(request, response);
-            }
-            Err(error) if error.is_lost_connection() => {
-                let broken_at = Instant::now();
-                let (task_context, task_request) = (Rc::clone(context), Rc::clone(request));
-                let report = tokio::task::spawn_local(async move {
-                    task_request.prepare_digest().await;
-                    self.report_crash(&task_context, &task_request, broken_at).await;
-                });
-                request.prepare_digest().await;
-                let wait_until = (broken_at + MAX_REPORT_WAIT).min(request.deadline);
-                let _ = timeout_at(wait_until.into(), report).await;
-                let watch = &context.crash_watch;
-                if !watch.holds.borrow().is_empty() {
-                    let wait_until = (broken_at + MAX_DECISION_WAIT).min(request.deadline);
-                    let decision = watch.wait_until_decided(request.digest());
-                    let _ = timeout_at(wait_until.into(), decision).await;
-                }
-            }
-            Err(_) => {}
-        }
-    }
-
-    async fn report_crash(
-        self,
-        context: &Rc<EntryContext>,
-        request: &OutgoingRequest,
-        broken_at: Instant,
-    ) {
-        context.check_suspension();
-        if context.known_suspension() != self.suspension {
-            // Whatever ended the connection may have been planned while this machine was suspended.
-            return;
-        }
-        let verdict = self.judge(context);
-        if verdict == ReplicaVerdict::PlannedStop {
-            return;
-        }
-        let send = BrokenSend {
-            request: request.id.clone(),
-            digest: request.digest(),
-            server: self.server.clone(),
-            started: self.started,
-            address: self.address,
-            sent_at: self.sent_at,
-            broken_at,
-        };
-        if let ReplicaVerdict::Crashed(proof) = verdict {
-            let position = context.record_crash(Instant::now(), &send, proof);
-            return context.crash_watch.wait_until_told(position).await;
-        }
-        let watch = &context.crash_watch;
-        if watch.running_checks.get() >= MAX_PENDING_EVIDENCE {
-            return watch.pending.borrow_mut().add(broken_at, send);
-        }
-        let checked_context = Rc::clone(context);
-        let check =
-            tokio::task::spawn_local(async move { self.check(&checked_context, send).await });
-        if let Ok(Some(position)) = check.await {
-            watch.wait_until_told(position).await;
-        }
-    }
-
-    /// Checks whether the server's address refuses connections; returns the position behind the notice
-    /// if it does. Otherwise the replica may still confirm the crash.
-    async fn check(self, context: &EntryContext, send: BrokenSend) -> Option<NoticePosition> {
-        let watch = &context.crash_watch;
-        watch.running_checks.update(|count| count + 1);
-        let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(self.address)).await;
-        watch.running_checks.update(|count| count - 1);
-        let refused = matches!(
-            &connected,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
-        );
-        let now = Instant::now();
-        match self.judge(context) {
-            ReplicaVerdict::PlannedStop => None,
-            ReplicaVerdict::Crashed(proof) => Some(context.record_crash(now, &send, proof)),
-            ReplicaVerdict::Undecided if refused => {
-                Some(context.record_crash(now, &send, CrashProof::Refused))
-            }
-            ReplicaVerdict::Undecided => {
-                watch.pending.borrow_mut().add(now, send);
-                None
-            }
-        }
-    }
-
-    fn judge(&self, context: &EntryContext) -> ReplicaVerdict {
-        let state = context.state.borrow();
-        judge(state.servers(), &self.server, self.started, self.address)
-    }
-}
-
 /// Notices that one link has not sent yet.
 pub struct CrashFeed<'a> {
     watch: &'a CrashWatch,
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -14,13 +14,16 @@
 mod local_response;
 mod measure;
 mod metrics;
+mod outgoing;
 mod reader;
 mod relay;
 mod request;
 mod send;
 pub mod served_digests;
+mod server_body;
 pub mod suspect_hold;
 pub mod suspect_runs;
+mod watched_send;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -1,5 +1,6 @@
 //! Writes responses to callers: those of servers and the entry's own.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::time::timeout_at;
@@ -7,7 +8,8 @@
 use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::local_response::LocalResponse;
-use super::send::{BodyEnd, ServerBody, ServerResponse};
+use super::send::ServerResponse;
+use super::server_body::{ServerBody, StreamingBody};
 use crate::fleet::stream::{HttpStream, RelayFraming};
 use crate::http::{BodyFraming, ResponseHead};
 use crate::log_info;
@@ -54,7 +56,7 @@
 
 /// Relay of one response to its caller.
 pub struct ResponseRelay<'a> {
-    pub context: &'a EntryContext,
+    pub context: &'a Rc<EntryContext>,
     pub progress: &'a RequestProgress,
     pub method: &'a str,
     /// Whether the caller's connection stays open.
@@ -94,15 +96,16 @@
                 let written = stream.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
             }
-            ServerBody::Streaming { buffered, stream: server, end, framing } => {
-                let declared_size = framing.and_then(BodyFraming::declared_size);
+            ServerBody::Streaming(body) => {
+                let declared_size = body.framing.and_then(BodyFraming::declared_size);
                 self.progress.begin_response(Instant::now(), declared_size);
-                let relay_framing = RelayFraming::of(framing);
+                let relay_framing = RelayFraming::of(body.framing);
                 relay_framing.write_header(&mut output);
                 output.extend_from_slice(b"\r\n");
-                relay_framing.encode(&buffered, &mut output);
-                let relay = self.relay_body(stream, server, end, relay_framing, output);
-                let result = timeout_at((deadline + RELAY_GRACE).into(), relay).await;
+                relay_framing.encode(&body.buffered, &mut output);
+                let relay_deadline = deadline + RELAY_GRACE;
+                let relay = self.relay_body(stream, *body, relay_framing, output, relay_deadline);
+                let result = timeout_at(relay_deadline.into(), relay).await;
                 let result = result.unwrap_or(Err(ConnectionEnd::Drop));
                 if result.is_err() {
                     log_info!("response_broken_off", "server={server_id} status={}", head.status);
@@ -121,10 +124,10 @@
     async fn relay_body(
         &self,
         caller: &mut HttpStream,
-        mut server: HttpStream,
-        mut end: BodyEnd,
+        mut body: StreamingBody,
         relay_framing: RelayFraming,
         mut output: Vec<u8>,
+        relay_deadline: Instant,
     ) -> Result<(), ConnectionEnd> {
         let mut complete = false;
         while !complete {
@@ -132,7 +135,8 @@
                 let written = caller.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
             };
-            let read = async { Ok(self.read_part(&mut server, &mut end).await) };
+            let read = body.read_part(self.context, RELAY_PART_BYTES, relay_deadline);
+            let read = async { Ok(read.await) };
             // A caller that has left ends the read, but a server that breaks off does not end the write.
             let ((), read) = tokio::try_join!(write, read)?;
             self.progress.add_relayed(output.len());
@@ -146,16 +150,4 @@
         let written = caller.write_paced(&output, &self.context.caller_pacer).await;
         written.map_err(|_| ConnectionEnd::Drop)
     }
-
-    /// Reads the next part of a body; returns it and whether it is the last one, or `None` if the server
-    /// broke off.
-    async fn read_part(
-        &self,
-        server: &mut HttpStream,
-        end: &mut BodyEnd,
-    ) -> Option<(Vec<u8>, bool)> {
-        let mut part = Vec::new();
-        let read = end.read(self.context, server, &mut part, RELAY_PART_BYTES).await;
-        read.ok().map(|is_last| (part, is_last))
-    }
 }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -15,9 +15,8 @@
 use super::local_response::LocalResponse;
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
-use super::send::{
-    self, HeldBody, OutgoingRequest, SendError, SendReport, ServerResponse, TriedServers,
-};
+use super::outgoing::{HeldBody, OutgoingRequest};
+use super::send::{self, SendError, SendReport, ServerResponse, TriedServers};
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,26 +1,23 @@
 //! Sends a request to one server and validates the response.
 
-use std::cell::{Cell, RefCell};
-use std::io;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use thiserror::Error;
-use tokio::sync::OnceCell;
 
 use super::context::EntryContext;
-use super::crash_watch::WatchedSend;
 use super::measure::{self, CrowdedPolicy, ProbeCounts, ProbeError};
+use super::outgoing::OutgoingRequest;
+use super::server_body::{BodyEnd, ServerBody, StreamingBody};
 use super::suspect_hold::SendDecision;
-use super::suspect_runs;
+use super::suspect_runs::{self, SuspectRun};
+use super::watched_send::WatchedSend;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
-use crate::fleet::crash::{DIGEST_PIECE_BYTES, request_digest, request_digest_in_pieces};
-use crate::fleet::document::{Repetition, RouteRule};
-use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::document::RouteRule;
 use crate::fleet::stream::HttpStream;
-use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead};
-use crate::ids::{RequestDigest, ServerId, ServiceName};
-use crate::suspension::{SuspensionDeadline, suspended_time};
+use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
+use crate::ids::{ServerId, ServiceName};
 
 /// Response bytes that are buffered until the body is complete, so that a broken response can be
 /// retried.
@@ -33,38 +30,6 @@
 /// Maximum size of the body of a skipped response.
 const MAX_SKIPPED_BYTES: usize = 1 << 20;
 
-/// Size up to which a request body is copied behind its head, so that both are written at once.
-const MAX_COPIED_BODY_BYTES: usize = 16 << 10;
-
-/// Request in the form that is sent to any server.
-pub struct OutgoingRequest {
-    /// Request id for logs.
-    pub id: Box<str>,
-    pub service: ServiceName,
-    pub method: Box<str>,
-    /// Request line and headers, without those that differ between sends.
-    head: Vec<u8>,
-    caller_head: RequestHead,
-    body: HeldBody,
-    digest: OnceCell<RequestDigest>,
-    /// Whether this is the only attempt that is allowed after a hold.
-    pub is_trial: Cell<bool>,
-    pub request_id: Option<Box<[u8]>>,
-    rule: Rc<RouteRule>,
-    pub idempotent: bool,
-    pub deadline: Instant,
-    /// Sends that may have reached a server, less those that the server refused without a run.
-    pub possible_runs: Cell<u32>,
-    /// The deadline, counting the time for which the machine is suspended.
-    real_deadline: SuspensionDeadline,
-}
-
-/// Body of a request, counted as held.
-pub struct HeldBody {
-    pub bytes: Vec<u8>,
-    pub _share: HeldShare,
-}
-
 /// Validated response of a server.
 pub struct ServerResponse {
     pub head: ResponseHead,
@@ -76,42 +41,6 @@
     pub deadline: Instant,
 }
 
-/// Body of a response, complete or still arriving.
-pub enum ServerBody {
-    Complete(Vec<u8>),
-    Streaming { buffered: Vec<u8>, stream: HttpStream, end: BodyEnd, framing: Option<BodyFraming> },
-}
-
-/// How the end of a streaming body is detected.
-pub enum BodyEnd {
-    Framed(BodyDecoder),
-    /// The server closes its side of the connection.
-    Close,
-}
-
-impl BodyEnd {
-    fn of(framing: Option<BodyFraming>) -> Self {
-        framing.map_or(Self::Close, |framing| Self::Framed(BodyDecoder::new(framing)))
-    }
-
-    /// Appends body bytes to `body` until the body is complete or longer than `limit`; returns whether
-    /// it is complete. Cancel-safe.
-    pub async fn read(
-        &mut self,
-        context: &EntryContext,
-        stream: &mut HttpStream,
-        body: &mut Vec<u8>,
-        limit: usize,
-    ) -> Result<bool, HttpError> {
-        match self {
-            Self::Framed(decoder) => {
-                stream.read_body_paced(decoder, body, limit, &context.server_pacer).await
-            }
-            Self::Close => Ok(stream.read_to_close(body, limit).await?),
-        }
-    }
-}
-
 /// Why a send returned no response that can be forwarded.
 #[derive(Debug, Error)]
 pub enum SendError {
@@ -157,23 +86,6 @@
         matches!(self, Self::Quarantined | Self::Held(_))
     }
 
-    /// Whether the server ended the connection before its response was complete. Timeouts and invalid
-    /// responses come from servers that did not crash, or from the network.
-    pub fn is_lost_connection(&self) -> bool {
-        match self {
-            Self::Broken(HttpError::Truncated) => true,
-            Self::Broken(HttpError::Io(error)) => matches!(
-                error.kind(),
-                io::ErrorKind::ConnectionReset
-                    | io::ErrorKind::ConnectionAborted
-                    | io::ErrorKind::BrokenPipe
-                    | io::ErrorKind::UnexpectedEof
-                    | io::ErrorKind::NotConnected
-            ),
-            _ => false,
-        }
-    }
-
     fn outcome(&self) -> SendOutcome {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
@@ -197,104 +109,6 @@
     }
 }
 
-impl OutgoingRequest {
-    /// Prepares a caller's request for `service`.
-    pub fn new(
-        context: &EntryContext,
-        id: Box<str>,
-        service: ServiceName,
-        mut caller_head: RequestHead,
-        body: HeldBody,
-        rule: Rc<RouteRule>,
-        deadline: Instant,
-    ) -> Self {
-        let header_names = *context.dialect.headers();
-        let request_id = caller_head.headers.get(header_names.request_id).map(Into::into);
-        let chunked = caller_head.framing == BodyFraming::Chunked;
-        caller_head.headers.remove_hop_by_hop();
-        for name in [header_names.deadline, header_names.expected_server, "expect"] {
-            caller_head.headers.remove(name);
-        }
-        if chunked {
-            // Cannot fail: a decimal number contains no control characters.
-            let _ =
-                caller_head.headers.set("content-length", body.bytes.len().to_string().as_bytes());
-        }
-        let mut head = Vec::with_capacity(512);
-        caller_head.write_to(&mut head);
-        // The blank line follows the headers that are added for each send.
-        head.truncate(head.len() - 2);
-        Self {
-            id,
-            service,
-            method: caller_head.method.clone(),
-            head,
-            caller_head,
-            body,
-            digest: OnceCell::new(),
-            is_trial: Cell::new(false),
-            request_id,
-            idempotent: rule.repetition == Repetition::Idempotent,
-            rule,
-            deadline,
-            possible_runs: Cell::default(),
-            real_deadline: SuspensionDeadline::new(deadline, context.known_suspension()),
-        }
-    }
-
-    /// Digest that identifies the request when it comes again. Computed once, when it is first needed:
-    /// most requests never need it. [`Self::prepare_digest`] comes first for a long body.
-    pub fn digest(&self) -> RequestDigest {
-        if let Some(digest) = self.digest.get() {
-            return *digest;
-        }
-        let digest = request_digest(&self.caller_head, &self.body.bytes);
-        // Fails only while the same digest is being prepared.
-        let _ = self.digest.set(digest);
-        digest
-    }
-
-    /// Computes the digest of a request with a long body without holding up other tasks.
-    pub async fn prepare_digest(&self) {
-        if self.body.bytes.len() > DIGEST_PIECE_BYTES {
-            let compute = || request_digest_in_pieces(&self.caller_head, &self.body.bytes);
-            self.digest.get_or_init(compute).await;
-        }
-    }
-
-    /// Time left, less the time for which the machine was suspended.
-    fn time_left(&self) -> Duration {
-        self.real_deadline.time_left(Instant::now(), suspended_time())
-    }
-
-    /// Encodes the head for one send, followed by the body if it is short; a long one is not copied.
-    fn encode(&self, context: &EntryContext, server: &ServerId, time_left: Duration) -> Vec<u8> {
-        let header_names = context.dialect.headers();
-        let time_left_ms = time_left.as_millis().max(1);
-        let mut bytes = Vec::with_capacity(self.head.len() + MAX_COPIED_BODY_BYTES);
-        bytes.extend_from_slice(&self.head);
-        for (name, value) in [
-            (header_names.deadline, &*time_left_ms.to_string()),
-            (header_names.expected_server, server),
-        ] {
-            bytes.extend_from_slice(name.as_bytes());
-            bytes.extend_from_slice(b": ");
-            bytes.extend_from_slice(value.as_bytes());
-            bytes.extend_from_slice(b"\r\n");
-        }
-        bytes.extend_from_slice(b"\r\n");
-        if self.long_body().is_empty() {
-            bytes.extend_from_slice(&self.body.bytes);
-        }
-        bytes
-    }
-
-    /// The body if it is written separately; otherwise nothing.
-    fn long_body(&self) -> &[u8] {
-        if self.body.bytes.len() > MAX_COPIED_BODY_BYTES { &self.body.bytes } else { &[] }
-    }
-}
-
 /// Counts a send as in flight until it ends or is cancelled.
 struct SendGuard {
     context: Rc<EntryContext>,
@@ -364,7 +178,7 @@
     let already_tried = tried.borrow().clone();
     let chosen =
         suspect_runs::choose_server(&context, &request, &already_tried, crowded_policy).await;
-    let (chosen, _suspect_run) = match chosen {
+    let (chosen, run) = match chosen {
         Ok(chosen) => chosen,
         Err(counts) => {
             context.return_trial(&request);
@@ -376,7 +190,7 @@
         }
     };
     tried.borrow_mut().push(chosen.server.clone());
-    let result = send_to(&context, &request, &chosen).await;
+    let result = send_to(&context, &request, &chosen, run).await;
     SendReport { server: Some(chosen.server), charged_at, result }
 }
 
@@ -384,6 +198,7 @@
     context: &Rc<EntryContext>,
     request: &Rc<OutgoingRequest>,
     chosen: &ChosenServer,
+    run: Option<SuspectRun>,
 ) -> Result<ServerResponse, SendError> {
     crate::log_routine!(
         "server_chosen",
@@ -397,7 +212,7 @@
     );
     let mut guard = SendGuard::new(context, &request.service, &chosen.server);
     let mut watched = None;
-    let result = exchange(context, request, chosen, &mut watched).await;
+    let result = exchange(context, request, chosen, run, &mut watched).await;
     guard.outcome = match &result {
         Ok(response) if response.head.status < 500 => SendOutcome::Success,
         Ok(_) => SendOutcome::Failure,
@@ -418,11 +233,13 @@
     result
 }
 
-/// Sends the request and reads its response; `watched` is set once anything is sent.
+/// Sends the request and reads its response; `watched` is set once anything is sent, until a response that
+/// is relayed takes it along.
 async fn exchange(
     context: &EntryContext,
-    request: &OutgoingRequest,
+    request: &Rc<OutgoingRequest>,
     chosen: &ChosenServer,
+    run: Option<SuspectRun>,
     watched: &mut Option<WatchedSend>,
 ) -> Result<ServerResponse, SendError> {
     // A request without an id needs a connection on which nothing else can be due.
@@ -445,7 +262,7 @@
     }
     let limits = HttpLimits::default();
     let bytes = request.encode(context, &chosen.server, time_left);
-    *watched = WatchedSend::begin(context, chosen);
+    *watched = WatchedSend::begin(context, chosen, run);
     // From here on the server may have received the request.
     request.possible_runs.update(|count| count + 1);
     let head_written = stream.write_until_response(&bytes).await.map_err(HttpError::from)?;
@@ -470,7 +287,11 @@
     let (server, rule) = (chosen.server.clone(), Rc::clone(&request.rule));
     let deadline = request.deadline;
     if !complete {
-        let body = ServerBody::Streaming { buffered, stream, end, framing };
+        // Now, because the request and its body are dropped before the response ends.
+        let watched = watched.take().map(|watched| watched.identify(request));
+        let status = head.status;
+        let body = StreamingBody { buffered, stream, end, framing, status, watched };
+        let body = ServerBody::Streaming(Box::new(body));
         return Ok(ServerResponse { head, body, server, rule, deadline });
     }
     // Without a request id, a late copy of this response would look like the next one.
--- a/src/fleet/entry/suspect_hold.rs
+++ b/src/fleet/entry/suspect_hold.rs
@@ -14,7 +14,7 @@
 pub const MAX_HOLD_TIME: Duration = Duration::from_secs(16);
 
 /// Time after its last crash for which a request is held. Evidence is no older, and some requests have no
-/// success that ends the hold, for example those with long responses.
+/// success that ends the hold, for example those without a length.
 pub const HOLD_MEMORY: Duration = Duration::from_secs(60);
 
 /// Maximum number of held requests; a full table takes no more.
--- a/src/fleet/entry/suspect_runs.rs
+++ b/src/fleet/entry/suspect_runs.rs
@@ -7,7 +7,7 @@
 
 use super::context::EntryContext;
 use super::measure::{self, CrowdedPolicy, ProbeCounts};
-use super::send::OutgoingRequest;
+use super::outgoing::OutgoingRequest;
 use crate::fleet::balance::{ChosenServer, rendezvous_score};
 use crate::ids::{RequestDigest, ServerId};
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -47,6 +47,8 @@
     write_wait: Duration,
     /// Arrival time of the newest bytes.
     last_read_at: Instant,
+    /// Latest time at which everything that had arrived was read, and the peer had not closed its side.
+    drained_at: Instant,
     /// Arrival time of the oldest buffered bytes, or of earlier bytes that were still in the buffer when
     /// they arrived.
     buffered_since: Instant,
@@ -64,6 +66,7 @@
             read_bytes,
             write_wait,
             last_read_at: now,
+            drained_at: now,
             buffered_since: now,
         }
     }
@@ -78,6 +81,11 @@
         self.last_read_at
     }
 
+    /// Time until which the peer had certainly not closed its side.
+    pub fn drained_at(&self) -> Instant {
+        self.drained_at
+    }
+
     /// Time at which the oldest buffered bytes arrived, or an earlier time.
     pub fn buffered_since(&self) -> Instant {
         self.buffered_since
@@ -103,14 +111,19 @@
             self.start = 0;
         }
         let unconsumed = self.input.len();
+        let mut is_drained = false;
         loop {
             self.stream.readable().await?;
+            if is_drained {
+                // The wait has only just ended.
+                self.drained_at = Instant::now();
+            }
             let length = self.input.len();
             self.input.resize(length + self.read_bytes, 0);
             let result = self.stream.try_read(&mut self.input[length..]);
             self.input.truncate(length + *result.as_ref().unwrap_or(&0));
             match result {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => is_drained = true,
                 result => {
                     self.last_read_at = Instant::now();
                     if unconsumed == 0 {
--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -17,14 +17,14 @@
 const MAX_CRASHED_SERVERS: usize = 6;
 
 /// Fleet with three members, two entries and servers of the service `rounds`.
-struct CrashSystem {
-    fleet: TestFleet,
-    entries: [TestEntry; 2],
-    servers: Vec<CrashServer>,
+pub struct CrashSystem {
+    pub fleet: TestFleet,
+    pub entries: [TestEntry; 2],
+    pub servers: Vec<CrashServer>,
 }
 
 impl CrashSystem {
-    fn start(server_count: usize) -> Self {
+    pub fn start(server_count: usize) -> Self {
         let servers: Vec<_> = (0..server_count).map(|_| CrashServer::start()).collect();
         let fleet = TestFleet::with_members(3);
         fleet.put_document(&document(1));
@@ -41,15 +41,15 @@
         Self { fleet, entries, servers }
     }
 
-    fn count(&self, part: &str) -> usize {
+    pub fn count(&self, part: &str) -> usize {
         self.servers.iter().map(|server| server.count(part)).sum()
     }
 
-    fn running_servers(&self) -> usize {
+    pub fn running_servers(&self) -> usize {
         self.servers.iter().filter(|server| server.is_running()).count()
     }
 
-    fn crash_reports(&self) -> u64 {
+    pub fn crash_reports(&self) -> u64 {
         self.entries.iter().map(|entry| entry.metric("entry_crashes_reported_total")).sum()
     }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod crash_evidence;
 mod crash_ledger;
 mod crash_model;
+mod crash_relay;
 mod crash_server;
 mod crash_settling;
 mod crash_watch;
