Say what a deadly request does in the daemons of the settings tree

Callers see 502 each time, and the request is sent on: there is no quarantine in that mode, and none is built.

Health and credits were read, not played.

--- a/tests/entry/retry.rs
+++ b/tests/entry/retry.rs
@@ -1,5 +1,8 @@
 //! Retries of a request.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use async_std::io::ReadExt;
 use async_std::net::TcpListener;
 use async_std::task;
@@ -38,3 +41,42 @@
         assert!(response.contains(r#""code":"server_failed","run":"unknown""#), "{response}");
     });
 }
+
+/// Starts a server that disconnects whenever it gets a request, as if it crashed and was back at once;
+/// counts the requests.
+async fn start_crashing_server(entry: &TestEntry, name: &str, request_count: &Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    entry.add_server("blue", name, listener.local_addr().expect("it is bound"), 4);
+    let request_count = Arc::clone(request_count);
+    task::spawn(async move {
+        loop {
+            let (mut connection, _) = listener.accept().await.expect("the entry connects");
+            let read = connection.read(&mut [0; 4096]).await;
+            request_count
+                .fetch_add(usize::from(read.is_ok_and(|count| count > 0)), Ordering::SeqCst);
+        }
+    });
+}
+
+/// Guards against a request that crashes its servers and is sent to more of them than its service allows
+/// attempts; nothing else limits it here.
+#[test]
+fn a_crashing_request_is_sent_no_more_often_than_attempts_allow() {
+    const ATTEMPTS: usize = 2;
+    task::block_on(async move {
+        let service = format!(r#""retry": {{ "attempts": {ATTEMPTS} }}"#);
+        let entry = TestEntry::start(&[("blue", &service)], ample_limits()).await;
+        let request_count = Arc::new(AtomicUsize::new(0));
+        for name in ["s1", "s2", "s3", "s4", "s5", "s6"] {
+            start_crashing_server(&entry, name, &request_count).await;
+        }
+        for call in 0..12 {
+            let count_before = request_count.load(Ordering::SeqCst);
+            let response = send(entry.address, &get("/blue")).await;
+            let sent_count = request_count.load(Ordering::SeqCst) - count_before;
+            println!("call {call}: {sent_count} sends, {}", response.lines().next().unwrap_or("-"));
+            assert!((1..=ATTEMPTS).contains(&sent_count), "{sent_count} sends: {response}");
+            assert!(response.contains(r#""code":"server_failed","run":"unknown""#), "{response}");
+        }
+    });
+}
