--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -1,7 +1,9 @@
 //! Tests of requests that crash servers, with real members and entries on loopback, and of the evidence
 //! against them.
 
-use std::net::SocketAddr;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use yare::parameterized;
 
@@ -15,14 +17,14 @@
 const MAX_CRASHED_SERVERS: usize = 6;
 
 /// Fleet with three members, two entries and servers of the service `rounds`.
-struct CrashSystem {
-    fleet: TestFleet,
-    entries: [TestEntry; 2],
-    servers: Vec<CrashServer>,
+pub struct CrashSystem {
+    pub fleet: TestFleet,
+    pub entries: [TestEntry; 2],
+    pub servers: Vec<CrashServer>,
 }
 
 impl CrashSystem {
-    fn start(server_count: usize) -> Self {
+    pub fn start(server_count: usize) -> Self {
         let servers: Vec<_> = (0..server_count).map(|_| CrashServer::start()).collect();
         let fleet = TestFleet::with_members(3);
         fleet.put_document(&document(1));
@@ -39,15 +41,15 @@
         Self { fleet, entries, servers }
     }
 
-    fn count(&self, part: &str) -> usize {
+    pub fn count(&self, part: &str) -> usize {
         self.servers.iter().map(|server| server.count(part)).sum()
     }
 
-    fn running_servers(&self) -> usize {
+    pub fn running_servers(&self) -> usize {
         self.servers.iter().filter(|server| server.is_running()).count()
     }
 
-    fn crash_reports(&self) -> u64 {
+    pub fn crash_reports(&self) -> u64 {
         self.entries.iter().map(|entry| entry.metric("entry_crashes_reported_total")).sum()
     }
 }
@@ -104,6 +106,27 @@
     assert_eq!(system.count(DEADLY), 3);
 }
 
+/// Guards against a crash that is not reported because the caller leaves while the body of the request is
+/// hashed; an unoptimized build takes longer for this one than the caller waits.
+#[test]
+fn a_crash_is_reported_although_the_caller_leaves_while_the_request_is_hashed() {
+    let system = CrashSystem::start(2);
+    let [entry, _] = &system.entries;
+    let body = format!("{}{LONG}", "x".repeat(8 << 20));
+    let text = format!(
+        "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut caller = TcpStream::connect(entry.traffic).expect("the entry accepts");
+    caller.write_all(text.as_bytes()).expect("the entry reads");
+    wait_for("a server to get the request", || system.count(LONG) == 1);
+    let server = system.servers.iter().find(|server| server.count(LONG) == 1);
+    server.expect("a server has the request").crash();
+    std::thread::sleep(Duration::from_millis(20));
+    drop(caller);
+    wait_for("the crash to be reported", || system.crash_reports() == 1);
+}
+
 /// Guards against copies of the same request at several entries that crash more servers than allowed
 /// before all entries know.
 #[test]
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod crash_ledger;
 mod crash_model;
 mod crash_overlap;
+mod crash_relay;
 mod crash_server;
 mod crash_settling;
 mod crash_watch;
