Repeat the check of a server whose address is silent

A crash was mostly lost as evidence if the check of the server's address got no answer within 40 ms: a lost packet, a busy line, an entry with a tenth of a core. After that only a new incarnation in the replica could confirm it, for 2 s, although crashed servers are away for 3 s and mostly come back under a new name. Callers got 502 as before, and the request went on to further servers.

Found by a reviewer by reading. The wait of the send for the report is bounded by itself (50 ms), so the check may go on behind it: it connects again, each time with twice the timeout, until the address refuses or accepts a connection or the evidence is 2 s old.

--- a/src/fleet/entry/watched_send.rs
+++ b/src/fleet/entry/watched_send.rs
@@ -9,11 +9,12 @@
 use futures_util::future::{Map, Shared};
 use tokio::net::TcpStream;
 use tokio::task::{JoinError, JoinHandle, spawn_local};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
 use super::context::EntryContext;
 use super::crash_evidence::{
-    BrokenSend, CrashProof, MAX_PENDING_EVIDENCE, MIN_RESTART_TIME, ReplicaVerdict, judge,
+    BrokenSend, CrashProof, EVIDENCE_PATIENCE, MAX_PENDING_EVIDENCE, MIN_RESTART_TIME,
+    ReplicaVerdict, judge,
 };
 use super::crash_outbox::NoticePosition;
 use super::outgoing::OutgoingRequest;
@@ -29,8 +30,9 @@
 /// can come again right after its response, at any entry.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
 
-/// Timeout of the connection attempt that checks a server. A host without the server refuses within a
-/// round trip; a part of [`MAX_REPORT_WAIT`] remains for the report.
+/// Timeout of the first connection attempt that checks a server. A host without the server refuses within
+/// a round trip; a part of [`MAX_REPORT_WAIT`] remains for the report. Each further attempt has twice as
+/// long, for lost packets and busy lines.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(40);
 
 /// Time after a lost connection for which the end of a send waits for control's decision on a request
@@ -240,12 +242,8 @@
 async fn check_server(context: &EntryContext, broken: BrokenSend) -> Option<NoticePosition> {
     let watch = &context.crash_watch;
     watch.running_checks.update(|count| count + 1);
-    let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(broken.address)).await;
+    let refused = refuses_connections(broken.address, broken.broken_at + EVIDENCE_PATIENCE).await;
     watch.running_checks.update(|count| count - 1);
-    let refused = matches!(
-        &connected,
-        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused
-    );
     let now = Instant::now();
     match judge_send(context, &broken) {
         ReplicaVerdict::PlannedStop => None,
@@ -260,6 +258,21 @@
     }
 }
 
+/// Whether the address refuses connections; `false` if it accepts one or is silent until `deadline`.
+async fn refuses_connections(address: SocketAddr, deadline: Instant) -> bool {
+    let mut attempt_timeout = CHECK_TIMEOUT;
+    while Instant::now() < deadline {
+        let attempt_deadline = (Instant::now() + attempt_timeout).min(deadline);
+        let connected = timeout_at(attempt_deadline.into(), TcpStream::connect(address)).await;
+        if let Ok(connected) = connected {
+            let error = connected.err().map(|error| error.kind());
+            return error == Some(io::ErrorKind::ConnectionRefused);
+        }
+        attempt_timeout *= 2;
+    }
+    false
+}
+
 fn judge_send(context: &EntryContext, broken: &BrokenSend) -> ReplicaVerdict {
     let state = context.state.borrow();
     judge(state.servers(), &broken.server, broken.started, broken.address)
--- a/tests/fleet/crash_server.rs
+++ b/tests/fleet/crash_server.rs
@@ -96,6 +96,9 @@
     }
 }
 
+/// Time for which the address of a server that has crashed answers no handshakes before it refuses them.
+const SILENT_TIME: Duration = Duration::from_millis(300);
+
 /// Duration of a long request.
 const LONG_RUN: Duration = Duration::from_millis(700);
 
@@ -111,6 +114,9 @@
     streams: Mutex<Vec<TcpStream>>,
     crashed: AtomicBool,
     tame: AtomicBool,
+    /// Whether the address is silent for [`SILENT_TIME`] after the crash.
+    silent: AtomicBool,
+    listener_silent: AtomicBool,
     listener_closed: AtomicBool,
 }
 
@@ -139,6 +145,15 @@
         self.state.crash();
     }
 
+    /// Ends the server; its address refuses connections only after [`SILENT_TIME`].
+    pub fn crash_silently(&self) {
+        self.state.silent.store(true, Ordering::SeqCst);
+        self.state.crashed.store(true, Ordering::SeqCst);
+        let is_silent = || self.state.listener_silent.load(Ordering::SeqCst);
+        wait_for("the listener to be silent", is_silent);
+        self.state.close_streams();
+    }
+
     /// Sets whether requests that would crash the server are served.
     pub fn set_tame(&self, is_tame: bool) {
         self.state.tame.store(is_tame, Ordering::SeqCst);
@@ -164,12 +179,25 @@
     fn crash(&self) {
         self.crashed.store(true, Ordering::SeqCst);
         wait_for("the listener to close", || self.listener_closed.load(Ordering::SeqCst));
+        self.close_streams();
+    }
+
+    fn close_streams(&self) {
         for stream in &*self.streams.lock().expect("no thread panics with the lock") {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
 }
 
+/// Fills the queue of a listener, so that further handshakes get no answer. The queue stays full while the
+/// returned connections exist.
+fn fill_queue(listener: &TcpListener) -> Vec<TcpStream> {
+    SockRef::from(listener).listen(0).expect("the queue can be shortened");
+    let address = listener.local_addr().expect("a listener has an address");
+    let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(50)).ok();
+    std::iter::from_fn(connect).collect()
+}
+
 fn accept(listener: TcpListener, state: &Arc<ServerState>) {
     listener.set_nonblocking(true).expect("a listener can be non-blocking");
     while !state.crashed.load(Ordering::SeqCst) {
@@ -184,6 +212,11 @@
         let state = Arc::clone(state);
         std::thread::spawn(move || serve(stream, &state));
     }
+    if state.silent.load(Ordering::SeqCst) {
+        let _queued = fill_queue(&listener);
+        state.listener_silent.store(true, Ordering::SeqCst);
+        std::thread::sleep(SILENT_TIME);
+    }
     drop(listener);
     state.listener_closed.store(true, Ordering::SeqCst);
 }
--- a/tests/fleet/crash_watch.rs
+++ b/tests/fleet/crash_watch.rs
@@ -127,6 +127,22 @@
     wait_for("the crash to be reported", || system.crash_reports() == 1);
 }
 
+/// Guards against a crash that is not reported because the first check of the server got no answer: its
+/// packets were lost, or the line was busy.
+#[test]
+fn a_crash_is_reported_although_the_address_is_silent_at_first() {
+    let system = CrashSystem::start(2);
+    let [entry, _] = &system.entries;
+    let traffic = entry.traffic;
+    let caller = std::thread::spawn(move || call(traffic, "POST", "/book/1", LONG));
+    wait_for("a server to get the request", || system.count(LONG) == 1);
+    let server = system.servers.iter().find(|server| server.count(LONG) == 1);
+    server.expect("a server has the request").crash_silently();
+    assert_eq!(caller.join().expect("the call ends").0, 502);
+    assert_eq!(system.crash_reports(), 0);
+    wait_for("the crash to be reported", || system.crash_reports() == 1);
+}
+
 /// Guards against copies of the same request at several entries that crash more servers than allowed
 /// before all entries know.
 #[test]
