Change idle limit and attempts in the soak of planned work

The documents of the soak differed in their version only, so that no request met a shorter idle limit or another number of attempts.

--- a/tests/fleet_process/planned_soak.rs
+++ b/tests/fleet_process/planned_soak.rs
@@ -16,7 +16,7 @@
 use rustix::process::Signal;
 use yare::parameterized;
 
-use crate::harness::{call, document, wait_for};
+use crate::harness::{call, document, document_with_limits, wait_for};
 use crate::planned_client::{RequestEnd, SoakClient, SoakRequest};
 use crate::support::{FleetChild, FleetProcesses, WorkServer};
 
@@ -40,6 +40,14 @@
     RestartAt(Instant),
 }
 
+/// Returns a document whose idle limit and number of attempts depend on its version. The shorter limits end
+/// connections that callers still use.
+fn changed_document(version: u64) -> String {
+    let idle_ms = [15_000, 300, 3000][version as usize % 3];
+    let max_attempts = format!(r#""max_attempts":{}"#, 1 + version % 2);
+    document_with_limits(version, idle_ms, 3000).replace(r#""max_attempts":2"#, &max_attempts)
+}
+
 /// Planned work on a fleet.
 struct PlannedWork {
     fleet: FleetProcesses,
@@ -135,8 +143,9 @@
         let versions = first..=self.version;
         std::thread::spawn(move || {
             for version in versions {
+                let text = changed_document(version);
                 let put = |operator: &SocketAddr| {
-                    call(*operator, "PUT", "/.curranthollow/document", &document(version)).0 == 200
+                    call(*operator, "PUT", "/.curranthollow/document", &text).0 == 200
                 };
                 operators.iter().any(put);
             }
