Wait until a process has stopped before a test counts it as frozen

settings::change_is_in_force_when_put_returns failed in 1 of 6 runs at a load of 17: the unfrozen entry answered by the settings from before the change. The test sends SIGSTOP and then a request that the entry must not read before it is continued.

Cause, by measurement: the signal takes effect late. In 6 freezes at a load of 10 some threads ran on in 3, for up to 3.4 ms, long enough to answer. That the failed run was this case is not shown, so the entry in KNOWN-RED.txt stays.

The harness now waits until all threads of the process are stopped.

--- a/tests/process/cluster.rs
+++ b/tests/process/cluster.rs
@@ -288,9 +288,11 @@
         child.wait().unwrap();
     }
 
-    /// Suspends a process with SIGSTOP.
+    /// Suspends a process with SIGSTOP and waits until all of its threads have stopped.
     pub fn freeze(&self, name: &str) {
         self.signal(name, Signal::STOP);
+        let process = self.nodes[name].child.as_ref().expect("the process is running").id();
+        wait_until("the process to stop", || is_stopped(process));
     }
 
     /// Continues a frozen process with SIGCONT.
@@ -472,3 +474,12 @@
     let value = action();
     (value, start.elapsed())
 }
+
+/// Whether all threads of a process are stopped by a signal.
+fn is_stopped(process: u32) -> bool {
+    let threads = fs::read_dir(format!("/proc/{process}/task")).expect("the process exists");
+    threads.flatten().all(|thread| {
+        let status = fs::read_to_string(thread.path().join("status"));
+        status.is_ok_and(|status| status.contains("State:\tT"))
+    })
+}
