Decide on waiting suspects when another request is convicted

Timeline from the logs: two crashing requests come at the same moments at three entries, so that each end of a server under one has an end under the other within 40 ms, like the servers of a failing rack. Both settle without a decision. The first is convicted 2.4 s after its first crash with its fifth one, which explains the ends under it. The second could be convicted at that moment, but waited for its next crash; its entries hold it for 1 s and 2 s, and the fifth crash came 3 s later.

Ruled out: lost reports and a late update; all of its crashes that count were at the leader, and all entries refused it as soon as it was convicted.

Suspects that wait are now decided on again after each conviction and each crash that one explains, as after a success.

--- a/src/fleet/crash/controller.rs
+++ b/src/fleet/crash/controller.rs
@@ -369,7 +369,7 @@
                 for digest in digests {
                     self.ledger.record_served(digest);
                 }
-                self.settling.record_served(now, &self.ledger);
+                self.settling.reconsider(now, &self.ledger);
             }
         }
     }
@@ -383,6 +383,7 @@
         let digest = report.digest;
         if quarantine.contains_key(&digest) || self.proposed.contains_key(&digest) {
             self.ledger.explain(digest, report.server, report.started);
+            self.settling.reconsider(now, &self.ledger);
             return None;
         }
         match self.ledger.add_crash(now, &report) {
@@ -432,6 +433,7 @@
         let digest = report.digest;
         self.settling.remove(digest);
         self.ledger.convict(digest);
+        self.settling.reconsider(now, &self.ledger);
         let crashes = self.ledger.counted_crashes(digest);
         if quarantine.len() + self.proposed.len() >= MAX_QUARANTINED {
             self.counts.refusals += 1;
--- a/src/fleet/crash/settling.rs
+++ b/src/fleet/crash/settling.rs
@@ -30,7 +30,8 @@
 #[derive(Debug, Default)]
 pub struct SettlingSuspects {
     settling: BTreeMap<RequestDigest, SettlingSuspect>,
-    /// Suspects that have settled and were not decided: the next crash or a success tells them apart.
+    /// Suspects that have settled and were not decided: the next crash, a success, or a conviction that
+    /// explains crashes of others tells them apart.
     waiting: BTreeMap<RequestDigest, CrashReport>,
 }
 
@@ -61,8 +62,9 @@
         self.waiting.remove(&digest);
     }
 
-    /// Brings waiting suspects to a decision after a success: what may explain their crashes may be cleared.
-    pub fn record_served(&mut self, now: Instant, ledger: &CrashLedger) {
+    /// Brings waiting suspects to a decision after a change of the evidence: what may have caused their
+    /// crashes may be cleared by a success, or explained by a conviction.
+    pub fn reconsider(&mut self, now: Instant, ledger: &CrashLedger) {
         self.settling.retain(|digest, _| ledger.is_due(now, *digest));
         for (digest, report) in std::mem::take(&mut self.waiting) {
             if !ledger.is_due(now, digest) {
--- a/tests/fleet/crash_settling.rs
+++ b/tests/fleet/crash_settling.rs
@@ -174,3 +174,17 @@
     assert_eq!(convicted(&events, 1000), []);
     assert_eq!(convicted(&events, 1041), [DEADLY]);
 }
+
+/// Guards against a crashing request that waits for its next crash although another one has been convicted
+/// that explains why servers without the first one ended at the same moments.
+#[test]
+fn the_conviction_of_another_request_convicts_a_suspect() {
+    let mut events = Vec::new();
+    for (at, server, other_server) in [(200, "a", "b"), (400, "c", "d"), (600, "e", "f")] {
+        events.push((at, Crash(DEADLY, server)));
+        events.push((at + 5, Crash(OTHER, other_server)));
+    }
+    events.extend([(1000, Crash(OTHER, "g")), (1200, Crash(OTHER, "h"))]);
+    assert_eq!(convicted(&events, 1200), []);
+    assert_eq!(convicted(&events, 1250), [OTHER, DEADLY]);
+}
