--- a/src/admin.rs
+++ b/src/admin.rs
@@ -3,15 +3,18 @@
 //! On sockets of its own, `tide` would parse requests with `async-h1`, which accepts truncated and
 //! ambiguous ones. Here `tide` receives only complete, validated requests.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender, bounded};
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
-use futures_util::StreamExt;
+use futures_util::future::{Either, select};
 use tide::http::{Method, Request, Response, Url};
 
+use crate::deadline::with_timeout;
 use crate::http::{
     CallerConnection, HttpError, HttpLimits, HttpVersion, RequestBody, RequestHead, ResponseHead,
 };
@@ -25,43 +28,124 @@
 /// Delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves `app` on `listener` until the process exits.
-pub fn serve<S>(listener: TcpListener, mut app: tide::Server<S>)
-where
-    S: Clone + Send + Sync + 'static,
-{
-    app.with(tide::utils::After(set_error_body));
-    task::spawn(async move {
-        let open_count = Arc::new(AtomicUsize::new(0));
-        let mut incoming = listener.incoming();
-        while let Some(stream) = incoming.next().await {
-            let Ok(stream) = stream else {
-                // Usually the process has no file descriptors left; the delay avoids a busy loop.
-                task::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
-            if open_count.fetch_add(1, Ordering::Relaxed) >= MAX_OPEN_CONNECTIONS {
-                open_count.fetch_sub(1, Ordering::Relaxed);
-                continue;
-            }
-            let app = app.clone();
-            let open_count = Arc::clone(&open_count);
-            task::spawn(async move {
-                if let Err(error) = serve_connection(stream, app).await {
-                    log::debug!(code = error.code(), error:%; "operator connection failed");
+/// Interval at which a stopping process checks whether all connections are closed.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Server of the operator port. Clones share the same state.
+#[derive(Clone)]
+pub struct AdminServer {
+    shared: Arc<SharedServer>,
+}
+
+struct SharedServer {
+    open_connections: AtomicUsize,
+    /// Closed when the process stops.
+    stopping: (Sender<()>, Receiver<()>),
+}
+
+impl Default for AdminServer {
+    fn default() -> Self {
+        let shared = SharedServer { open_connections: AtomicUsize::new(0), stopping: bounded(1) };
+        Self { shared: Arc::new(shared) }
+    }
+}
+
+impl AdminServer {
+    /// Serves `app` on `listener` until the process stops.
+    pub fn serve<S>(&self, listener: TcpListener, mut app: tide::Server<S>)
+    where
+        S: Clone + Send + Sync + 'static,
+    {
+        app.with(tide::utils::After(set_error_body));
+        let server = self.clone();
+        task::spawn(async move {
+            loop {
+                let stream = match select(pin!(server.stopping()), pin!(listener.accept())).await {
+                    Either::Left(_) => return,
+                    Either::Right((Ok((stream, _)), _)) => stream,
+                    Either::Right((Err(_), _)) => {
+                        // Usually the process has no file descriptors left; the delay avoids a
+                        // busy loop.
+                        task::sleep(ACCEPT_RETRY_DELAY).await;
+                        continue;
+                    }
+                };
+                let connection_guard = ConnectionGuard::new(&server);
+                if server.open_connections() > MAX_OPEN_CONNECTIONS {
+                    continue;
                 }
-                open_count.fetch_sub(1, Ordering::Relaxed);
-            });
-        }
-    });
+                let (app, server) = (app.clone(), server.clone());
+                task::spawn(async move {
+                    if let Err(error) = serve_connection(stream, app, &server).await {
+                        log::debug!(code = error.code(), error:%; "operator connection failed");
+                    }
+                    drop(connection_guard);
+                });
+            }
+        });
+    }
+
+    /// Waits until the process stops. Handlers that wait for an event answer then.
+    pub async fn stopping(&self) {
+        let _ = self.shared.stopping.1.recv().await;
+    }
+
+    /// Whether the process stops.
+    pub fn is_stopping(&self) -> bool {
+        self.shared.stopping.0.is_closed()
+    }
+
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.shared.open_connections.load(Ordering::Relaxed)
+    }
+
+    /// Closes the listener and idle connections, and lets waiting handlers answer.
+    pub fn stop(&self) {
+        self.shared.stopping.0.close();
+    }
+
+    /// Waits until all connections are closed, at most for `limit`.
+    pub async fn finish(&self, limit: Duration) {
+        let connections_closed = async {
+            while self.open_connections() > 0 {
+                task::sleep(CLOSE_CHECK_INTERVAL).await;
+            }
+        };
+        let _ = with_timeout(limit, connections_closed).await;
+    }
+}
+
+/// Guard that counts one open connection.
+struct ConnectionGuard(AdminServer);
+
+impl ConnectionGuard {
+    fn new(server: &AdminServer) -> Self {
+        server.shared.open_connections.fetch_add(1, Ordering::Relaxed);
+        Self(server.clone())
+    }
 }
 
-async fn serve_connection<S>(stream: TcpStream, app: tide::Server<S>) -> Result<(), HttpError>
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.shared.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve_connection<S>(
+    stream: TcpStream,
+    app: tide::Server<S>,
+    server: &AdminServer,
+) -> Result<(), HttpError>
 where
     S: Clone + Send + Sync + 'static,
 {
     let mut connection = CallerConnection::new(stream, HttpLimits::default())?;
     loop {
+        if !wait_for_input(&mut connection, server).await? {
+            connection.close_lingering().await;
+            return Ok(());
+        }
         let head = match connection.next_head().await {
             Ok(Some(head)) => head,
             Ok(None) => return Ok(()),
@@ -79,7 +163,7 @@
             },
             None => Response::new(400),
         };
-        let keep_alive = head.keep_alive();
+        let keep_alive = head.keep_alive() && !server.is_stopping();
         send_response(&mut connection, &head, response, keep_alive).await?;
         if !keep_alive {
             return Ok(());
@@ -87,6 +171,19 @@
     }
 }
 
+/// Waits for the first bytes of a request; `false` when the peer closed the connection or the process
+/// stops.
+async fn wait_for_input(
+    connection: &mut CallerConnection,
+    server: &AdminServer,
+) -> Result<bool, HttpError> {
+    // Input is polled first, so that a request that has arrived is answered.
+    match select(pin!(connection.wait_for_input()), pin!(server.stopping())).await {
+        Either::Left((arrival, _)) => arrival,
+        Either::Right(_) => Ok(false),
+    }
+}
+
 /// Puts the error message of a failed route into the body, which `tide` leaves empty.
 async fn set_error_body(mut response: tide::Response) -> tide::Result {
     if let Some(message) = response.error().map(ToString::to_string) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod machines;
 mod operator;
+mod operator_error;
 mod process;
 mod routes;
 
@@ -28,13 +29,14 @@
 use self::process::{
     ControlThread, ControlThreadParts, RunningGroups, RunningGroupsCell, TICK_INTERVAL,
 };
+use crate::admin::AdminServer;
 use crate::config::ProcessConfig;
 use crate::consensus::formation::{
     ClusterFormation, FormationAction, FormationEvent, Membership, membership_of,
 };
 use crate::consensus::host::{ConsensusHost, GroupSpec, HostConfig, HostError};
 use crate::consensus::members::MemberSet;
-use crate::entry::CLAIM_GROUP_COUNT;
+use crate::entry::{CLAIM_GROUP_COUNT, OPERATOR_STOP_LIMIT};
 use crate::ids::{GroupId, MemberId};
 use crate::link::{
     HelloMessage, LinkConfig, LinkEvent, LinkHub, LinkTarget, ProcessRole, WireMessage,
@@ -91,6 +93,7 @@
     hub: LinkHub,
     timers: TimerService,
     groups: RunningGroupsCell,
+    operator_server: AdminServer,
     fatal_errors: Receiver<ControlError>,
 }
 
@@ -157,6 +160,7 @@
                 hub.connect(LinkTarget { name: peer.name.clone(), address: peer.link });
             }
         }
+        let operator_server = AdminServer::default();
         let state = OperatorState {
             name: config.name.clone(),
             member,
@@ -165,9 +169,10 @@
             input_queue,
             hub: hub.clone(),
             metrics: ProcessMetrics::new(),
+            server: operator_server.clone(),
         };
         operator::serve(Arc::new(state), listeners.operator.into());
-        Ok(Self { hub, timers, groups, fatal_errors })
+        Ok(Self { hub, timers, groups, operator_server, fatal_errors })
     }
 
     /// Waits for a fatal error; returns `None` when the process stops without one.
@@ -175,8 +180,10 @@
         self.fatal_errors.recv().await.ok()
     }
 
-    /// Transfers the leadership of all groups to other members, then stops the process.
+    /// Transfers the leadership of all groups to other members, answers the calls of operators, then
+    /// stops the process.
     pub async fn stop(&self) {
+        self.operator_server.stop();
         if let Some(groups) = self.groups.get() {
             let transfer = groups.host.transfer_leadership(None);
             let _ = async_std::future::timeout(LEADERSHIP_TRANSFER_TIMEOUT, transfer).await;
@@ -189,6 +196,7 @@
                 async_std::future::timeout(LEADERSHIP_TRANSFER_TIMEOUT, leadership_released).await;
             groups.host.stop().await;
         }
+        self.operator_server.finish(OPERATOR_STOP_LIMIT).await;
         self.hub.stop();
         self.timers.stop();
     }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -1,5 +1,6 @@
 //! Operator's HTTP interface of a control process: settings, status, metrics and dump.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,15 +8,17 @@
 use async_std::future::timeout;
 use async_std::net::TcpListener;
 use async_std::task;
+use futures_util::future::{Either, select};
 use serde::Serialize;
 use tide::{Request, Response};
 
 use super::machines::encode;
+use super::operator_error::OperatorError;
 use super::process::{
     ControlInput, LeaseReport, RunningGroups, RunningGroupsCell, SETTINGS_GROUP, leader_name,
 };
 use super::routes::MemberNames;
-use crate::admin::{self, json_response};
+use crate::admin::{AdminServer, json_response};
 use crate::consensus::host::{ConfirmError, GroupStatus, ProposeError};
 use crate::generated::operator::{
     ChangeReply, ChangeRequest, ChangeVerb, DocumentError, OutcomeName,
@@ -58,61 +61,15 @@
     pub hub: LinkHub,
     /// Metrics of the process.
     pub metrics: ProcessMetrics,
+    /// Server of the operator port, by which handlers learn that the process stops.
+    pub server: AdminServer,
 }
 
 type State = Arc<OperatorState>;
 
-/// Error response to a request of the operator.
-#[derive(Debug, thiserror::Error)]
-enum OperatorError {
-    #[error("the control cluster is not formed yet")]
-    Unformed,
-    #[error("this process does not lead the settings group")]
-    NotLeader(Option<ProcessName>),
-    #[error("too many requests wait; nothing was changed")]
-    Busy,
-    #[error("the outcome is unknown; send the same change again to learn it")]
-    Unknown,
-    #[error("the change is accepted, but not known to be in force everywhere; send it again")]
-    NotInForce,
-    #[error("the token is missing or wrong")]
-    Unauthorized,
-    #[error("the branch or service does not exist")]
-    NotFound,
-    #[error("the request is invalid: {0}")]
-    Invalid(Box<SchemaError>),
-    #[error("the request body is not UTF-8")]
-    NotUtf8,
-}
-
-/// Body of an error response.
-#[derive(Serialize)]
-struct ErrorBody {
-    error: String,
-    leader: Option<ProcessName>,
-}
-
-impl OperatorError {
-    fn response(self) -> Response {
-        let status = match &self {
-            Self::Unformed | Self::Busy => 503,
-            Self::NotLeader(_) => 421,
-            Self::Unknown | Self::NotInForce => 504,
-            Self::Unauthorized => 403,
-            Self::NotFound => 404,
-            Self::Invalid(_) | Self::NotUtf8 => 400,
-        };
-        let error = self.to_string();
-        let leader = match self {
-            Self::NotLeader(leader) => leader,
-            _ => None,
-        };
-        json_response(status, &ErrorBody { error, leader })
-    }
-}
-
 /// Serves the operator's interface.
 pub fn serve(state: State, listener: TcpListener) {
+    let server = state.server.clone();
     let mut app = tide::with_state(state);
     app.at("/health").get(|request| answer(request, get_health));
     app.at("/metrics").get(|request| answer(request, get_metrics));
@@ -123,7 +80,7 @@
     app.at("/settings/:branch/history").get(|request| answer(request, get_history));
     app.at("/settings/:branch/watch/:after").get(|request| answer(request, watch_settings));
     app.at("/settings/:branch/effective/:service").get(|request| answer(request, get_effective));
-    admin::serve(listener, app);
+    server.serve(listener, app);
 }
 
 async fn answer<F>(
@@ -245,7 +202,7 @@
 }
 
 /// Responds with the branch once its version is above `after`, or with the current version after
-/// [`WATCH_TIMEOUT`].
+/// [`WATCH_TIMEOUT`] or when the process stops.
 async fn watch_settings(request: Request<State>) -> Result<Response, OperatorError> {
     let groups = confirm_leadership(request.state()).await?;
     let branch = path_parameter(&request, "branch");
@@ -260,7 +217,8 @@
             task::sleep(WATCH_POLL_INTERVAL).await;
         }
     };
-    let _ = timeout(WATCH_TIMEOUT, wait_for_newer_version).await;
+    let wait_for_newer_version = timeout(WATCH_TIMEOUT, wait_for_newer_version);
+    let _ = select(pin!(wait_for_newer_version), pin!(request.state().server.stopping())).await;
     confirm_leadership(request.state()).await?;
     branch_response(groups, &branch)
 }
@@ -309,13 +267,18 @@
     let token = bearer_token_sha256(&request).ok_or(OperatorError::Unauthorized)?;
     let change = build_change(change_request, token);
     let state = request.state();
+    // The change would have to be in force before the process exits.
+    if state.server.is_stopping() {
+        return Err(OperatorError::Stopping);
+    }
     let groups = running_groups(state)?;
     let outcome = propose_change(state, groups, &change).await?;
     if let ChangeOutcome::Accepted { revision, .. } = outcome {
         let (sender, receiver) = async_channel::bounded(1);
         let _ = state.input_queue.send(ControlInput::TrackChange(revision, sender)).await;
-        match timeout(IN_FORCE_TIMEOUT, receiver.recv()).await {
-            Ok(Ok(true)) => (),
+        let in_force = timeout(IN_FORCE_TIMEOUT, receiver.recv());
+        match select(pin!(in_force), pin!(state.server.stopping())).await {
+            Either::Left((Ok(Ok(true)), _)) => (),
             _ => return Err(OperatorError::NotInForce),
         }
         log::info!(branch:% = change.branch, change_id:% = change.change_id, revision; "settings change in force");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -49,6 +49,7 @@
 use thiserror::Error;
 
 use self::control::EntryControl;
+use crate::admin::AdminServer;
 use crate::claim::SettleClaim;
 use crate::config::ProcessConfig;
 use crate::http::HttpLimits;
@@ -71,6 +72,9 @@
 /// Interval at which a stopping process checks whether its callers' connections are closed.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest wait of a stopping process for the responses to operators' calls.
+pub const OPERATOR_STOP_LIMIT: Duration = Duration::from_secs(2);
+
 /// Bound listeners of an entry.
 #[derive(Debug)]
 pub struct EntryListeners {
@@ -106,6 +110,7 @@
     context: Arc<EntryContext>,
     hub: LinkHub,
     timers: TimerService,
+    operator: AdminServer,
     /// Task that accepts callers; taken by the first stop.
     accept_task: Mutex<Option<JoinHandle<()>>>,
     shutdown_delay: Duration,
@@ -167,10 +172,11 @@
         for target in link_targets(config) {
             hub.connect(target);
         }
-        operator::serve(Arc::clone(&context), listeners.operator.into());
+        let operator = operator::serve(Arc::clone(&context), listeners.operator.into());
         let accept_task = traffic::listen(Arc::clone(&context), listeners.traffic.into());
         let accept_task = Mutex::new(Some(accept_task));
-        Ok(Self { context, hub, timers, accept_task, shutdown_delay: config.shutdown_delay })
+        let shutdown_delay = config.shutdown_delay;
+        Ok(Self { context, hub, timers, operator, accept_task, shutdown_delay })
     }
 
     /// Returns the shared state of the entry.
@@ -200,6 +206,8 @@
             // Gives the link's writer time to send the message to the control leader.
             task::sleep(IDLE_CHECK_INTERVAL).await;
         }
+        self.operator.stop();
+        self.operator.finish(OPERATOR_STOP_LIMIT).await;
         self.context.advance("idle");
         self.halt();
     }
--- a/src/entry/operator.rs
+++ b/src/entry/operator.rs
@@ -8,21 +8,23 @@
 
 use super::context::EntryContext;
 use super::control::ControlInput;
-use crate::admin;
+use crate::admin::{self, AdminServer};
 
 /// Media type of the OpenMetrics text format.
 pub const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 type State = Arc<EntryContext>;
 
-/// Serves the operator's HTTP interface.
-pub fn serve(context: State, listener: TcpListener) {
+/// Serves the operator's HTTP interface; the returned server can be stopped.
+pub fn serve(context: State, listener: TcpListener) -> AdminServer {
     let mut app = tide::with_state(context);
     app.at("/health").get(health);
     app.at("/metrics").get(metrics);
     app.at("/dump").get(dump);
     app.at("/status").get(dump);
-    admin::serve(listener, app);
+    let server = AdminServer::default();
+    server.serve(listener, app);
+    server
 }
 
 async fn health(request: Request<State>) -> tide::Result {
--- a/tests/process/stops.rs
+++ b/tests/process/stops.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use super::client::Call;
-use super::cluster::{ClusterOptions, DEFAULT_LEASE, TestCluster};
+use super::cluster::{ClusterOptions, DEFAULT_LEASE, ROOT_TOKEN, TestCluster, numbered_document};
+use super::cluster::{TEAM_TOKEN, replace_request};
 use super::support::{WAIT_LIMIT, wait_until};
 
 /// Threads that open connections during a stop.
@@ -151,3 +152,47 @@
     }
     cluster.wait_for_exit("entry-1");
 }
+
+// Guards against a stopping control process that cuts off an operator's waiting call.
+#[test]
+fn a_watch_call_is_answered_when_its_process_stops() {
+    let mut cluster = start_cluster();
+    let leader = cluster.leader();
+    let stream = connect(cluster.nodes[&leader].operator).unwrap();
+    let token = format!("authorization: Bearer {ROOT_TOKEN}\r\n");
+    let request = get_request("/settings/root/watch/1000", &token);
+    let result = thread::scope(|scope| {
+        let call = scope.spawn(move || exchange_raw(stream, &request));
+        thread::sleep(Duration::from_millis(500));
+        cluster.terminate(&leader);
+        call.join().unwrap()
+    });
+    assert!(matches!(result, RawResult::Answered(200 | 421 | 503)), "{result:?}");
+    cluster.wait_for_exit(&leader);
+}
+
+// Guards against a stopping control process that cuts off a settings change without an outcome.
+#[test]
+fn a_settings_change_is_answered_when_its_process_stops() {
+    let mut cluster = start_cluster();
+    let leader = cluster.leader();
+    // The change stays unconfirmed, because the entry does not install it.
+    cluster.freeze("entry-1");
+    let stream = connect(cluster.nodes[&leader].operator).unwrap();
+    let body = replace_request("demo", 1, "stop-1", &numbered_document(1));
+    let body = serde_json::to_string(&body).unwrap();
+    let request = format!(
+        "PUT /settings HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+         authorization: Bearer {TEAM_TOKEN}\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let result = thread::scope(|scope| {
+        let call = scope.spawn(move || exchange_raw(stream, &request));
+        thread::sleep(Duration::from_millis(500));
+        cluster.terminate(&leader);
+        call.join().unwrap()
+    });
+    assert!(matches!(result, RawResult::Answered(200 | 504)), "{result:?}");
+    cluster.wait_for_exit(&leader);
+    cluster.unfreeze("entry-1");
+}
