Let members that were removed while they were away join again

Cause: the leader replaces a voter that is silent for 0.7 s. It returns with its disk and a member list that names it, gets messages from no leader, and sends no join request, so it stays out and the fleet is one member short.

Ruled out: log storage and elections; the others go on.

Change: a member without a leader also sends join requests, with the log index since which its list names it. A member whose committed list is newer and lacks that id answers Removed; the removed member saves a new id and joins under it, with its log. An old id is never used again, and a new one has given no votes, so agreement doesn't depend on what was removed.

Failed before: without the answer Removed, five cases of fleet_members ("the removed member to join again", one member less) and the process test ("timed out waiting for the member to read"). After: all of consensus (73) and fleet::members (7) pass.

--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -60,6 +60,10 @@
     SnapshotSaved(SharedSnapshot),
     /// The snapshot of an `InstallSnapshot` action is synced and restored into the state machine.
     SnapshotInstalled(SharedSnapshot),
+    /// This member was removed and has durably taken the new id `member`. It keeps its log.
+    IdentityReplaced {
+        member: MemberId,
+    },
 }
 
 /// Reason why a request was refused. A refused request adds nothing to the log.
@@ -265,6 +269,7 @@
             RaftEvent::Persisted { sequence } => self.on_persisted(sequence),
             RaftEvent::SnapshotSaved(snapshot) => self.on_snapshot_saved(snapshot),
             RaftEvent::SnapshotInstalled(snapshot) => self.on_snapshot_installed(snapshot),
+            RaftEvent::IdentityReplaced { member } => self.on_identity_replaced(member),
         }
         self.emit_persist();
         if before != (self.role, self.hard_state.term, self.leader) {
@@ -307,6 +312,18 @@
         self.member_sets.last_key_value().expect("the member set at the base is always kept").1
     }
 
+    /// Index from which on the member set in effect applies.
+    pub fn members_index(&self) -> LogIndex {
+        *self.member_sets.last_key_value().expect("the member set at the base is always kept").0
+    }
+
+    /// Latest committed member set, and the index from which on it applies.
+    pub fn committed_members(&self) -> (LogIndex, &MemberSet) {
+        let committed = self.member_sets.range(..=self.commit_index).next_back();
+        let (&index, members) = committed.expect("the member set at the base is always kept");
+        (index, members)
+    }
+
     /// Builds a snapshot from `data`, the state machine's state at `index`; `None` if `index` is
     /// not committed or was compacted.
     pub fn snapshot_at(&self, index: LogIndex, data: Vec<u8>) -> Option<Snapshot> {
@@ -452,11 +469,7 @@
         if let Some(refusal) = self.proposal_refusal() {
             return Err(refusal);
         }
-        let members_index = *self
-            .member_sets
-            .last_key_value()
-            .expect("the member set at the base is always kept")
-            .0;
+        let members_index = self.members_index();
         // Two concurrent changes, or one before an entry of the current term is committed, could
         // result in two majorities that have no member in common.
         if members_index > self.commit_index || self.commit_index < self.term_start_index {
@@ -479,6 +492,15 @@
         }
     }
 
+    fn on_identity_replaced(&mut self, member: MemberId) {
+        self.become_follower(self.hard_state.term, None);
+        self.votes.clear();
+        self.incoming_snapshot = None;
+        // They answer for the old id.
+        self.persist.deferred_messages.clear();
+        self.member = member;
+    }
+
     /// Advances the commit index and emits the newly committed entries.
     pub(super) fn set_commit_index(&mut self, index: LogIndex) {
         let index = index.min(self.log.last_index());
--- a/src/consensus/replicate.rs
+++ b/src/consensus/replicate.rs
@@ -287,12 +287,7 @@
     /// Sends the commit index to the others and steps down if this leader is no longer a voter in
     /// the committed member set.
     fn step_down_if_removed(&mut self) {
-        let members_index = *self
-            .member_sets
-            .last_key_value()
-            .expect("the member set at the base is always kept")
-            .0;
-        if members_index > self.commit_index || self.members().is_voter(self.member) {
+        if self.members_index() > self.commit_index || self.members().is_voter(self.member) {
             return;
         }
         self.send_heartbeats();
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -28,6 +28,7 @@
 use crate::fleet::state::{FleetCommand, FleetState};
 use crate::fleet::update::CompactUpdate;
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber, ZoneName};
+use crate::storage::{FormedIdentity, StoredIdentity};
 use crate::{log_info, log_warn};
 
 /// Time after which a forwarded call without a reply is abandoned.
@@ -56,6 +57,10 @@
     heartbeat: Duration,
     seeds: Vec<SocketAddr>,
     member: MemberId,
+    /// Member list at the formation, which stays when the member takes a new id.
+    formed: Option<FormedIdentity>,
+    /// Whether a new id is being saved.
+    is_rejoining: bool,
     node: RaftNode,
     state: FleetState,
     applied: LogIndex,
@@ -97,7 +102,7 @@
     pub survivable_losses: usize,
     pub heartbeat: Duration,
     pub seeds: Vec<SocketAddr>,
-    pub member: MemberId,
+    pub identity: StoredIdentity,
     pub node: RaftNode,
     pub state: FleetState,
     pub snapshot_index: LogIndex,
@@ -113,7 +118,9 @@
             survivable_losses: parts.survivable_losses,
             heartbeat: parts.heartbeat,
             seeds: parts.seeds,
-            member: parts.member,
+            member: parts.identity.member,
+            formed: parts.identity.formed,
+            is_rejoining: false,
             node: parts.node,
             applied: parts.snapshot_index,
             state: parts.state,
@@ -305,7 +312,10 @@
                 }
                 self.on_raft(now, message);
             }
-            LinkMessage::Join { name, member } => self.on_join(now, from, name, member),
+            LinkMessage::Join { name, member, listed_at } => {
+                self.on_join(now, from, name, member, listed_at);
+            }
+            LinkMessage::Removed { member } => self.on_removed(member),
             LinkMessage::Forward { request, call } => {
                 self.last_request += 1;
                 let waiter = CallWaiter::Remote { to: from.clone(), request };
@@ -350,6 +360,7 @@
     pub fn on_disk_report(&mut self, now: Instant, report: DiskReport) {
         let saved = matches!(report, DiskReport::SnapshotSaved { .. });
         let event = match report {
+            DiskReport::IdentitySaved { member } => return self.on_identity_saved(now, member),
             DiskReport::Appended { sequence } => RaftEvent::Persisted { sequence },
             DiskReport::SnapshotSaved { snapshot, installed: false } => {
                 RaftEvent::SnapshotSaved(snapshot)
--- a/src/fleet/control/core/upkeep.rs
+++ b/src/fleet/control/core/upkeep.rs
@@ -6,11 +6,13 @@
 
 use super::{CallWaiter, ControlCore};
 use crate::consensus::RaftEvent;
+use crate::fleet::control::disk::{self, DiskJob};
 use crate::fleet::link::{ForwardCall, LinkMessage};
-use crate::fleet::placement;
 use crate::fleet::state::FleetCommand;
-use crate::ids::{MemberId, ProcessName};
+use crate::fleet::{placement, rejoin};
+use crate::ids::{LogIndex, MemberId, ProcessName};
 use crate::log_info;
+use crate::storage::StoredIdentity;
 
 impl ControlCore {
     /// Records a join request, or passes it to the leader: a joining member may know only followers.
@@ -20,16 +22,45 @@
         from: &ProcessName,
         name: ProcessName,
         member: MemberId,
+        listed_at: Option<LogIndex>,
     ) {
+        if rejoin::is_removed(&self.node, member, listed_at) {
+            if let Ok(address) = name.parse() {
+                self.peers.send(address, &LinkMessage::Removed { member });
+            }
+            return;
+        }
         let leader = self.node.leader().filter(|leader| *leader != self.member);
         if let Some(address) = leader.and_then(|leader| self.address_of(leader))
             && *from == name
         {
-            self.peers.send(address, &LinkMessage::Join { name, member });
+            self.peers.send(address, &LinkMessage::Join { name, member, listed_at });
+            return;
+        }
+        if !self.node.members().contains(member) {
+            self.join_requests.insert(name, (member, now));
+            self.propose_member_change(now);
+        }
+    }
+
+    /// Takes a new id if this member was removed under its present one.
+    pub(super) fn on_removed(&mut self, member: MemberId) {
+        if member != self.member || self.is_rejoining {
             return;
         }
-        self.join_requests.insert(name, (member, now));
-        self.propose_member_change(now);
+        self.is_rejoining = true;
+        let member = disk::random_member_id(fastrand::u64(..));
+        let identity = StoredIdentity { member, formed: self.formed.clone() };
+        // The disk thread runs until the process exits, so the send cannot fail.
+        let _ = self.disk.send(DiskJob::SaveIdentity(identity));
+    }
+
+    pub(super) fn on_identity_saved(&mut self, now: Instant, member: MemberId) {
+        log_info!("member_rejoins", "removed={:016x} member={member:016x}", self.member);
+        self.is_rejoining = false;
+        self.member = member;
+        self.handle(now, RaftEvent::IdentityReplaced { member });
+        self.send_join_requests();
     }
 
     pub(super) fn propose_member_change(&mut self, now: Instant) {
@@ -46,9 +77,11 @@
         }
     }
 
-    /// Sends a join request to all known members if this one is not in the member list.
+    /// Sends a join request to all known members if this one is not in the member list. While it has no
+    /// leader, it may have been removed without knowing it, and sends the request as well.
     pub(super) fn send_join_requests(&mut self) {
-        if self.node.members().contains(self.member) {
+        let listed_at = rejoin::listed_at(&self.node, self.member);
+        if listed_at.is_some() && self.node.leader().is_some() {
             return;
         }
         let listed_members = self.node.members().members.values();
@@ -61,8 +94,8 @@
             if *address.to_string() == *self.name {
                 continue;
             }
-            self.peers
-                .send(address, &LinkMessage::Join { name: self.name.clone(), member: self.member });
+            let (name, member) = (self.name.clone(), self.member);
+            self.peers.send(address, &LinkMessage::Join { name, member, listed_at });
         }
     }
 
--- a/src/fleet/control/disk.rs
+++ b/src/fleet/control/disk.rs
@@ -36,6 +36,8 @@
     },
     /// Deletes the log segments that the snapshot covers.
     Prune,
+    /// Replaces the identity of the folder.
+    SaveIdentity(StoredIdentity),
 }
 
 /// Report of a completed job.
@@ -43,6 +45,7 @@
 pub enum DiskReport {
     Appended { sequence: u64 },
     SnapshotSaved { snapshot: SharedSnapshot, installed: bool },
+    IdentitySaved { member: MemberId },
 }
 
 /// Callback for reports; runs on the disk thread.
@@ -138,6 +141,9 @@
             DiskJob::Snapshot { snapshot, installed } => {
                 (self.report)(DiskReport::SnapshotSaved { snapshot, installed });
             }
+            DiskJob::SaveIdentity(StoredIdentity { member, .. }) => {
+                (self.report)(DiskReport::IdentitySaved { member });
+            }
             DiskJob::Prune => {}
         }
     }
@@ -151,6 +157,7 @@
             DiskJob::Append { batch, .. } => storage.append(std::slice::from_ref(batch)),
             DiskJob::Snapshot { snapshot, .. } => storage.save_snapshot(FLEET_GROUP, snapshot),
             DiskJob::Prune => storage.prune(),
+            DiskJob::SaveIdentity(identity) => storage.save_identity(identity),
         }
     }
 }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -212,7 +212,7 @@
 ) -> Result<SharedCore, ControlError> {
     let OpenedDisk { storage, identity, recovered } = disk;
     let name = control.link.to_string().into_boxed_str();
-    let initial = identity.formed.map(|formed| formed.initial).unwrap_or_default();
+    let initial = identity.formed.clone().map(|formed| formed.initial).unwrap_or_default();
     let initial = MemberSet::of_voters(initial.into_iter().map(|(name, member)| (member, name)));
     let (state, snapshot_index) = match &recovered.snapshot {
         Some(snapshot) => {
@@ -255,7 +255,7 @@
         survivable_losses: control.survivable_losses,
         heartbeat: control.heartbeat,
         seeds: config.seeds.clone(),
-        member: identity.member,
+        identity,
         node,
         state,
         snapshot_index,
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -105,10 +105,18 @@
         name: ProcessName,
     },
     Raft(RaftMessage),
-    /// Join request of a member with a new data folder; followers forward it to the leader.
+    /// Join request of a member that is not in the member list or has no leader; followers forward it
+    /// to the leader.
     Join {
         name: ProcessName,
         member: MemberId,
+        /// Index from which on the sender's own member list names `member`.
+        #[serde(default)]
+        listed_at: Option<LogIndex>,
+    },
+    /// Answer to a join request: `member` was removed, and its process needs a new id.
+    Removed {
+        member: MemberId,
     },
     Forward {
         request: u64,
--- a/tests/consensus/harness.rs
+++ b/tests/consensus/harness.rs
@@ -8,11 +8,14 @@
 use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, RaftMessage};
 use curranthollow::consensus::node::{Proposal, RestartState};
 use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role, repair};
-use curranthollow::fleet::placement;
+use curranthollow::fleet::{placement, rejoin};
 
 /// Simulated time of one step.
 pub(crate) const STEP: Duration = Duration::from_millis(5);
 
+/// Added to the id of a member that joins again. The ids of tests are below it.
+const FIRST_REJOINED_ID: u64 = 1_000_000;
+
 /// Entries applied between snapshots; low, so that tests exercise snapshot transfer.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 40;
 
@@ -47,6 +50,7 @@
     join_requests: placement::JoinRequests,
     alive: bool,
     frozen: bool,
+    has_stalled_disk: bool,
 }
 
 /// Fault rates of message delivery and syncs.
@@ -158,6 +162,7 @@
             join_requests: placement::JoinRequests::new(),
             alive: true,
             frozen: false,
+            has_stalled_disk: false,
         };
         self.members.insert(id, member);
     }
@@ -183,6 +188,10 @@
         self.members.get_mut(&id).expect("the member exists").frozen = frozen;
     }
 
+    pub(crate) fn stall_disk(&mut self, id: u64, stalled: bool) {
+        self.members.get_mut(&id).expect("the member exists").has_stalled_disk = stalled;
+    }
+
     pub(crate) fn is_alive(&self, id: u64) -> bool {
         self.members[&id].alive
     }
@@ -336,7 +345,7 @@
 
     fn sync(&mut self, id: u64) {
         let member = self.members.get_mut(&id).expect("the member exists");
-        if !member.alive || member.frozen {
+        if !member.alive || member.frozen || member.has_stalled_disk {
             return;
         }
         let Some(&(sequence, ..)) = member.unsynced.last() else { return };
@@ -386,7 +395,8 @@
             self.handle_event(id, RaftEvent::ChangeMembers { request: u64::MAX, change });
             return;
         }
-        if member.node.members().contains(id) {
+        let listed_at = rejoin::listed_at(&member.node, id);
+        if listed_at.is_some() && member.node.leader().is_some() {
             return;
         }
         let name = member.name.clone();
@@ -395,7 +405,31 @@
             return;
         };
         let leader = self.members.get_mut(&leader).expect("the member exists");
-        leader.join_requests.insert(name, (id, self.now));
+        let is_fleet = matches!(self.placement, Placement::Fleet { .. });
+        if is_fleet && rejoin::is_removed(&leader.node, id, listed_at) {
+            if !self.members[&id].has_stalled_disk {
+                self.replace_identity(id);
+            }
+            return;
+        }
+        if !leader.node.members().contains(id) {
+            leader.join_requests.insert(name, (id, self.now));
+        }
+    }
+
+    /// Continues a removed member under a new id.
+    fn replace_identity(&mut self, id: u64) {
+        let new_id = id + FIRST_REJOINED_ID;
+        self.sync(id);
+        self.handle_event(id, RaftEvent::IdentityReplaced { member: new_id });
+        let member = self.members.remove(&id).expect("the member exists");
+        self.members.insert(new_id, member);
+    }
+
+    /// Latest id of the process that started as `id`.
+    pub(crate) fn current_id(&self, id: u64) -> u64 {
+        let ids = self.members.keys().copied();
+        ids.filter(|other| other % FIRST_REJOINED_ID == id).max().expect("the member exists")
     }
 
     pub(crate) fn change(&mut self, change: MemberChange) {
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -2,6 +2,7 @@
 
 mod behaviour;
 mod faults;
+mod fleet_members;
 mod fleet_schedule;
 mod formation;
 mod freshness;
--- a/tests/fleet/malformed.rs
+++ b/tests/fleet/malformed.rs
@@ -73,7 +73,8 @@
     let valid_messages = [
         LinkMessage::Follow { name: "e".into(), revision: 7, mode: FollowMode::UpdateParts },
         LinkMessage::Member { name: "127.0.0.1:1".into() },
-        LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9 },
+        LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9, listed_at: Some(3) },
+        LinkMessage::Removed { member: 9 },
         LinkMessage::Forward { request: 3, call: ForwardCall::Propose(vec![1, 2, 3]) },
         LinkMessage::Forward { request: 4, call: ForwardCall::ReadIndex },
         LinkMessage::Seen(vec![("s".into(), 1)]),
--- a/tests/fleet/members.rs
+++ b/tests/fleet/members.rs
@@ -72,6 +72,42 @@
     wait_for("the remaining members to read", || fleet.read_document(5) == Some(document(2)));
 }
 
+/// Guards against a member that was replaced while it was off and stays out for ever when it is back
+/// with its disk (review case 1): the fleet would bear one loss less than it must.
+#[test]
+fn a_member_that_was_replaced_while_it_was_off_votes_again() {
+    let mut fleet = TestFleet::with_members(6);
+    fleet.put_document(&document(1));
+    wait_for_voters(&fleet, 5);
+    let voters = crate::harness::voters(fleet.members[0].link);
+    let standby = fleet.members.iter().position(|member| !voters.contains(&member.link));
+    let standby = standby.expect("the sixth member is a learner");
+    let [off, other, witness] = distinct_members(standby);
+    fleet.members[off].kill();
+    await_vote(&fleet, witness, standby, off);
+    let seeds = fleet.seeds.clone();
+    fleet.members[off].start(&seeds, false);
+    wait_for("the member to read", || fleet.read_document(off) == Some(document(1)));
+    fleet.members[other].kill();
+    await_vote(&fleet, witness, off, other);
+}
+
+/// Three members that vote while `standby` does not.
+fn distinct_members(standby: usize) -> [usize; 3] {
+    let mut voters = (0..6).filter(|member| *member != standby);
+    std::array::from_fn(|_| voters.next().expect("five members vote"))
+}
+
+/// Waits until `witness` reports `new` as a voter in the place of `old`.
+fn await_vote(fleet: &TestFleet, witness: usize, new: usize, old: usize) {
+    wait_for("a member to be replaced", || {
+        let voters = crate::harness::voters(fleet.members[witness].link);
+        voters.len() == 5
+            && voters.contains(&fleet.members[new].link)
+            && !voters.contains(&fleet.members[old].link)
+    });
+}
+
 /// Guards against an older document that replaces a newer one, and against an error for a repeated
 /// change.
 #[test]
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -248,7 +248,8 @@
     state.apply(2, FleetCommand::PutDocument { document: Box::new(document), text: vec![1] });
     let messages = [
         LinkMessage::Follow { name: "e".into(), revision: 7, mode: FollowMode::UpdateParts },
-        LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9 },
+        LinkMessage::Join { name: "127.0.0.1:1".into(), member: 9, listed_at: Some(3) },
+        LinkMessage::Removed { member: 9 },
         LinkMessage::Seen(vec![("s".into(), 1)]),
         LinkMessage::Update(state.update_since(0)),
         LinkMessage::Update(state.update_since(1)),
