Find control through members that are out of date

Cause: an entry learns members only from one that is up to date. Its three seeds had been removed; they ran and knew others, but nobody asked them.

Ruled out: the readiness and the document; both wait for the first member.

Change: while no member is up to date, an entry also dials those that members without a leader name.

Failed before: an_entry_finds_control_through_outdated_seeds timed out after 30 s; now it takes 0.1 s.

--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -35,6 +35,9 @@
 /// The same delay while no member is up to date.
 const DISCONNECTED_REDIAL_DELAY: Duration = Duration::from_millis(80);
 
+/// Maximum number of hinted members. Members that are out of date can name members of several lists.
+const MAX_HINTED_MEMBERS: usize = 64;
+
 /// Interval at which missing updates are checked while a member has a higher revision.
 const STREAM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -43,6 +46,9 @@
     context: Rc<EntryContext>,
     seeds: RefCell<Vec<SocketAddr>>,
     members: RefCell<Vec<SocketAddr>>,
+    /// Members that others named which are out of date. They are dialled only while no member is up to
+    /// date.
+    hinted_members: RefCell<BTreeSet<SocketAddr>>,
     plan: RefCell<FollowPlan>,
     /// Member that streams updates; links follow it.
     stream: watch::Sender<Option<SocketAddr>>,
@@ -58,6 +64,7 @@
             context,
             seeds: RefCell::new(seeds),
             members: RefCell::default(),
+            hinted_members: RefCell::default(),
             plan: RefCell::new(plan),
             stream: watch::Sender::new(None),
             failed_at: RefCell::default(),
@@ -155,6 +162,9 @@
         if known.is_empty() || !fresh {
             known.extend(self.seeds.borrow().iter());
         }
+        if !fresh {
+            known.extend(self.hinted_members.borrow().iter());
+        }
         known.retain(|address| !failed_at.contains_key(address));
         plan.members_to_dial(now, known.into_iter())
     }
@@ -270,6 +280,7 @@
                 {
                     return Err(LinkError::Silent);
                 } else {
+                    self.add_hints(&notice.members);
                     self.update_stream(now);
                 }
             }
@@ -278,12 +289,24 @@
         Ok(())
     }
 
+    /// Remembers the members that one without a leader names. It may have been removed while the entry was
+    /// down, and still know members that are up to date.
+    fn add_hints(&self, members: &[SocketAddr]) {
+        let mut hinted_members = self.hinted_members.borrow_mut();
+        for member in members {
+            if hinted_members.len() < MAX_HINTED_MEMBERS && hinted_members.insert(*member) {
+                self.links_changed.notify_one();
+            }
+        }
+    }
+
     fn accept_notice(&self, now: Instant, address: SocketAddr, notice: FreshnessNotice) {
         self.plan.borrow_mut().record_fresh(now, address);
         self.log_freshness_change(now);
         self.context.confirm_state();
         self.context.crash_watch.record_control(now);
         self.context.update_entry_count(&notice);
+        self.hinted_members.borrow_mut().clear();
         let is_new = *self.members.borrow() != notice.members;
         *self.members.borrow_mut() = notice.members;
         self.update_stream(now);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod members;
 #[path = "../common/mutation.rs"]
 mod mutation;
+mod outdated_seeds;
 mod quarantine_operator;
 mod quarantine_proposals;
 mod quarantine_state;
