Bound the memory of long responses on an entry

Cause: each response held up to 128 KiB for a retry, a copy while it was written, and buffers of twice the size. Request bodies share a bound, responses had none.

One that finds no room is relayed in parts of 8 KiB and not held for a retry. Buffers are sized exactly and given back once written.

The test has 300 callers.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -63,6 +63,8 @@
     pub active_requests: Rc<ActiveRequests>,
     /// Bodies of requests that are being received or processed.
     pub held_bytes: HeldBytes,
+    /// Long responses that are held or relayed.
+    pub held_responses: HeldBytes,
     pub state: RefCell<FleetReplica>,
     pub crash_watch: CrashWatch,
     pub suspect_runs: RefCell<SuspectRuns>,
@@ -97,7 +99,8 @@
             connections: ConnectionPool::default(),
             metrics: EntryMetrics::default(),
             active_requests: Rc::default(),
-            held_bytes: HeldBytes::default(),
+            held_bytes: HeldBytes::of_requests(),
+            held_responses: HeldBytes::of_responses(),
             state: RefCell::default(),
             crash_watch: CrashWatch::default(),
             suspect_runs: RefCell::default(),
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -17,6 +17,9 @@
 /// Size of the parts in which a streaming response is forwarded.
 const RELAY_PART_BYTES: usize = 64 << 10;
 
+/// The same for a response without reserved memory.
+const UNRESERVED_PART_BYTES: usize = 8 << 10;
+
 /// Time after the deadline of a request at which the relay of its response ends. A server may send
 /// without end, and a caller may read slowly.
 const RELAY_GRACE: Duration = Duration::from_secs(5);
@@ -54,6 +57,19 @@
     stream.write(&output).await.map_err(|_| ConnectionEnd::Drop)
 }
 
+/// Maximum size of the framing of one chunk and of the last one.
+const MAX_FRAMING_BYTES: usize = 32;
+
+/// Body that is being relayed.
+struct BodyRelay {
+    body: StreamingBody,
+    framing: RelayFraming,
+    /// Size of the parts that are read.
+    part_bytes: usize,
+    /// What is written next.
+    output: Vec<u8>,
+}
+
 /// Relay of one response to its caller.
 pub struct ResponseRelay<'a> {
     pub context: &'a Rc<EntryContext>,
@@ -71,7 +87,7 @@
         stream: &mut HttpStream,
         response: ServerResponse,
     ) -> Result<(), ConnectionEnd> {
-        let ServerResponse { mut head, body, server: server_id, rule, deadline } = response;
+        let ServerResponse { mut head, body, share, server: server_id, rule, deadline } = response;
         let (started, waited_before) = (Instant::now(), stream.write_wait());
         let no_body = self.method == "HEAD" || matches!(head.status, 204 | 304);
         head.headers.remove_hop_by_hop();
@@ -93,18 +109,22 @@
                 }
                 output.extend_from_slice(b"\r\n");
                 output.extend_from_slice(&bytes);
+                drop(bytes);
                 let written = stream.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
             }
-            ServerBody::Streaming(body) => {
+            ServerBody::Streaming(mut body) => {
                 let declared_size = body.framing.and_then(BodyFraming::declared_size);
                 self.progress.begin_response(Instant::now(), declared_size);
                 let relay_framing = RelayFraming::of(body.framing);
                 relay_framing.write_header(&mut output);
                 output.extend_from_slice(b"\r\n");
-                relay_framing.encode(&body.buffered, &mut output);
+                relay_framing.encode(&std::mem::take(&mut body.buffered), &mut output);
+                let part_bytes =
+                    if share.is_reserved() { RELAY_PART_BYTES } else { UNRESERVED_PART_BYTES };
                 let relay_deadline = deadline + RELAY_GRACE;
-                let relay = self.relay_body(stream, *body, relay_framing, output, relay_deadline);
+                let relay = BodyRelay { body: *body, framing: relay_framing, part_bytes, output };
+                let relay = self.relay_body(stream, relay, relay_deadline);
                 let result = timeout_at(relay_deadline.into(), relay).await;
                 let result = result.unwrap_or(Err(ConnectionEnd::Drop));
                 if result.is_err() {
@@ -128,11 +148,10 @@
     async fn relay_body(
         &self,
         caller: &mut HttpStream,
-        mut body: StreamingBody,
-        relay_framing: RelayFraming,
-        mut output: Vec<u8>,
+        relay: BodyRelay,
         relay_deadline: Instant,
     ) -> Result<(), ConnectionEnd> {
+        let BodyRelay { mut body, framing, part_bytes, mut output } = relay;
         let mut complete = false;
         while !complete {
             if self.context.is_stopping() {
@@ -142,20 +161,21 @@
                 let written = caller.write_paced(&output, &self.context.caller_pacer).await;
                 written.map_err(|_| ConnectionEnd::Drop)
             };
-            let read = body.read_part(self.context, RELAY_PART_BYTES, relay_deadline);
+            let read = body.read_part(self.context, part_bytes, relay_deadline);
             let read = async { Ok(read.await) };
             // A caller that has left ends the read, but a server that breaks off does not end the write.
             let ((), read) = tokio::try_join!(write, read)?;
             self.progress.add_relayed(output.len());
-            output.clear();
             // The end of the body is not written, so the caller can see that it is incomplete.
             let Some((part, is_last)) = read else { return Err(ConnectionEnd::Drop) };
-            relay_framing.encode(&part, &mut output);
+            // The first output was longer; its memory is not kept.
+            output = Vec::with_capacity(part.len() + MAX_FRAMING_BYTES);
+            framing.encode(&part, &mut output);
             complete = is_last;
             // A server and a caller that are both fast would keep the thread for megabytes.
             tokio::task::yield_now().await;
         }
-        relay_framing.encode_end(&mut output);
+        framing.encode_end(&mut output);
         let written = caller.write_paced(&output, &self.context.caller_pacer).await;
         written.map_err(|_| ConnectionEnd::Drop)
     }
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -15,6 +15,7 @@
 use super::watched_send::WatchedSend;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::document::RouteRule;
+use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -23,6 +24,12 @@
 /// retried.
 const MAX_BUFFERED_BYTES: usize = 128 << 10;
 
+/// The same for a response that finds no room among those that are held.
+const MAX_UNRESERVED_BYTES: usize = 16 << 10;
+
+/// Memory that a long response needs: what is buffered, and a copy while it is written.
+const RESERVED_BYTES: usize = 2 * MAX_BUFFERED_BYTES;
+
 /// Maximum number of responses to earlier requests that are skipped before the connection is
 /// abandoned.
 const MAX_STALE_RESPONSES: usize = 2;
@@ -34,6 +41,8 @@
 pub struct ServerResponse {
     pub head: ResponseHead,
     pub body: ServerBody,
+    /// Memory reserved for the body until it is written.
+    pub share: HeldShare,
     pub server: ServerId,
     /// Route of the request.
     pub rule: Rc<RouteRule>,
@@ -278,9 +287,18 @@
     };
     let mut buffered = Vec::new();
     let mut end = BodyEnd::of(framing);
+    let mut share = context.held_responses.new_share();
+    let read = async {
+        let complete = end.read(context, &mut stream, &mut buffered, MAX_UNRESERVED_BYTES).await?;
+        if complete || !share.grow_to(RESERVED_BYTES) {
+            return Ok::<_, HttpError>(complete);
+        }
+        buffered.reserve_exact(MAX_BUFFERED_BYTES);
+        end.read(context, &mut stream, &mut buffered, MAX_BUFFERED_BYTES).await
+    };
     let complete = tokio::select! {
         biased;
-        complete = end.read(context, &mut stream, &mut buffered, MAX_BUFFERED_BYTES) => complete?,
+        complete = read => complete?,
         // Nothing is held back for a retry that would not start: the exit may come first.
         () = context.wait_for_last_send(&request.rule, request.deadline) => false,
     };
@@ -292,14 +310,14 @@
         let status = head.status;
         let body = StreamingBody { buffered, stream, end, framing, status, watched };
         let body = ServerBody::Streaming(Box::new(body));
-        return Ok(ServerResponse { head, body, server, rule, deadline });
+        return Ok(ServerResponse { head, body, share, server, rule, deadline });
     }
     // Without a request id, a late copy of this response would look like the next one.
     if fully_written && framing.is_some() && request.request_id.is_some() {
         context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
     let body = ServerBody::Complete(buffered);
-    Ok(ServerResponse { head, body, server, rule, deadline })
+    Ok(ServerResponse { head, body, share, server, rule, deadline })
 }
 
 /// Reads the response to this request and skips late responses to earlier ones.
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -124,6 +124,8 @@
                 self.drained_at = Instant::now();
             }
             let length = self.input.len();
+            // Doubling would cost as much again on each of many connections.
+            self.input.reserve_exact(self.read_bytes);
             self.input.resize(length + self.read_bytes, 0);
             let result = self.stream.try_read(&mut self.input[length..]);
             self.input.truncate(length + *result.as_ref().unwrap_or(&0));
--- a/tests/faulty_server/main.rs
+++ b/tests/faulty_server/main.rs
@@ -220,8 +220,8 @@
 /// Callers that wait for an endless response at the same time and read slowly.
 const CALLER_COUNT: usize = 300;
 
-/// Guards against a faulty server that takes all the time of an entry through many callers at once: other
-/// callers get no response.
+/// Guards against a faulty server that fills the memory of an entry through many callers at once, each of
+/// which costs little, or takes all its time: other callers lose their requests.
 #[parameterized(
     unframed = { FaultKind::Endless { start: UNFRAMED, piece: "abcd" } },
     sized = { FaultKind::Endless { start: HUGE, piece: "abcd" } },
@@ -230,6 +230,7 @@
 fn many_endless_responses_leave_room_for_others(fault: FaultKind) {
     let _lock = MEMORY_LOCK.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
     let system = FaultySystem::start(fault);
+    let memory_before = resident_bytes();
     let request = "GET /read/1 HTTP/1.1\r\nhost: shop\r\nx-request-id: r1\r\n\r\n";
     let callers: Vec<_> = (0..CALLER_COUNT)
         .map(|_| {
@@ -238,12 +239,15 @@
             stream
         })
         .collect();
+    let mut growth = 0;
     for _ in 0..30 {
         std::thread::sleep(Duration::from_millis(100));
+        growth = resident_bytes().saturating_sub(memory_before).max(growth);
         let other = call(system.entry.traffic, "GET", "/other/1", "");
         assert_eq!(other, (200, "ok".to_owned()));
     }
     drop(callers);
+    assert!(growth < MAX_GROWTH_BYTES, "memory grew by {growth} bytes");
 }
 
 fn assert_visible_end(system: &FaultySystem, method: &str, path: &str) {
--- a/tests/fleet/held_bytes.rs
+++ b/tests/fleet/held_bytes.rs
@@ -8,7 +8,7 @@
 /// Guards against a sum of bodies that exceeds the memory, and against one that is never given back.
 #[test]
 fn the_sum_of_all_bodies_is_bounded() {
-    let held_bytes = HeldBytes::default();
+    let held_bytes = HeldBytes::of_requests();
     let mut random = fastrand::Rng::with_seed(5);
     let mut shares = Vec::new();
     for _ in 0..1000 {
@@ -33,5 +33,5 @@
 /// Guards against a bound below the largest body that the platform allows.
 #[test]
 fn one_body_of_the_largest_size_fits() {
-    assert!(HeldBytes::default().new_share().grow_to(64 << 20));
+    assert!(HeldBytes::of_requests().new_share().grow_to(64 << 20));
 }
