Refuse announcements that no process can use

Callers saw: after three announcements with zone names of megabytes, each entry that started or had fallen behind never served again.

Cause: an announcement was replicated as it was decoded. Names were bounded by the size of a call only, so the list of servers grew beyond the largest frame (8 MiB), and entries dropped the link and asked again, for ever. Numbers of 2^64 - 1 could not be superseded, and addresses without a port or of no host were taken.

Deep nesting, numbers too large for their type and ports out of range were refused with 400 before, too.

Change: one check in the product, before a command is proposed.

--- a/src/fleet/announcement.rs
+++ b/src/fleet/announcement.rs
@@ -1,6 +1,6 @@
 //! Announcements that servers send about themselves, and their order.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,17 @@
 /// report it.
 pub type IncarnationStart = u64;
 
+/// Maximum length of the names in an announcement in bytes. All members and entries hold them for each
+/// server.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Maximum start time and sequence number: the largest integer that every JSON writer can represent. No
+/// later announcement could supersede the largest number of the type.
+const MAX_NUMBER: u64 = (1 << 53) - 1;
+
+/// Maximum remaining warm-up. A longer one is taken for a mistake.
+const MAX_WARMUP: Duration = Duration::from_secs(3600);
+
 /// Whether a server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -40,6 +51,29 @@
 pub struct AnnouncementError(pub Box<str>);
 
 impl ServerAnnouncement {
+    /// Checks whether the announcement of `server` can be replicated and names an address to which
+    /// requests can be sent. Anyone who reaches a member can announce.
+    pub fn check(&self, server: &ServerId) -> Result<(), AnnouncementError> {
+        let problem = |text: &str| Err(AnnouncementError(text.into()));
+        if self.service.is_empty() {
+            return problem("the service has no name");
+        }
+        let names = [server, &self.service, &self.availability_zone];
+        if names.into_iter().any(|name| name.len() > MAX_NAME_BYTES) {
+            return problem("a name is longer than 128 bytes");
+        }
+        if self.address.port() == 0 || !is_unicast(self.address.ip()) {
+            return problem("no request can be sent to the address");
+        }
+        if self.started > MAX_NUMBER || self.sequence > MAX_NUMBER {
+            return problem("a number is larger than 2^53 - 1");
+        }
+        if self.warmup > MAX_WARMUP {
+            return problem("the warm-up is longer than an hour");
+        }
+        Ok(())
+    }
+
     /// Whether `self` differs from `known` in more than the sequence number and the remaining warm-up.
     pub fn differs(&self, known: &Self) -> bool {
         let (new, old) = (self, known);
@@ -58,5 +92,22 @@
     }
 }
 
+/// Checks whether the leave call of `server` can be replicated. The incarnation in it and all earlier ones
+/// cannot announce themselves again.
+pub fn check_leave(
+    server: &ServerId,
+    started: Option<IncarnationStart>,
+) -> Result<(), AnnouncementError> {
+    if server.len() > MAX_NAME_BYTES || started.is_some_and(|started| started > MAX_NUMBER) {
+        return Err(AnnouncementError("the id or the start time is too long".into()));
+    }
+    Ok(())
+}
+
+fn is_unicast(address: IpAddr) -> bool {
+    let is_broadcast = matches!(address, IpAddr::V4(address) if address.is_broadcast());
+    !address.is_unspecified() && !address.is_multicast() && !is_broadcast
+}
+
 /// Server id and announcement.
 pub type NamedAnnouncement = (ServerId, ServerAnnouncement);
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -10,7 +10,7 @@
 use super::call_tracker::{CallTracker, StopPhase};
 use super::core::SharedCore;
 use super::quarantine_list::{QuarantineList, parse_digest};
-use crate::fleet::announcement::{ServerAnnouncement, ServerState};
+use crate::fleet::announcement::{self, ServerAnnouncement, ServerState};
 use crate::fleet::dialect::{OperatorCall, WireDialect};
 use crate::fleet::document::RouteDocument;
 use crate::fleet::link::{self, CallOutcome};
@@ -206,7 +206,11 @@
     }
 
     async fn announce(&self, server: ServerId, body: &[u8]) -> CallResponse {
-        let announcement = match self.dialect.parse_announcement(body) {
+        let parsed = self.dialect.parse_announcement(body).and_then(|announcement| {
+            announcement.check(&server)?;
+            Ok(announcement)
+        });
+        let announcement = match parsed {
             Ok(announcement) => announcement,
             Err(error) => {
                 log_warn!("announcement_refused", "server={server} error=\"{error}\"");
@@ -255,6 +259,9 @@
 
     async fn leave(&self, server: ServerId, body: &[u8]) -> CallResponse {
         let started = self.dialect.parse_leave(body);
+        if let Err(error) = announcement::check_leave(&server, started) {
+            return self.failure(400, &error.to_string());
+        }
         log_info!("server_leaves", "server={server} started={started:?}");
         self.commit(&FleetCommand::Leave(server, started)).await
     }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -26,6 +26,7 @@
 mod members;
 #[path = "../common/mutation.rs"]
 mod mutation;
+mod odd_announcements;
 mod outdated_seeds;
 mod quarantine_operator;
 mod quarantine_proposals;
