Test requests that arrive late in a planned stop

A report of another operator: requests that came late in the grace were passed on and cut at its end (LOST). Played here on new connections, with the rest of a head and with the rest of a body, at 40 moments of the grace: each gets a complete response or was not taken, and none that was refused has run.

--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -289,3 +289,125 @@
     });
     (address, permissions)
 }
+
+/// How the bytes of a late request arrive.
+#[derive(Debug, Clone, Copy)]
+enum LateArrival {
+    /// On a connection that is opened for it.
+    NewConnection,
+    /// The head began to arrive before the stop.
+    RestOfHead,
+    /// The head arrived before the stop, the body ends late.
+    RestOfBody,
+}
+
+/// What became of a request that was sent during a stop.
+#[derive(Debug, PartialEq, Eq)]
+enum LateResult {
+    /// Complete response.
+    Answered(u16),
+    /// The connection was refused or ended before the request was complete.
+    NotTaken,
+    /// The request was sent completely, and the connection ended without a complete response.
+    Lost(String),
+}
+
+/// Begins a request and returns what completes it.
+fn begin_late(
+    system_address: SocketAddr,
+    arrival: LateArrival,
+    text: &str,
+) -> (Option<TcpStream>, String) {
+    let split_at = match arrival {
+        LateArrival::NewConnection => return (None, text.to_owned()),
+        LateArrival::RestOfHead => text.len() / 2,
+        LateArrival::RestOfBody => text.len() - 1,
+    };
+    let mut stream = TcpStream::connect(system_address).expect("the entry listens");
+    stream.write_all(&text.as_bytes()[..split_at]).expect("the entry reads");
+    (Some(stream), text[split_at..].to_owned())
+}
+
+fn finish_late(address: SocketAddr, stream: Option<TcpStream>, rest: &str) -> LateResult {
+    let Some(mut stream) = stream.or_else(|| TcpStream::connect(address).ok()) else {
+        return LateResult::NotTaken;
+    };
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    // What the entry sent before the request was complete is a refusal of its own.
+    let is_refused = stream.set_nonblocking(true).is_ok() && stream.peek(&mut [0]).is_ok();
+    stream.set_nonblocking(false).expect("the mode is valid");
+    let written = stream.write_all(rest.as_bytes());
+    let mut response = Vec::new();
+    let read = stream.read_to_end(&mut response);
+    let text = String::from_utf8_lossy(&response).into_owned();
+    let length = header_value(&text, "content-length").and_then(|length| length.parse().ok());
+    if length == Some(parse_response(&text).1.len()) {
+        return LateResult::Answered(parse_response(&text).0);
+    }
+    if written.is_err() || is_refused {
+        return LateResult::NotTaken;
+    }
+    LateResult::Lost(format!("{text:?} {read:?}"))
+}
+
+/// Guards against a request that is taken late in the grace and passed on, and whose connection the exit
+/// cuts without a response.
+#[parameterized(
+    new_connection = { LateArrival::NewConnection },
+    rest_of_head = { LateArrival::RestOfHead },
+    rest_of_body = { LateArrival::RestOfBody },
+)]
+fn a_request_late_in_the_grace_is_answered_or_not_taken(arrival: LateArrival) {
+    let slow = ServerStep::Delay(Duration::from_millis(700), VALID_RESPONSE);
+    let servers: Vec<_> = (0..8).map(|_| ScriptedServer::start(&vec![slow.clone(); 200])).collect();
+    let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
+    let TestSystem { entry, fleet } = start_with_long_timeout(&addresses);
+    let traffic = entry.traffic;
+    let mut callers = Vec::new();
+    for number in 0..40_u32 {
+        // It counts from the arrival of the head.
+        let deadlines_ms = match arrival {
+            LateArrival::RestOfBody => [1500, 2500, 3500, 10_000],
+            LateArrival::NewConnection | LateArrival::RestOfHead => [600, 1000, 2500, 10_000],
+        };
+        let deadline_ms = deadlines_ms[number as usize % 4];
+        let (method, path) = if number % 8 < 4 { ("GET", "/read/") } else { ("POST", "/book/") };
+        let text = format!(
+            "{method} {path}{number} HTTP/1.1\r\nhost: shop\r\nx-request-id: late-{number}\r\n\
+             x-request-deadline: {deadline_ms}\r\ncontent-length: 4\r\n\r\nbody"
+        );
+        let (stream, rest) = begin_late(traffic, arrival, &text);
+        callers.push((number, stream, rest));
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    let stopping = std::thread::spawn(move || entry.stop());
+    let started = Instant::now();
+    let results: Vec<_> = std::thread::scope(|scope| {
+        let threads = callers.into_iter().map(|(number, stream, rest)| {
+            scope.spawn(move || {
+                std::thread::sleep((GRACE / 40 * number).saturating_sub(started.elapsed()));
+                (number, finish_late(traffic, stream, &rest))
+            })
+        });
+        let threads: Vec<_> = threads.collect();
+        threads.into_iter().map(|thread| thread.join().expect("it ends")).collect()
+    });
+    stopping.join().expect("the entry stops");
+    drop(fleet);
+    let sent: Vec<String> = servers.iter().flat_map(ScriptedServer::requests).collect();
+    let ran = |number: u32| {
+        let id = format!("late-{number}\r\n");
+        sent.iter().filter(|request| request.contains(&id)).count()
+    };
+    for (number, result) in &results {
+        assert!(!matches!(result, LateResult::Lost(_)), "{number}: {results:?}");
+        if matches!(result, LateResult::Answered(503) | LateResult::NotTaken) {
+            assert_eq!(ran(*number), 0, "{number} was refused and ran: {results:?}");
+        }
+        if number % 8 >= 4 {
+            assert!(ran(*number) <= 1, "{number} ran twice");
+        }
+    }
+    let served = results.iter().filter(|(_, result)| *result == LateResult::Answered(200)).count();
+    assert!(served > 5, "{results:?}");
+}
