Take servers out of use that say they leave or want a pause

A server that leaves says so in all its answers, a 503 may bear Retry-After; the product read neither, and went on sending.

Change: an answer is a third source of a server's state, for one incarnation and this entry. A leaving server gets nothing more, a paused one nothing until its end, also without control; each entry returns at its own moment. If none is left the request is refused at once with a useful time. Bad values are ignored or cut, and counted. fleet/statement.rs decides, with the time as an argument.

Weighed: entries could tell control (docs/decisions/0014). One false answer would then take a server out everywhere, for a first contact that costs nothing.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -6,6 +6,7 @@
 
 use super::announcement::{IncarnationStart, ServerState};
 use super::dialect::ReportedLoad;
+use super::statement::{ConditionChange, ServerStatement, StatedCondition};
 use super::update::ServerView;
 use crate::ids::ServerId;
 
@@ -109,6 +110,7 @@
     /// Consecutive health probes without a response.
     unanswered_probes: u32,
     ejected_until: Option<Instant>,
+    stated: StatedCondition,
     last_success_at: Option<Instant>,
 }
 
@@ -116,6 +118,7 @@
 #[derive(Debug, Clone)]
 pub struct ChosenServer {
     pub server: ServerId,
+    pub started: IncarnationStart,
     pub address: SocketAddr,
     pub in_flight: u32,
     /// Age of the last load report.
@@ -159,9 +162,10 @@
         let had_servers = !previous.is_empty();
         for (server, view) in views {
             let announcement = &view.announcement;
-            let known = previous.remove(server).filter(|known| {
-                known.started == announcement.started && known.address == announcement.address
-            });
+            let same_incarnation =
+                previous.remove(server).filter(|known| known.started == announcement.started);
+            let stated = same_incarnation.as_ref().map(|known| known.stated).unwrap_or_default();
+            let known = same_incarnation.filter(|known| known.address == announcement.address);
             if known.is_none() && had_servers {
                 self.schedule_introduction(now, entry, entry_count, server, announcement.slots);
             }
@@ -179,6 +183,7 @@
                 consecutive_failures: 0,
                 unanswered_probes: 0,
                 ejected_until: None,
+                stated,
                 last_success_at: None,
             });
             stats.slots = announcement.slots.max(1);
@@ -220,8 +225,8 @@
                 continue;
             }
             let known = self.servers.get_key_value(server);
-            let usable = known
-                .filter(|(_, stats)| stats.state == ServerState::Ready && stats.is_available(now));
+            let usable =
+                known.filter(|(_, stats)| stats.may_get_requests(now) && stats.is_available(now));
             if usable.is_some() {
                 return usable;
             }
@@ -264,7 +269,7 @@
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
-                if stats.state != ServerState::Ready || tried.contains(server) {
+                if !stats.may_get_requests(now) || tried.contains(server) {
                     continue;
                 }
                 let noise = random.f64() * MAX_RANDOM_COST;
@@ -288,6 +293,7 @@
         let (cost, server, stats) = introduced.or(best_available).or(best_ejected)?;
         Some(ChosenServer {
             server: server.clone(),
+            started: stats.started,
             address: stats.address,
             in_flight: stats.in_flight,
             load_age: stats.load_report.map(|(_, at, _)| now.duration_since(at)),
@@ -328,6 +334,53 @@
         slowness / usual_slowness * latency_factor * warmup_factor * queue_factor + zone_cost
     }
 
+    /// Records what an incarnation of `server` said in an answer to the entry `entry`; returns what
+    /// changes.
+    pub fn record_statement(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        (server, started): (&ServerId, IncarnationStart),
+        statement: ServerStatement,
+    ) -> Option<ConditionChange> {
+        let stats = self.servers.get_mut(server).filter(|stats| stats.started == started)?;
+        stats.stated.record(now, entry, server, statement)
+    }
+
+    /// Takes note that a pause of `server` has ended; returns whether there was one.
+    pub fn end_pause(&mut self, now: Instant, server: &ServerId) -> bool {
+        self.servers.get_mut(server).is_some_and(|stats| stats.stated.end_pause(now))
+    }
+
+    /// Whether the incarnation can get a request, as far as its answers say.
+    pub fn accepts(&self, now: Instant, server: &ServerId, started: IncarnationStart) -> bool {
+        let stats = self.servers.get(server).filter(|stats| stats.started == started);
+        stats.is_none_or(|stats| stats.stated.accepts(now))
+    }
+
+    fn ready_servers(&self) -> impl Iterator<Item = &ServerStats> {
+        self.servers.values().filter(|stats| stats.state == ServerState::Ready)
+    }
+
+    /// Whether all ready servers leave or are paused.
+    pub fn is_withdrawn(&self, now: Instant) -> bool {
+        let mut ready = self.ready_servers().peekable();
+        ready.peek().is_some() && ready.all(|stats| !stats.stated.accepts(now))
+    }
+
+    /// End of the first pause if the service is withdrawn.
+    pub fn resumes_at(&self, now: Instant) -> Option<Instant> {
+        let ends = self.ready_servers().filter_map(|stats| stats.stated.resumes_at(now));
+        ends.min().filter(|_| self.is_withdrawn(now))
+    }
+
+    /// Numbers of servers that leave and that are paused, by their answers.
+    pub fn stated_counts(&self, now: Instant) -> (usize, usize) {
+        let leaving = self.servers.values().filter(|stats| stats.stated.is_leaving());
+        let paused = self.servers.values().filter(|stats| stats.stated.resumes_at(now).is_some());
+        (leaving.count(), paused.count())
+    }
+
     /// Counts the start of a send to `server`.
     pub fn begin_send(&mut self, server: &ServerId) {
         self.introductions.remove(server);
@@ -413,6 +466,11 @@
 }
 
 impl ServerStats {
+    /// Whether the server wants requests, by its announcement and by its answers.
+    fn may_get_requests(&self, now: Instant) -> bool {
+        self.state == ServerState::Ready && self.stated.accepts(now)
+    }
+
     /// Whether a recent load report leaves no room for another request at the usual speed.
     fn reported_no_room(&self, now: Instant) -> bool {
         self.load_report.is_some_and(|(report, at, _)| {
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -21,6 +21,10 @@
     pub load: &'static str,
     /// Present if the server did not execute the request.
     pub not_run: &'static str,
+    /// `1` if the server leaves.
+    pub leaving: &'static str,
+    /// In a rejection: seconds for which the server wants no further request.
+    pub pause: &'static str,
 }
 
 /// Paths of the calls that a fleet process handles itself.
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -25,11 +25,12 @@
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
+use crate::fleet::statement::{ConditionChange, ServerStatement};
 use crate::fleet::update::{FleetReplica, FleetUpdate};
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
-use crate::log_info;
 use crate::suspension::{SuspensionWatch, suspended_time};
+use crate::{log_info, log_routine};
 
 /// Time before the exit by which a request must be answered. It covers the way of a short response to
 /// its caller.
@@ -306,6 +307,60 @@
         Some(report)
     }
 
+    /// Records what a server said of itself in `head`, an answer that belongs to the request or probe that
+    /// was sent to `chosen`.
+    pub fn record_statement(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        chosen: &ChosenServer,
+        head: &ResponseHead,
+    ) {
+        let statement = ServerStatement::parse(self.dialect.headers(), head.status, &head.headers);
+        if statement == ServerStatement::default() {
+            return;
+        }
+        let (server, started) = (&chosen.server, chosen.started);
+        self.metrics.record_statement(service, statement);
+        if statement.is_invalid {
+            log_routine!("statement_invalid", "service={service} server={server}");
+        }
+        let change = self.with_balancer(service, |balancer| {
+            balancer.record_statement(now, &self.name, (server, started), statement)
+        });
+        match change {
+            Some(ConditionChange::Left) => {
+                log_info!(
+                    "server_leaving",
+                    "service={service} server={server} started={started} source=answer"
+                );
+            }
+            Some(ConditionChange::Paused(pause)) => {
+                log_info!(
+                    "server_paused",
+                    "service={service} server={server} started={started} source=answer pause_ms={}",
+                    pause.as_millis()
+                );
+            }
+            None => {}
+        }
+    }
+
+    /// Whether the chosen server still wants requests, as far as its answers say.
+    pub fn accepts(&self, service: &ServiceName, chosen: &ChosenServer) -> bool {
+        let now = Instant::now();
+        let accepts =
+            |balancer: &mut ServiceBalancer| balancer.accepts(now, &chosen.server, chosen.started);
+        self.with_balancer(service, accepts)
+    }
+
+    /// Numbers of servers that leave and that are paused, by their answers.
+    pub fn stated_counts(&self, now: Instant) -> (usize, usize) {
+        let balancers = self.balancers.borrow();
+        let counts = balancers.values().map(|balancer| balancer.stated_counts(now));
+        counts.fold((0, 0), |sum, counts| (sum.0 + counts.0, sum.1 + counts.1))
+    }
+
     /// Health-check path of a service, if it has one.
     pub fn health_path(&self, service: &ServiceName) -> Option<Box<str>> {
         let route_table = self.route_table.borrow();
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -97,7 +97,9 @@
     if let Some(found) = found {
         return Ok(found);
     }
-    if crowded_policy == CrowdedPolicy::GiveUp {
+    let is_withdrawn =
+        context.with_balancer(service, |balancer| balancer.is_withdrawn(Instant::now()));
+    if crowded_policy == CrowdedPolicy::GiveUp || is_withdrawn {
         return Err(counts);
     }
     sleep(CROWDED_DELAY).await;
@@ -289,6 +291,7 @@
         let (head, complete) = request_health_page(context, &mut stream, &request, chosen).await?;
         let now = Instant::now();
         let report = context.record_load(now, &self.service, &chosen.server, &head);
+        context.record_statement(now, &self.service, chosen, &head);
         if complete {
             context.connections.put(now, &chosen.server, chosen.address, stream, &head);
         }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
+use crate::fleet::statement::ServerStatement;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
 const MAX_SERVICES: usize = 32;
@@ -57,6 +58,7 @@
     budget_exhausted: Family<ServiceLabel, SharedCounter>,
     server_closures: Family<ServiceLabel, SharedCounter>,
     opened_connections: Family<ServiceLabel, SharedCounter>,
+    server_statements: Family<OutcomeLabel, SharedCounter>,
     pub crashes_reported: SharedCounter,
     pub quarantined_requests: SharedCounter,
     pub held_requests: SharedCounter,
@@ -66,6 +68,8 @@
     pub caller_connections: Gauge,
     pub held_body_bytes: Gauge,
     pub held_response_bytes: Gauge,
+    pub leaving_servers: Gauge,
+    pub paused_servers: Gauge,
     pub document_version: Gauge,
     pub revision: Gauge,
     pub fresh_members: Gauge,
@@ -89,6 +93,7 @@
             budget_exhausted: Family::default(),
             server_closures: Family::default(),
             opened_connections: Family::default(),
+            server_statements: Family::default(),
             crashes_reported: SharedCounter::default(),
             quarantined_requests: SharedCounter::default(),
             held_requests: SharedCounter::default(),
@@ -98,6 +103,8 @@
             caller_connections: Gauge::default(),
             held_body_bytes: Gauge::default(),
             held_response_bytes: Gauge::default(),
+            leaving_servers: Gauge::default(),
+            paused_servers: Gauge::default(),
             document_version: Gauge::default(),
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
@@ -131,6 +138,12 @@
         registry.register("quarantined_requests", "Requests in quarantine", quarantined);
         let held = self.held_requests.clone();
         registry.register("held_requests", "Refusals until control decides on a suspect", held);
+        let statements = self.server_statements.clone();
+        registry.register(
+            "server_statements",
+            "Answers in which a server spoke of itself",
+            statements,
+        );
         let gauges = [
             ("suspect_requests", "Requests with evidence of a crash", &self.suspect_requests),
             ("held_suspects", "Suspects on which control has not decided", &self.held_suspects),
@@ -138,6 +151,8 @@
             ("caller_connections", "Connections of callers", &self.caller_connections),
             ("held_body_bytes", "Bytes of request bodies in memory", &self.held_body_bytes),
             ("held_response_bytes", "Bytes reserved for long responses", &self.held_response_bytes),
+            ("leaving_servers", "Servers whose answers say that they leave", &self.leaving_servers),
+            ("paused_servers", "Servers that asked for a pause", &self.paused_servers),
             ("document_version", "Version of the document in force", &self.document_version),
             ("revision", "Revision of the state that is followed", &self.revision),
             ("fresh_members", "Links to members that are up to date", &self.fresh_members),
@@ -189,6 +204,16 @@
         self.opened_connections.get_or_create(&self.service_label(service)).inc();
     }
 
+    /// Records what a server said of itself.
+    pub fn record_statement(&self, service: &str, statement: ServerStatement) {
+        let ServerStatement { is_leaving, pause, is_invalid } = statement;
+        let kinds = [("leaving", is_leaving), ("pause", pause.is_some()), ("invalid", is_invalid)];
+        for (outcome, _) in kinds.into_iter().filter(|(_, is_said)| *is_said) {
+            let service = self.service_name(Some(service));
+            self.server_statements.get_or_create(&OutcomeLabel { service, outcome }).inc();
+        }
+    }
+
     /// Gauge of the requests of a service that are in progress.
     pub fn in_flight(&self, service: &str) -> Gauge {
         self.in_flight.get_or_create(&self.service_label(service)).clone()
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -110,6 +110,9 @@
         let metrics = &self.context.metrics;
         metrics.idle_connections.set(self.context.connections.len() as i64);
         metrics.held_body_bytes.set(self.context.held_bytes.total() as i64);
+        let (leaving, paused) = self.context.stated_counts(Instant::now());
+        metrics.leaving_servers.set(leaving as i64);
+        metrics.paused_servers.set(paused as i64);
         metrics.held_response_bytes.set(self.context.held_responses.total() as i64);
         metrics.suspect_requests.set(self.context.crash_watch.suspect_count() as i64);
         metrics.held_suspects.set(self.context.crash_watch.held_count() as i64);
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -34,6 +34,9 @@
 /// still be served within the target when it retries.
 const RETRY_AFTER_FRACTION: f64 = 0.25;
 
+/// Part of a pause by which callers that come back after it are spread.
+const RESUME_SPREAD_FRACTION: f64 = 0.25;
+
 /// `retry-after` before the first document is in force.
 const NO_DOCUMENT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -410,7 +413,7 @@
         } else if let SendError::Held(remaining) = error {
             self.context.refuse_held(&self.request, remaining)
         } else if matches!(error, SendError::NoServer(_)) {
-            self.refuse("no server has room")
+            self.refuse_without_server(now)
         } else if matches!(error, SendError::Expired) {
             self.refuse("the time is over before a server was reached")
         } else if !self.can_finish() {
@@ -454,6 +457,18 @@
         self.context.can_finish(&self.rule, self.request.deadline)
     }
 
+    /// Refuses a request for which no server has room. While all are paused, the caller comes back after the
+    /// first pause, at a random time, so that not all callers come at once.
+    fn refuse_without_server(&self, now: Instant) -> LocalResponse {
+        let resumes_at =
+            self.context.with_balancer(&self.request.service, |balancer| balancer.resumes_at(now));
+        let Some(resumes_at) = resumes_at else { return self.refuse("no server has room") };
+        let pause = resumes_at.saturating_duration_since(now);
+        let spread = self.context.random.borrow_mut().f64() * RESUME_SPREAD_FRACTION;
+        let time_left = self.request.deadline.saturating_duration_since(now);
+        LocalResponse::not_run("all servers are paused", pause.mul_f64(1.0 + spread), time_left)
+    }
+
     fn refuse(&self, reason: &'static str) -> LocalResponse {
         let time_left = self.request.deadline.saturating_duration_since(Instant::now());
         let delay = self.rule.target_latency.mul_f64(RETRY_AFTER_FRACTION);
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -59,6 +59,9 @@
     /// No server has room.
     #[error("not sent: {0}")]
     NoServer(ProbeCounts),
+    /// The server has said meanwhile that it leaves or wants a pause.
+    #[error("not sent: the server leaves or is paused")]
+    Withdrawn,
     /// The deadline passed before anything was sent.
     #[error("not sent: the deadline has passed")]
     Expired,
@@ -87,7 +90,9 @@
 
     /// Whether the request was sent to a server.
     pub fn was_sent(&self) -> bool {
-        !matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Expired) && !self.is_withheld()
+        let is_unsent =
+            matches!(self, Self::NotSent(_) | Self::NoServer(_) | Self::Withdrawn | Self::Expired);
+        !is_unsent && !self.is_withheld()
     }
 
     /// Whether the evidence against the request prevented the send.
@@ -98,7 +103,9 @@
     fn outcome(&self) -> SendOutcome {
         match self {
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer => SendOutcome::Unreachable,
-            Self::Expired | Self::Quarantined | Self::Held(_) => SendOutcome::Abandoned,
+            Self::Withdrawn | Self::Expired | Self::Quarantined | Self::Held(_) => {
+                SendOutcome::Abandoned
+            }
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -107,7 +114,7 @@
     /// Label value for metrics.
     pub fn label(&self) -> &'static str {
         match self {
-            Self::NotSent(_) | Self::NoServer(_) | Self::Expired => "not_sent",
+            Self::NotSent(_) | Self::NoServer(_) | Self::Withdrawn | Self::Expired => "not_sent",
             Self::Quarantined => "quarantined",
             Self::Held(_) => "held",
             Self::NotRun { .. } => "not_run",
@@ -129,12 +136,19 @@
 
 impl SendGuard {
     fn new(context: &Rc<EntryContext>, service: &ServiceName, server: &ServerId) -> Self {
-        context.with_balancer(service, |balancer| balancer.begin_send(server));
+        let now = Instant::now();
+        let was_paused = context.with_balancer(service, |balancer| {
+            balancer.begin_send(server);
+            balancer.end_pause(now, server)
+        });
+        if was_paused {
+            crate::log_info!("server_resumed", "service={service} server={server}");
+        }
         Self {
             context: Rc::clone(context),
             service: service.clone(),
             server: server.clone(),
-            started: Instant::now(),
+            started: now,
             outcome: SendOutcome::Abandoned,
         }
     }
@@ -225,6 +239,10 @@
     guard.outcome = match &result {
         Ok(response) if response.head.status < 500 => SendOutcome::Success,
         Ok(_) => SendOutcome::Failure,
+        // What a server rejects while it is paused is no failure.
+        Err(error) if error.was_sent() && !context.accepts(&request.service, chosen) => {
+            SendOutcome::Shed
+        }
         Err(error) => error.outcome(),
     };
     // Other requests avoid the server while the evidence is checked.
@@ -264,6 +282,9 @@
     if time_left.is_zero() {
         return Err(SendError::Expired);
     }
+    if !context.accepts(&request.service, chosen) {
+        return Err(SendError::Withdrawn);
+    }
     match context.decide_send(request) {
         SendDecision::Allowed | SendDecision::Trial => {}
         SendDecision::Held(remaining) => return Err(SendError::Held(remaining)),
@@ -279,6 +300,12 @@
         && stream.write_until_response(request.long_body()).await.map_err(HttpError::from)?;
     let head = read_matching_head(context, request, &mut stream, &limits).await?;
     context.record_load(Instant::now(), &request.service, &chosen.server, &head);
+    // A rejection may come without the id; it may belong to another request.
+    let is_own = request.request_id.is_none()
+        || head.headers.get(context.dialect.headers().request_id).is_some();
+    if is_own {
+        context.record_statement(Instant::now(), &request.service, chosen, &head);
+    }
     validate_head(context, &head)?;
     let framing = match BodyFraming::of_response(&request.method, &head) {
         Ok(framing) => Some(framing),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -32,5 +32,6 @@
 pub mod routes;
 mod server_rows;
 pub mod state;
+pub mod statement;
 pub mod stream;
 pub mod update;
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -20,6 +20,8 @@
     server_id: "x-own-server-id",
     load: "x-server-load",
     not_run: "x-not-run",
+    leaving: "x-server-leaving",
+    pause: "retry-after",
 };
 
 const PATHS: CallPaths = CallPaths {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -34,5 +34,6 @@
 mod routes;
 mod slow_member;
 mod state;
+mod statements;
 mod stop;
 mod suspect_hold;
