Keep a closing connection until its caller has read everything

Cause: the socket was dropped 500 ms after the last answer was in the send buffer. The next pipelined request met a closed socket, and the reset discarded the rest of the buffer. The exit came 600 ms after the last answer, too.

Ruled out: the exit by itself; the kernel sends on after it.

Change: the stream estimates until when a peer at 2 Mbit/s has read what was written. A close reads and drops what arrives until then, or until the caller closes; such connections hold up the end of a stop within the grace.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -144,7 +144,14 @@
             match result {
                 Ok(()) => {}
                 Err(ConnectionEnd::Drop) => return,
-                Err(ConnectionEnd::Close) => return self.stream.close().await,
+                Err(ConnectionEnd::Close) => {
+                    let metrics = &self.context.metrics;
+                    let _unread_guard = self
+                        .stream
+                        .may_hold_unread()
+                        .then(|| GaugeGuard::new(metrics.closing_connections.clone()));
+                    return self.stream.close().await;
+                }
             }
         }
     }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -66,6 +66,8 @@
     pub held_suspects: Gauge,
     pub idle_connections: Gauge,
     pub caller_connections: Gauge,
+    /// Connections that are closed as soon as their callers have read everything.
+    pub closing_connections: Gauge,
     pub held_body_bytes: Gauge,
     pub held_response_bytes: Gauge,
     pub leaving_servers: Gauge,
@@ -101,6 +103,7 @@
             held_suspects: Gauge::default(),
             idle_connections: Gauge::default(),
             caller_connections: Gauge::default(),
+            closing_connections: Gauge::default(),
             held_body_bytes: Gauge::default(),
             held_response_bytes: Gauge::default(),
             leaving_servers: Gauge::default(),
@@ -149,6 +152,11 @@
             ("held_suspects", "Suspects on which control has not decided", &self.held_suspects),
             ("idle_connections", "Idle connections to servers", &self.idle_connections),
             ("caller_connections", "Connections of callers", &self.caller_connections),
+            (
+                "closing_connections",
+                "Connections whose callers still read the last response",
+                &self.closing_connections,
+            ),
             ("held_body_bytes", "Bytes of request bodies in memory", &self.held_body_bytes),
             ("held_response_bytes", "Bytes reserved for long responses", &self.held_response_bytes),
             ("leaving_servers", "Servers whose answers say that they leave", &self.leaving_servers),
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -164,7 +164,8 @@
         let mut active_until = Instant::now();
         while Instant::now() < end && !self.is_idle() {
             let now = Instant::now();
-            if !self.context.active_requests.is_empty() {
+            let closing = self.context.metrics.closing_connections.get();
+            if !self.context.active_requests.is_empty() || closing > 0 {
                 active_until = now;
             } else if now.duration_since(active_until) >= CLOSING_TIME {
                 return;
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -21,15 +21,37 @@
 /// Schedule of the pieces of a long body; all bodies in the same direction share it.
 pub type SharedPacer<'a> = &'a RefCell<LinePacer>;
 
-/// Time for which a closing connection waits for the peer to read the remaining data.
+/// Time for which a closing connection waits for the peer once the peer can have read everything.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Slowest rate at which a peer is expected to read: a line of 2 Mbit/s.
+const SLOWEST_BYTES_PER_S: f64 = 250_000.0;
+
 /// Size of a send buffer that holds the end of a long response: two seconds of a line of 4 Mbit/s.
 const LARGE_SEND_BUFFER_BYTES: usize = 1 << 20;
 
+/// Largest send buffer that is expected; what is written beyond it was read by the peer.
+const MAX_SEND_BUFFER_BYTES: usize = 2 * LARGE_SEND_BUFFER_BYTES;
+
 /// Maximum number of interim responses before a final one.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
+/// Estimate of the written bytes that the peer may not have read yet.
+#[derive(Debug, Clone, Copy)]
+struct UnreadEstimate {
+    /// Time at which the slowest peer has read everything.
+    read_at: Instant,
+}
+
+impl UnreadEstimate {
+    fn add(&mut self, now: Instant, bytes: usize) {
+        let duration = Duration::from_secs_f64(bytes as f64 / SLOWEST_BYTES_PER_S);
+        let max_duration =
+            Duration::from_secs_f64(MAX_SEND_BUFFER_BYTES as f64 / SLOWEST_BYTES_PER_S);
+        self.read_at = (self.read_at.max(now) + duration).min(now + max_duration);
+    }
+}
+
 /// State of a connection on which no data is expected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IdleState {
@@ -49,6 +71,7 @@
     /// Time for which writes have waited until the peer had read enough.
     write_wait: Duration,
     has_large_send_buffer: bool,
+    unread: UnreadEstimate,
     /// Arrival time of the newest bytes.
     last_read_at: Instant,
     /// Latest time at which everything that had arrived was read, and the peer had not closed its side.
@@ -70,6 +93,7 @@
             read_bytes,
             write_wait,
             has_large_send_buffer: false,
+            unread: UnreadEstimate { read_at: now },
             last_read_at: now,
             drained_at: now,
             buffered_since: now,
@@ -350,9 +374,15 @@
         let started = Instant::now();
         let result = self.stream.write_all(bytes).await;
         self.write_wait += started.elapsed();
+        self.unread.add(Instant::now(), bytes.len());
         result
     }
 
+    /// Whether the peer may not have read everything.
+    pub fn may_hold_unread(&self) -> bool {
+        Instant::now() < self.unread.read_at
+    }
+
     /// Lets the kernel take more of a response than the peer has read: it transmits the rest even after the
     /// process has exited.
     pub fn enlarge_send_buffer(&mut self) {
@@ -367,9 +397,11 @@
         }
     }
 
-    /// Shuts down the sending side and waits briefly for the peer to close.
+    /// Shuts down the sending side and waits until the peer closes, or can have read everything.
     ///
-    /// Closing a socket with unread bytes resets the connection, which may discard the last response.
+    /// Closing a socket with unread bytes resets the connection, and so do bytes that arrive afterwards: a
+    /// peer that pipelines sends them before it has read that the connection ends. A reset discards what
+    /// the kernel has not sent yet.
     pub async fn close(mut self) {
         if self.stream.shutdown().await.is_err() {
             return;
@@ -382,7 +414,8 @@
                 }
             }
         };
-        let _ = timeout(LINGER_TIMEOUT, drain).await;
+        let unread_time = self.unread.read_at.saturating_duration_since(Instant::now());
+        let _ = timeout(unread_time + LINGER_TIMEOUT, drain).await;
     }
 }
 
--- a/tests/fleet/stop.rs
+++ b/tests/fleet/stop.rs
@@ -5,6 +5,7 @@
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
 use yare::parameterized;
 
 use crate::entry::TestSystem;
@@ -411,3 +412,59 @@
     let served = results.iter().filter(|(_, result)| *result == LateResult::Answered(200)).count();
     assert!(served > 5, "{results:?}");
 }
+
+/// Size of the responses to a pipelining caller.
+const PIPELINED_BYTES: usize = 300_000;
+
+/// Rate at which that caller reads: a line of 4 Mbit/s.
+const PIPELINED_BYTES_PER_S: f64 = 500_000.0;
+
+/// Reads one response at the caller's rate; returns its head, or `None` if it is not complete.
+fn read_response_slowly(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<String> {
+    let mut piece = vec![0; 8192];
+    loop {
+        let text = String::from_utf8_lossy(input).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n")
+            && body.len() >= PIPELINED_BYTES
+        {
+            let head = format!("{head}\r\n");
+            input.drain(..head.len() + 2 + PIPELINED_BYTES);
+            return Some(head);
+        }
+        let count = stream.read(&mut piece).ok().filter(|count| *count > 0)?;
+        input.extend_from_slice(&piece[..count]);
+        std::thread::sleep(Duration::from_secs_f64(count as f64 / PIPELINED_BYTES_PER_S));
+    }
+}
+
+/// Guards against a stop that drops a connection while its caller still reads (review case 5): the next
+/// pipelined request meets a closed socket, and the reset discards what the kernel has not sent yet.
+#[test]
+fn a_pipelining_caller_on_a_slow_line_gets_all_responses() {
+    let large = ServerStep::Large(PIPELINED_BYTES);
+    let server = ScriptedServer::start(&vec![large; 20]);
+    let system = TestSystem::start_with_document(&[server.address], None, &document(1));
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket can be opened");
+    socket.set_recv_buffer_size(16 << 10).expect("the size is valid");
+    socket.connect(&system.entry.traffic.into()).expect("the entry listens");
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("the timeout is valid");
+    let text = request("GET /read/1");
+    stream.write_all(text.repeat(3).as_bytes()).expect("the entry reads");
+    let servers = [server];
+    wait_for("the requests to be passed on", || sent_count(&servers) == 3);
+    let TestSystem { entry, fleet } = system;
+    let stopping = std::thread::spawn(move || entry.stop());
+    let (mut input, mut complete) = (Vec::new(), 0);
+    while let Some(head) = read_response_slowly(&mut stream, &mut input) {
+        complete += 1;
+        if head.contains("connection: close") {
+            break;
+        }
+        // The caller has not seen that the connection will be closed.
+        let _ = stream.write_all(text.as_bytes());
+    }
+    stopping.join().expect("the entry stops");
+    drop(fleet);
+    assert_eq!(complete, sent_count(&servers), "responses of requests that were passed on");
+}
