--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -65,6 +65,10 @@
     state: FleetState,
     applied: LogIndex,
     snapshot_index: LogIndex,
+    /// Size of the log entries applied since that snapshot.
+    unsaved_bytes: usize,
+    /// Whether a snapshot of this member's state is being saved.
+    is_saving_snapshot: bool,
     disk: Sender<DiskJob>,
     peers: Rc<PeerLinks>,
     revision: watch::Sender<LogIndex>,
@@ -125,6 +129,8 @@
             applied: parts.snapshot_index,
             state: parts.state,
             snapshot_index: parts.snapshot_index,
+            unsaved_bytes: 0,
+            is_saving_snapshot: false,
             disk: parts.disk,
             peers: parts.peers,
             revision: watch::Sender::new(parts.snapshot_index),
@@ -363,6 +369,7 @@
             DiskReport::IdentitySaved { member } => return self.on_identity_saved(now, member),
             DiskReport::Appended { sequence } => RaftEvent::Persisted { sequence },
             DiskReport::SnapshotSaved { snapshot, installed: false } => {
+                self.is_saving_snapshot = false;
                 RaftEvent::SnapshotSaved(snapshot)
             }
             DiskReport::SnapshotSaved { snapshot, installed: true } => {
@@ -465,6 +472,7 @@
     fn apply(&mut self, entries: Vec<LogEntry>) {
         for entry in entries {
             self.applied = entry.index;
+            self.unsaved_bytes += entry.size_bytes();
             self.state.advance(entry.index);
             if let EntryBody::Payload(payload) = &entry.body {
                 match FleetCommand::decode(payload) {
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -154,6 +154,12 @@
     pub fn is_running(&self) -> bool {
         self.process.is_some()
     }
+
+    /// Size of all files in the data folder.
+    pub fn folder_bytes(&self) -> u64 {
+        let files = std::fs::read_dir(&self.folder).expect("the folder exists").flatten();
+        files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len()).sum()
+    }
 }
 
 fn config(seeds: &[SocketAddr], role: FleetRole) -> FleetConfig {
--- a/tests/fleet/members.rs
+++ b/tests/fleet/members.rs
@@ -108,6 +108,56 @@
     });
 }
 
+/// Number of changes of a large document. Each of them is about a megabyte in the log.
+const LARGE_CHANGES: u64 = 80;
+
+/// Bound of a data folder: three segments of the log, a snapshot and its successor.
+const MAX_FOLDER_BYTES: u64 = 32 << 20;
+
+/// Returns a document with 1,700 routes.
+fn large_document(version: u64) -> String {
+    let mut value: serde_json::Value =
+        serde_json::from_str(&document(version)).expect("the text is JSON");
+    let route = value["routes"][0].clone();
+    let routes = value["routes"].as_array_mut().expect("the document has routes");
+    for number in 0..1698 {
+        let mut route = route.clone();
+        route["name"] = format!("read-{number}").into();
+        route["prefix"] = format!("/read/more-{number}/").into();
+        routes.push(route);
+    }
+    value.to_string()
+}
+
+/// Guards against a log that is cut by the number of its entries only (review case 2): large documents
+/// fill the memory of a member, and each start reads the same log.
+#[test]
+fn the_log_is_cut_by_its_size() {
+    let mut fleet = TestFleet::start();
+    fleet.put_document(&document(1));
+    wait_for_voters(&fleet, 5);
+    for version in 2..2 + LARGE_CHANGES {
+        fleet.put_document(&large_document(version));
+    }
+    let last = large_document(1 + LARGE_CHANGES);
+    for member in 0..5 {
+        wait_for("every member to read the newest document", || {
+            fleet.read_document(member).as_ref() == Some(&last)
+        });
+        wait_for("the log to be cut", || fleet.members[member].folder_bytes() < MAX_FOLDER_BYTES);
+    }
+    for member in &mut fleet.members {
+        member.kill();
+    }
+    let seeds = fleet.seeds.clone();
+    for member in &mut fleet.members {
+        member.start(&seeds, false);
+    }
+    wait_for("the newest document after a restart", || {
+        fleet.read_document(4).as_ref() == Some(&last)
+    });
+}
+
 /// Guards against an older document that replaces a newer one, and against an error for a repeated
 /// change.
 #[test]
