Ignore what another server at an address says of itself

A server that answers 421 is not the one that the request was meant for. Its statement that it leaves, or wants a pause, was recorded for the other one.

Failed before: a_foreign_answer_says_nothing, other_server (1 leaving server instead of 0). After: both cases pass.

--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -304,8 +304,12 @@
         && stream.write_until_response(request.long_body()).await.map_err(HttpError::from)?;
     let head = read_matching_head(context, request, &mut stream, &limits).await?;
     context.record_load(Instant::now(), &request.service, &chosen.server, &head);
-    context.record_statement(Instant::now(), &request.service, chosen, &head);
-    validate_head(context, request, &head)?;
+    let validated = validate_head(context, request, &head);
+    // Another server at the address speaks of itself.
+    if !matches!(validated, Err(SendError::OtherServer { .. })) {
+        context.record_statement(Instant::now(), &request.service, chosen, &head);
+    }
+    validated?;
     let framing = match BodyFraming::of_response(&request.method, &head) {
         Ok(framing) => Some(framing),
         Err(HttpError::UnframedResponse) => None,
--- a/tests/fleet/statements.rs
+++ b/tests/fleet/statements.rs
@@ -259,12 +259,19 @@
     assert_eq!(system.entry.metric("entry_paused_servers"), 0);
 }
 
-/// Guards against a statement that is taken from an answer to another request.
-#[test]
-fn a_foreign_answer_says_nothing() {
-    let server = ScriptedServer::start(&[ServerStep::Respond(FOREIGN_RESPONSE)]);
+const OTHER_SERVER_RESPONSE: &str = "HTTP/1.1 421 Misdirected Request\r\nx-request-id: ID\r\n\
+                                     x-not-run: 1\r\nx-server-leaving: 1\r\n\
+                                     content-length: 0\r\n\r\n";
+
+/// Guards against a statement that is taken from an answer to another request, or of another server.
+#[parameterized(
+    other_request = { FOREIGN_RESPONSE, 200 },
+    other_server = { OTHER_SERVER_RESPONSE, 503 },
+)]
+fn a_foreign_answer_says_nothing(text: &'static str, status: u16) {
+    let server = ScriptedServer::start(&[ServerStep::Respond(text)]);
     let system = TestSystem::start_with_document(&[server.address], None, &document(1));
-    assert_eq!(call(system.entry.traffic, "GET", "/read/1", ""), (200, "ok".to_owned()));
+    assert_eq!(call(system.entry.traffic, "POST", "/book/1", "").0, status);
     assert_eq!(system.entry.metric("entry_leaving_servers"), 0);
     assert_eq!(call(system.entry.traffic, "GET", "/read/1", "").0, 200);
 }
