--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -6,7 +6,7 @@
 
 use super::announcement::{IncarnationStart, ServerState};
 use super::dialect::ReportedLoad;
-use super::statement::{ConditionChange, ServerStatement, StatedCondition};
+use super::statement::{ConditionChange, StatedCondition, TargetStatement};
 use super::update::ServerView;
 use crate::ids::ServerId;
 
@@ -341,7 +341,7 @@
         now: Instant,
         entry: &str,
         (server, started): (&ServerId, IncarnationStart),
-        statement: ServerStatement,
+        statement: TargetStatement,
     ) -> Option<ConditionChange> {
         let stats = self.servers.get_mut(server).filter(|stats| stats.started == started)?;
         stats.stated.record(now, entry, server, statement)
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -25,7 +25,7 @@
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
-use crate::fleet::statement::{ConditionChange, ServerStatement};
+use crate::fleet::statement::{ConditionChange, TargetStatement};
 use crate::fleet::update::{FleetReplica, FleetUpdate};
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
@@ -316,8 +316,8 @@
         chosen: &ChosenServer,
         head: &ResponseHead,
     ) {
-        let statement = ServerStatement::parse(self.dialect.headers(), head.status, &head.headers);
-        if statement == ServerStatement::default() {
+        let statement = TargetStatement::parse(self.dialect.headers(), head.status, &head.headers);
+        if statement == TargetStatement::default() {
             return;
         }
         let (server, started) = (&chosen.server, chosen.started);
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
-use crate::fleet::statement::ServerStatement;
+use crate::fleet::statement::TargetStatement;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
 const MAX_SERVICES: usize = 32;
@@ -213,8 +213,8 @@
     }
 
     /// Records what a server said of itself.
-    pub fn record_statement(&self, service: &str, statement: ServerStatement) {
-        let ServerStatement { is_leaving, pause, is_invalid } = statement;
+    pub fn record_statement(&self, service: &str, statement: TargetStatement) {
+        let TargetStatement { is_leaving, pause, is_invalid } = statement;
         let kinds = [("leaving", is_leaving), ("pause", pause.is_some()), ("invalid", is_invalid)];
         for (outcome, _) in kinds.into_iter().filter(|(_, is_said)| *is_said) {
             let service = self.service_name(Some(service));
--- a/src/fleet/statement.rs
+++ b/src/fleet/statement.rs
@@ -18,7 +18,7 @@
 
 /// What one answer says.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ServerStatement {
+pub struct TargetStatement {
     /// The server leaves; it takes no new requests.
     pub is_leaving: bool,
     /// The server rejected the request and wants no further one for this time.
@@ -27,7 +27,7 @@
     pub is_invalid: bool,
 }
 
-impl ServerStatement {
+impl TargetStatement {
     /// Reads the statement in the head of an answer; the caller checks that the answer belongs to the
     /// request.
     pub fn parse(names: &HeaderNames, status: u16, headers: &HeaderList) -> Self {
@@ -83,7 +83,7 @@
         now: Instant,
         entry: &str,
         server: &str,
-        statement: ServerStatement,
+        statement: TargetStatement,
     ) -> Option<ConditionChange> {
         if statement.is_leaving && !self.is_leaving {
             self.is_leaving = true;
--- a/tests/fleet/statements.rs
+++ b/tests/fleet/statements.rs
@@ -7,7 +7,7 @@
 use curranthollow::fleet::balance::ServiceBalancer;
 use curranthollow::fleet::dialect::WireDialect;
 use curranthollow::fleet::native::NativeDialect;
-use curranthollow::fleet::statement::{ConditionChange, ServerStatement};
+use curranthollow::fleet::statement::{ConditionChange, TargetStatement};
 use curranthollow::fleet::update::ServerView;
 use curranthollow::http::HeaderList;
 use yare::parameterized;
@@ -17,24 +17,24 @@
     ScriptedServer, ServerStep, call, document, exchange, header_value, parse_response,
 };
 
-const LEAVING: ServerStatement =
-    ServerStatement { is_leaving: true, pause: None, is_invalid: false };
+const LEAVING: TargetStatement =
+    TargetStatement { is_leaving: true, pause: None, is_invalid: false };
 
 /// Time beyond a pause by which all entries have returned.
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 
-fn pause(seconds: u64) -> ServerStatement {
+fn pause(seconds: u64) -> TargetStatement {
     let pause = Some(Duration::from_secs(seconds));
-    ServerStatement { is_leaving: false, pause, is_invalid: false }
+    TargetStatement { is_leaving: false, pause, is_invalid: false }
 }
 
-fn invalid() -> ServerStatement {
-    ServerStatement { is_invalid: true, ..ServerStatement::default() }
+fn invalid() -> TargetStatement {
+    TargetStatement { is_invalid: true, ..TargetStatement::default() }
 }
 
 /// Guards against bad values that panic, shut a server out for good, or count although they are ambiguous.
 #[parameterized(
-    nothing = { 200, &[], ServerStatement::default() },
+    nothing = { 200, &[], TargetStatement::default() },
     leaving = { 200, &[("x-server-leaving", "1")], LEAVING },
     leaving_in_a_rejection = { 503, &[("x-server-leaving", "1")], LEAVING },
     not_leaving = { 200, &[("x-server-leaving", "0")], invalid() },
@@ -42,23 +42,23 @@
     paused = { 503, &[("retry-after", "2")], pause(2) },
     fraction = {
         503, &[("retry-after", "0.25")],
-        ServerStatement { pause: Some(Duration::from_millis(250)), ..ServerStatement::default() }
+        TargetStatement { pause: Some(Duration::from_millis(250)), ..TargetStatement::default() }
     },
-    other_status = { 429, &[("retry-after", "2")], ServerStatement::default() },
+    other_status = { 429, &[("retry-after", "2")], TargetStatement::default() },
     date = { 503, &[("retry-after", "Fri, 31 Dec 1999 23:59:59 GMT")], invalid() },
     negative = { 503, &[("retry-after", "-1")], invalid() },
     no_number = { 503, &[("retry-after", "NaN")], invalid() },
     infinite = { 503, &[("retry-after", "inf")], invalid() },
     twice = { 503, &[("retry-after", "1"), ("retry-after", "2")], invalid() },
-    huge = { 503, &[("retry-after", "1e300")], ServerStatement { is_invalid: true, ..pause(60) } },
+    huge = { 503, &[("retry-after", "1e300")], TargetStatement { is_invalid: true, ..pause(60) } },
 )]
-fn a_statement_is_read(status: u16, fields: &[(&str, &str)], expected: ServerStatement) {
+fn a_statement_is_read(status: u16, fields: &[(&str, &str)], expected: TargetStatement) {
     let mut headers = HeaderList::new();
     for (name, value) in fields {
         headers.append(name, value.as_bytes()).expect("the field is valid");
     }
     let names = NativeDialect;
-    assert_eq!(ServerStatement::parse(names.headers(), status, &headers), expected);
+    assert_eq!(TargetStatement::parse(names.headers(), status, &headers), expected);
 }
 
 type ServerViews = BTreeMap<Box<str>, ServerView>;
@@ -101,7 +101,7 @@
         &mut self,
         server: &str,
         started: u64,
-        statement: ServerStatement,
+        statement: TargetStatement,
     ) -> Option<ConditionChange> {
         let (now, server) = (self.now, server.into());
         self.balancer.record_statement(now, "e", (&server, started), statement)
