Add tenants, evacuations and cold-server rates to the document and the replicated state

Cause: the documents of the two new customers name tenants with keys, priorities and rates, public routes and a request rate for cold servers; the operator evacuates availability zones. Nothing of it was decoded or replicated.

Change: tenants are replicated and told to entries one by one as they change, with tombstones, like routes; evacuated zones as one list when it changes. Keys are kept as digests only. The two calls for evacuations are committed like documents. Ruled out: a further column in the rows of routes, which entries of older versions could not read; public routes are listed beside the rows. Nothing uses the new fields yet.

--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -15,6 +15,38 @@
     pub window: Duration,
 }
 
+/// Limits of the tenants' quotas, over all entries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaLimits {
+    /// Length of the sliding window in which requests are counted.
+    pub window: Duration,
+    /// Part of a quota by which a window may exceed it.
+    pub overshoot: f64,
+    /// Requests by which a window may exceed a quota besides.
+    pub tolerance: f64,
+}
+
+impl Default for QuotaLimits {
+    fn default() -> Self {
+        Self { window: Duration::from_secs(5), overshoot: 0.1, tolerance: 20.0 }
+    }
+}
+
+/// Limits on the requests of one second to a cold server, over all entries.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct WarmupLimits {
+    /// Factor by which a second may exceed the warm-up rate.
+    pub overshoot: f64,
+    /// Requests by which a second may exceed it besides.
+    pub tolerance: f64,
+}
+
+impl Default for WarmupLimits {
+    fn default() -> Self {
+        Self { overshoot: 1.5, tolerance: 8.0 }
+    }
+}
+
 /// Config common to all roles.
 #[derive(Debug, Clone, PartialEq)]
 pub struct FleetConfig {
@@ -27,6 +59,8 @@
     pub grace: Duration,
     /// Address of the metrics page.
     pub metrics: Option<SocketAddr>,
+    pub quota: QuotaLimits,
+    pub warmup: WarmupLimits,
     pub role: FleetRole,
 }
 
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -18,7 +18,7 @@
 use crate::fleet::state::FleetCommand;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
-use crate::ids::ServerId;
+use crate::ids::{ServerId, ZoneName};
 use crate::{log_info, log_routine, log_warn};
 
 /// Maximum size of a request body.
@@ -34,6 +34,9 @@
 /// Interval at which a read checks whether the local state has reached the confirmed index.
 const APPLY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Maximum length of the name of an availability zone in bytes.
+const MAX_ZONE_BYTES: usize = 128;
+
 /// Response to one call.
 struct CallResponse {
     status: u16,
@@ -201,6 +204,8 @@
             OperatorCall::GetDocument => self.get_document().await,
             OperatorCall::GetQuarantine => self.get_quarantine(),
             OperatorCall::Release(digest) => self.release(&digest).await,
+            OperatorCall::Evacuate(zone) => self.evacuate(zone).await,
+            OperatorCall::EndEvacuation(zone) => self.end_evacuation(zone).await,
             OperatorCall::Unknown => self.failure(404, "no such call"),
         }
     }
@@ -324,6 +329,23 @@
         self.commit(&FleetCommand::Release(vec![digest])).await
     }
 
+    async fn evacuate(&self, zone: ZoneName) -> CallResponse {
+        if let Err(message) = check_zone(&zone) {
+            log_warn!("evacuation_refused", "error=\"{message}\"");
+            return self.failure(400, message);
+        }
+        log_info!("evacuation_requested", "zone={zone}");
+        self.commit(&FleetCommand::Evacuate(zone)).await
+    }
+
+    async fn end_evacuation(&self, zone: ZoneName) -> CallResponse {
+        if let Err(message) = check_zone(&zone) {
+            return self.failure(400, message);
+        }
+        log_info!("evacuation_end_requested", "zone={zone}");
+        self.commit(&FleetCommand::EndEvacuation(zone)).await
+    }
+
     /// Returns the current document. This is a linearizable read: it fails unless a majority confirms
     /// the leader.
     async fn get_document(&self) -> CallResponse {
@@ -346,6 +368,17 @@
     }
 }
 
+/// Checks the name of an availability zone. Anyone who reaches a member can call it, and all members and
+/// entries hold the name.
+fn check_zone(zone: &ZoneName) -> Result<(), &'static str> {
+    let is_printable = zone.bytes().all(|byte| byte.is_ascii_graphic());
+    if zone.len() <= MAX_ZONE_BYTES && is_printable {
+        Ok(())
+    } else {
+        Err("the availability zone is too long or not printable ASCII")
+    }
+}
+
 fn put_command(document: RouteDocument, body: &[u8]) -> FleetCommand {
     FleetCommand::PutDocument { document: Box::new(document), text: body.to_vec() }
 }
--- a/src/fleet/dialect.rs
+++ b/src/fleet/dialect.rs
@@ -2,7 +2,7 @@
 
 use super::announcement::{AnnouncementError, IncarnationStart, ServerAnnouncement};
 use super::document::{DocumentError, RouteDocument};
-use crate::ids::ServerId;
+use crate::ids::{ServerId, ZoneName};
 
 /// Header names in lower case.
 #[derive(Debug, Clone, Copy)]
@@ -25,6 +25,12 @@
     pub leaving: &'static str,
     /// In a rejection: seconds for which the server wants no further request.
     pub pause: &'static str,
+    /// Name of the tenant whose key the caller has sent; set by the entry.
+    pub tenant: &'static str,
+    /// Credentials of a caller: the key scheme and the key.
+    pub authorization: &'static str,
+    /// Milliseconds for which a server remains cold, on its health page.
+    pub warmup: &'static str,
 }
 
 /// Paths of the calls that a fleet process handles itself.
@@ -34,6 +40,8 @@
     pub document: &'static str,
     /// Prefix that is followed by a server id.
     pub servers: &'static str,
+    /// Prefix that is followed by the name of an availability zone.
+    pub evacuations: &'static str,
     /// List of the requests in quarantine; followed by `/` and a digest for a release.
     pub quarantine: &'static str,
 }
@@ -49,6 +57,8 @@
     PutDocument,
     GetDocument,
     GetQuarantine,
+    Evacuate(ZoneName),
+    EndEvacuation(ZoneName),
     /// Releases a request; the text should be a digest in hexadecimal.
     Release(Box<str>),
     Unknown,
@@ -60,6 +70,9 @@
 
     fn paths(&self) -> &CallPaths;
 
+    /// Scheme of the credentials that carry a tenant's key.
+    fn key_scheme(&self) -> &'static str;
+
     /// Whether this is a readiness probe of the load balancer in front.
     fn is_readiness(&self, method: &str, path: &str) -> bool {
         method == "GET" && path == self.paths().readiness
@@ -75,6 +88,14 @@
         {
             return OperatorCall::Release(digest.into());
         }
+        let zone = path.strip_prefix(paths.evacuations).filter(|zone| !zone.is_empty());
+        if let Some(zone) = zone {
+            return match method {
+                "POST" => OperatorCall::Evacuate(zone.into()),
+                "DELETE" => OperatorCall::EndEvacuation(zone.into()),
+                _ => OperatorCall::Unknown,
+            };
+        }
         match (method, server) {
             ("GET", _) if path == paths.quarantine => OperatorCall::GetQuarantine,
             ("PUT", _) if path == paths.document => OperatorCall::PutDocument,
--- a/src/fleet/document.rs
+++ b/src/fleet/document.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::ids::ServiceName;
+use super::tenant::{KeyDigest, TenantError, TenantRule};
+use crate::ids::{ServiceName, TenantName};
 
 /// Version of a document. The highest version is in force.
 pub type DocumentVersion = u64;
@@ -53,16 +54,25 @@
     pub max_attempts: u32,
     /// Priority of the requests; 0 is the highest.
     pub priority: u32,
+    /// Whether callers need no key although the document has tenants.
+    #[serde(default)]
+    pub is_public: bool,
     /// Target services with their weights.
     pub targets: Vec<(ServiceName, f64)>,
 }
 
 /// Settings of one service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ServiceRule {
     pub health_path: Box<str>,
     /// Maximum number of connections that one server accepts in total.
     pub max_connections: u32,
+    /// Time for which a server is cold after its start.
+    #[serde(default)]
+    pub warmup: Duration,
+    /// Requests per second that a cold server bears from all entries together; 0 for no limit.
+    #[serde(default)]
+    pub warmup_rate: f64,
 }
 
 /// The complete settings document.
@@ -72,6 +82,9 @@
     pub limits: CallerLimits,
     pub routes: BTreeMap<RouteKey, RouteRule>,
     pub services: BTreeMap<ServiceName, ServiceRule>,
+    /// Tenants; without any, no request needs a key.
+    #[serde(default)]
+    pub tenants: BTreeMap<TenantName, TenantRule>,
 }
 
 /// Errors that make a document invalid.
@@ -81,6 +94,10 @@
     Unreadable(Box<str>),
     #[error("{path}: {problem}")]
     Field { path: Box<str>, problem: Box<str> },
+    #[error(transparent)]
+    Tenant(#[from] TenantError),
+    #[error("service {0}: the warm-up rate is no number from 0 on")]
+    InvalidWarmup(ServiceName),
     #[error("route {route}: service {service} is not defined")]
     UnknownService { route: Box<str>, service: ServiceName },
     #[error("route {0}: the weights add up to 0")]
@@ -107,8 +124,32 @@
         }
     }
 
-    /// Validates prefixes, attempts, timeouts and target weights of all routes.
+    /// Adds a tenant with its keys, and fails if a key is empty or another tenant has the same name.
+    pub fn add_tenant(
+        &mut self,
+        name: TenantName,
+        keys: &[Box<str>],
+        mut rule: TenantRule,
+    ) -> Result<(), DocumentError> {
+        if keys.iter().any(|key| key.is_empty()) {
+            return Err(TenantError::EmptyKey(name).into());
+        }
+        rule.keys.extend(keys.iter().map(|key| KeyDigest::of(key.as_bytes())));
+        match self.tenants.insert(name.clone(), rule) {
+            Some(_) => Err(TenantError::DuplicateName(name).into()),
+            None => Ok(()),
+        }
+    }
+
+    /// Validates prefixes, attempts, timeouts and target weights of all routes, the services and the
+    /// tenants.
     pub fn check(&self) -> Result<(), DocumentError> {
+        TenantRule::check_all(&self.tenants)?;
+        for (name, rule) in &self.services {
+            if !rule.warmup_rate.is_finite() || rule.warmup_rate < 0.0 {
+                return Err(DocumentError::InvalidWarmup(name.clone()));
+            }
+        }
         for ((_, prefix), rule) in &self.routes {
             let name = || rule.name.clone();
             if !prefix.starts_with('/') || !prefix.ends_with('/') {
--- a/src/fleet/file.rs
+++ b/src/fleet/file.rs
@@ -7,7 +7,9 @@
 use serde::Deserialize;
 use thiserror::Error;
 
-use super::config::{ControlConfig, EntryConfig, FleetConfig, FleetRole, RetryLimits};
+use super::config::{
+    ControlConfig, EntryConfig, FleetConfig, FleetRole, QuotaLimits, RetryLimits, WarmupLimits,
+};
 use crate::units::parse_duration;
 
 /// Errors in a config file.
@@ -19,6 +21,8 @@
     Format { path: PathBuf, message: Box<str> },
     #[error("{field}: `{text}` is not a duration such as 250ms or 6s")]
     Duration { field: &'static str, text: Box<str> },
+    #[error("{0} is no number from 0 on")]
+    Negative(&'static str),
     #[error("exactly one of `entry` and `control` is required")]
     Role,
     #[error("entry.line_mbps must be above 0")]
@@ -33,10 +37,27 @@
     seeds: Vec<SocketAddr>,
     grace: Box<str>,
     metrics: Option<SocketAddr>,
+    quota: Option<QuotaSection>,
+    warmup: Option<WarmupSection>,
     entry: Option<EntrySection>,
     control: Option<ControlSection>,
 }
 
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct QuotaSection {
+    window: Box<str>,
+    overshoot: f64,
+    tolerance: f64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WarmupSection {
+    overshoot: f64,
+    tolerance: f64,
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct EntrySection {
@@ -83,11 +104,32 @@
             seeds: self.seeds,
             grace: duration("grace", &self.grace)?,
             metrics: self.metrics,
+            quota: self.quota.map_or(Ok(QuotaLimits::default()), QuotaSection::into_limits)?,
+            warmup: self.warmup.map_or(Ok(WarmupLimits::default()), WarmupSection::into_limits)?,
             role,
         })
     }
 }
 
+impl QuotaSection {
+    fn into_limits(self) -> Result<QuotaLimits, FileError> {
+        Ok(QuotaLimits {
+            window: duration("quota.window", &self.window)?,
+            overshoot: non_negative("quota.overshoot", self.overshoot)?,
+            tolerance: non_negative("quota.tolerance", self.tolerance)?,
+        })
+    }
+}
+
+impl WarmupSection {
+    fn into_limits(self) -> Result<WarmupLimits, FileError> {
+        Ok(WarmupLimits {
+            overshoot: non_negative("warmup.overshoot", self.overshoot)?,
+            tolerance: non_negative("warmup.tolerance", self.tolerance)?,
+        })
+    }
+}
+
 impl EntrySection {
     fn into_config(self) -> Result<EntryConfig, FileError> {
         let window = duration("entry.retry_window", &self.retry_window)?;
@@ -113,6 +155,10 @@
     }
 }
 
+fn non_negative(field: &'static str, value: f64) -> Result<f64, FileError> {
+    if value.is_finite() && value >= 0.0 { Ok(value) } else { Err(FileError::Negative(field)) }
+}
+
 fn duration(field: &'static str, text: &str) -> Result<Duration, FileError> {
     parse_duration(text).ok_or_else(|| FileError::Duration { field, text: text.into() })
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -34,4 +34,5 @@
 pub mod state;
 pub mod statement;
 pub mod stream;
+pub mod tenant;
 pub mod update;
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -10,7 +10,8 @@
 use super::document::{
     CallerLimits, DocumentError, Repetition, RouteDocument, RouteRule, ServiceRule,
 };
-use crate::ids::ServiceName;
+use super::tenant::TenantRule;
+use crate::ids::{ServiceName, TenantName};
 
 const HEADERS: HeaderNames = HeaderNames {
     request_id: "x-request-id",
@@ -22,12 +23,16 @@
     not_run: "x-not-run",
     leaving: "x-server-leaving",
     pause: "retry-after",
+    tenant: "x-tenant",
+    authorization: "authorization",
+    warmup: "x-server-warmup",
 };
 
 const PATHS: CallPaths = CallPaths {
     readiness: "/.curranthollow/ready",
     document: "/.curranthollow/document",
     servers: "/.curranthollow/servers/",
+    evacuations: "/.curranthollow/evacuations/",
     quarantine: QUARANTINE_PATH,
 };
 
@@ -35,7 +40,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct NativeDialect;
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct NativeDocument {
     version: u64,
@@ -43,6 +48,20 @@
     limits: Option<NativeLimits>,
     services: std::collections::BTreeMap<ServiceName, NativeService>,
     routes: Vec<NativeRoute>,
+    #[serde(default)]
+    tenants: Vec<NativeTenant>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NativeTenant {
+    name: TenantName,
+    keys: Vec<Box<str>>,
+    priority: Option<u32>,
+    #[serde(default)]
+    rate_per_second: f64,
+    #[serde(default)]
+    burst: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -59,6 +78,10 @@
 struct NativeService {
     health_path: Box<str>,
     max_connections: u32,
+    #[serde(default)]
+    warmup_ms: u64,
+    #[serde(default)]
+    warmup_per_second: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -73,6 +96,8 @@
     max_attempts: u32,
     #[serde(default)]
     priority: u32,
+    #[serde(default)]
+    public: bool,
     targets: Vec<(ServiceName, f64)>,
 }
 
@@ -102,8 +127,13 @@
         let native: NativeDocument = serde_json::from_slice(body)
             .map_err(|error| DocumentError::Unreadable(error.to_string().into()))?;
         let services = native.services.into_iter().map(|(name, service)| {
-            let NativeService { health_path, max_connections } = service;
-            (name, ServiceRule { health_path, max_connections })
+            let rule = ServiceRule {
+                health_path: service.health_path,
+                max_connections: service.max_connections,
+                warmup: Duration::from_millis(service.warmup_ms),
+                warmup_rate: service.warmup_per_second,
+            };
+            (name, rule)
         });
         let limits = native.limits.map_or_else(CallerLimits::default, |limits| CallerLimits {
             head_bytes: limits.head_bytes,
@@ -121,9 +151,17 @@
             let key = (route.host.clone(), route.prefix.clone());
             document.add_route(key, route.into_rule())?;
         }
+        for tenant in native.tenants {
+            let NativeTenant { name, keys, priority, rate_per_second, burst } = tenant;
+            document.add_tenant(name, &keys, TenantRule::new(priority, rate_per_second, burst))?;
+        }
         Ok(document)
     }
 
+    fn key_scheme(&self) -> &'static str {
+        "Bearer"
+    }
+
     fn parse_announcement(&self, body: &[u8]) -> Result<ServerAnnouncement, AnnouncementError> {
         let announcement: NativeAnnouncement = serde_json::from_slice(body)
             .map_err(|error| AnnouncementError(error.to_string().into()))?;
@@ -160,6 +198,7 @@
             target_latency: Duration::from_millis(self.target_latency_ms),
             max_attempts: self.max_attempts,
             priority: self.priority,
+            is_public: self.public,
             targets: self.targets,
         }
     }
--- a/src/fleet/route_rows.rs
+++ b/src/fleet/route_rows.rs
@@ -83,6 +83,8 @@
             target_latency: Duration::from_micros(*target_latency),
             max_attempts: *max_attempts,
             priority: *priority,
+            // Told beside the rows.
+            is_public: false,
             targets: named_targets,
         };
         routes.push(((item_at::<_, D::Error>(&names, host)?.clone(), prefix), rule));
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,14 +1,15 @@
 //! Replicated state: the document in force and the announced servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use super::announcement::{IncarnationStart, NamedAnnouncement, ServerAnnouncement, ServerState};
 use super::document::{RouteDocument, RouteKey, RouteRule};
+use super::tenant::TenantRule;
 use super::update::{DocumentHead, FleetUpdate, ServerView};
-use crate::ids::{LogIndex, RequestDigest, ServerId};
+use crate::ids::{LogIndex, RequestDigest, ServerId, TenantName, ZoneName};
 
 /// Maximum number of tombstones of each kind. An entry whose revision is older than a discarded
 /// tombstone gets a complete update.
@@ -18,6 +19,9 @@
 /// push a request out with others.
 pub const MAX_QUARANTINED: usize = 1024;
 
+/// Maximum number of evacuated availability zones.
+pub const MAX_EVACUATED: usize = 256;
+
 /// Command that changes the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -38,6 +42,10 @@
     Quarantine(Vec<RequestDigest>),
     /// Takes requests out of quarantine.
     Release(Vec<RequestDigest>),
+    /// Evacuates an availability zone: its servers get nothing more.
+    Evacuate(ZoneName),
+    /// Ends the evacuation of an availability zone.
+    EndEvacuation(ZoneName),
 }
 
 /// Failure to decode a replicated command or a snapshot.
@@ -80,6 +88,18 @@
     /// Tombstones of released requests, with the log index of the release.
     #[serde(default)]
     released: BTreeMap<RequestDigest, LogIndex>,
+    /// Log index of the last change of each tenant.
+    #[serde(default)]
+    tenant_changes: BTreeMap<TenantName, LogIndex>,
+    /// Tombstones of removed tenants, with the log index of the removal.
+    #[serde(default)]
+    removed_tenants: BTreeMap<TenantName, LogIndex>,
+    /// Availability zones whose servers get nothing.
+    #[serde(default)]
+    evacuated: BTreeSet<ZoneName>,
+    /// Log index at which an evacuation last began or ended.
+    #[serde(default)]
+    evacuated_changed: LogIndex,
 }
 
 impl FleetCommand {
@@ -89,6 +109,7 @@
             Self::Silent(servers) | Self::Heard(servers) => servers.is_empty(),
             Self::Quarantine(digests) | Self::Release(digests) => digests.is_empty(),
             Self::PutDocument { .. } | Self::Announce(..) | Self::Leave(..) => false,
+            Self::Evacuate(_) | Self::EndEvacuation(_) => false,
         }
     }
 
@@ -136,6 +157,11 @@
         &self.quarantine
     }
 
+    /// Availability zones whose servers get nothing.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated
+    }
+
     /// Whether this incarnation of `server` has left.
     pub fn has_left(&self, server: &ServerId, started: IncarnationStart) -> bool {
         self.left.get(server).is_some_and(|(left, _)| started <= *left)
@@ -159,6 +185,8 @@
             FleetCommand::Heard(servers) => self.set_silent(index, servers, false),
             FleetCommand::Quarantine(digests) => self.add_quarantined(index, digests),
             FleetCommand::Release(digests) => self.release(index, digests),
+            FleetCommand::Evacuate(zone) => self.evacuate(index, zone),
+            FleetCommand::EndEvacuation(zone) => self.end_evacuation(index, &zone),
         }
         self.prune_tombstones();
     }
@@ -181,11 +209,37 @@
             self.route_changes.remove(key);
             self.removed_routes.insert(key.clone(), index);
         }
+        for (name, rule) in &document.tenants {
+            if self.document.tenants.get(name) == Some(rule) {
+                continue;
+            }
+            self.tenant_changes.insert(name.clone(), index);
+            self.removed_tenants.remove(name);
+        }
+        for name in self.document.tenants.keys() {
+            if document.tenants.contains_key(name) {
+                continue;
+            }
+            self.tenant_changes.remove(name);
+            self.removed_tenants.insert(name.clone(), index);
+        }
         self.document = document;
         self.text = text;
         self.head_changed = index;
     }
 
+    fn evacuate(&mut self, index: LogIndex, zone: ZoneName) {
+        if self.evacuated.len() < MAX_EVACUATED && self.evacuated.insert(zone) {
+            self.evacuated_changed = index;
+        }
+    }
+
+    fn end_evacuation(&mut self, index: LogIndex, zone: &ZoneName) {
+        if self.evacuated.remove(zone) {
+            self.evacuated_changed = index;
+        }
+    }
+
     fn announce(
         &mut self,
         index: LogIndex,
@@ -279,6 +333,11 @@
             self.removed_routes.remove(&key);
             self.complete_from = self.complete_from.max(index);
         }
+        while self.removed_tenants.len() > MAX_TOMBSTONES {
+            let Some((name, index)) = oldest(self.removed_tenants.iter()) else { return };
+            self.removed_tenants.remove(&name);
+            self.complete_from = self.complete_from.max(index);
+        }
         while self.released.len() > MAX_TOMBSTONES {
             let Some((digest, index)) = oldest(self.released.iter()) else { return };
             self.released.remove(&digest);
@@ -301,22 +360,35 @@
         let left = self.left.iter().filter(|(_, (_, changed))| !complete && *changed > since);
         let quarantined = self.quarantine.iter().filter(|(_, changed)| **changed > since);
         let released = self.released.iter().filter(|(_, changed)| !complete && **changed > since);
+        let tenants = self.tenant_changes.iter().filter(|(_, changed)| **changed > since);
+        let tenant_of = |name: &TenantName| -> Option<(TenantName, TenantRule)> {
+            Some((name.clone(), self.document.tenants.get(name)?.clone()))
+        };
+        let removed_tenants =
+            self.removed_tenants.iter().filter(|(_, changed)| !complete && **changed > since);
+        let evacuated_changed = complete || self.evacuated_changed > since;
         let head = || DocumentHead {
             version: self.document.version,
             limits: self.document.limits,
             services: self.document.services.clone(),
         };
+        let routes: Vec<_> = routes.filter_map(|(key, _)| rule_of(key)).collect();
+        let public_routes = routes.iter().filter(|(_, rule)| rule.is_public);
         FleetUpdate {
+            public_routes: public_routes.map(|(key, _)| key.clone()).collect(),
             from: since,
             to: self.revision,
             complete,
             head: (self.head_changed > since).then(head),
-            routes: routes.filter_map(|(key, _)| rule_of(key)).collect(),
+            routes,
             removed_routes: removed.map(|(key, _)| key.clone()).collect(),
             servers: servers.map(|(id, record)| (id.clone(), ServerView::of(record))).collect(),
             left: left.map(|(id, (started, _))| (id.clone(), *started)).collect(),
             quarantined: quarantined.map(|(digest, _)| *digest).collect(),
             released: released.map(|(digest, _)| *digest).collect(),
+            tenants: tenants.filter_map(|(name, _)| tenant_of(name)).collect(),
+            removed_tenants: removed_tenants.map(|(name, _)| name.clone()).collect(),
+            evacuated: evacuated_changed.then(|| self.evacuated.clone()),
         }
     }
 
--- /dev/null
+++ b/src/fleet/tenant/rule.rs
@@ -0,0 +1,71 @@
+//! Settings of one tenant.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use super::KeyDigest;
+use crate::ids::TenantName;
+
+/// Maximum length of a tenant's name in bytes. It is sent to servers in a header.
+const MAX_NAME_BYTES: usize = 128;
+
+/// Settings of one tenant.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct TenantRule {
+    /// Priority of the tenant's requests instead of that of their routes; 0 is the highest.
+    pub priority: Option<u32>,
+    /// Requests per second over all entries; 0 for no limit.
+    pub rate: f64,
+    /// Requests beyond the rate that may come at once, over all entries.
+    pub burst: f64,
+    pub keys: BTreeSet<KeyDigest>,
+}
+
+/// Errors in the tenants of a document. They name tenants, never keys.
+#[derive(Debug, Error, PartialEq)]
+pub enum TenantError {
+    #[error("tenant {0}: the name is empty, too long or not printable ASCII without spaces")]
+    InvalidName(TenantName),
+    #[error("tenant {0}: rate or burst is no number from 0 on")]
+    InvalidRate(TenantName),
+    #[error("tenant {0}: another tenant has the same name")]
+    DuplicateName(TenantName),
+    #[error("tenant {0}: a key is empty")]
+    EmptyKey(TenantName),
+    #[error("tenants {0} and {1} share a key")]
+    SharedKey(TenantName, TenantName),
+}
+
+impl TenantRule {
+    /// Creates the settings of a tenant without keys.
+    pub fn new(priority: Option<u32>, rate: f64, burst: f64) -> Self {
+        Self { priority, rate, burst, keys: BTreeSet::new() }
+    }
+
+    /// Whether the number of the tenant's requests is limited.
+    pub fn is_limited(&self) -> bool {
+        self.rate > 0.0
+    }
+
+    /// Validates all tenants of a document.
+    pub fn check_all(tenants: &BTreeMap<TenantName, Self>) -> Result<(), TenantError> {
+        let mut holders: BTreeMap<&KeyDigest, &TenantName> = BTreeMap::new();
+        for (name, rule) in tenants {
+            let is_printable = name.bytes().all(|byte| byte.is_ascii_graphic());
+            if name.is_empty() || name.len() > MAX_NAME_BYTES || !is_printable {
+                return Err(TenantError::InvalidName(name.clone()));
+            }
+            if [rule.rate, rule.burst].iter().any(|value| !value.is_finite() || *value < 0.0) {
+                return Err(TenantError::InvalidRate(name.clone()));
+            }
+            for key in &rule.keys {
+                if let Some(holder) = holders.insert(key, name) {
+                    return Err(TenantError::SharedKey(holder.clone(), name.clone()));
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/src/fleet/update.rs
+++ b/src/fleet/update.rs
@@ -9,8 +9,9 @@
     CallerLimits, DocumentVersion, RouteDocument, RouteKey, RouteRule, ServiceRule,
 };
 use super::state::ServerRecord;
+use super::tenant::TenantRule;
 use super::{route_rows, server_rows};
-use crate::ids::{LogIndex, RequestDigest, ServerId, ServiceName};
+use crate::ids::{LogIndex, RequestDigest, ServerId, ServiceName, TenantName, ZoneName};
 
 /// The parts of a document other than its routes; they are sent together when the document changes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -51,6 +52,17 @@
     pub quarantined: Vec<RequestDigest>,
     #[serde(default)]
     pub released: Vec<RequestDigest>,
+    /// Which of `routes` are public. The rows of [`CompactUpdate`] do not say so, because entries of older
+    /// versions read them.
+    #[serde(default)]
+    pub public_routes: Vec<RouteKey>,
+    #[serde(default)]
+    pub tenants: Vec<(TenantName, TenantRule)>,
+    #[serde(default)]
+    pub removed_tenants: Vec<TenantName>,
+    /// All evacuated availability zones, if they have changed.
+    #[serde(default)]
+    pub evacuated: Option<BTreeSet<ZoneName>>,
 }
 
 /// Update in the form that is sent in parts: routes travel as rows too.
@@ -74,6 +86,14 @@
     quarantined: Vec<RequestDigest>,
     #[serde(default)]
     released: Vec<RequestDigest>,
+    #[serde(default)]
+    public_routes: Vec<RouteKey>,
+    #[serde(default)]
+    tenants: Vec<(TenantName, TenantRule)>,
+    #[serde(default)]
+    removed_tenants: Vec<TenantName>,
+    #[serde(default)]
+    evacuated: Option<BTreeSet<ZoneName>>,
 }
 
 /// Replica of the fleet state at an entry.
@@ -83,6 +103,7 @@
     document: Option<RouteDocument>,
     servers: BTreeMap<ServerId, ServerView>,
     quarantine: BTreeSet<RequestDigest>,
+    evacuated: BTreeSet<ZoneName>,
 }
 
 impl FleetReplica {
@@ -99,6 +120,11 @@
         &self.servers
     }
 
+    /// Availability zones whose servers get nothing.
+    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
+        &self.evacuated
+    }
+
     /// Whether this request must not be sent to a server.
     pub fn is_quarantined(&self, digest: RequestDigest) -> bool {
         self.quarantine.contains(&digest)
@@ -124,6 +150,7 @@
             self.quarantine.clear();
             if let Some(document) = &mut self.document {
                 document.routes.clear();
+                document.tenants.clear();
             }
         }
         if let Some(head) = update.head {
@@ -137,6 +164,15 @@
                 document.routes.remove(key);
             }
             document.routes.extend(update.routes);
+            for key in &update.public_routes {
+                if let Some(rule) = document.routes.get_mut(key) {
+                    rule.is_public = true;
+                }
+            }
+            for tenant in &update.removed_tenants {
+                document.tenants.remove(tenant);
+            }
+            document.tenants.extend(update.tenants);
         }
         for (server, started) in &update.left {
             let known = self.servers.get(server);
@@ -149,6 +185,9 @@
             self.quarantine.remove(digest);
         }
         self.quarantine.extend(update.quarantined);
+        if let Some(evacuated) = update.evacuated {
+            self.evacuated = evacuated;
+        }
         true
     }
 }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -33,6 +33,9 @@
 /// Name of a team's branch.
 pub type TeamName = Box<str>;
 
+/// Name of a tenant, unique within its document.
+pub type TenantName = Box<str>;
+
 /// Name of a service within its team.
 pub type ServiceName = Box<str>;
 
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::fleet::config::{
-    ControlConfig, EntryConfig, FleetConfig, FleetRole, RetryLimits,
+    ControlConfig, EntryConfig, FleetConfig, FleetRole, QuotaLimits, RetryLimits, WarmupLimits,
 };
 use curranthollow::fleet::control::ControlProcess;
 use curranthollow::fleet::entry::EntryProcess;
@@ -169,6 +169,8 @@
         seeds: seeds.to_vec(),
         grace: Duration::from_secs(4),
         metrics: None,
+        quota: QuotaLimits::default(),
+        warmup: WarmupLimits::default(),
         role,
     }
 }
--- a/tests/fleet/routes.rs
+++ b/tests/fleet/routes.rs
@@ -17,6 +17,7 @@
         target_latency: Duration::from_millis(300),
         max_attempts: 2,
         priority: 1,
+        is_public: false,
         targets: targets.iter().map(|(service, weight)| ((*service).into(), *weight)).collect(),
     }
 }
--- a/tests/fleet/state.rs
+++ b/tests/fleet/state.rs
@@ -93,7 +93,8 @@
 
 fn random_document(random: &mut fastrand::Rng, version: u64) -> RouteDocument {
     let mut document = RouteDocument { version, ..RouteDocument::default() };
-    let service = ServiceRule { health_path: "/h".into(), max_connections: 10 };
+    let service =
+        ServiceRule { health_path: "/h".into(), max_connections: 10, ..ServiceRule::default() };
     document.services.insert("rounds".into(), service);
     document.limits = CallerLimits::default();
     for route in 0..8 {
@@ -107,6 +108,7 @@
             target_latency: Duration::from_millis(1),
             max_attempts: 2,
             priority: 0,
+            is_public: false,
             targets: vec![("rounds".into(), 1.0)],
         };
         document.routes.insert(("h".into(), format!("/{route}/").into()), rule);
@@ -206,7 +208,11 @@
     let mut state = FleetState::default();
     let mut document = RouteDocument { version: 40, ..RouteDocument::default() };
     for service in ["micu8a", "deye99b", "migo9c"] {
-        let rule = ServiceRule { health_path: "/healthz".into(), max_connections: 1180 };
+        let rule = ServiceRule {
+            health_path: "/healthz".into(),
+            max_connections: 1180,
+            ..ServiceRule::default()
+        };
         document.services.insert(service.into(), rule);
     }
     for route in 0..11 {
@@ -217,6 +223,7 @@
             target_latency: Duration::from_secs(1),
             max_attempts: 2,
             priority: 2,
+            is_public: false,
             targets: vec![("micu8a".into(), 90.0), ("deye99b".into(), 10.0)],
         };
         let key = ("jepu9.example".into(), format!("/lepu27{route}/").into());
--- a/tests/fleet_loads/thin_line.rs
+++ b/tests/fleet_loads/thin_line.rs
@@ -39,6 +39,7 @@
         target_latency: Duration::from_millis(1500),
         max_attempts: 2,
         priority: 2,
+        is_public: false,
         targets: vec![("jeda71a".into(), 90.0), ("vozi63b".into(), 10.0)],
     }
 }
@@ -46,7 +47,11 @@
 fn document(version: u64, route_count: usize) -> RouteDocument {
     let mut document = RouteDocument { version, ..RouteDocument::default() };
     for service in ["jeda71a", "vozi63b"] {
-        let rule = ServiceRule { health_path: "/healthz".into(), max_connections: 2400 };
+        let rule = ServiceRule {
+            health_path: "/healthz".into(),
+            max_connections: 2400,
+            ..ServiceRule::default()
+        };
         document.services.insert(service.into(), rule);
     }
     for number in 0..route_count {
