Authenticate callers by their tenants' keys at the entry

Cause: the document names tenants with keys, and nothing used them: requests without a key were served, the key was passed on to servers, and the tenant's name was missing.

Change: the table of tenants is built with the routes and finds a tenant by the digest of a key. A request on a route that is not public gets 401 without a key in force. The credentials header and the caller's own tenant header are removed; the tenant's name is added at each send, as the key is checked again there: it may have been withdrawn or moved while the request waited. Documents without tenants change nothing. The priority of a request is the tenant's, else the route's; nothing reads it yet. Ruled out: checking only when the request is read, because a retry or a held request would run after the withdrawal.

--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -223,7 +223,7 @@
     }
 
     fn accept_request(&mut self, request: CallerRequest) {
-        let idempotent = request::is_idempotent(&self.context, &request.head);
+        let idempotent = self.context.is_idempotent(&request.head);
         if !idempotent && !self.in_flight.is_empty() {
             self.deferred = Some(request);
             return;
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -18,7 +18,7 @@
 use crate::fleet::budget::RetryBudget;
 use crate::fleet::config::{EntryConfig, FleetConfig};
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
-use crate::fleet::document::{CallerLimits, RouteRule};
+use crate::fleet::document::{CallerLimits, Repetition, RouteRule};
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
 use crate::fleet::held_bytes::HeldBytes;
 use crate::fleet::line::{DueResponse, LinePacer};
@@ -27,7 +27,7 @@
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
 use crate::fleet::update::{FleetReplica, FleetUpdate};
-use crate::http::ResponseHead;
+use crate::http::{RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 use crate::suspension::{SuspensionWatch, suspended_time};
 use crate::{log_info, log_routine};
@@ -170,6 +170,12 @@
         let _ = timeout_at(deadline.into(), confirmed.wait_for(|confirmed| *confirmed)).await;
     }
 
+    /// Whether the request's route allows it to run more than once.
+    pub fn is_idempotent(&self, head: &RequestHead) -> bool {
+        let rule = self.route_table().and_then(|table| table.find(&head.host, head.path()));
+        rule.is_none_or(|rule| rule.repetition == Repetition::Idempotent)
+    }
+
     /// Limits on callers that are in force.
     pub fn caller_limits(&self) -> CallerLimits {
         self.route_table.borrow().as_ref().map(|route_table| route_table.limits).unwrap_or_default()
@@ -386,6 +392,7 @@
     pub fn install_update(&self, now: Instant, update: FleetUpdate) {
         let document_changed = update.head.is_some() || update.complete;
         let routes_changed = !update.routes.is_empty() || !update.removed_routes.is_empty();
+        let tenants_changed = !update.tenants.is_empty() || !update.removed_tenants.is_empty();
         let servers_changed =
             !update.servers.is_empty() || !update.left.is_empty() || update.complete;
         let quarantined = update.quarantined.clone();
@@ -394,7 +401,7 @@
             return;
         }
         self.crash_watch.drop_decided(&quarantined);
-        if (document_changed || routes_changed)
+        if (document_changed || routes_changed || tenants_changed)
             && let Some(document) = state.document()
         {
             log_info!(
--- a/src/fleet/entry/local_response.rs
+++ b/src/fleet/entry/local_response.rs
@@ -17,6 +17,8 @@
     pub status: u16,
     pub reason: &'static str,
     pub retry_after: Option<Duration>,
+    /// Scheme of the credentials that the caller needs.
+    pub challenge: Option<&'static str>,
     /// Error of the last send, for logs.
     pub cause: Option<SendError>,
 }
@@ -24,7 +26,7 @@
 impl LocalResponse {
     /// Creates a response that makes no statement about whether the request ran.
     pub fn new(status: u16, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None, cause: None }
+        Self { status, reason, retry_after: None, challenge: None, cause: None }
     }
 
     /// Creates the response to a request whose body does not fit into memory.
@@ -46,7 +48,12 @@
     /// Creates a 503 response: the request did not run and will not, so the caller may retry.
     pub fn not_run(reason: &'static str, delay: Duration, time_left: Duration) -> Self {
         let retry_after = delay.min(time_left.mul_f64(MAX_RETRY_AFTER_FRACTION));
-        Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
+        Self { retry_after: Some(retry_after), ..Self::new(503, reason) }
+    }
+
+    /// Creates a 401 response: the caller needs a key that is in force.
+    pub fn unauthorized(reason: &'static str, scheme: &'static str) -> Self {
+        Self { challenge: Some(scheme), ..Self::new(401, reason) }
     }
 
     pub fn with_cause(self, cause: SendError) -> CallerResponse {
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -2,6 +2,7 @@
 //! report.
 
 mod activity;
+mod authentication;
 mod caller;
 mod connections;
 mod context;
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -10,6 +10,7 @@
 use crate::fleet::crash::{DIGEST_PIECE_BYTES, request_digest, request_digest_in_pieces};
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::tenant::{CallerIdentity, KnownTenant};
 use crate::http::{BodyFraming, RequestHead};
 use crate::ids::{RequestDigest, ServerId, ServiceName};
 use crate::suspension::{SuspensionDeadline, suspended_time};
@@ -33,6 +34,11 @@
     pub request_id: Option<Box<[u8]>>,
     pub rule: Rc<RouteRule>,
     pub idempotent: bool,
+    pub identity: CallerIdentity,
+    /// Tenant of the caller when the request was read.
+    pub tenant: Option<Rc<KnownTenant>>,
+    /// Priority of the tenant, else that of the route; 0 is the highest.
+    pub priority: u32,
     pub deadline: Instant,
     /// Sends that may have reached a server, less those that the server refused without a run.
     pub possible_runs: Cell<u32>,
@@ -84,6 +90,9 @@
             is_trial: Cell::new(false),
             request_id,
             idempotent: rule.repetition == Repetition::Idempotent,
+            identity: CallerIdentity::default(),
+            tenant: None,
+            priority: rule.priority,
             rule,
             deadline,
             possible_runs: Cell::default(),
@@ -91,6 +100,14 @@
         }
     }
 
+    /// Sets the caller's identity, whose headers the request no longer contains.
+    pub fn with_identity(self, identity: CallerIdentity) -> Self {
+        let tenant = identity.tenant().cloned();
+        let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.rule.priority);
+        let priority = tenant_priority.unwrap_or(self.priority);
+        Self { identity, tenant, priority, ..self }
+    }
+
     /// Digest that identifies the request when it comes again. Computed once, when it is first needed:
     /// most requests never need it. [`Self::prepare_digest`] comes first for a long body.
     pub fn digest(&self) -> RequestDigest {
@@ -116,21 +133,27 @@
         self.real_deadline.time_left(Instant::now(), suspended_time())
     }
 
-    /// Encodes the head for one send, followed by the body if it is short; a long one is not copied.
+    /// Encodes the head for one send in the name of `tenant`, followed by the body if it is short; a long one
+    /// is not copied.
     pub fn encode(
         &self,
         context: &EntryContext,
         server: &ServerId,
+        tenant: Option<&KnownTenant>,
         time_left: Duration,
     ) -> Vec<u8> {
         let header_names = context.dialect.headers();
         let time_left_ms = time_left.as_millis().max(1);
         let mut bytes = Vec::with_capacity(self.head.len() + MAX_COPIED_BODY_BYTES);
         bytes.extend_from_slice(&self.head);
-        for (name, value) in [
-            (header_names.deadline, &*time_left_ms.to_string()),
-            (header_names.expected_server, server),
-        ] {
+        let time_left_ms = time_left_ms.to_string();
+        let added = [
+            (header_names.deadline, Some(&*time_left_ms)),
+            (header_names.expected_server, Some(&**server)),
+            (header_names.tenant, tenant.map(|tenant| &*tenant.name)),
+        ];
+        for (name, value) in added {
+            let Some(value) = value else { continue };
             bytes.extend_from_slice(name.as_bytes());
             bytes.extend_from_slice(b": ");
             bytes.extend_from_slice(value.as_bytes());
--- a/src/fleet/entry/relay.rs
+++ b/src/fleet/entry/relay.rs
@@ -44,6 +44,9 @@
     if let Some(delay) = response.retry_after {
         fields.push(("retry-after", format!("{:.3}", delay.as_secs_f64())));
     }
+    if let Some(scheme) = response.challenge {
+        fields.push(("www-authenticate", scheme.to_owned()));
+    }
     if !keep_alive {
         fields.push(("connection", "close".to_owned()));
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -18,7 +18,7 @@
 use super::outgoing::{HeldBody, OutgoingRequest};
 use super::send::{self, SendError, SendReport, ServerResponse, TriedServers};
 use crate::fleet::budget::RetryBudget;
-use crate::fleet::document::{Repetition, RouteRule};
+use crate::fleet::document::RouteRule;
 use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::relay_times::CallerPace;
 use crate::fleet::routes::choose_target;
@@ -98,12 +98,6 @@
     error_response: Option<Box<ServerResponse>>,
 }
 
-/// Whether the request's route allows it to run more than once.
-pub fn is_idempotent(context: &EntryContext, head: &RequestHead) -> bool {
-    let rule = context.route_table().and_then(|table| table.find(&head.host, head.path()));
-    rule.is_none_or(|rule| rule.repetition == Repetition::Idempotent)
-}
-
 /// Handles a request and returns its response; `id` is the request id for logs.
 pub async fn handle_request(
     context: &Rc<EntryContext>,
@@ -171,6 +165,7 @@
             );
             match local.status {
                 503 => "not_run",
+                401 => "unauthorized",
                 QUARANTINED_STATUS => "quarantined",
                 _ => "failed",
             }
@@ -194,7 +189,7 @@
 /// Finds the route and the service of a request; the error is the response if that fails.
 fn prepare(
     context: &Rc<EntryContext>,
-    caller_request: CallerRequest,
+    mut caller_request: CallerRequest,
     id: Box<str>,
 ) -> Result<RequestDriver, LocalResponse> {
     let Some(table) = context.route_table() else {
@@ -207,6 +202,7 @@
     let Some(rule) = table.find(&caller_request.head.host, caller_request.head.path()) else {
         return Err(LocalResponse::new(404, "no route"));
     };
+    let identity = context.authenticate(&table, &rule, &mut caller_request.head)?;
     let requested_timeout = requested_timeout(context, &caller_request.head);
     let timeout = requested_timeout.map_or(rule.timeout, |requested| requested.min(rule.timeout));
     let service: ServiceName = choose_target(&rule, &mut context.random.borrow_mut()).clone();
@@ -226,7 +222,8 @@
         HeldBody { bytes: caller_request.body, _share: caller_request.share },
         Rc::clone(&rule),
         deadline,
-    );
+    )
+    .with_identity(identity);
     Ok(RequestDriver {
         context: Rc::clone(context),
         request: Rc::new(request),
@@ -410,6 +407,8 @@
             self.context.refuse_quarantined(&self.request, self.may_have_run)
         } else if self.may_have_run {
             LocalResponse::new(502, "the server's response is lost")
+        } else if let SendError::Unidentified(error) = error {
+            self.context.refuse_changed_identity(&self.request, error)
         } else if let SendError::Held(remaining) = error {
             self.context.refuse_held(&self.request, remaining)
         } else if matches!(error, SendError::NoServer(_)) {
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -18,6 +18,7 @@
 use crate::fleet::document::RouteRule;
 use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::stream::HttpStream;
+use crate::fleet::tenant::IdentityError;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 
@@ -72,6 +73,9 @@
     /// The request was held for this time before anything was sent.
     #[error("not sent: the request may have crashed servers")]
     Held(Duration),
+    /// The caller's key was withdrawn before anything was sent.
+    #[error("not sent: {0}")]
+    Unidentified(IdentityError),
     /// The server stated that it did not run the request.
     #[error("refused by the server with status {status}")]
     NotRun { status: u16, proof: NotRunProof },
@@ -96,9 +100,9 @@
         !is_unsent && !self.is_withheld()
     }
 
-    /// Whether the evidence against the request prevented the send.
+    /// Whether the request must not be sent to any server, by the evidence against it or by its key.
     pub fn is_withheld(&self) -> bool {
-        matches!(self, Self::Quarantined | Self::Held(_))
+        matches!(self, Self::Quarantined | Self::Held(_) | Self::Unidentified(_))
     }
 
     fn outcome(&self) -> SendOutcome {
@@ -106,9 +110,11 @@
             Self::NotSent(_) | Self::NoServer(_) | Self::OtherServer { .. } => {
                 SendOutcome::Unreachable
             }
-            Self::Withdrawn | Self::Expired | Self::Quarantined | Self::Held(_) => {
-                SendOutcome::Abandoned
-            }
+            Self::Withdrawn
+            | Self::Expired
+            | Self::Quarantined
+            | Self::Held(_)
+            | Self::Unidentified(_) => SendOutcome::Abandoned,
             Self::NotRun { .. } => SendOutcome::Shed,
             Self::Broken(_) | Self::Untrusted(_) => SendOutcome::Failure,
         }
@@ -120,6 +126,7 @@
             Self::NotSent(_) | Self::NoServer(_) | Self::Withdrawn | Self::Expired => "not_sent",
             Self::Quarantined => "quarantined",
             Self::Held(_) => "held",
+            Self::Unidentified(_) => "unauthorized",
             Self::NotRun { .. } => "not_run",
             Self::OtherServer { .. } => "other_server",
             Self::Broken(_) => "broken",
@@ -289,13 +296,14 @@
     if !context.accepts(&request.service, chosen) {
         return Err(SendError::Withdrawn);
     }
+    let tenant = context.current_tenant(request).map_err(SendError::Unidentified)?;
     match context.decide_send(request) {
         SendDecision::Allowed | SendDecision::Trial => {}
         SendDecision::Held(remaining) => return Err(SendError::Held(remaining)),
         SendDecision::Quarantined => return Err(SendError::Quarantined),
     }
     let limits = HttpLimits::default();
-    let bytes = request.encode(context, &chosen.server, time_left);
+    let bytes = request.encode(context, &chosen.server, tenant.as_deref(), time_left);
     *watched = WatchedSend::begin(context, chosen, run);
     // From here on the server may have received the request.
     request.possible_runs.update(|count| count + 1);
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::document::{CallerLimits, DocumentVersion, RouteDocument, RouteRule, ServiceRule};
+use super::tenant::TenantTable;
 use crate::ids::ServiceName;
 
 /// Routes of one document, shared by the requests that started under it.
@@ -12,6 +13,7 @@
     pub version: DocumentVersion,
     pub limits: CallerLimits,
     pub services: BTreeMap<ServiceName, ServiceRule>,
+    pub tenants: Rc<TenantTable>,
     hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<RouteRule>>>,
 }
 
@@ -26,6 +28,7 @@
             version: document.version,
             limits: document.limits,
             services: document.services.clone(),
+            tenants: Rc::new(TenantTable::new(&document.tenants)),
             hosts,
         }
     }
--- a/src/fleet/tenant/key.rs
+++ b/src/fleet/tenant/key.rs
@@ -8,6 +8,9 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+/// Maximum length of a key in bytes. Usual tokens are shorter, and a request head has little room.
+pub const MAX_KEY_BYTES: usize = 512;
+
 /// SHA-256 digest of a key. Its debug output shows nothing of the digest.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct KeyDigest([u8; 32]);
--- a/src/fleet/tenant/mod.rs
+++ b/src/fleet/tenant/mod.rs
@@ -1,7 +1,13 @@
 //! Tenants: customers of the operator whose callers identify themselves with keys.
 
+mod credential;
+mod identity;
 mod key;
 mod rule;
+mod table;
 
-pub use key::KeyDigest;
+pub use credential::{CredentialError, parse_credentials};
+pub use identity::{CallerIdentity, IdentityError};
+pub use key::{KeyDigest, MAX_KEY_BYTES};
 pub use rule::{TenantError, TenantRule};
+pub use table::{KnownTenant, TenantTable};
