Keep keys out of errors, debug output and digests

Cause: decoders quote a value of the wrong type in their errors, so a misplaced key reached the log and the answer to the operator. The digest of a request, which is logged and told to members, was made over the key itself, from which a weak key can be guessed. Debug output of a document command showed its text.

Change: errors within the tenants name no values; names in them are cut and escaped. A key that no header can carry makes a document invalid, as nobody could use it. The digest depends on the tenant in place of the key where tenants are in force; without tenants it is the same as before, so that entries of older versions agree. Debug output hides the text of documents and the headers that identify a caller. Metrics count refusals by reason. Ruled out: not keeping the text of documents, because the operator reads back what was sent.

--- a/src/fleet/document.rs
+++ b/src/fleet/document.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::tenant::{KeyDigest, TenantError, TenantRule};
+use super::tenant::{TenantError, TenantRule};
 use crate::ids::{ServiceName, TenantName};
 
 /// Version of a document. The highest version is in force.
@@ -124,21 +124,19 @@
         }
     }
 
-    /// Adds a tenant with its keys, and fails if a key is empty or another tenant has the same name.
+    /// Adds a tenant with its keys, and fails if a key is unusable or another tenant has the same name.
     pub fn add_tenant(
         &mut self,
         name: TenantName,
         keys: &[Box<str>],
         mut rule: TenantRule,
     ) -> Result<(), DocumentError> {
-        if keys.iter().any(|key| key.is_empty()) {
-            return Err(TenantError::EmptyKey(name).into());
-        }
-        rule.keys.extend(keys.iter().map(|key| KeyDigest::of(key.as_bytes())));
-        match self.tenants.insert(name.clone(), rule) {
-            Some(_) => Err(TenantError::DuplicateName(name).into()),
-            None => Ok(()),
+        rule.add_keys(&name, keys)?;
+        if self.tenants.contains_key(&name) {
+            return Err(TenantError::duplicate_name(&name).into());
         }
+        self.tenants.insert(name, rule);
+        Ok(())
     }
 
     /// Validates prefixes, attempts, timeouts and target weights of all routes, the services and the
--- a/src/fleet/entry/authentication.rs
+++ b/src/fleet/entry/authentication.rs
@@ -10,6 +10,7 @@
 use crate::fleet::routes::RouteTable;
 use crate::fleet::tenant::{CallerIdentity, IdentityError, KnownTenant};
 use crate::http::RequestHead;
+use crate::log_info;
 
 impl EntryContext {
     /// Authenticates the caller of a request, and removes what its headers say of keys and tenants if the
@@ -22,7 +23,7 @@
     ) -> Result<CallerIdentity, LocalResponse> {
         let identity =
             CallerIdentity::check(&table.tenants, &*self.dialect, &head.headers, rule.is_public)
-                .map_err(|error| self.refuse_unidentified(error.reason()))?;
+                .map_err(|error| self.refuse_unidentified(error.label(), error.reason()))?;
         if identity.hides_credentials() {
             let names = self.dialect.headers();
             head.headers.remove(names.authorization);
@@ -49,17 +50,23 @@
         error: IdentityError,
     ) -> LocalResponse {
         match error {
-            IdentityError::Withdrawn => self.refuse_unidentified("the key was withdrawn"),
-            IdentityError::Outdated => LocalResponse::not_run(
-                "keys are needed since the request was read",
-                Duration::ZERO,
-                request.time_left(),
-            ),
+            IdentityError::Withdrawn => {
+                let tenant = request.tenant.as_ref().map_or("-", |tenant| &tenant.name);
+                log_info!("key_withdrawn", "request={} tenant={tenant}", request.id);
+                self.refuse_unidentified("withdrawn", "the key was withdrawn")
+            }
+            // The next attempt is read under the document in force, and its key is checked.
+            IdentityError::Outdated => {
+                self.metrics.keys.record_refusal("outdated");
+                let reason = "keys are needed since the request was read";
+                LocalResponse::not_run(reason, Duration::ZERO, request.time_left())
+            }
         }
     }
 
     /// Refuses a request that names no key in force.
-    pub fn refuse_unidentified(&self, reason: &'static str) -> LocalResponse {
+    fn refuse_unidentified(&self, label: &'static str, reason: &'static str) -> LocalResponse {
+        self.metrics.keys.record_refusal(label);
         LocalResponse::unauthorized(reason, self.dialect.key_scheme())
     }
 }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -412,7 +412,9 @@
             );
             self.metrics.document_version.set(document.version as i64);
             self.relay_times.borrow_mut().retain(document.routes.values());
-            self.route_table.send_replace(Some(Rc::new(RouteTable::new(document))));
+            let table = Rc::new(RouteTable::new(document));
+            self.metrics.keys.record_table(&table.tenants);
+            self.route_table.send_replace(Some(table));
         }
         if servers_changed {
             self.install_servers(now, &state);
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::statement::TargetStatement;
+use crate::fleet::tenant::KeyMetrics;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
 const MAX_SERVICES: usize = 32;
@@ -59,6 +60,7 @@
     server_closures: Family<ServiceLabel, SharedCounter>,
     opened_connections: Family<ServiceLabel, SharedCounter>,
     server_statements: Family<OutcomeLabel, SharedCounter>,
+    pub keys: KeyMetrics,
     pub crashes_reported: SharedCounter,
     pub quarantined_requests: SharedCounter,
     pub held_requests: SharedCounter,
@@ -96,6 +98,7 @@
             server_closures: Family::default(),
             opened_connections: Family::default(),
             server_statements: Family::default(),
+            keys: KeyMetrics::default(),
             crashes_reported: SharedCounter::default(),
             quarantined_requests: SharedCounter::default(),
             held_requests: SharedCounter::default(),
@@ -123,6 +126,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         PROCESS_METRICS.register(registry);
+        self.keys.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -26,6 +26,7 @@
     pub method: Box<str>,
     /// Request line and headers, without those that differ between sends.
     head: Vec<u8>,
+    /// Head for the digest.
     caller_head: RequestHead,
     body: HeldBody,
     digest: OnceCell<RequestDigest>,
@@ -101,8 +102,14 @@
     }
 
     /// Sets the caller's identity, whose headers the request no longer contains.
-    pub fn with_identity(self, identity: CallerIdentity) -> Self {
+    pub fn with_identity(mut self, identity: CallerIdentity) -> Self {
         let tenant = identity.tenant().cloned();
+        if let Some(tenant) = &tenant {
+            // The head for servers is encoded already. The digest, which is logged and told to others,
+            // depends on the tenant in place of the key, so that no key can be guessed from it, and the
+            // same request under two keys of a tenant is one suspect. Cannot fail: names are printable.
+            let _ = self.caller_head.headers.set("authorization", tenant.name.as_bytes());
+        }
         let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.rule.priority);
         let priority = tenant_priority.unwrap_or(self.priority);
         Self { identity, tenant, priority, ..self }
--- a/src/fleet/native.rs
+++ b/src/fleet/native.rs
@@ -10,7 +10,7 @@
 use super::document::{
     CallerLimits, DocumentError, Repetition, RouteDocument, RouteRule, ServiceRule,
 };
-use super::tenant::TenantRule;
+use super::tenant::{TenantRule, deserialize_tenants};
 use crate::ids::{ServiceName, TenantName};
 
 const HEADERS: HeaderNames = HeaderNames {
@@ -48,7 +48,7 @@
     limits: Option<NativeLimits>,
     services: std::collections::BTreeMap<ServiceName, NativeService>,
     routes: Vec<NativeRoute>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_tenants")]
     tenants: Vec<NativeTenant>,
 }
 
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,6 +1,7 @@
 //! Replicated state: the document in force and the announced servers.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -23,7 +24,7 @@
 pub const MAX_EVACUATED: usize = 256;
 
 /// Command that changes the replicated state.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
     /// Replaces the document; `text` is the document as the operator sent it.
     PutDocument {
@@ -48,6 +49,35 @@
     EndEvacuation(ZoneName),
 }
 
+impl fmt::Debug for FleetCommand {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (name, subject): (_, &dyn fmt::Debug) = match self {
+            // The text contains keys.
+            Self::PutDocument { document, .. } => ("PutDocument", document),
+            Self::Announce(_, announcement) => ("Announce", announcement),
+            Self::Leave(server, _) => ("Leave", server),
+            Self::Silent(servers) => ("Silent", servers),
+            Self::Heard(servers) => ("Heard", servers),
+            Self::Quarantine(digests) => ("Quarantine", digests),
+            Self::Release(digests) => ("Release", digests),
+            Self::Evacuate(zone) => ("Evacuate", zone),
+            Self::EndEvacuation(zone) => ("EndEvacuation", zone),
+        };
+        formatter.debug_tuple(name).field(subject).finish()
+    }
+}
+
+/// Document as the operator sent it. Its debug output does not show the text, which contains keys.
+#[derive(Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+struct DocumentText(#[serde(with = "serde_bytes")] Vec<u8>);
+
+impl fmt::Debug for DocumentText {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "DocumentText({} bytes)", self.0.len())
+    }
+}
+
 /// Failure to decode a replicated command or a snapshot.
 #[derive(Debug, Error)]
 #[error("replicated state cannot be decoded: {0}")]
@@ -68,8 +98,7 @@
 pub struct FleetState {
     revision: LogIndex,
     document: RouteDocument,
-    #[serde(with = "serde_bytes")]
-    text: Vec<u8>,
+    text: DocumentText,
     /// Log index at which the document was last replaced; 0 before the first one.
     head_changed: LogIndex,
     /// Log index of the last change of each route.
@@ -145,7 +174,7 @@
 
     /// Current document as the operator sent it; `None` before the first one.
     pub fn text(&self) -> Option<&[u8]> {
-        (self.head_changed > 0).then_some(&self.text)
+        (self.head_changed > 0).then_some(&self.text.0)
     }
 
     pub fn servers(&self) -> &BTreeMap<ServerId, ServerRecord> {
@@ -224,7 +253,7 @@
             self.removed_tenants.insert(name.clone(), index);
         }
         self.document = document;
-        self.text = text;
+        self.text = DocumentText(text);
         self.head_changed = index;
     }
 
--- a/src/fleet/tenant/rule.rs
+++ b/src/fleet/tenant/rule.rs
@@ -5,12 +5,15 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use super::KeyDigest;
+use super::{KeyDigest, MAX_KEY_BYTES};
 use crate::ids::TenantName;
 
 /// Maximum length of a tenant's name in bytes. It is sent to servers in a header.
 const MAX_NAME_BYTES: usize = 128;
 
+/// Maximum length of a name in an error message.
+const MAX_SHOWN_CHARS: usize = 64;
+
 /// Settings of one tenant.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct TenantRule {
@@ -32,12 +35,27 @@
     InvalidRate(TenantName),
     #[error("tenant {0}: another tenant has the same name")]
     DuplicateName(TenantName),
-    #[error("tenant {0}: a key is empty")]
-    EmptyKey(TenantName),
+    #[error(
+        "tenant {0}: a key is empty, longer than {MAX_KEY_BYTES} bytes, or no header can carry it"
+    )]
+    InvalidKey(TenantName),
     #[error("tenants {0} and {1} share a key")]
     SharedKey(TenantName, TenantName),
 }
 
+/// Returns a name for an error message: at most 64 printable characters of it.
+fn shown(name: &str) -> TenantName {
+    let text: String = name.escape_debug().take(MAX_SHOWN_CHARS).collect();
+    text.into()
+}
+
+impl TenantError {
+    /// Creates the error for two tenants with this name.
+    pub fn duplicate_name(name: &str) -> Self {
+        Self::DuplicateName(shown(name))
+    }
+}
+
 impl TenantRule {
     /// Creates the settings of a tenant without keys.
     pub fn new(priority: Option<u32>, rate: f64, burst: f64) -> Self {
@@ -49,16 +67,28 @@
         self.rate > 0.0
     }
 
+    /// Adds keys in the form in which callers send them, and fails if no caller can send one.
+    pub fn add_keys(&mut self, name: &TenantName, keys: &[Box<str>]) -> Result<(), TenantError> {
+        for key in keys {
+            let is_sendable = !key.chars().any(char::is_control) && key.trim() == &**key;
+            if key.is_empty() || key.len() > MAX_KEY_BYTES || !is_sendable {
+                return Err(TenantError::InvalidKey(shown(name)));
+            }
+            self.keys.insert(KeyDigest::of(key.as_bytes()));
+        }
+        Ok(())
+    }
+
     /// Validates all tenants of a document.
     pub fn check_all(tenants: &BTreeMap<TenantName, Self>) -> Result<(), TenantError> {
         let mut holders: BTreeMap<&KeyDigest, &TenantName> = BTreeMap::new();
         for (name, rule) in tenants {
             let is_printable = name.bytes().all(|byte| byte.is_ascii_graphic());
             if name.is_empty() || name.len() > MAX_NAME_BYTES || !is_printable {
-                return Err(TenantError::InvalidName(name.clone()));
+                return Err(TenantError::InvalidName(shown(name)));
             }
             if [rule.rate, rule.burst].iter().any(|value| !value.is_finite() || *value < 0.0) {
-                return Err(TenantError::InvalidRate(name.clone()));
+                return Err(TenantError::InvalidRate(shown(name)));
             }
             for key in &rule.keys {
                 if let Some(holder) = holders.insert(key, name) {
--- a/src/fleet/tenant/table.rs
+++ b/src/fleet/tenant/table.rs
@@ -16,7 +16,7 @@
 /// Tenants of one document by the digests of their keys.
 #[derive(Debug, Default)]
 pub struct TenantTable {
-    has_tenants: bool,
+    tenant_count: usize,
     holders: BTreeMap<KeyDigest, Rc<KnownTenant>>,
 }
 
@@ -29,12 +29,22 @@
                 holders.insert(*key, Rc::clone(&tenant));
             }
         }
-        Self { has_tenants: !tenants.is_empty(), holders }
+        Self { tenant_count: tenants.len(), holders }
     }
 
     /// Whether the document has tenants, so that routes need keys unless they are public.
     pub fn has_tenants(&self) -> bool {
-        self.has_tenants
+        self.tenant_count > 0
+    }
+
+    /// Number of tenants, also of those without keys.
+    pub fn tenant_count(&self) -> usize {
+        self.tenant_count
+    }
+
+    /// Number of keys.
+    pub fn key_count(&self) -> usize {
+        self.holders.len()
     }
 
     /// Returns the tenant that holds the key.
--- a/src/http/header.rs
+++ b/src/http/header.rs
@@ -1,5 +1,7 @@
 //! Header fields of a message, in the order in which they were received or added.
 
+use std::fmt;
+
 use thiserror::Error;
 
 /// Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1).
@@ -15,8 +17,12 @@
     "upgrade",
 ];
 
+/// Headers whose values identify a caller.
+const SECRET: [&str; 4] = ["authorization", "cookie", "proxy-authorization", "set-cookie"];
+
 /// Header fields with names in lower case and values as bytes, because values need not be ASCII.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// Debug output does not show the values that identify a caller.
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct HeaderList {
     fields: Vec<(Box<str>, Box<[u8]>)>,
 }
@@ -29,6 +35,20 @@
     InvalidValue,
 }
 
+impl fmt::Debug for HeaderList {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut list = formatter.debug_map();
+        for (name, value) in self.iter() {
+            let is_secret = SECRET.contains(&name);
+            list.entry(
+                &name,
+                &if is_secret { "..".to_owned() } else { value.escape_ascii().to_string() },
+            );
+        }
+        list.finish()
+    }
+}
+
 impl HeaderList {
     /// Creates an empty list.
     pub fn new() -> Self {
