Refuse answers with statuses from 600 and unasked switches of protocol

A status below 100 is refused where heads are parsed, and no path lets one through. Statuses from 600 to 999 did get through: to callers of at-most-once requests, after a repeated send, behind an interim answer, and behind an answer to another request; the load on a health page with one counted. A 101 was skipped like other interim answers, and the request waited for its time-out.

Change: a status outside 100 to 599 (RFC 9110, section 15) and an unasked 101 break the connection, so that an idempotent request is repeated and an at-most-once request gets 502. Ruled out: relaying such an answer as a server error, because callers cannot tell whose answer it is. The daemon of src/entry parses heads with the same code, and refused 101 already.

--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -223,6 +223,9 @@
                 && let Some((head, length)) = ResponseHead::parse(self.buffered(), limits)?
             {
                 self.consume(length);
+                if head.status == 101 {
+                    return Err(HttpError::InvalidFraming("server switched protocols unasked"));
+                }
                 if !head.is_interim() {
                     return Ok(head);
                 }
--- a/src/http/head.rs
+++ b/src/http/head.rs
@@ -36,7 +36,7 @@
 /// Parsed and validated head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ResponseHead {
-    /// Status code, 100 to 999.
+    /// Status code, 100 to 599 (RFC 9110, section 15).
     pub status: u16,
     /// Reason phrase as received.
     pub reason: Box<str>,
@@ -163,6 +163,9 @@
         if head.status < 100 {
             return Err(HttpError::MalformedHead("status below 100"));
         }
+        if head.status > 599 {
+            return Err(HttpError::MalformedHead("status above 599"));
+        }
         Ok(Some((head, length)))
     }
 
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -329,15 +329,29 @@
 
 impl ScriptedServer {
     pub fn start(steps: &[ServerStep]) -> Self {
+        Self::start_with_health(steps, HEALTH_PAGE)
+    }
+
+    /// Starts a server with this answer to health probes.
+    pub fn start_with_health(steps: &[ServerStep], health_page: &'static str) -> Self {
+        Self::run(&Arc::new(Mutex::new(steps.iter().cloned().collect())), health_page)
+    }
+
+    /// Starts two servers with one script: each step is taken by the server that is asked next.
+    pub fn start_pair(steps: &[ServerStep]) -> [Self; 2] {
+        let steps = Arc::new(Mutex::new(steps.iter().cloned().collect()));
+        [(); 2].map(|()| Self::run(&steps, HEALTH_PAGE))
+    }
+
+    fn run(steps: &Arc<Mutex<VecDeque<ServerStep>>>, health_page: &'static str) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("a listener has an address");
-        let steps = Arc::new(Mutex::new(steps.iter().cloned().collect::<VecDeque<_>>()));
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let request_log = Arc::clone(&requests);
+        let (steps, request_log) = (Arc::clone(steps), Arc::clone(&requests));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (steps, request_log) = (Arc::clone(&steps), Arc::clone(&request_log));
-                std::thread::spawn(move || serve_script(stream, &steps, &request_log));
+                std::thread::spawn(move || serve_script(stream, &steps, &request_log, health_page));
             }
         });
         Self { address, requests }
@@ -358,6 +372,7 @@
     mut stream: TcpStream,
     steps: &Mutex<VecDeque<ServerStep>>,
     request_log: &Mutex<Vec<String>>,
+    health_page: &str,
 ) {
     let mut input = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut input) {
@@ -366,7 +381,7 @@
         request_log.lock().expect("no thread panics with the lock").push(request);
         if is_probe {
             // Not part of the script: an entry on a busy machine may probe more than once.
-            if stream.write_all(HEALTH_PAGE.as_bytes()).is_err() {
+            if stream.write_all(health_page.as_bytes()).is_err() {
                 return;
             }
             continue;
