--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -104,12 +104,8 @@
     /// Sets the caller's identity, whose headers the request no longer contains.
     pub fn with_identity(mut self, identity: CallerIdentity) -> Self {
         let tenant = identity.tenant().cloned();
-        if let Some(tenant) = &tenant {
-            // The head for servers is encoded already. The digest, which is logged and told to others,
-            // depends on the tenant in place of the key, so that no key can be guessed from it, and the
-            // same request under two keys of a tenant is one suspect. Cannot fail: names are printable.
-            let _ = self.caller_head.headers.set("authorization", tenant.name.as_bytes());
-        }
+        // The head for servers is encoded already; the rest is for the digest.
+        identity.replace_credentials(&mut self.caller_head.headers);
         let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.rule.priority);
         let priority = tenant_priority.unwrap_or(self.priority);
         Self { identity, tenant, priority, ..self }
--- a/src/fleet/tenant/identity.rs
+++ b/src/fleet/tenant/identity.rs
@@ -66,6 +66,16 @@
         self.checked.is_some()
     }
 
+    /// Puts the tenant's name in place of the caller's credentials, for the digest of the request. It is logged
+    /// and told to others, so a weak key could be guessed from a digest that depends on it; and a request
+    /// that crashes servers is the same one under each key of a tenant.
+    pub fn replace_credentials(&self, headers: &mut HeaderList) {
+        if let Some(tenant) = &self.tenant {
+            // Cannot fail: names of tenants are printable.
+            let _ = headers.set("authorization", tenant.name.as_bytes());
+        }
+    }
+
     /// Returns the tenant whose request this is under the tenants in force now.
     pub fn tenant_now(
         &self,
--- a/tests/fleet/tenant_keys.rs
+++ b/tests/fleet/tenant_keys.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use curranthollow::fleet::crash::request_digest;
 use curranthollow::fleet::dialect::WireDialect;
 use curranthollow::fleet::document::RouteDocument;
 use curranthollow::fleet::native::NativeDialect;
@@ -10,7 +11,7 @@
     CallerIdentity, IdentityError, KeyDigest, MAX_KEY_BYTES, TenantTable, parse_credentials,
 };
 use curranthollow::fleet::update::{CompactUpdate, FleetReplica, FleetUpdate};
-use curranthollow::http::HeaderList;
+use curranthollow::http::{HeaderList, HttpLimits, RequestHead};
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use yare::parameterized;
@@ -114,6 +115,29 @@
     assert_eq!(outcome, expected);
 }
 
+/// Guards against a digest from which a key can be guessed, or that differs between the keys of a tenant, and
+/// against a change of the digests of documents without tenants.
+#[test]
+fn digests_depend_on_the_tenant_and_not_on_the_key() {
+    let digest = |holders: Holders, key: &str| {
+        let text =
+            format!("GET /read/1 HTTP/1.1\r\nhost: shop\r\nauthorization: Bearer {key}\r\n\r\n");
+        let parsed = RequestHead::parse(text.as_bytes(), &HttpLimits::default());
+        let (mut head, _) = parsed.expect("the head is valid").expect("the head is complete");
+        let plain = request_digest(&head, b"");
+        let identity = check(&table(holders), key, false).expect("the key is in force");
+        identity.replace_credentials(&mut head.headers);
+        (plain, request_digest(&head, b""))
+    };
+    let holders: Holders = &[("a", &["k1", "k2"]), ("b", &["k3"])];
+    let digests = ["k1", "k2", "k3"].map(|key| digest(holders, key));
+    assert_eq!(digests[0].1, digests[1].1);
+    assert_ne!(digests[0].1, digests[2].1);
+    assert!(digests.iter().all(|(plain, replaced)| plain != replaced));
+    let (plain, kept) = digest(&[], "k1");
+    assert_eq!(plain, kept);
+}
+
 /// Guards against a document whose keys lead to two tenants, or that no caller could use, and against errors
 /// and debug output that show a key.
 #[test]
@@ -259,8 +283,7 @@
     leaf.prop_recursive(3, 24, 4, move |inner| {
         prop_oneof![
             prop::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
-            prop::collection::btree_map(field.clone(), inner, 0..5)
-                .prop_map(|map| Value::from_iter(map)),
+            prop::collection::btree_map(field.clone(), inner, 0..5).prop_map(Value::from_iter),
         ]
     })
 }
