--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -27,6 +27,7 @@
 #[path = "../common/mutation.rs"]
 mod mutation;
 mod odd_announcements;
+mod odd_documents;
 mod odd_statuses;
 mod outdated_seeds;
 mod quarantine_operator;
