--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -26,6 +26,7 @@
     pub method: Box<str>,
     /// Request line and headers, without those that differ between sends.
     head: Vec<u8>,
+    /// Head for the digest.
     caller_head: RequestHead,
     body: HeldBody,
     digest: OnceCell<RequestDigest>,
@@ -101,8 +102,10 @@
     }
 
     /// Sets the caller's identity, whose headers the request no longer contains.
-    pub fn with_identity(self, identity: CallerIdentity) -> Self {
+    pub fn with_identity(mut self, identity: CallerIdentity) -> Self {
         let tenant = identity.tenant().cloned();
+        // The head for servers is encoded already; the rest is for the digest.
+        identity.replace_credentials(&mut self.caller_head.headers);
         let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.rule.priority);
         let priority = tenant_priority.unwrap_or(self.priority);
         Self { identity, tenant, priority, ..self }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -27,6 +27,8 @@
 #[path = "../common/mutation.rs"]
 mod mutation;
 mod odd_announcements;
+mod odd_documents;
+mod odd_statuses;
 mod outdated_seeds;
 mod quarantine_operator;
 mod quarantine_proposals;
@@ -37,3 +39,5 @@
 mod statements;
 mod stop;
 mod suspect_hold;
+mod tenant_entry;
+mod tenant_keys;
