--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -2,6 +2,7 @@
 //! of servers.
 
 mod quarantine;
+pub(super) mod quota;
 mod snapshot;
 mod upkeep;
 
@@ -14,6 +15,7 @@
 
 use tokio::sync::{oneshot, watch};
 
+use self::quota::GrantLinks;
 use super::disk::{self, DiskJob, DiskReport};
 use super::heard::HeartbeatTracker;
 use super::metrics::MemberMetrics;
@@ -22,9 +24,11 @@
 use crate::consensus::node::Proposal;
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
 use crate::fleet::announcement::IncarnationStart;
+use crate::fleet::config::QuotaLimits;
 use crate::fleet::crash::controller::{QuarantineController, ReportBatch};
 use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshnessNotice, LinkFrame, LinkMessage};
 use crate::fleet::placement::JoinRequests;
+use crate::fleet::quota::holder::QuotaHolder;
 use crate::fleet::state::{FleetCommand, FleetState};
 use crate::fleet::update::CompactUpdate;
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber, ZoneName};
@@ -90,6 +94,8 @@
     heartbeat_tracker: HeartbeatTracker,
     quarantine: QuarantineController,
     leading_since: Option<Instant>,
+    quota_holder: QuotaHolder,
+    grant_links: GrantLinks,
     has_committed_leader: watch::Sender<bool>,
     next_report_at: Instant,
     entries: u32,
@@ -112,11 +118,14 @@
     pub snapshot_index: LogIndex,
     pub disk: Sender<DiskJob>,
     pub peers: Rc<PeerLinks>,
+    pub quota: QuotaLimits,
 }
 
 impl ControlCore {
     pub fn new(parts: CoreParts, now: Instant) -> Self {
         Self {
+            quota_holder: QuotaHolder::new(parts.quota, parts.name.clone()),
+            grant_links: GrantLinks::default(),
             name: parts.name,
             zone: parts.zone,
             survivable_losses: parts.survivable_losses,
@@ -230,6 +239,7 @@
             suspects: self.quarantine.ledger().suspects().count(),
             quarantined: self.state.quarantine().len(),
             quarantine_counts: self.quarantine.counts(),
+            quota_counts: self.quota_counts(),
         }
     }
 
@@ -241,7 +251,16 @@
         let voters = set.members.values().filter(|record| record.voter);
         let members = voters.filter_map(|record| record.name.parse().ok()).collect();
         let (entries, zone, revision) = (self.entries, self.zone.clone(), self.applied);
-        FreshnessNotice { leader_age, members, entries, zone, revision, accepts_crashes: true }
+        FreshnessNotice {
+            leader_age,
+            members,
+            entries,
+            zone,
+            revision,
+            accepts_crashes: true,
+            accepts_quota_asks: true,
+            leads: self.leads(),
+        }
     }
 
     /// Time at which [`Self::tick`] is due next.
@@ -347,6 +366,8 @@
             LinkMessage::Served(digests) => {
                 self.on_member_batch(now, ReportBatch::Served(digests));
             }
+            LinkMessage::RelayedAsk(relayed) => self.on_relayed_ask(now, from, &relayed),
+            LinkMessage::RelayedGrant(relayed) => self.on_relayed_grant(relayed),
             _ => {}
         }
     }
@@ -394,6 +415,7 @@
             self.perform(now, action);
         }
         self.follow_leader(now);
+        self.follow_holder();
         let has_leader = self.node.has_committed_leader();
         self.has_committed_leader
             .send_if_modified(|had_leader| std::mem::replace(had_leader, has_leader) != has_leader);
--- /dev/null
+++ b/src/fleet/control/core/quota.rs
@@ -0,0 +1,91 @@
+//! Quotas: passes asks of entries to the leader, which holds the accounts, and its grants back.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+
+use super::ControlCore;
+use crate::fleet::link::{self, LinkFrame, LinkMessage};
+use crate::fleet::quota::boot_time;
+use crate::fleet::quota::holder::HolderCounts;
+use crate::fleet::quota::message::{QuotaAsk, QuotaGrant, RelayedAsk, RelayedGrant};
+
+/// Maximum number of grants queued for one link. An entry has one ask under way at a time.
+const MAX_QUEUED_GRANTS: usize = 8;
+
+/// Number of a link from an entry, unique within this process.
+pub type EntryLinkNumber = u64;
+
+/// Links on which entries wait for grants.
+#[derive(Default)]
+pub(super) struct GrantLinks {
+    last_link: EntryLinkNumber,
+    queues: BTreeMap<EntryLinkNumber, Sender<LinkFrame>>,
+}
+
+impl GrantLinks {
+    fn send(&self, link: EntryLinkNumber, grant: QuotaGrant) {
+        let Some(queue) = self.queues.get(&link) else { return };
+        // A grant that does not fit is lost; the entry asks again.
+        let _ = queue.try_send(link::encode(&LinkMessage::QuotaGrant(grant)));
+    }
+}
+
+impl ControlCore {
+    /// Registers a link from an entry; its grants arrive in the queue.
+    pub fn add_grant_link(&mut self) -> (EntryLinkNumber, Receiver<LinkFrame>) {
+        let (sender, receiver) = channel(MAX_QUEUED_GRANTS);
+        self.grant_links.last_link += 1;
+        let link = self.grant_links.last_link;
+        self.grant_links.queues.insert(link, sender);
+        (link, receiver)
+    }
+
+    pub fn remove_grant_link(&mut self, link: EntryLinkNumber) {
+        self.grant_links.queues.remove(&link);
+    }
+
+    /// Handles an ask that an entry sent to this member.
+    pub fn on_quota_ask(&mut self, now: Instant, link: EntryLinkNumber, ask: QuotaAsk) {
+        if self.leads() {
+            if let Some(grant) = self.lend(now, &ask) {
+                self.grant_links.send(link, grant);
+            }
+            return;
+        }
+        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
+        let Some(leader) = leader else { return };
+        self.peers.send(leader, &LinkMessage::RelayedAsk(RelayedAsk { link, ask }));
+    }
+
+    /// Handles an ask that another member passed on.
+    pub(super) fn on_relayed_ask(&mut self, now: Instant, from: &str, relayed: &RelayedAsk) {
+        let Ok(from) = from.parse::<SocketAddr>() else { return };
+        let Some(grant) = self.lend(now, &relayed.ask) else { return };
+        let relayed = RelayedGrant { link: relayed.link, grant };
+        self.peers.send(from, &LinkMessage::RelayedGrant(relayed));
+    }
+
+    pub(super) fn on_relayed_grant(&mut self, relayed: RelayedGrant) {
+        self.grant_links.send(relayed.link, relayed.grant);
+    }
+
+    /// Follows the role of this member.
+    pub(super) fn follow_holder(&mut self) {
+        let leads = self.leads() && self.node.has_committed_leader();
+        self.quota_holder.set_leading(boot_time(), leads);
+    }
+
+    pub(super) fn quota_counts(&self) -> HolderCounts {
+        self.quota_holder.counts(boot_time())
+    }
+
+    fn lend(&mut self, now: Instant, ask: &QuotaAsk) -> Option<QuotaGrant> {
+        let seen_at = self.node.quorum_seen_at();
+        let quorum_age = seen_at.map(|seen_at| now.saturating_duration_since(seen_at));
+        let tenants = &self.state.document().tenants;
+        self.quota_holder.on_ask(boot_time(), quorum_age, tenants, ask)
+    }
+}
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::Receiver;
 use tokio::time::{sleep_until, timeout};
 
 use super::core::SharedCore;
+use super::core::quota::EntryLinkNumber;
 use crate::fleet::crash::controller::ReportBatch;
 use crate::fleet::link::{
     self, FollowMode, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter,
@@ -81,12 +83,22 @@
     /// Time at which the core was created.
     started: Instant,
     next_notice: Instant,
+    grant_link: EntryLinkNumber,
+    grants: Receiver<LinkFrame>,
+}
+
+impl Drop for EntryLink<'_> {
+    fn drop(&mut self) {
+        self.core.borrow_mut().remove_grant_link(self.grant_link);
+    }
 }
 
 impl<'a> EntryLink<'a> {
     fn new(writer: LinkWriter, core: &'a SharedCore, sent: LogIndex, mode: FollowMode) -> Self {
         let started = core.borrow().started();
-        Self { writer, core, mode, sent, started, next_notice: Instant::now() }
+        let (grant_link, grants) = core.borrow_mut().add_grant_link();
+        let next_notice = Instant::now();
+        Self { writer, core, mode, sent, started, next_notice, grant_link, grants }
     }
 
     /// Sends what the entry asked for, and periodic status notices, until the link fails.
@@ -126,10 +138,16 @@
                         LinkMessage::Crashes(reports) => {
                             self.report(ReportBatch::Crashes(reports));
                         }
+                        LinkMessage::QuotaAsk(ask) => {
+                            let mut core = self.core.borrow_mut();
+                            core.on_quota_ask(Instant::now(), self.grant_link, ask);
+                        }
                         LinkMessage::Served(digests) => self.report(ReportBatch::Served(digests)),
                         _ => {}
                     }
                 }
+                // The core keeps the sender until this link ends.
+                Some(grant) = self.grants.recv() => self.send(grant).await?,
                 () = sleep_until(wake_at.into()) => {}
             }
         }
--- a/src/fleet/control/metrics.rs
+++ b/src/fleet/control/metrics.rs
@@ -8,10 +8,11 @@
 use crate::fleet::crash::controller::QuarantineCounts;
 use crate::fleet::document::DocumentVersion;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS};
+use crate::fleet::quota::holder::HolderCounts;
 use crate::ids::{LogIndex, TermNumber};
 
 /// Values of a member's gauges.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MemberMetrics {
     pub leads: bool,
     /// Whether a leader with a majority is known.
@@ -27,6 +28,7 @@
     pub suspects: usize,
     pub quarantined: usize,
     pub quarantine_counts: QuarantineCounts,
+    pub quota_counts: HolderCounts,
 }
 
 impl MemberMetrics {
@@ -69,6 +71,7 @@
             counter.inc_by(value);
             registry.register(name, help, counter);
         }
+        self.quota_counts.register(&mut registry);
         process_metrics::encode(&registry)
     }
 }
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -261,6 +261,7 @@
         snapshot_index,
         disk: disk::start(control.data_folder.clone(), storage, disk_latency, report),
         peers: PeerLinks::new(name),
+        quota: config.quota,
     };
     Ok(Rc::new(RefCell::new(ControlCore::new(parts, now))))
 }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -12,6 +12,7 @@
 use super::connections::ConnectionPool;
 use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
+use super::quota_gate::QuotaGate;
 use super::request::CallerRequest;
 use super::suspect_runs::SuspectRuns;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
@@ -68,6 +69,7 @@
     pub held_responses: HeldBytes,
     pub state: RefCell<FleetReplica>,
     pub crash_watch: CrashWatch,
+    pub quota: Rc<QuotaGate>,
     pub suspect_runs: RefCell<SuspectRuns>,
     pub random: RefCell<fastrand::Rng>,
     /// Schedules of long bodies from servers and to callers.
@@ -91,6 +93,7 @@
         entry: &EntryConfig,
         dialect: Rc<dyn WireDialect>,
     ) -> Rc<Self> {
+        let quota = QuotaGate::new(config.name.clone(), config.availability_zone.clone());
         Rc::new(Self {
             name: config.name.clone(),
             availability_zone: config.availability_zone.clone(),
@@ -98,12 +101,13 @@
             dialect,
             phase: watch::Sender::new(EntryPhase::Serving),
             connections: ConnectionPool::default(),
-            metrics: EntryMetrics::default(),
+            metrics: EntryMetrics::new(&quota.metrics),
             active_requests: Rc::default(),
             held_bytes: HeldBytes::of_requests(),
             held_responses: HeldBytes::of_responses(),
             state: RefCell::default(),
             crash_watch: CrashWatch::default(),
+            quota,
             suspect_runs: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
             server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
--- a/src/fleet/entry/follow.rs
+++ b/src/fleet/entry/follow.rs
@@ -12,6 +12,7 @@
 
 use super::context::EntryContext;
 use super::crash_watch::CrashFeed;
+use super::quota_gate::AskFeed;
 use crate::fleet::follow_plan::{FOLLOWED_MEMBERS, FRESHNESS_LIFETIME, FollowPlan};
 use crate::fleet::link::{
     self, FollowMode, FreshnessNotice, LinkError, LinkMessage, LinkWriter, MAX_FRAME_BYTES,
@@ -192,6 +193,7 @@
         let suspension = self.context.known_suspension();
         let mut update = UpdateAssembly::default();
         let mut feed = CrashFeed::new(&self.context.crash_watch);
+        let mut ask_feed = AskFeed::new(&self.context.quota, address);
         let mut received_at = followed_since;
         loop {
             let is_stream = *stream.borrow_and_update() == Some(address);
@@ -208,6 +210,11 @@
                     sent.map_err(|_| LinkError::Silent)??;
                     continue;
                 }
+                ask = ask_feed.next() => {
+                    let sent = timeout(SILENCE_TIMEOUT, writer.send(ask)).await;
+                    sent.map_err(|_| LinkError::Silent)??;
+                    continue;
+                }
                 received = timeout_at((received_at + SILENCE_TIMEOUT).into(), reader.receive()) => {
                     received
                 }
@@ -221,6 +228,7 @@
             let message = received.map_err(|_| LinkError::Silent)??;
             if let LinkMessage::Fresh(notice) = &message {
                 feed.set_accepted(notice.accepts_crashes);
+                ask_feed.record_notice(notice);
             }
             if let LinkMessage::UpdatePart { bytes, is_last } = message {
                 self.plan.borrow_mut().record_progress(Instant::now(), address);
@@ -262,6 +270,7 @@
         match message {
             // From a member of an older version, which streams to every entry.
             LinkMessage::Update(update) => self.install(update),
+            LinkMessage::QuotaGrant(grant) => self.context.quota.on_grant(grant),
             LinkMessage::Revision(revision) => {
                 self.plan.borrow_mut().record_revision(address, revision);
                 self.update_stream(now);
--- a/src/fleet/entry/local_response.rs
+++ b/src/fleet/entry/local_response.rs
@@ -49,6 +49,13 @@
         Self { status: 503, reason, retry_after: Some(retry_after), cause: None }
     }
 
+    /// Creates the response to a request beyond the limit of its tenant. A later attempt can be served after
+    /// `delay`, however little time the caller has.
+    pub fn over_limit(delay: Duration) -> Self {
+        let retry_after = Some(delay);
+        Self { status: 429, reason: "the tenant's limit is used up", retry_after, cause: None }
+    }
+
     pub fn with_cause(self, cause: SendError) -> CallerResponse {
         CallerResponse::Local(Self { cause: Some(cause), ..self })
     }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
+use crate::fleet::quota::metrics::QuotaMetrics;
 use crate::fleet::statement::TargetStatement;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
@@ -120,6 +121,13 @@
 }
 
 impl EntryMetrics {
+    /// Creates the metrics of an entry with those of its parts.
+    pub fn new(quota: &QuotaMetrics) -> Self {
+        let mut metrics = Self::default();
+        quota.register(&mut metrics.registry);
+        metrics
+    }
+
     fn register(&mut self) {
         let registry = &mut self.registry;
         PROCESS_METRICS.register(registry);
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod not_run;
 mod outgoing;
+mod quota_gate;
 mod reader;
 mod relay;
 mod request;
@@ -97,6 +98,7 @@
         let readiness = listen(entry.readiness).await?;
         let follower = FleetFollower::new(Rc::clone(&context), config.seeds.clone());
         tokio::task::spawn_local(Rc::clone(&follower).run());
+        tokio::task::spawn_local(Rc::clone(&context.quota).run());
         let accept_task = tokio::task::spawn_local(caller::serve(traffic, Rc::clone(&context)));
         tokio::task::spawn_local(serve_readiness(readiness, Rc::clone(&context)));
         Ok(Self { context, follower, accept_task: RefCell::new(Some(accept_task)) })
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -17,6 +17,7 @@
 use super::announcement::IncarnationStart;
 use super::crash::CrashReport;
 use super::process_metrics::PROCESS_METRICS;
+use super::quota::message::{QuotaAsk, QuotaGrant, RelayedAsk, RelayedGrant};
 use super::update::{CompactUpdate, FleetUpdate};
 use crate::consensus::message::RaftMessage;
 use crate::ids::{LogIndex, MemberId, ProcessName, RequestDigest, ServerId, ZoneName};
@@ -76,6 +77,12 @@
     /// older version closes the link on them.
     #[serde(default)]
     pub accepts_crashes: bool,
+    /// Whether the member accepts [`LinkMessage::QuotaAsk`].
+    #[serde(default)]
+    pub accepts_quota_asks: bool,
+    /// Whether the member leads, and so answers asks for quotas itself.
+    #[serde(default)]
+    pub leads: bool,
 }
 
 /// What an entry wants to receive on a link.
@@ -132,6 +139,12 @@
     Crashes(Vec<CrashReport>),
     /// Requests that an entry suspected and a server has completed since; forwarded likewise.
     Served(Vec<RequestDigest>),
+    /// Request of an entry for tokens of tenants with a limit.
+    QuotaAsk(QuotaAsk),
+    QuotaGrant(QuotaGrant),
+    /// The same between members.
+    RelayedAsk(RelayedAsk),
+    RelayedGrant(RelayedGrant),
     Update(FleetUpdate),
     /// Part of an encoded [`super::update::CompactUpdate`].
     UpdatePart {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -26,6 +26,7 @@
 pub mod probe_plan;
 pub mod process;
 mod process_metrics;
+pub mod quota;
 pub mod rejoin;
 pub mod relay_times;
 mod route_rows;
--- /dev/null
+++ b/src/fleet/quota/account.rs
@@ -0,0 +1,281 @@
+//! Account of one tenant at the holder.
+//!
+//! The tenant's rate is divided: the standing rates of leases accrue in the entries' purses, the rest accrues
+//! here and is lent as single tokens. What entries may hold unspent is bounded by a part of the margin that
+//! the rule allows, so that the requests of a window of length W never exceed rate x W + burst + that part.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::message::{AskRow, EntryIncarnation, GrantRow};
+use super::{BootTime, GRANT_TIME, LEASE_MARGIN, LEASE_TIME};
+use crate::fleet::config::QuotaLimits;
+use crate::fleet::tenant::TenantRule;
+
+/// Part of the rate that leases may hold. The rest serves entries without a lease also after a crowd has
+/// left: the leases of entries that have ended bind their part until they run out.
+const STANDING_FRACTION: f64 = 0.75;
+
+/// Part of the window's margin that may be unspent at entries. The rest covers the time between the
+/// admission of a request and its arrival, and hedged sends.
+const LENT_MARGIN_FRACTION: f64 = 0.8;
+
+/// Part of that for the depths of leases; the remainder is for tokens on their way.
+const DEPTH_FRACTION: f64 = 0.6;
+
+/// Standing rate in relation to the demand, so that random arrivals find a token.
+const DEMAND_HEADROOM: f64 = 1.4;
+
+/// Minimum demand for a lease in requests per second. A single request counts 0.5 for a moment.
+const MIN_LEASED_DEMAND: f64 = 0.75;
+
+/// Seconds of its standing rate that a lease may accumulate, besides one token.
+const DEPTH_SECONDS: f64 = 0.2;
+
+/// Time for which a reported demand counts without a further report.
+const DEMAND_LIFETIME: Duration = Duration::from_secs(2);
+
+/// Part of the balance that one ask may take of a tenant over its limit, besides the entry's share.
+const CROWDED_BALANCE_FRACTION: f64 = 0.125;
+
+/// Minimum time after which an entry asks again, in milliseconds.
+const MIN_NEXT_MS: u32 = 20;
+
+/// Maximum time after which an entry asks again, in milliseconds: a window of the usual rules.
+const MAX_NEXT_MS: u32 = 5_000;
+
+/// Maximum number of entries with a loan from one account.
+const MAX_LOANS: usize = 4_096;
+
+/// What an entry holds at most.
+#[derive(Debug, Clone, Copy, Default)]
+struct EntryLoan {
+    rate: f64,
+    depth: f64,
+    /// Tokens that may be on their way until `tokens_until`.
+    tokens: f64,
+    tokens_until: BootTime,
+    demand: f64,
+    asked_at: BootTime,
+    ends_at: BootTime,
+}
+
+/// Sums over the loans of an account.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LoanTotals {
+    pub leases: usize,
+    /// Standing rates in tokens per second.
+    pub rate: f64,
+    pub depth: f64,
+    /// Tokens that may be on their way.
+    pub tokens: f64,
+    /// Requests per second that callers send.
+    pub demand: f64,
+}
+
+/// What an earlier holder may have lent, after a change of the holder.
+#[derive(Debug, Clone, Copy)]
+struct EarlierLoans {
+    /// End of the last lease that it can have granted.
+    end_at: BootTime,
+    /// Parts of its leases that entries have reported.
+    reported_rate: f64,
+    reported_depth: f64,
+}
+
+/// Account of one tenant.
+#[derive(Debug)]
+pub struct QuotaAccount {
+    limits: QuotaLimits,
+    rate: f64,
+    burst: f64,
+    balance: f64,
+    accrued_until: BootTime,
+    loans: BTreeMap<EntryIncarnation, EntryLoan>,
+    earlier: EarlierLoans,
+}
+
+impl QuotaAccount {
+    /// Creates the account of a holder that began at `since`. Tokens that its predecessor has lent may be on
+    /// their way a little longer, and its leases until they end.
+    pub fn new(limits: QuotaLimits, rule: &TenantRule, since: BootTime) -> Self {
+        let end_at = since + LEASE_TIME + LEASE_MARGIN;
+        Self {
+            limits,
+            rate: rule.rate,
+            burst: rule.burst,
+            balance: 0.0,
+            accrued_until: since + GRANT_TIME + LEASE_MARGIN,
+            loans: BTreeMap::new(),
+            earlier: EarlierLoans { end_at, reported_rate: 0.0, reported_depth: 0.0 },
+        }
+    }
+
+    /// Sums over the loans, without that of `entry`.
+    pub fn totals(&self, now: BootTime, entry: Option<&EntryIncarnation>) -> LoanTotals {
+        let mut totals = LoanTotals::default();
+        for (holder, loan) in &self.loans {
+            if Some(holder) == entry {
+                continue;
+            }
+            totals.leases += usize::from(loan.rate > 0.0);
+            totals.rate += loan.rate;
+            totals.depth += loan.depth;
+            if now < loan.tokens_until {
+                totals.tokens += loan.tokens;
+            }
+            if now < loan.asked_at + DEMAND_LIFETIME {
+                totals.demand += loan.demand;
+            }
+        }
+        totals
+    }
+
+    /// Answers a part of an ask.
+    pub fn lend(
+        &mut self,
+        now: BootTime,
+        rule: &TenantRule,
+        entry: &EntryIncarnation,
+        row: &AskRow,
+    ) -> GrantRow {
+        self.accrue(now);
+        self.set_rule(rule);
+        self.remove_ended(now, entry);
+        let mut loan = self.report(now, entry, row);
+        let others = self.totals(now, Some(entry));
+        let (rate, depth) = self.lease_for(now, &others, loan.demand);
+        let (tokens, missing) = self.tokens_for(&others, &loan, row.wanted);
+        loan.rate = loan.rate.max(rate);
+        loan.depth = loan.depth.max(depth);
+        // Tokens of an earlier grant are spent or lost, because its time for acceptance has passed.
+        loan.tokens = f64::from(tokens);
+        loan.tokens_until = now + GRANT_TIME + LEASE_MARGIN;
+        loan.ends_at = now + LEASE_TIME + LEASE_MARGIN;
+        loan.asked_at = now;
+        if self.loans.len() < MAX_LOANS || self.loans.contains_key(entry) {
+            self.loans.insert(entry.clone(), loan);
+        }
+        let (next_ms, is_used_up) = missing.unwrap_or((0, false));
+        GrantRow {
+            tenant: row.tenant.clone(),
+            rate: rate as f32,
+            depth: depth as f32,
+            limit: self.rate as f32,
+            tokens,
+            next_ms,
+            is_used_up,
+        }
+    }
+
+    /// Follows a changed document.
+    fn set_rule(&mut self, rule: &TenantRule) {
+        (self.rate, self.burst) = (rule.rate, rule.burst);
+        self.balance = self.balance.min(self.capacity());
+    }
+
+    /// Maximum balance. Below one token nothing could be lent.
+    fn capacity(&self) -> f64 {
+        self.burst.max(1.0)
+    }
+
+    /// Tokens that all entries together may hold unspent.
+    fn lent_margin(&self) -> f64 {
+        let window = self.limits.window.as_secs_f64();
+        let margin =
+            self.limits.overshoot * (self.rate * window + self.burst) + self.limits.tolerance;
+        margin * LENT_MARGIN_FRACTION
+    }
+
+    /// Adds what has accrued since the last call. Leases that have ended in the meantime count in full.
+    fn accrue(&mut self, now: BootTime) {
+        let from = self.accrued_until;
+        if now <= from {
+            return;
+        }
+        let lent_rate: f64 = self.loans.values().map(|loan| loan.rate).sum();
+        let rest = (self.rate - lent_rate).max(0.0);
+        let early_rest = rest.min(self.rate * (1.0 - STANDING_FRACTION));
+        let border = self.earlier.end_at.clamp(from, now);
+        let accrued = early_rest * (border - from).as_secs_f64()
+            + rest * (now - border).as_secs_f64();
+        self.balance = (self.balance + accrued).min(self.capacity());
+        self.accrued_until = now;
+    }
+
+    /// Removes loans that have ended, and those of earlier processes of `entry`.
+    fn remove_ended(&mut self, now: BootTime, entry: &EntryIncarnation) {
+        self.loans.retain(|holder, loan| {
+            let has_restarted = holder.0 == entry.0 && holder.1 < entry.1;
+            now < loan.ends_at && !has_restarted
+        });
+    }
+
+    /// Takes over what the entry says it holds.
+    fn report(&mut self, now: BootTime, entry: &EntryIncarnation, row: &AskRow) -> EntryLoan {
+        let (rate, depth) = (f64::from(row.rate).max(0.0), f64::from(row.depth).max(0.0));
+        if !self.loans.contains_key(entry) && now < self.earlier.end_at {
+            self.earlier.reported_rate += rate;
+            self.earlier.reported_depth += depth;
+        }
+        EntryLoan { rate, depth, demand: f64::from(row.demand).max(0.0), ..EntryLoan::default() }
+    }
+
+    /// Rate and depth of an entry's next lease.
+    fn lease_for(&self, now: BootTime, others: &LoanTotals, demand: f64) -> (f64, f64) {
+        if demand < MIN_LEASED_DEMAND {
+            return (0.0, 0.0);
+        }
+        let mut all_rates = self.rate * STANDING_FRACTION;
+        let mut all_depths = self.lent_margin() * DEPTH_FRACTION;
+        let total_demand = demand + others.demand;
+        let wanted = (demand * DEMAND_HEADROOM).min(all_rates * demand / total_demand);
+        if now < self.earlier.end_at {
+            // Leases that nobody has reported yet may still be in use.
+            all_rates = all_rates.min(self.earlier.reported_rate);
+            all_depths = all_depths.min(self.earlier.reported_depth);
+        }
+        let rate = wanted.min(all_rates - others.rate);
+        let depth = (1.0 + rate * DEPTH_SECONDS).min(all_depths - others.depth);
+        if rate <= 0.0 || depth < 1.0 { (0.0, 0.0) } else { (rate, depth) }
+    }
+
+    /// Takes tokens for waiting requests. If some are missing, returns also after how many milliseconds one
+    /// can be expected and whether the limit is used up.
+    fn tokens_for(
+        &mut self,
+        others: &LoanTotals,
+        loan: &EntryLoan,
+        wanted: u32,
+    ) -> (u32, Option<(u32, bool)>) {
+        if wanted == 0 {
+            return (0, None);
+        }
+        let rest = (self.rate - others.rate - loan.rate).max(self.rate * 0.01);
+        let demand = (loan.demand + others.demand).max(f64::MIN_POSITIVE);
+        let own_part = (loan.demand / demand).clamp(0.01, 1.0);
+        let mut share = f64::from(wanted);
+        if demand > self.rate {
+            // Entries that ask often or for much leave the others their part.
+            let crowded = self.balance * CROWDED_BALANCE_FRACTION;
+            share = share.min((rest * own_part + crowded).ceil().max(1.0));
+        }
+        let affordable = self.balance.max(0.0).floor();
+        // One token always travels, so that a tenant with hardly any margin is served at all.
+        let lendable = self.lent_margin() * (1.0 - DEPTH_FRACTION);
+        let lendable = lendable.max(1.0) - others.tokens;
+        let granted = share.min(affordable).min(lendable.max(0.0).floor());
+        self.balance -= granted;
+        if granted >= f64::from(wanted) {
+            return (wanted, None);
+        }
+        let is_used_up = affordable < f64::from(wanted) || share < f64::from(wanted);
+        if !is_used_up {
+            return (granted as u32, Some((MIN_NEXT_MS, false)));
+        }
+        let part = if demand > self.rate { own_part } else { 1.0 };
+        let missing = (1.0 - self.balance).max(0.0) / (rest * part);
+        let next_ms = (missing * 1_000.0) as u32;
+        (granted as u32, Some((next_ms.clamp(MIN_NEXT_MS, MAX_NEXT_MS), true)))
+    }
+}
--- /dev/null
+++ b/src/fleet/quota/mod.rs
@@ -0,0 +1,41 @@
+//! Quotas: rates and bursts of tenants that bind all entries together.
+//!
+//! The leader of the control members holds one [`account::QuotaAccount`] a tenant and lends from it; each
+//! entry keeps what it was lent in its [`purse::QuotaPurse`]. See `docs/design/quotas.md`.
+
+pub mod account;
+mod demand;
+pub mod holder;
+pub mod message;
+pub mod metrics;
+pub mod purse;
+mod tenant_purse;
+
+use std::time::Duration;
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Time since the machine started, including the time for which it was suspended.
+pub type BootTime = Duration;
+
+/// Duration of a lease, counted by the entry from the moment it sent its ask. It outlasts the election of a
+/// leader and the redialling of links, some 2 s, with room for a second election.
+pub const LEASE_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which the holder counts a lease longer than the entry, for clocks that differ in speed.
+pub const LEASE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Time from an ask within which its grant is accepted. Afterwards the entry asks again, so that at most
+/// one grant is on its way to an entry. A busy small machine answers within some 50 ms.
+pub const GRANT_TIME: Duration = Duration::from_millis(200);
+
+/// Interval at which an entry renews the leases that it uses.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the clock that goes on while the machine is suspended.
+pub fn boot_time() -> BootTime {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanoseconds)
+}
