Bound the requests of tenants over all entries

Cause: nothing kept a tenant's rate and burst. The rule counts all requests of a tenant that arrive at servers in a sliding window, over all entries.

Change: the leader of the control members holds one account a tenant. Entries hold leases with a standing rate and a shallow depth, and ask for single tokens when these do not suffice; a request takes a token before its first send. Above the limit the entry answers 429 with the time after which a token can be expected, without a message for each; without an answer of a holder it answers 503. Ruled out: a fixed share an entry, which starves tenants with a few requests a second, and one account at an entry, which ends with that entry.

--- a/src/fleet/control/core/quota.rs
+++ b/src/fleet/control/core/quota.rs
@@ -75,7 +75,7 @@
     /// Follows the role of this member.
     pub(super) fn follow_holder(&mut self) {
         let leads = self.leads() && self.node.has_committed_leader();
-        self.quota_holder.set_leading(boot_time(), leads);
+        self.quota_holder.set_leading(boot_time(), self.node.term(), leads);
     }
 
     pub(super) fn quota_counts(&self) -> HolderCounts {
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -27,6 +27,7 @@
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
+use crate::fleet::tenant::TenantRule;
 use crate::fleet::update::{FleetReplica, FleetUpdate};
 use crate::http::{RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -416,6 +417,9 @@
             );
             self.metrics.document_version.set(document.version as i64);
             self.relay_times.borrow_mut().retain(document.routes.values());
+            let is_limited =
+                |tenant: &str| document.tenants.get(tenant).is_some_and(TenantRule::is_limited);
+            self.quota.retain(is_limited);
             self.route_table.send_replace(Some(Rc::new(RouteTable::new(document))));
         }
         if servers_changed {
--- a/src/fleet/entry/local_response.rs
+++ b/src/fleet/entry/local_response.rs
@@ -59,8 +59,7 @@
     /// Creates the response to a request beyond the limit of its tenant. A later attempt can be served after
     /// `delay`, however little time the caller has.
     pub fn over_limit(delay: Duration) -> Self {
-        let retry_after = Some(delay);
-        Self { status: 429, reason: "the tenant's limit is used up", retry_after, cause: None }
+        Self { retry_after: Some(delay), ..Self::new(429, "the tenant's limit is used up") }
     }
 
     pub fn with_cause(self, cause: SendError) -> CallerResponse {
--- a/src/fleet/entry/quota_gate.rs
+++ b/src/fleet/entry/quota_gate.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout_at};
 
 use super::local_response::LocalResponse;
+use super::outgoing::OutgoingRequest;
 use crate::fleet::link::{self, FreshnessNotice, LinkFrame, LinkMessage};
 use crate::fleet::quota::boot_time;
 use crate::fleet::quota::message::QuotaGrant;
@@ -54,22 +55,23 @@
     pub metrics: QuotaMetrics,
 }
 
-/// Token of a request. It is given back on drop unless the request was sent.
+/// Token of a request. It is given back on drop if no server can have run the request.
 pub struct QuotaTicket {
-    gate: Rc<QuotaGate>,
-    tenant: Option<Rc<KnownTenant>>,
+    _token: Option<SpentToken>,
 }
 
-impl QuotaTicket {
-    /// Keeps the token as spent: the request may have been sent.
-    pub fn spend(&mut self) {
-        self.tenant = None;
-    }
+struct SpentToken {
+    gate: Rc<QuotaGate>,
+    tenant: Rc<KnownTenant>,
+    request: Rc<OutgoingRequest>,
 }
 
-impl Drop for QuotaTicket {
+impl Drop for SpentToken {
     fn drop(&mut self) {
-        let Some(tenant) = &self.tenant else { return };
+        if self.request.possible_runs.get() > 0 {
+            return;
+        }
+        let tenant = &self.tenant;
         self.gate.metrics.given_back.inc();
         let mut purse = self.gate.purse.borrow_mut();
         purse.give_back(boot_time(), &tenant.name, tenant.rule.rate);
@@ -103,16 +105,16 @@
         })
     }
 
-    /// Takes a token for a request with this id; the error is the response if there is none.
+    /// Takes a token for a request; the error is the response if there is none.
     pub async fn admit(
         self: &Rc<Self>,
-        id: &str,
-        tenant: Option<&Rc<KnownTenant>>,
-        deadline: Instant,
+        request: &Rc<OutgoingRequest>,
     ) -> Result<QuotaTicket, LocalResponse> {
+        let tenant = request.tenant.as_ref();
         let Some(tenant) = tenant.filter(|tenant| tenant.rule.is_limited()) else {
-            return Ok(QuotaTicket { gate: Rc::clone(self), tenant: None });
+            return Ok(QuotaTicket { _token: None });
         };
+        let (id, deadline) = (&request.id, request.deadline);
         let rate = tenant.rule.rate;
         let mut outcome = self.purse.borrow_mut().take(boot_time(), &tenant.name, rate);
         if outcome == TakeOutcome::Waits {
@@ -124,7 +126,9 @@
         let time_left = deadline.saturating_duration_since(Instant::now());
         match outcome {
             TakeOutcome::Taken => {
-                Ok(QuotaTicket { gate: Rc::clone(self), tenant: Some(Rc::clone(tenant)) })
+                let (gate, request) = (Rc::clone(self), Rc::clone(request));
+                let token = SpentToken { gate, tenant: Rc::clone(tenant), request };
+                Ok(QuotaTicket { _token: Some(token) })
             }
             TakeOutcome::Refused(delay) => {
                 self.metrics.refused.inc();
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -164,7 +164,7 @@
                 context.state.borrow().revision()
             );
             match local.status {
-                503 => "not_run",
+                429 | 503 => "not_run",
                 401 => "unauthorized",
                 QUARANTINED_STATUS => "quarantined",
                 _ => "failed",
@@ -241,6 +241,10 @@
 
 impl RequestDriver {
     async fn drive(mut self) -> CallerResponse {
+        let _ticket = match self.context.quota.admit(&self.request).await {
+            Ok(ticket) => ticket,
+            Err(local) => return CallerResponse::Local(local),
+        };
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
--- a/src/fleet/quota/account.rs
+++ b/src/fleet/quota/account.rs
@@ -16,9 +16,13 @@
 /// left: the leases of entries that have ended bind their part until they run out.
 const STANDING_FRACTION: f64 = 0.75;
 
-/// Part of the window's margin that may be unspent at entries. The rest covers the time between the
-/// admission of a request and its arrival, and hedged sends.
-const LENT_MARGIN_FRACTION: f64 = 0.8;
+/// Part of the window's margin that may be unspent at entries. What this and the opening balance leave covers
+/// the time between the admission of a request and its arrival, and hedged sends.
+const LENT_MARGIN_FRACTION: f64 = 0.6;
+
+/// Part of the window's margin with which an account opens after a change of the holder, so that a small
+/// tenant is served while the leases of the earlier holder run out.
+const OPENING_MARGIN_FRACTION: f64 = 0.2;
 
 /// Part of that for the depths of leases; the remainder is for tokens on their way.
 const DEPTH_FRACTION: f64 = 0.6;
@@ -38,6 +42,10 @@
 /// Part of the balance that one ask may take of a tenant over its limit, besides the entry's share.
 const CROWDED_BALANCE_FRACTION: f64 = 0.125;
 
+/// Demand in relation to the limit above which an entry gets its part only, with one ask for each token. A
+/// small tenant's demand seems to exceed its limit by less when a few requests come together.
+const FLOOD_FACTOR: f64 = 1.5;
+
 /// Minimum time after which an entry asks again, in milliseconds.
 const MIN_NEXT_MS: u32 = 20;
 
@@ -97,10 +105,10 @@
 
 impl QuotaAccount {
     /// Creates the account of a holder that began at `since`. Tokens that its predecessor has lent may be on
-    /// their way a little longer, and its leases until they end.
-    pub fn new(limits: QuotaLimits, rule: &TenantRule, since: BootTime) -> Self {
+    /// their way a little longer, and its leases until they end. There is one `opening` at most in a window.
+    pub fn new(limits: QuotaLimits, rule: &TenantRule, since: BootTime, opening: bool) -> Self {
         let end_at = since + LEASE_TIME + LEASE_MARGIN;
-        Self {
+        let mut account = Self {
             limits,
             rate: rule.rate,
             burst: rule.burst,
@@ -108,7 +116,11 @@
             accrued_until: since + GRANT_TIME + LEASE_MARGIN,
             loans: BTreeMap::new(),
             earlier: EarlierLoans { end_at, reported_rate: 0.0, reported_depth: 0.0 },
+        };
+        if opening {
+            account.balance = (account.margin() * OPENING_MARGIN_FRACTION).min(account.capacity());
         }
+        account
     }
 
     /// Sums over the loans, without that of `entry`.
@@ -150,7 +162,8 @@
         loan.depth = loan.depth.max(depth);
         // Tokens of an earlier grant are spent or lost, because its time for acceptance has passed.
         loan.tokens = f64::from(tokens);
-        loan.tokens_until = now + GRANT_TIME + LEASE_MARGIN;
+        // The entry counts from its ask, which came before.
+        loan.tokens_until = now + GRANT_TIME;
         loan.ends_at = now + LEASE_TIME + LEASE_MARGIN;
         loan.asked_at = now;
         if self.loans.len() < MAX_LOANS || self.loans.contains_key(entry) {
@@ -181,10 +194,13 @@
 
     /// Tokens that all entries together may hold unspent.
     fn lent_margin(&self) -> f64 {
+        self.margin() * LENT_MARGIN_FRACTION
+    }
+
+    /// Requests by which a window may exceed the limit.
+    fn margin(&self) -> f64 {
         let window = self.limits.window.as_secs_f64();
-        let margin =
-            self.limits.overshoot * (self.rate * window + self.burst) + self.limits.tolerance;
-        margin * LENT_MARGIN_FRACTION
+        self.limits.overshoot * (self.rate * window + self.burst) + self.limits.tolerance
     }
 
     /// Adds what has accrued since the last call. Leases that have ended in the meantime count in full.
@@ -197,8 +213,8 @@
         let rest = (self.rate - lent_rate).max(0.0);
         let early_rest = rest.min(self.rate * (1.0 - STANDING_FRACTION));
         let border = self.earlier.end_at.clamp(from, now);
-        let accrued = early_rest * (border - from).as_secs_f64()
-            + rest * (now - border).as_secs_f64();
+        let accrued =
+            early_rest * (border - from).as_secs_f64() + rest * (now - border).as_secs_f64();
         self.balance = (self.balance + accrued).min(self.capacity());
         self.accrued_until = now;
     }
@@ -266,15 +282,18 @@
         let lendable = lendable.max(1.0) - others.tokens;
         let granted = share.min(affordable).min(lendable.max(0.0).floor());
         self.balance -= granted;
-        if granted >= f64::from(wanted) {
+        let is_flooded = demand > self.rate * FLOOD_FACTOR && self.balance < self.capacity() / 2.0;
+        if granted >= f64::from(wanted) && !is_flooded {
             return (wanted, None);
         }
-        let is_used_up = affordable < f64::from(wanted) || share < f64::from(wanted);
+        let is_used_up = is_flooded || affordable < f64::from(wanted) || share < f64::from(wanted);
         if !is_used_up {
             return (granted as u32, Some((MIN_NEXT_MS, false)));
         }
-        let part = if demand > self.rate { own_part } else { 1.0 };
-        let missing = (1.0 - self.balance).max(0.0) / (rest * part);
+        // Over the limit, each entry waits until its own part has accrued.
+        let is_crowded = demand > self.rate;
+        let missing = if is_crowded { 1.0 / own_part } else { (1.0 - self.balance).max(0.0) };
+        let missing = missing / rest;
         let next_ms = (missing * 1_000.0) as u32;
         (granted as u32, Some((next_ms.clamp(MIN_NEXT_MS, MAX_NEXT_MS), true)))
     }
--- a/src/fleet/quota/holder.rs
+++ b/src/fleet/quota/holder.rs
@@ -1,6 +1,6 @@
 //! Accounts of all tenants, held by the leader of the control members.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
 use super::{BootTime, LEASE_MARGIN, LEASE_TIME};
 use crate::fleet::config::QuotaLimits;
 use crate::fleet::tenant::TenantRule;
-use crate::ids::{ProcessName, TenantName};
+use crate::ids::{ProcessName, TenantName, TermNumber};
 
 /// Age of the last contact with a quorum above which the holder lends nothing: another member may lead. It is
 /// below the shortest time after which one can be elected.
@@ -25,6 +25,9 @@
 /// Time after a stall without lending, in which messages of a new leader are read.
 const STALL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Maximum number of terms that are remembered. With more of them in a window, none is known from before.
+const MAX_TERMS: usize = 16;
+
 /// Maximum number of entries whose asks are told apart.
 const MAX_ENTRIES: usize = 4_096;
 
@@ -71,6 +74,32 @@
     }
 }
 
+/// Terms of the log that this member has seen lately.
+#[derive(Debug, Default)]
+struct TermHistory {
+    /// Each term with the time at which it was first seen; the first one is at least a window old, if the
+    /// process is.
+    terms: VecDeque<(BootTime, TermNumber)>,
+}
+
+impl TermHistory {
+    fn record(&mut self, now: BootTime, term: TermNumber) {
+        if self.terms.back().is_some_and(|(_, last)| *last >= term) {
+            return;
+        }
+        self.terms.push_back((now, term));
+        if self.terms.len() > MAX_TERMS {
+            self.terms.pop_front();
+        }
+    }
+
+    /// Newest term that was known before the window that ends now.
+    fn term_before(&self, now: BootTime, window: Duration) -> Option<TermNumber> {
+        let mut known = self.terms.iter().rev();
+        known.find(|(seen_at, _)| *seen_at + window < now).map(|(_, term)| *term)
+    }
+}
+
 /// Accounts of all tenants.
 #[derive(Debug)]
 pub struct QuotaHolder {
@@ -78,6 +107,9 @@
     name: ProcessName,
     /// Time at which this member became the holder; `None` while it is not.
     since: Option<BootTime>,
+    terms: TermHistory,
+    /// Whether this member is the only one that became the holder within a window.
+    is_only_change: bool,
     seen_at: BootTime,
     lends_from: BootTime,
     accounts: BTreeMap<TenantName, QuotaAccount>,
@@ -93,6 +125,8 @@
             limits,
             name,
             since: None,
+            terms: TermHistory::default(),
+            is_only_change: false,
             seen_at: BootTime::ZERO,
             lends_from: BootTime::ZERO,
             accounts: BTreeMap::new(),
@@ -102,13 +136,18 @@
         }
     }
 
-    /// Follows the role of this member. Nothing that a holder knew is valid when it becomes the holder again.
-    pub fn set_leading(&mut self, now: BootTime, leads: bool) {
+    /// Follows the role of this member and the term of the log. Nothing that a holder knew is valid when it
+    /// becomes the holder again.
+    pub fn set_leading(&mut self, now: BootTime, term: TermNumber, leads: bool) {
         self.notice_stall(now);
+        let before = self.terms.term_before(now, self.limits.window);
+        self.terms.record(now, term);
         if leads == self.since.is_some() {
             return;
         }
         self.since = leads.then_some(now);
+        // With a later term, another holder may have come and gone unseen.
+        self.is_only_change = before.is_some_and(|before| term <= before + 1);
         self.accounts.clear();
         self.closed_at.clear();
         self.last_asks.clear();
@@ -139,11 +178,11 @@
                 rows.push(unlimited_row(&row.tenant, if is_known { row.wanted } else { 0 }));
                 continue;
             };
-            let closed_at = self.closed_at.get(&row.tenant).copied().unwrap_or_default();
-            let account = self
-                .accounts
-                .entry(row.tenant.clone())
-                .or_insert_with(|| QuotaAccount::new(self.limits, rule, since.max(closed_at)));
+            let closed_at = self.closed_at.get(&row.tenant).copied();
+            let (limits, opening) = (self.limits, self.is_only_change && closed_at.is_none());
+            let since = since.max(closed_at.unwrap_or_default());
+            let open = || QuotaAccount::new(limits, rule, since, opening);
+            let account = self.accounts.entry(row.tenant.clone()).or_insert_with(open);
             let grant = account.lend(now, rule, &ask.entry, row);
             self.counts.lent_tokens += u64::from(grant.tokens);
             rows.push(grant);
--- a/tests/fleet/outdated_seeds.rs
+++ b/tests/fleet/outdated_seeds.rs
@@ -25,6 +25,8 @@
                     zone: "a".into(),
                     revision: 0,
                     accepts_crashes: true,
+                    accepts_quota_asks: false,
+                    leads: false,
                 });
                 while writer.send(link::encode(&notice)).await.is_ok() {
                     tokio::time::sleep(Duration::from_millis(100)).await;
--- a/tests/fleet/slow_member.rs
+++ b/tests/fleet/slow_member.rs
@@ -48,6 +48,8 @@
         zone: "a".into(),
         revision: 1,
         accepts_crashes: true,
+        accepts_quota_asks: false,
+        leads: false,
     })
 }
 
