--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -420,7 +420,9 @@
             let is_limited =
                 |tenant: &str| document.tenants.get(tenant).is_some_and(TenantRule::is_limited);
             self.quota.retain(is_limited);
-            self.route_table.send_replace(Some(Rc::new(RouteTable::new(document))));
+            let table = Rc::new(RouteTable::new(document));
+            self.metrics.keys.record_table(&table.tenants);
+            self.route_table.send_replace(Some(table));
         }
         if servers_changed {
             self.install_servers(now, &state);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -39,3 +39,4 @@
 mod statements;
 mod stop;
 mod suspect_hold;
+mod tenant_keys;
