--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -4,6 +4,7 @@
 mod quarantine;
 pub(super) mod quota;
 mod snapshot;
+mod status;
 mod upkeep;
 
 use std::cell::RefCell;
@@ -18,7 +19,6 @@
 use self::quota::GrantLinks;
 use super::disk::{self, DiskJob, DiskReport};
 use super::heard::HeartbeatTracker;
-use super::metrics::MemberMetrics;
 use super::peers::PeerLinks;
 use crate::consensus::message::{EntryBody, LogEntry, RaftMessage};
 use crate::consensus::node::Proposal;
@@ -26,7 +26,7 @@
 use crate::fleet::announcement::IncarnationStart;
 use crate::fleet::config::QuotaLimits;
 use crate::fleet::crash::controller::{QuarantineController, ReportBatch};
-use crate::fleet::link::{self, CallOutcome, ForwardCall, FreshnessNotice, LinkFrame, LinkMessage};
+use crate::fleet::link::{self, CallOutcome, ForwardCall, LinkFrame, LinkMessage};
 use crate::fleet::placement::JoinRequests;
 use crate::fleet::quota::holder::QuotaHolder;
 use crate::fleet::state::{FleetCommand, FleetState};
@@ -225,44 +225,6 @@
         self.entries -= 1;
     }
 
-    /// Current values for the metrics page.
-    pub fn metrics(&self) -> MemberMetrics {
-        MemberMetrics {
-            leads: self.node.role() == Role::Leader,
-            has_leader: self.node.leader().is_some(),
-            term: self.node.term(),
-            voters: self.node.members().voters().count(),
-            applied: self.applied,
-            document_version: self.state.document().version,
-            servers: self.state.servers().len(),
-            entries: self.entries,
-            suspects: self.quarantine.ledger().suspects().count(),
-            quarantined: self.state.quarantine().len(),
-            quarantine_counts: self.quarantine.counts(),
-            quota_counts: self.quota_counts(),
-        }
-    }
-
-    /// Builds the status notice that is sent to entries.
-    pub fn freshness_notice(&self, now: Instant) -> FreshnessNotice {
-        let seen_at = self.node.quorum_seen_at();
-        let leader_age = seen_at.map(|seen_at| now.saturating_duration_since(seen_at));
-        let set = self.node.members();
-        let voters = set.members.values().filter(|record| record.voter);
-        let members = voters.filter_map(|record| record.name.parse().ok()).collect();
-        let (entries, zone, revision) = (self.entries, self.zone.clone(), self.applied);
-        FreshnessNotice {
-            leader_age,
-            members,
-            entries,
-            zone,
-            revision,
-            accepts_crashes: true,
-            accepts_quota_asks: true,
-            leads: self.leads(),
-        }
-    }
-
     /// Time at which [`Self::tick`] is due next.
     pub fn next_tick(&self, now: Instant) -> Instant {
         let mut due = self.node.next_deadline().min(self.next_report_at);
--- a/src/fleet/entry/caller.rs
+++ b/src/fleet/entry/caller.rs
@@ -19,7 +19,7 @@
 use crate::fleet::link;
 use crate::fleet::listener::accept_until;
 use crate::fleet::stream::HttpStream;
-use crate::http::HttpError;
+use crate::http::{HttpError, RequestHead};
 use crate::log_info;
 
 /// Maximum size of further requests that are buffered while one is processed.
@@ -237,7 +237,7 @@
         // On a connection that will be closed, the response to a further request would be lost.
         self.closing |= !keep_alive || self.context.is_stopping();
         let progress = Rc::clone(&request.progress);
-        let id = request::request_id(&self.context, &request.head);
+        let id = request_id(&self.context, &request.head);
         progress.set_received(&id);
         let (context, task_progress) = (Rc::clone(&self.context), Rc::clone(&progress));
         let task = tokio::task::spawn_local(async move {
@@ -341,3 +341,9 @@
     write_local_response(stream, &response, false).await?;
     Err(ConnectionEnd::Close)
 }
+
+/// Request id for logs.
+fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
+    let id = head.headers.get_str(context.dialect.headers().request_id).unwrap_or("-");
+    id.chars().filter(char::is_ascii_graphic).take(40).collect()
+}
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -94,7 +94,9 @@
         entry: &EntryConfig,
         dialect: Rc<dyn WireDialect>,
     ) -> Rc<Self> {
-        let quota = QuotaGate::new(config.name.clone(), config.availability_zone.clone());
+        // Only one process at a time listens there, so a later start shows that the earlier one has ended.
+        let identity = format!("{}@{}", config.name, entry.traffic).into();
+        let quota = QuotaGate::new(identity, config.availability_zone.clone());
         Rc::new(Self {
             name: config.name.clone(),
             availability_zone: config.availability_zone.clone(),
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -128,7 +128,10 @@
     };
     let service = driver.request.service.clone();
     let _in_flight = GaugeGuard::new(context.metrics.in_flight(&service));
-    let response = driver.drive().await;
+    let response = match context.quota.admit(&driver.request).await {
+        Ok(_ticket) => driver.drive().await,
+        Err(local) => CallerResponse::Local(local),
+    };
     record_completion(context, &id, Some(&service), received_at.elapsed(), &response);
     response
 }
@@ -174,12 +177,6 @@
     context.metrics.record_request(service, outcome, elapsed);
 }
 
-/// Request id for logs.
-pub fn request_id(context: &EntryContext, head: &RequestHead) -> Box<str> {
-    let id = head.headers.get_str(context.dialect.headers().request_id).unwrap_or("-");
-    id.chars().filter(char::is_ascii_graphic).take(40).collect()
-}
-
 /// Time that the caller waits for the response, if it states one.
 fn requested_timeout(context: &EntryContext, head: &RequestHead) -> Option<Duration> {
     let text = head.headers.get_str(context.dialect.headers().deadline)?;
@@ -241,10 +238,6 @@
 
 impl RequestDriver {
     async fn drive(mut self) -> CallerResponse {
-        let _ticket = match self.context.quota.admit(&self.request).await {
-            Ok(ticket) => ticket,
-            Err(local) => return CallerResponse::Local(local),
-        };
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -15,7 +15,7 @@
 };
 use curranthollow::fleet::control::ControlProcess;
 use curranthollow::fleet::entry::EntryProcess;
-use curranthollow::fleet::link::{self, FollowMode, LinkMessage};
+use curranthollow::fleet::link::{self, FollowMode, FreshnessNotice, LinkMessage};
 use curranthollow::fleet::native::NativeDialect;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -485,3 +485,33 @@
     };
     runtime.expect("a runtime can be built").block_on(request_voters).unwrap_or_default()
 }
+
+/// Waits until a member says that it leads, and returns its number.
+pub fn leader(fleet: &TestFleet) -> usize {
+    let mut found = None;
+    wait_for("a leader", || {
+        let running = fleet.members.iter().enumerate().filter(|(_, member)| member.is_running());
+        found = running.map(|(number, _)| number).find(|number| {
+            notice(fleet.members[*number].link).is_some_and(|notice| notice.leads)
+        });
+        found.is_some()
+    });
+    found.expect("the wait has ended")
+}
+
+/// Reads one status notice of a member.
+fn notice(member: SocketAddr) -> Option<FreshnessNotice> {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    let request = async {
+        let (mut writer, mut reader) = link::connect(member).await.ok()?;
+        let (name, mode) = ("test".into(), FollowMode::NoticesOnly);
+        let follow = LinkMessage::Follow { name, revision: 0, mode };
+        writer.send(link::encode(&follow)).await.ok()?;
+        loop {
+            if let LinkMessage::Fresh(notice) = reader.receive().await.ok()? {
+                return Some(notice);
+            }
+        }
+    };
+    runtime.expect("a runtime can be built").block_on(request)
+}
