--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -12,6 +12,7 @@
 use super::connections::ConnectionPool;
 use super::crash_watch::CrashWatch;
 use super::metrics::EntryMetrics;
+use super::quota_gate::QuotaGate;
 use super::request::CallerRequest;
 use super::suspect_runs::SuspectRuns;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
@@ -26,6 +27,7 @@
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
+use crate::fleet::tenant::TenantRule;
 use crate::fleet::update::{FleetReplica, FleetUpdate};
 use crate::http::{RequestHead, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -68,6 +70,7 @@
     pub held_responses: HeldBytes,
     pub state: RefCell<FleetReplica>,
     pub crash_watch: CrashWatch,
+    pub quota: Rc<QuotaGate>,
     pub suspect_runs: RefCell<SuspectRuns>,
     pub random: RefCell<fastrand::Rng>,
     /// Schedules of long bodies from servers and to callers.
@@ -91,6 +94,9 @@
         entry: &EntryConfig,
         dialect: Rc<dyn WireDialect>,
     ) -> Rc<Self> {
+        // Only one process at a time listens there, so a later start shows that the earlier one has ended.
+        let identity = format!("{}@{}", config.name, entry.traffic).into();
+        let quota = QuotaGate::new(identity, config.availability_zone.clone());
         Rc::new(Self {
             name: config.name.clone(),
             availability_zone: config.availability_zone.clone(),
@@ -98,12 +104,13 @@
             dialect,
             phase: watch::Sender::new(EntryPhase::Serving),
             connections: ConnectionPool::default(),
-            metrics: EntryMetrics::default(),
+            metrics: EntryMetrics::new(&quota.metrics),
             active_requests: Rc::default(),
             held_bytes: HeldBytes::of_requests(),
             held_responses: HeldBytes::of_responses(),
             state: RefCell::default(),
             crash_watch: CrashWatch::default(),
+            quota,
             suspect_runs: RefCell::default(),
             random: RefCell::new(fastrand::Rng::new()),
             server_pacer: RefCell::new(LinePacer::new(entry.line_mbps)),
@@ -412,6 +419,9 @@
             );
             self.metrics.document_version.set(document.version as i64);
             self.relay_times.borrow_mut().retain(document.routes.values());
+            let is_limited =
+                |tenant: &str| document.tenants.get(tenant).is_some_and(TenantRule::is_limited);
+            self.quota.retain(is_limited);
             let table = Rc::new(RouteTable::new(document));
             self.metrics.keys.record_table(&table.tenants);
             self.route_table.send_replace(Some(table));
--- a/src/fleet/entry/local_response.rs
+++ b/src/fleet/entry/local_response.rs
@@ -56,6 +56,12 @@
         Self { challenge: Some(scheme), ..Self::new(401, reason) }
     }
 
+    /// Creates the response to a request beyond the limit of its tenant. A later attempt can be served after
+    /// `delay`, however little time the caller has.
+    pub fn over_limit(delay: Duration) -> Self {
+        Self { retry_after: Some(delay), ..Self::new(429, "the tenant's limit is used up") }
+    }
+
     pub fn with_cause(self, cause: SendError) -> CallerResponse {
         CallerResponse::Local(Self { cause: Some(cause), ..self })
     }
