Decide by the room of a service what a request may cost and who goes first

Full servers make an entry probe up to five servers twice for each request, open connections for those probes that were late, and hedge into the service that is short of room. What a request costs there follows what the latest probes found: ample room changes nothing, short room allows two probes, one new connection and no second send, and requests are refused by their priority and their tenant's share of the arrivals. A send without a byte of its response after more time than one takes marks its server as full for a short time.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -39,6 +39,10 @@
 /// one. A disturbance by neighbours lasts about this long.
 const INITIAL_UNANSWERED_EJECTION: Duration = Duration::from_millis(100);
 
+/// Time for which a server counts as full after a send without a byte of the response. A full server has
+/// room again when a few of its requests have ended.
+const SILENT_PAUSE: Duration = Duration::from_millis(150);
+
 /// Upper limit of the duration of an ejection.
 const MAX_EJECTION: Duration = Duration::from_secs(4);
 
@@ -91,6 +95,8 @@
     /// Cancelled, for instance because another send was answered first; says nothing about the
     /// server.
     Abandoned,
+    /// Cancelled without a byte of the response after more time than one takes: the server may be full.
+    Silent,
 }
 
 /// What this entry knows about one server.
@@ -130,6 +136,15 @@
     /// Whether a slot is free; assumed when there is no recent load report.
     pub has_free_slot: bool,
     pub cost: f64,
+    /// Expected duration of a request, relative to the usual one.
+    pub expected_factor: f64,
+}
+
+impl ChosenServer {
+    /// Whether a recent load report says that a slot is free.
+    pub fn is_known_free(&self) -> bool {
+        self.has_free_slot && self.load_age.is_some_and(|age| age <= FULL_REPORT_LIFETIME)
+    }
 }
 
 /// Chooses among the servers of one service.
@@ -248,6 +263,11 @@
         self.ranking = ranks.into_iter().map(|(_, server)| server.clone()).collect();
     }
 
+    /// Number of the service's servers, whatever their state.
+    pub fn server_count(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Moving average of the service's latency; `None` before the first sample.
     pub fn mean_latency(&self) -> Option<Duration> {
         self.mean_latency_ms.map(|mean| Duration::from_secs_f64(mean / 1000.0))
@@ -306,11 +326,12 @@
                 now.duration_since(at) > FULL_REPORT_LIFETIME || report.has_free_slot()
             }),
             cost,
+            expected_factor: self.expected_factor(now, stats),
         })
     }
 
     /// Expected duration of one more request on the server, relative to the usual duration.
-    fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
+    fn expected_factor(&self, now: Instant, stats: &ServerStats) -> f64 {
         let usual_slowness = self.mean_slowness.unwrap_or(1.0);
         let mut slowness = usual_slowness;
         let mut other_requests = 0.0;
@@ -332,8 +353,14 @@
         let slots = f64::from(stats.slots);
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
+        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor
+    }
+
+    /// Expected duration of one more request on the server, relative to the usual duration, and the cost of
+    /// the way to it.
+    fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
         let zone_cost = if stats.same_zone { 0.0 } else { CROSS_ZONE_COST };
-        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor + zone_cost
+        self.expected_factor(now, stats) + zone_cost
     }
 
     /// Counts the start of a send to `server`.
@@ -366,6 +393,10 @@
                 false
             }
             SendOutcome::Abandoned => false,
+            SendOutcome::Silent => {
+                stats.ejected_until = stats.ejected_until.max(Some(now + SILENT_PAUSE));
+                true
+            }
             SendOutcome::Shed => {
                 stats.ejected_until = Some(now + INITIAL_EJECTION / 2);
                 true
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -24,6 +24,7 @@
 use crate::fleet::line::{DueResponse, LinePacer};
 use crate::fleet::link::FreshnessNotice;
 use crate::fleet::relay_times::RelayTimes;
+use crate::fleet::room::ServiceRoom;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
 use crate::fleet::update::{FleetReplica, FleetUpdate};
@@ -76,6 +77,8 @@
     route_table: watch::Sender<Option<Rc<RouteTable>>>,
     balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
+    /// Room of the services of documents, as the balancers.
+    pub rooms: RefCell<BTreeMap<ServiceName, ServiceRoom>>,
     entry_count: Cell<u32>,
     /// Time at which the entry exits, once it is stopping.
     stop_end: Cell<Option<Instant>>,
@@ -111,6 +114,7 @@
             route_table: watch::Sender::default(),
             balancers: RefCell::default(),
             budgets: RefCell::default(),
+            rooms: RefCell::default(),
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
             stop_end: Cell::default(),
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -15,12 +15,14 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::context::EntryContext;
+use super::room_gate::ProbeGuard;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ReportedLoad;
 use crate::fleet::link;
 use crate::fleet::probe_plan::{
     CONNECT_TIMEOUT, PROBE_PATIENCE, PROBE_TIMEOUT, ProbeNumber, ProbePlan, ProbeStep,
 };
+use crate::fleet::room::FindAllowance;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -38,6 +40,9 @@
 /// Delay before the second pass over a crowded service.
 const CROWDED_DELAY: Duration = Duration::from_millis(20);
 
+/// Servers without an open connection that are left out for one request while none may be opened.
+const MAX_SKIPPED: usize = 4;
+
 /// Maximum size of the body of a health page.
 const MAX_HEALTH_BODY_BYTES: usize = 16 << 10;
 
@@ -97,6 +102,11 @@
     if let Some(found) = found {
         return Ok(found);
     }
+    if context.is_room_short(service) {
+        // A server that may be full would refuse the request, or never answer it.
+        let known = context.choose_by_cost(service, tried).filter(ChosenServer::is_known_free);
+        return known.ok_or(counts);
+    }
     let is_withdrawn =
         context.with_balancer(service, |balancer| balancer.is_withdrawn(Instant::now()));
     if crowded_policy == CrowdedPolicy::GiveUp || is_withdrawn {
@@ -124,7 +134,8 @@
     max_full: usize,
     counts: &mut ProbeCounts,
 ) -> Option<ChosenServer> {
-    let mut race = ProbeRace::new(context, service, max_full);
+    let allowance = context.find_allowance(service);
+    let mut race = ProbeRace::new(context, service, max_full, allowance);
     let found = race.run(excluded, counts).await;
     race.record_overdue(counts);
     found
@@ -144,6 +155,11 @@
     context: &'a Rc<EntryContext>,
     service: &'a ServiceName,
     plan: ProbePlan,
+    /// New connections that may be opened.
+    dials_left: usize,
+    /// Servers that were left out because no connection to them is open, and the best of them.
+    skipped_count: usize,
+    best_skipped: Option<ChosenServer>,
     /// Probed servers by number.
     probed: Vec<Rc<ChosenServer>>,
     sender: mpsc::UnboundedSender<(ProbeNumber, ProbeEvent)>,
@@ -151,10 +167,30 @@
 }
 
 impl<'a> ProbeRace<'a> {
-    fn new(context: &'a Rc<EntryContext>, service: &'a ServiceName, max_full: usize) -> Self {
+    fn new(
+        context: &'a Rc<EntryContext>,
+        service: &'a ServiceName,
+        max_full: usize,
+        allowance: FindAllowance,
+    ) -> Self {
         let plan = ProbePlan::new(max_full);
+        let (plan, dials_left) = match allowance {
+            FindAllowance::Ample => (plan, usize::MAX),
+            FindAllowance::Limited { probes, dials } => (plan.with_max_probes(probes), dials),
+            FindAllowance::Nothing => (plan.with_max_probes(0), 0),
+        };
         let (sender, events) = mpsc::unbounded_channel();
-        Self { context, service, plan, probed: Vec::new(), sender, events }
+        Self {
+            context,
+            service,
+            plan,
+            dials_left,
+            skipped_count: 0,
+            best_skipped: None,
+            probed: Vec::new(),
+            sender,
+            events,
+        }
     }
 
     async fn run(
@@ -174,8 +210,7 @@
                     };
                     excluded.push(chosen.server.clone());
                     if chosen.load_age.is_none_or(|age| age >= LOAD_REPORT_LIFETIME) {
-                        counts.probed += 1;
-                        self.start(chosen, path);
+                        counts.probed += u32::from(self.start_if_allowed(chosen, path));
                     } else if chosen.has_spare_capacity {
                         return Some(chosen);
                     }
@@ -192,13 +227,40 @@
         }
     }
 
+    /// Starts a probe, unless it needs a connection that may not be opened. Returns whether one was started.
+    ///
+    /// Without an open connection to any of the servers, the best of them is probed nevertheless.
+    fn start_if_allowed(&mut self, chosen: ChosenServer, path: Box<str>) -> bool {
+        let now = Instant::now();
+        let idle = self.context.connections.take(now, &chosen.server, chosen.address);
+        if idle.is_some() || self.dials_left > 0 {
+            self.dials_left -= usize::from(idle.is_none());
+            self.start(now, chosen, path, idle);
+            return true;
+        }
+        self.best_skipped.get_or_insert(chosen);
+        self.skipped_count += 1;
+        if self.skipped_count < MAX_SKIPPED {
+            return false;
+        }
+        self.plan.no_more_servers();
+        let best = self.best_skipped.take().filter(|_| self.probed.is_empty());
+        let Some(best) = best else { return false };
+        self.start(now, best, path, None);
+        true
+    }
+
     /// Starts a probe. It runs to its end even if another server is chosen meanwhile, because its
     /// result and its connection are useful to later requests.
-    fn start(&mut self, chosen: ChosenServer, path: Box<str>) {
-        let now = Instant::now();
+    fn start(
+        &mut self,
+        now: Instant,
+        chosen: ChosenServer,
+        path: Box<str>,
+        idle: Option<HttpStream>,
+    ) {
         let chosen = Rc::new(chosen);
         self.probed.push(Rc::clone(&chosen));
-        let idle = self.context.connections.take(now, &chosen.server, chosen.address);
         let number = self.plan.record_start(now, idle.is_some());
         let probe = ServerProbe {
             context: Rc::clone(self.context),
@@ -207,6 +269,7 @@
             chosen,
             number,
             events: self.sender.clone(),
+            _in_flight: ProbeGuard::new(self.context, self.service),
         };
         tokio::task::spawn_local(probe.run(idle));
     }
@@ -259,11 +322,16 @@
     chosen: Rc<ChosenServer>,
     number: ProbeNumber,
     events: mpsc::UnboundedSender<(ProbeNumber, ProbeEvent)>,
+    _in_flight: ProbeGuard,
 }
 
 impl ServerProbe {
     async fn run(self, idle: Option<HttpStream>) {
-        match self.probe(idle).await {
+        let result = self.probe(idle).await;
+        if let Some(has_room) = found_room(&result) {
+            self.context.record_find(Instant::now(), &self.service, has_room);
+        }
+        match result {
             Ok(event) => self.report(event),
             Err(error) => {
                 record_probe_failure(&self.context, &self.service, &self.chosen, &error);
@@ -310,6 +378,17 @@
     }
 }
 
+/// What a probe says about the room at the service. A disturbed server, or one that is down, says nothing.
+fn found_room(result: &Result<ProbeEvent, ProbeError>) -> Option<bool> {
+    match result {
+        Ok(ProbeEvent::Answered(Some(report))) if report.has_spare_capacity() => Some(true),
+        Ok(ProbeEvent::Answered(Some(report))) => (!report.is_degraded()).then_some(false),
+        Ok(ProbeEvent::Answered(None)) => Some(true),
+        Ok(ProbeEvent::Rejected) | Err(ProbeError::Timeout) => Some(false),
+        Ok(ProbeEvent::Connected | ProbeEvent::Failed) | Err(_) => None,
+    }
+}
+
 fn record_probe_failure(
     context: &EntryContext,
     service: &ServiceName,
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -19,6 +19,7 @@
 mod reader;
 mod relay;
 mod request;
+mod room_gate;
 mod send;
 pub mod served_digests;
 mod server_body;
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -36,6 +36,8 @@
     pub deadline: Instant,
     /// Sends that may have reached a server, less those that the server refused without a run.
     pub possible_runs: Cell<u32>,
+    /// Time from which on the server of the latest send counts as silent.
+    pub silent_at: Cell<Option<Instant>>,
     /// The deadline, counting the time for which the machine is suspended.
     real_deadline: SuspensionDeadline,
 }
@@ -87,6 +89,7 @@
             rule,
             deadline,
             possible_runs: Cell::default(),
+            silent_at: Cell::default(),
             real_deadline: SuspensionDeadline::new(deadline, context.known_suspension()),
         }
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -21,6 +21,7 @@
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
 use crate::fleet::relay_times::CallerPace;
+use crate::fleet::room::HedgePlan;
 use crate::fleet::routes::choose_target;
 use crate::http::RequestHead;
 use crate::ids::ServiceName;
@@ -48,18 +49,6 @@
 /// Timeout assumed before the first document for a caller that states none.
 const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Multiple of the mean latency after which a hedged send starts.
-const HEDGE_LATENCY_FACTOR: f64 = 1.4;
-
-/// Lower and upper limit of that delay, as fractions of the target latency.
-const HEDGE_DELAY_LIMITS: (f64, f64) = (0.25, 0.6);
-
-/// Remaining retry budget that hedged sends leave for failures.
-const HEDGE_BUDGET_RESERVE: f64 = 1.5;
-
-/// Interval at which a hedged send is tried again while the budget does not allow it.
-const HEDGE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Complete request of a caller.
 pub struct CallerRequest {
     pub head: RequestHead,
@@ -92,8 +81,7 @@
     send_count: u32,
     unsent_attempts: usize,
     may_have_run: bool,
-    /// Time at which a hedged send starts if the first send is still unanswered.
-    hedge_at: Option<Instant>,
+    hedges: HedgePlan,
     /// Error response of a server, forwarded if no other send succeeds.
     error_response: Option<Box<ServerResponse>>,
 }
@@ -237,7 +225,7 @@
         send_count: 0,
         unsent_attempts: 0,
         may_have_run: false,
-        hedge_at: None,
+        hedges: HedgePlan::default(),
         error_response: None,
     })
 }
@@ -247,16 +235,19 @@
         let now = Instant::now();
         let service = self.request.service.clone();
         self.context.with_budget(&service, |budget| budget.record_request(now));
+        if let Some(response) = self.context.refuse_for_room(&self.request, self.received_at) {
+            return CallerResponse::Local(response);
+        }
         self.context.prepare_digest(&self.request).await;
         if let Some(response) = self.context.refuse_suspect(&self.request, self.may_have_run) {
             return CallerResponse::Local(response);
         }
         self.start_send(CrowdedPolicy::ProbeAgain, None);
-        self.hedge_at = self.hedge_time(now);
+        self.hedges = self.hedge_plan(now);
         let context = Rc::clone(&self.context);
         let mut give_up = pin!(context.wait_for_give_up(self.request.deadline));
         loop {
-            let pending_hedge = self.hedge_at.filter(|_| self.sends_in_flight.len() == 1);
+            let pending_hedge = self.hedges.due_at().filter(|_| self.sends_in_flight.len() == 1);
             let wake_at = pending_hedge.unwrap_or(self.request.deadline).min(self.request.deadline);
             tokio::select! {
                 // A response that begins at this moment is not given up.
@@ -280,36 +271,23 @@
         }
     }
 
-    /// Time at which a hedged send starts if the first send is still unanswered.
-    fn hedge_time(&self, now: Instant) -> Option<Instant> {
+    /// Schedule of the sends beside the first one.
+    fn hedge_plan(&self, now: Instant) -> HedgePlan {
         if !self.request.idempotent || self.rule.max_attempts < 2 {
-            return None;
+            return HedgePlan::default();
         }
-        let target = self.rule.target_latency;
-        let (min_delay, max_delay) =
-            (target.mul_f64(HEDGE_DELAY_LIMITS.0), target.mul_f64(HEDGE_DELAY_LIMITS.1));
         let mean =
             self.context.with_balancer(&self.request.service, |balancer| balancer.mean_latency());
-        let delay = mean.map_or(max_delay, |mean| {
-            mean.mul_f64(HEDGE_LATENCY_FACTOR).clamp(min_delay, max_delay)
-        });
-        Some(now + delay)
+        HedgePlan::new(now, mean, self.rule.target_latency)
     }
 
     fn start_hedge(&mut self, now: Instant) {
-        self.hedge_at = None;
         if !self.context.allows_hedge(&self.request) || !self.can_finish() {
-            return;
+            return self.hedges.cancel();
         }
-        let entry_count = self.context.entry_count();
-        let left = self
-            .context
-            .with_budget(&self.request.service, |budget| budget.remaining(now, entry_count));
-        if left >= HEDGE_BUDGET_RESERVE {
+        let conditions = self.context.hedge_conditions(now, &self.request);
+        if self.hedges.decide(now, conditions) {
             self.retry(now, CrowdedPolicy::GiveUp);
-        } else {
-            // The budget refills while the request waits.
-            self.hedge_at = Some(now + HEDGE_RETRY_INTERVAL);
         }
     }
 
@@ -339,10 +317,7 @@
         if !self.context.allows_retry(&self.request) || !self.can_finish() {
             return false;
         }
-        let entry_count = self.context.entry_count();
-        let (left, allowed) = self.context.with_budget(&self.request.service, |budget| {
-            (budget.remaining(now, entry_count), budget.try_take(now, entry_count))
-        });
+        let (left, allowed) = self.context.take_second_send(now, &self.request.service);
         log_info!(
             "send_repeated",
             "request={} service={} sends={} elapsed_ms={} allowed={allowed} budget_left={left:.1}",
@@ -380,6 +355,7 @@
         if (matches!(error, SendError::NoServer(_)) || error.is_withheld()) && was_hedged {
             // A hedged send that found no server with room, or whose request must not be sent.
             self.take_back_send(charged_at);
+            self.hedges.record_no_server(now);
             return None;
         }
         self.context.metrics.record_send(&self.request.service, error.label());
@@ -462,13 +438,23 @@
     fn refuse_without_server(&self, now: Instant) -> LocalResponse {
         let resumes_at =
             self.context.with_balancer(&self.request.service, |balancer| balancer.resumes_at(now));
-        let Some(resumes_at) = resumes_at else { return self.refuse("no server has room") };
+        let Some(resumes_at) = resumes_at else { return self.refuse_without_room(now) };
         let pause = resumes_at.saturating_duration_since(now);
         let spread = self.context.random.borrow_mut().f64() * RESUME_SPREAD_FRACTION;
         let time_left = self.request.deadline.saturating_duration_since(now);
         LocalResponse::not_run("all servers are paused", pause.mul_f64(1.0 + spread), time_left)
     }
 
+    fn refuse_without_room(&self, now: Instant) -> LocalResponse {
+        let reason = "no server has room";
+        if !self.context.is_room_short(&self.request.service) {
+            return self.refuse(reason);
+        }
+        let delay = self.context.return_delay(now, &self.request, self.received_at);
+        let time_left = self.request.deadline.saturating_duration_since(now);
+        LocalResponse::not_run(reason, delay, time_left)
+    }
+
     fn refuse(&self, reason: &'static str) -> LocalResponse {
         let time_left = self.request.deadline.saturating_duration_since(Instant::now());
         let delay = self.rule.target_latency.mul_f64(RETRY_AFTER_FRACTION);
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one server and validates the response.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -17,6 +17,7 @@
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::document::RouteRule;
 use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::room::silence_time;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
@@ -134,12 +135,20 @@
     service: ServiceName,
     server: ServerId,
     started: Instant,
+    /// Time from which on a server without a byte of the response counts as silent.
+    silent_at: Instant,
+    is_answered: Cell<bool>,
     outcome: SendOutcome,
 }
 
 impl SendGuard {
-    fn new(context: &Rc<EntryContext>, service: &ServiceName, server: &ServerId) -> Self {
+    fn new(context: &Rc<EntryContext>, request: &OutgoingRequest, chosen: &ChosenServer) -> Self {
         let now = Instant::now();
+        let (service, server) = (&request.service, &chosen.server);
+        let mean = context.with_balancer(service, |balancer| balancer.mean_latency());
+        let target = request.rule.target_latency;
+        let silent_at = now + silence_time(mean, chosen.expected_factor, target);
+        request.silent_at.set(Some(silent_at));
         let was_paused = context.with_balancer(service, |balancer| {
             balancer.begin_send(server);
             balancer.end_pause(now, server)
@@ -152,6 +161,8 @@
             service: service.clone(),
             server: server.clone(),
             started: now,
+            silent_at,
+            is_answered: Cell::default(),
             outcome: SendOutcome::Abandoned,
         }
     }
@@ -161,9 +172,16 @@
     fn drop(&mut self) {
         let now = Instant::now();
         let elapsed = now.duration_since(self.started);
+        let is_silent = !self.is_answered.get() && now >= self.silent_at;
+        if self.outcome == SendOutcome::Abandoned && is_silent {
+            self.outcome = SendOutcome::Silent;
+            self.context.metrics.room.silent_sends.inc();
+        }
         self.context.with_balancer(&self.service, |balancer| {
             let slow = balancer.mean_latency().is_some_and(|mean| elapsed > mean);
-            if self.outcome == SendOutcome::Abandoned && slow {
+            let is_unfinished =
+                matches!(self.outcome, SendOutcome::Abandoned | SendOutcome::Silent);
+            if is_unfinished && slow {
                 // The response would have taken even longer.
                 balancer.record_latency(now, &self.server, elapsed);
             }
@@ -236,9 +254,9 @@
         chosen.load_age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX)),
         chosen.cost
     );
-    let mut guard = SendGuard::new(context, &request.service, &chosen.server);
+    let mut guard = SendGuard::new(context, request, chosen);
     let mut watched = None;
-    let result = exchange(context, request, chosen, run, &mut watched).await;
+    let result = exchange(context, request, chosen, run, &mut watched, &guard.is_answered).await;
     guard.outcome = match &result {
         Ok(response) if response.head.status < 500 => SendOutcome::Success,
         Ok(_) => SendOutcome::Failure,
@@ -265,13 +283,14 @@
 }
 
 /// Sends the request and reads its response; `watched` is set once anything is sent, until a response that
-/// is relayed takes it along.
+/// is relayed takes it along. `is_answered` is set once the head of the response is there.
 async fn exchange(
     context: &EntryContext,
     request: &Rc<OutgoingRequest>,
     chosen: &ChosenServer,
     run: Option<SuspectRun>,
     watched: &mut Option<WatchedSend>,
+    is_answered: &Cell<bool>,
 ) -> Result<ServerResponse, SendError> {
     // A request without an id needs a connection on which nothing else can be due.
     let connecting = async {
@@ -303,6 +322,7 @@
     let fully_written = head_written
         && stream.write_until_response(request.long_body()).await.map_err(HttpError::from)?;
     let head = read_matching_head(context, request, &mut stream, &limits).await?;
+    is_answered.set(true);
     context.record_load(Instant::now(), &request.service, &chosen.server, &head);
     let validated = validate_head(context, request, &head);
     // Another server at the address speaks of itself.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 mod process_metrics;
 pub mod rejoin;
 pub mod relay_times;
+pub mod room;
 mod route_rows;
 pub mod routes;
 mod server_rows;
--- a/src/fleet/probe_plan.rs
+++ b/src/fleet/probe_plan.rs
@@ -75,6 +75,7 @@
 pub struct ProbePlan {
     /// Number of full servers after which the service counts as crowded.
     max_full: usize,
+    max_probes: usize,
     full_count: usize,
     started_count: usize,
     has_more_servers: bool,
@@ -82,9 +83,11 @@
 }
 
 impl ProbePlan {
+    /// Creates a schedule that ends after `max_full` full servers.
     pub fn new(max_full: usize) -> Self {
         Self {
             max_full,
+            max_probes: MAX_PROBES,
             full_count: 0,
             started_count: 0,
             has_more_servers: true,
@@ -92,6 +95,11 @@
         }
     }
 
+    /// Limits the number of servers that are probed.
+    pub fn with_max_probes(self, max_probes: usize) -> Self {
+        Self { max_probes: max_probes.min(MAX_PROBES), ..self }
+    }
+
     /// Returns the next step.
     pub fn next(&self, now: Instant) -> ProbeStep {
         let full_times = self.pending.iter().filter_map(PendingProbe::full_at);
@@ -99,7 +107,7 @@
         if self.full_count + delayed_count >= self.max_full {
             return ProbeStep::GiveUp;
         }
-        let may_start = self.has_more_servers && self.started_count < MAX_PROBES;
+        let may_start = self.has_more_servers && self.started_count < self.max_probes;
         let newest_due_at = self.pending.iter().map(PendingProbe::due_at).max();
         if may_start && newest_due_at.is_none_or(|due_at| due_at <= now) {
             return ProbeStep::Start;
--- /dev/null
+++ b/src/fleet/room/mod.rs
@@ -0,0 +1,19 @@
+//! What an entry knows of the room at a service's servers, and who gets it when it is short.
+//!
+//! Pure decisions: the time and random numbers are arguments.
+
+mod arrivals;
+mod finds;
+mod hedge;
+mod metrics;
+mod service;
+mod silence;
+
+pub use arrivals::{ArrivalShares, RequestClaim};
+pub use finds::FindWindow;
+pub use hedge::{HedgeConditions, HedgePlan};
+pub use metrics::RoomMetrics;
+pub use service::{
+    CallerTime, FindAllowance, FleetSize, RefusalCause, RoomChange, RoomDecision, ServiceRoom,
+};
+pub use silence::silence_time;
