Turn away the least urgent requests by the share of requests that find a server

A share of the probes as the measure let requests through equally while the service was full by turns: an entry's window of probes is shorter than a request. The pressure follows the requests that found a server instead. Tests without a network name the load that each answers.

--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -93,6 +93,19 @@
     service: &ServiceName,
     tried: &[ServerId],
     crowded_policy: CrowdedPolicy,
+) -> Result<ChosenServer, ProbeCounts> {
+    let result = find_server(context, service, tried, crowded_policy).await;
+    if crowded_policy == CrowdedPolicy::ProbeAgain {
+        context.record_choice(service, result.is_ok());
+    }
+    result
+}
+
+async fn find_server(
+    context: &Rc<EntryContext>,
+    service: &ServiceName,
+    tried: &[ServerId],
+    crowded_policy: CrowdedPolicy,
 ) -> Result<ChosenServer, ProbeCounts> {
     let mut counts = ProbeCounts::default();
     let mut excluded = tried.to_vec();
--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -58,7 +58,8 @@
             entries: self.entry_count(),
             servers: balancer.server_count(),
         });
-        let claim = RequestClaim { tenant: None, priority: request.rule.priority };
+        let tenant = request.tenant.as_ref().map(|tenant| &*tenant.name);
+        let claim = RequestClaim { tenant, priority: request.priority };
         let time = caller_time(now, request, received_at);
         let mean = self.mean_latency(&request.service);
         let random = self.random.borrow_mut().f64();
@@ -91,7 +92,7 @@
         let time = caller_time(now, request, received_at);
         let mean = self.mean_latency(&request.service);
         let random = self.random.borrow_mut().f64();
-        self.with_room(&request.service, |room| room.return_delay(time, mean, random))
+        self.with_room(&request.service, |room| room.return_delay(now, time, mean, random))
     }
 
     fn mean_latency(&self, service: &ServiceName) -> Option<Duration> {
@@ -146,6 +147,11 @@
         self.record_room_change(service, change);
     }
 
+    /// Records whether an admitted request found a server.
+    pub fn record_choice(&self, service: &ServiceName, has_found: bool) {
+        self.with_room(service, |room| room.record_choice(Instant::now(), has_found));
+    }
+
     fn update_room(&self, now: Instant, service: &ServiceName) {
         let change = self.with_room(service, |room| room.update(now));
         self.record_room_change(service, change);
--- a/src/fleet/room/finds.rs
+++ b/src/fleet/room/finds.rs
@@ -23,16 +23,21 @@
 /// Room is no longer short when one of this number of results found some.
 const ENOUGH_RATIO: usize = 4;
 
-/// Results of the latest looks, oldest first.
+/// Results of the latest looks.
 #[derive(Debug, Default)]
 pub struct FindWindow {
+    /// Oldest first.
     finds: VecDeque<(Instant, bool)>,
     is_short: bool,
+    /// Number of the latest looks with the same result.
+    repetitions: usize,
 }
 
 impl FindWindow {
     /// Records whether a server that was asked has room. Returns whether room became or ceased to be short.
     pub fn record(&mut self, now: Instant, has_room: bool) -> bool {
+        let was_same = self.finds.back().is_some_and(|(_, last)| *last == has_room);
+        self.repetitions = if was_same { self.repetitions.saturating_add(1) } else { 1 };
         if self.finds.len() >= MAX_FINDS {
             self.finds.pop_front();
         }
@@ -62,8 +67,8 @@
 
     /// Whether so many looks in a row found nothing that one more is not expected to find any.
     pub fn is_exhausted(&self) -> bool {
-        let latest = self.finds.iter().rev().take_while(|(_, has_room)| !has_room);
-        self.is_short && latest.count() >= EXHAUSTED_FINDS
+        let found_none = self.finds.back().is_some_and(|(_, has_room)| !has_room);
+        self.is_short && found_none && self.repetitions >= EXHAUSTED_FINDS
     }
 
     /// Share of the looks that found room; 1 without any result.
@@ -74,14 +79,6 @@
         }
     }
 
-    /// How short room is: 0 if it is not, 1 if nothing was found.
-    pub fn shortness(&self) -> f64 {
-        if !self.is_short {
-            return 0.0;
-        }
-        (1.0 - self.found_share() * ENOUGH_RATIO as f64).clamp(0.0, 1.0)
-    }
-
     /// Numbers of looks that found room, and of all.
     pub fn counts(&self) -> (usize, usize) {
         (self.found_count(), self.finds.len())
--- a/src/fleet/room/mod.rs
+++ b/src/fleet/room/mod.rs
@@ -6,6 +6,7 @@
 mod finds;
 mod hedge;
 mod metrics;
+mod pressure;
 mod service;
 mod silence;
 
--- a/src/fleet/room/service.rs
+++ b/src/fleet/room/service.rs
@@ -4,6 +4,7 @@
 
 use super::arrivals::{ArrivalShares, RequestClaim};
 use super::finds::FindWindow;
+use super::pressure::AdmissionPressure;
 
 /// Servers probed for one request while room is short. One more than once would mostly find nothing and
 /// takes a slot for some milliseconds.
@@ -91,6 +92,7 @@
 #[derive(Debug, Default)]
 pub struct ServiceRoom {
     finds: FindWindow,
+    pressure: AdmissionPressure,
     arrivals: ArrivalShares,
     probes_in_flight: usize,
     last_scout_at: Option<Instant>,
@@ -99,9 +101,9 @@
 impl ServiceRoom {
     /// Decides on a request that arrives; `random` is from 0 to 1.
     ///
-    /// Nothing is refused unless room is short. Then a request is admitted with a probability between its
-    /// standing and 1 that falls with the room. While the latest looks found nothing, requests are admitted
-    /// only at the intervals at which one of them looks for room.
+    /// Nothing is refused unless most looks for room fail. Then a request is admitted with a probability
+    /// between its standing and 1 that falls with the room. While the latest looks found nothing, requests
+    /// are admitted only at the intervals at which one of them looks for room.
     pub fn decide(
         &mut self,
         now: Instant,
@@ -112,28 +114,41 @@
         random: f64,
     ) -> RoomDecision {
         self.arrivals.record(now, claim);
-        let shortness = self.finds.shortness();
+        let pressure = self.pressure.get(now);
+        if pressure > 0.0 && random > 1.0 - pressure * (1.0 - self.arrivals.standing(now, claim)) {
+            return RoomDecision::Refused(RefusalCause::Standing);
+        }
         if !self.finds.is_short() {
             return RoomDecision::Allowed;
         }
         if mean.is_some_and(|mean| time.left < mean.mul_f64(MIN_TIME_FRACTION)) {
             return RoomDecision::Refused(RefusalCause::TooLate);
         }
-        let standing = self.arrivals.standing(now, claim);
-        if random > 1.0 - shortness * (1.0 - standing) {
-            return RoomDecision::Refused(RefusalCause::Standing);
+        if !self.may_look(now, size) {
+            self.record_choice(now, false);
+            return RoomDecision::Refused(RefusalCause::Exhausted);
         }
+        RoomDecision::Allowed
+    }
+
+    /// Whether one more request may look for room while it is short.
+    fn may_look(&mut self, now: Instant, size: FleetSize) -> bool {
         if self.probes_in_flight >= MAX_SHORT_PROBES_IN_FLIGHT {
-            return RoomDecision::Refused(RefusalCause::Exhausted);
+            return false;
         }
         if self.finds.is_exhausted() {
             let interval = scout_interval(size);
             if self.last_scout_at.is_some_and(|at| now.duration_since(at) < interval) {
-                return RoomDecision::Refused(RefusalCause::Exhausted);
+                return false;
             }
             self.last_scout_at = Some(now);
         }
-        RoomDecision::Allowed
+        true
+    }
+
+    /// Records whether an admitted request found a server.
+    pub fn record_choice(&mut self, now: Instant, has_found: bool) {
+        self.pressure.record(now, has_found, self.finds.found_share());
     }
 
     /// What a look for a server may cost now.
@@ -191,12 +206,18 @@
     ///
     /// Room is expected when a part of the running requests has ended. The callers are spread over the time
     /// in which they can still be served within the target, and over more the shorter room is.
-    pub fn return_delay(&self, time: CallerTime, mean: Option<Duration>, random: f64) -> Duration {
+    pub fn return_delay(
+        &self,
+        now: Instant,
+        time: CallerTime,
+        mean: Option<Duration>,
+        random: f64,
+    ) -> Duration {
         let mean = mean.unwrap_or(time.target / 2);
         let longest = time.left.mul_f64(RETURN_TIME_FRACTION);
         let earliest = mean.mul_f64(FIRST_RETURN_FRACTION).min(longest);
         let for_target = time.target.saturating_sub(time.elapsed + mean).clamp(earliest, longest);
-        let latest = for_target + (longest - for_target).mul_f64(self.finds.shortness());
+        let latest = for_target + (longest - for_target).mul_f64(self.pressure.get(now));
         earliest + (latest - earliest).mul_f64(random.clamp(0.0, 1.0))
     }
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -31,6 +31,7 @@
 mod quarantine_operator;
 mod quarantine_proposals;
 mod quarantine_state;
+mod room_loads;
 mod routes;
 mod slow_member;
 mod state;
