--- a/src/fleet/room/silence.rs
+++ b/src/fleet/room/silence.rs
@@ -8,7 +8,7 @@
 
 /// Lower and upper limit of the time, as fractions of the route's target latency. A second send that starts
 /// at the upper one can still be answered soon after the target.
-const SILENCE_LIMITS: (f64, f64) = (0.4, 0.75);
+const SILENCE_LIMITS: (f64, f64) = (0.2, 0.75);
 
 /// Time after the send from which on a server without a byte of its response counts as silent.
 ///
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -32,6 +32,7 @@
 mod quarantine_proposals;
 mod quarantine_state;
 mod room_loads;
+mod room_silence;
 mod routes;
 mod slow_member;
 mod state;
