--- a/tests/fleet/room_silence.rs
+++ b/tests/fleet/room_silence.rs
@@ -13,8 +13,8 @@
 use crate::balance::server_view;
 use crate::entry::TestSystem;
 use crate::harness::{
-    HEALTH_PAGE, ScriptedServer, VALID_RESPONSE, document, exchange, header_value, parse_response,
-    read_request, wait_for,
+    HEALTH_PAGE, ScriptedServer, ServerStep, VALID_RESPONSE, announce, announcement, document,
+    exchange, header_value, parse_response, read_request, wait_for,
 };
 
 const TARGET: Duration = Duration::from_millis(800);
@@ -96,7 +96,8 @@
 struct SilentServer {
     address: SocketAddr,
     is_silent: Arc<AtomicBool>,
-    open_connections: Arc<AtomicUsize>,
+    /// Open connections on which a request was not answered.
+    lost_connections: Arc<AtomicUsize>,
     silent_requests: Arc<AtomicUsize>,
 }
 
@@ -106,21 +107,19 @@
         let server = Self {
             address: listener.local_addr().expect("a listener has an address"),
             is_silent: Arc::default(),
-            open_connections: Arc::default(),
+            lost_connections: Arc::default(),
             silent_requests: Arc::default(),
         };
         let is_silent = Arc::clone(&server.is_silent);
-        let open_connections = Arc::clone(&server.open_connections);
+        let lost_connections = Arc::clone(&server.lost_connections);
         let silent_requests = Arc::clone(&server.silent_requests);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let is_silent = Arc::clone(&is_silent);
-                let open_connections = Arc::clone(&open_connections);
+                let lost_connections = Arc::clone(&lost_connections);
                 let silent_requests = Arc::clone(&silent_requests);
                 std::thread::spawn(move || {
-                    open_connections.fetch_add(1, Ordering::SeqCst);
-                    Self::serve(stream, &is_silent, &silent_requests);
-                    open_connections.fetch_sub(1, Ordering::SeqCst);
+                    Self::serve(stream, &is_silent, &lost_connections, &silent_requests);
                 });
             }
         });
@@ -128,12 +127,20 @@
     }
 
     /// Serves until the peer closes the connection.
-    fn serve(mut stream: TcpStream, is_silent: &AtomicBool, silent_requests: &AtomicUsize) {
+    fn serve(
+        mut stream: TcpStream,
+        is_silent: &AtomicBool,
+        lost_connections: &AtomicUsize,
+        silent_requests: &AtomicUsize,
+    ) {
         let mut input = Vec::new();
         let mut is_lost = false;
         while let Some(request) = read_request(&mut stream, &mut input) {
             let is_probe = request.starts_with("GET /health");
-            is_lost |= is_silent.load(Ordering::SeqCst) && !is_probe;
+            if is_silent.load(Ordering::SeqCst) && !is_probe && !is_lost {
+                is_lost = true;
+                lost_connections.fetch_add(1, Ordering::SeqCst);
+            }
             if is_lost {
                 silent_requests.fetch_add(1, Ordering::SeqCst);
                 continue;
@@ -144,6 +151,7 @@
                 return;
             }
         }
+        lost_connections.fetch_sub(usize::from(is_lost), Ordering::SeqCst);
     }
 }
 
@@ -160,12 +168,17 @@
 #[test]
 fn a_silent_server_costs_no_caller_and_keeps_nothing() {
     let silent = SilentServer::start();
-    let sound = ScriptedServer::start(&[]);
-    let addresses = [silent.address, sound.address];
-    let system = TestSystem::start_with_document(&addresses, None, &document(1));
-    for number in 0..12 {
-        assert_eq!(request(&system, "GET", "/read/1", &format!("w{number}")), 200);
-    }
+    // Slower than the other one, which is preferred for that.
+    let slow = ServerStep::Delay(Duration::from_millis(50), VALID_RESPONSE);
+    let sound = ScriptedServer::start(&vec![slow; 40]);
+    let system = TestSystem::start_with_document(&[silent.address], None, &document(1));
+    assert_eq!(request(&system, "GET", "/read/1", "w"), 200);
+    announce(&system.fleet, "s1", &announcement(sound.address, false, 1, 1));
+    // The entry introduces the new server with a request.
+    wait_for("the sound server to get a request", || {
+        assert_eq!(request(&system, "GET", "/read/1", "i"), 200);
+        sound.sent_count() > 0
+    });
     silent.is_silent.store(true, Ordering::SeqCst);
     for number in 0..8 {
         assert_eq!(request(&system, "GET", "/read/1", &format!("r{number}")), 200);
@@ -180,8 +193,7 @@
     assert_eq!(after - before, 1, "an at-most-once request is sent once");
     silent.is_silent.store(false, Ordering::SeqCst);
     wait_for("the silent connections to be closed", || {
-        // Idle connections on which everything was answered may stay.
-        silent.open_connections.load(Ordering::SeqCst) <= 1
+        silent.lost_connections.load(Ordering::SeqCst) == 0
     });
     for number in 0..8 {
         assert_eq!(request(&system, "GET", "/read/1", &format!("e{number}")), 200);
