--- a/tests/fleet/room_silence.rs
+++ b/tests/fleet/room_silence.rs
@@ -92,57 +92,43 @@
     assert_eq!((&*chosen.server, chosen.in_flight), ("s1", 0), "its slot is free again");
 }
 
-/// Server that answers nothing while it is silent, nor anything after that on the same connection.
-struct SilentServer {
-    address: SocketAddr,
-    is_silent: Arc<AtomicBool>,
+/// State of a server that answers nothing while it is silent, nor anything after that on the same connection.
+#[derive(Default)]
+struct SilentState {
+    is_silent: AtomicBool,
     /// Open connections on which a request was not answered.
-    lost_connections: Arc<AtomicUsize>,
-    silent_requests: Arc<AtomicUsize>,
+    lost_connections: AtomicUsize,
+    silent_requests: AtomicUsize,
 }
 
-impl SilentServer {
-    fn start() -> Self {
+impl SilentState {
+    /// Starts a server.
+    fn start() -> (SocketAddr, Arc<Self>) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
-        let server = Self {
-            address: listener.local_addr().expect("a listener has an address"),
-            is_silent: Arc::default(),
-            lost_connections: Arc::default(),
-            silent_requests: Arc::default(),
-        };
-        let is_silent = Arc::clone(&server.is_silent);
-        let lost_connections = Arc::clone(&server.lost_connections);
-        let silent_requests = Arc::clone(&server.silent_requests);
+        let address = listener.local_addr().expect("a listener has an address");
+        let state = Arc::new(Self::default());
+        let server_state = Arc::clone(&state);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let is_silent = Arc::clone(&is_silent);
-                let lost_connections = Arc::clone(&lost_connections);
-                let silent_requests = Arc::clone(&silent_requests);
-                std::thread::spawn(move || {
-                    Self::serve(stream, &is_silent, &lost_connections, &silent_requests);
-                });
+                let state = Arc::clone(&server_state);
+                std::thread::spawn(move || state.serve(stream));
             }
         });
-        server
+        (address, state)
     }
 
     /// Serves until the peer closes the connection.
-    fn serve(
-        mut stream: TcpStream,
-        is_silent: &AtomicBool,
-        lost_connections: &AtomicUsize,
-        silent_requests: &AtomicUsize,
-    ) {
+    fn serve(&self, mut stream: TcpStream) {
         let mut input = Vec::new();
         let mut is_lost = false;
         while let Some(request) = read_request(&mut stream, &mut input) {
             let is_probe = request.starts_with("GET /health");
-            if is_silent.load(Ordering::SeqCst) && !is_probe && !is_lost {
+            if self.is_silent.load(Ordering::SeqCst) && !is_probe && !is_lost {
                 is_lost = true;
-                lost_connections.fetch_add(1, Ordering::SeqCst);
+                self.lost_connections.fetch_add(1, Ordering::SeqCst);
             }
             if is_lost {
-                silent_requests.fetch_add(1, Ordering::SeqCst);
+                self.silent_requests.fetch_add(1, Ordering::SeqCst);
                 continue;
             }
             let id = header_value(&request, "x-request-id").unwrap_or_default();
@@ -151,7 +137,7 @@
                 return;
             }
         }
-        lost_connections.fetch_sub(usize::from(is_lost), Ordering::SeqCst);
+        self.lost_connections.fetch_sub(usize::from(is_lost), Ordering::SeqCst);
     }
 }
 
@@ -167,11 +153,11 @@
 /// at-most-once request that is sent twice, and against connections and counts that stay tied to it.
 #[test]
 fn a_silent_server_costs_no_caller_and_keeps_nothing() {
-    let silent = SilentServer::start();
+    let (address, silent) = SilentState::start();
     // Slower than the other one, which is preferred for that.
     let slow = ServerStep::Delay(Duration::from_millis(50), VALID_RESPONSE);
     let sound = ScriptedServer::start(&vec![slow; 40]);
-    let system = TestSystem::start_with_document(&[silent.address], None, &document(1));
+    let system = TestSystem::start_with_document(&[address], None, &document(1));
     assert_eq!(request(&system, "GET", "/read/1", "w"), 200);
     announce(&system.fleet, "s1", &announcement(sound.address, false, 1, 1));
     // The entry introduces the new server with a request.
