--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -12,6 +12,7 @@
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::quota::metrics::QuotaMetrics;
+use crate::fleet::room::RoomMetrics;
 use crate::fleet::statement::TargetStatement;
 use crate::fleet::tenant::KeyMetrics;
 
@@ -78,6 +79,7 @@
     pub document_version: Gauge,
     pub revision: Gauge,
     pub fresh_members: Gauge,
+    pub room: RoomMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -115,6 +117,7 @@
             document_version: Gauge::default(),
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
+            room: RoomMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -134,6 +137,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         PROCESS_METRICS.register(registry);
+        self.room.register(registry);
         self.keys.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -21,6 +21,7 @@
 mod reader;
 mod relay;
 mod request;
+mod room_gate;
 mod send;
 pub mod served_digests;
 mod server_body;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 pub mod quota;
 pub mod rejoin;
 pub mod relay_times;
+pub mod room;
 mod route_rows;
 pub mod routes;
 mod server_rows;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -36,6 +36,8 @@
 mod quota_fleet;
 mod quota_parts;
 mod quota_schedule;
+mod room_loads;
+mod room_silence;
 mod routes;
 mod slow_member;
 mod state;
