Keep requests from evacuated zones and pace those to cold servers

Cause: evacuations were replicated but entries ignored them, a 257th evacuation was acknowledged without being in force, and nothing bound the requests of all entries to a cold server.

Change: each balancer knows which of its servers are evacuated and asks again right before a send; kept connections are closed; a service without other servers refuses at once. An evacuation beyond the maximum is answered with 409: the state remembers the log indexes of the newest refusals. A cold server is seen by a hashed part of the entries only, each of which sends at most one request in 1.2 seconds. Ruled out: an account at a holder, which costs a message a request and is lost with its holder; replicating a warm-up that is stated again, because every send is preceded by a fresher health answer.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -1,16 +1,21 @@
 //! Server selection from an entry's own measurements and the load that servers report.
 
+mod evacuation;
+pub mod metrics;
 mod stated;
+pub mod warmup;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::announcement::{IncarnationStart, ServerState};
 use super::dialect::ReportedLoad;
 use super::statement::StatedCondition;
 use super::update::ServerView;
-use crate::ids::ServerId;
+use crate::ids::{ServerId, ZoneName};
+use warmup::{ColdPacing, WarmupState};
 
 /// Time constant of a reported slowness. It is short because disturbances by neighbours change
 /// quickly.
@@ -99,10 +104,12 @@
     address: SocketAddr,
     slots: u32,
     same_zone: bool,
+    availability_zone: ZoneName,
+    is_evacuated: bool,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
-    warmup_until: Instant,
+    warmup: WarmupState,
     in_flight: u32,
     /// Last load report, its time, and the requests of this entry in flight at that time.
     load_report: Option<(ReportedLoad, Instant, u32)>,
@@ -145,6 +152,8 @@
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
     mean_slowness: Option<f64>,
+    evacuated_zones: Rc<BTreeSet<ZoneName>>,
+    pacing: ColdPacing,
 }
 
 impl ServiceBalancer {
@@ -168,17 +177,17 @@
                 previous.remove(server).filter(|known| known.started == announcement.started);
             let stated = same_incarnation.as_ref().map(|known| known.stated).unwrap_or_default();
             let known = same_incarnation.filter(|known| known.address == announcement.address);
-            if known.is_none() && had_servers {
-                self.schedule_introduction(now, entry, entry_count, server, announcement.slots);
-            }
+            let is_new = known.is_none() && had_servers;
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
                 same_zone: *announcement.availability_zone == *zone,
+                availability_zone: announcement.availability_zone.clone(),
+                is_evacuated: false,
                 state: announcement.state,
                 silent: view.silent,
                 started: announcement.started,
-                warmup_until: now + announcement.warmup,
+                warmup: WarmupState::new(now, entry, server, announcement.warmup),
                 in_flight: 0,
                 load_report: None,
                 latency: None,
@@ -191,6 +200,11 @@
             stats.slots = announcement.slots.max(1);
             stats.state = announcement.state;
             stats.silent = view.silent;
+            stats.availability_zone.clone_from(&announcement.availability_zone);
+            stats.is_evacuated = self.evacuated_zones.contains(&stats.availability_zone);
+            if is_new {
+                self.schedule_introduction(now, entry, entry_count, server, &stats);
+            }
             self.servers.insert(server.clone(), stats);
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
@@ -205,8 +219,15 @@
         entry: &str,
         entry_count: u32,
         server: &ServerId,
-        slots: u32,
+        stats: &ServerStats,
     ) {
+        if stats.warmup.is_limited(now, &self.pacing) {
+            if let Some(due_at) = stats.warmup.first_send(now, &self.pacing) {
+                self.introductions.insert(server.clone(), due_at);
+            }
+            return;
+        }
+        let slots = stats.slots;
         let share = INTRODUCTION_FACTOR * f64::from(slots) / f64::from(entry_count.max(1));
         // Another hash than that of the ranking: mostly entries that do not prefer the server.
         let score = rendezvous_score(server, entry);
@@ -228,7 +249,7 @@
             }
             let known = self.servers.get_key_value(server);
             let usable =
-                known.filter(|(_, stats)| stats.may_get_requests(now) && stats.is_available(now));
+                known.filter(|(_, stats)| self.may_get(now, stats) && stats.is_available(now));
             if usable.is_some() {
                 return usable;
             }
@@ -271,7 +292,7 @@
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
-                if !stats.may_get_requests(now) || tried.contains(server) {
+                if !self.may_get(now, stats) || tried.contains(server) {
                     continue;
                 }
                 let noise = random.f64() * MAX_RANDOM_COST;
@@ -309,6 +330,10 @@
         })
     }
 
+    fn may_get(&self, now: Instant, stats: &ServerStats) -> bool {
+        stats.may_get_requests(now) && stats.warmup.admits(now, &self.pacing)
+    }
+
     /// Expected duration of one more request on the server, relative to the usual duration.
     fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
         let usual_slowness = self.mean_slowness.unwrap_or(1.0);
@@ -328,7 +353,7 @@
             }
             _ => 1.0,
         };
-        let warmup_factor = if now < stats.warmup_until { WARMUP_FACTOR } else { 1.0 };
+        let warmup_factor = if stats.warmup.is_slow(now) { WARMUP_FACTOR } else { 1.0 };
         let slots = f64::from(stats.slots);
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
@@ -421,9 +446,10 @@
 }
 
 impl ServerStats {
-    /// Whether the server wants requests, by its announcement and by its answers.
+    /// Whether the server wants requests, by its announcement and by its answers, and its availability
+    /// zone is not evacuated.
     fn may_get_requests(&self, now: Instant) -> bool {
-        self.state == ServerState::Ready && self.stated.accepts(now)
+        self.state == ServerState::Ready && !self.is_evacuated && self.stated.accepts(now)
     }
 
     /// Whether a recent load report leaves no room for another request at the usual speed.
--- a/src/fleet/balance/stated.rs
+++ b/src/fleet/balance/stated.rs
@@ -26,8 +26,11 @@
         self.servers.get_mut(server).is_some_and(|stats| stats.stated.end_pause(now))
     }
 
-    /// Whether the incarnation can get a request, as far as its answers say.
+    /// Whether the incarnation can get a request, as far as evacuations and its answers say.
     pub fn accepts(&self, now: Instant, server: &ServerId, started: IncarnationStart) -> bool {
+        if self.is_evacuated(server) {
+            return false;
+        }
         let stats = self.servers.get(server).filter(|stats| stats.started == started);
         stats.is_none_or(|stats| stats.stated.accepts(now))
     }
@@ -36,15 +39,17 @@
         self.servers.values().filter(|stats| stats.state == ServerState::Ready)
     }
 
-    /// Whether all ready servers leave or are paused.
+    /// Whether all ready servers leave, are paused or are in evacuated availability zones.
     pub fn is_withdrawn(&self, now: Instant) -> bool {
         let mut ready = self.ready_servers().peekable();
-        ready.peek().is_some() && ready.all(|stats| !stats.stated.accepts(now))
+        ready.peek().is_some()
+            && ready.all(|stats| stats.is_evacuated || !stats.stated.accepts(now))
     }
 
     /// End of the first pause if the service is withdrawn.
     pub fn resumes_at(&self, now: Instant) -> Option<Instant> {
-        let ends = self.ready_servers().filter_map(|stats| stats.stated.resumes_at(now));
+        let remaining = self.ready_servers().filter(|stats| !stats.is_evacuated);
+        let ends = remaining.filter_map(|stats| stats.stated.resumes_at(now));
         ends.min().filter(|_| self.is_withdrawn(now))
     }
 
--- /dev/null
+++ b/src/fleet/balance/warmup.rs
@@ -0,0 +1,233 @@
+//! Limit on the requests that all entries together send to a server while it is cold.
+//!
+//! The entries share the limit without messages: a hash of both names makes each server known as usable
+//! to only a few of them, and each of those sends seldom. The others see the server as away.
+
+use std::time::{Duration, Instant};
+
+use super::{ServiceBalancer, rendezvous_score};
+use crate::fleet::announcement::IncarnationStart;
+use crate::fleet::config::WarmupLimits;
+use crate::ids::ServerId;
+
+/// Part of the warm-up rate that the entries are expected to use together. The rest covers that chance
+/// gives some servers more participating entries than others.
+const EXPECTED_FRACTION: f64 = 0.6;
+
+/// Part of the bound that is used where the rate is so low that a server would often have no
+/// participating entry at all.
+const MIN_BOUND_FRACTION: f64 = 0.2;
+
+/// Standard deviations between the expected number of participating entries and the bound; about one
+/// server in a million has more.
+const SAFE_DEVIATIONS: f64 = 5.0;
+
+/// Interval between two requests of a participating entry to one cold server. It exceeds the second of
+/// the bound because requests may be on their way for different times.
+const SEND_INTERVAL: Duration = Duration::from_millis(1200);
+
+/// Time over which the entries return to a server at the end of its warm-up.
+const RETURN_SPREAD: Duration = Duration::from_secs(1);
+
+/// Time over which the first requests of the participating entries are spread.
+const FIRST_SEND_SPREAD: Duration = Duration::from_secs(1);
+
+/// Age up to which a health answer shows that the server has not been restarted since.
+const CONFIRMATION_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Longest warm-up that is believed.
+const MAX_WARMUP: Duration = Duration::from_secs(3600);
+
+/// Number of entries assumed until a full period has been observed. Too large a number only sends less
+/// to cold servers.
+const INITIAL_ENTRY_COUNT: u32 = 256;
+
+/// Period over which the largest reported number of entries holds. After the loss of a member the others
+/// report few entries for some seconds.
+const COUNT_PERIOD: Duration = Duration::from_secs(10);
+
+/// Number of entries for limits that must not be exceeded: the largest reported in one to two periods.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetSize {
+    period_began: Instant,
+    previous_max: u32,
+    current_max: u32,
+}
+
+impl FleetSize {
+    pub fn new(now: Instant) -> Self {
+        Self { period_began: now, previous_max: INITIAL_ENTRY_COUNT, current_max: 0 }
+    }
+
+    /// Records a reported number of entries.
+    pub fn record(&mut self, now: Instant, entry_count: u32) {
+        if now.saturating_duration_since(self.period_began) >= COUNT_PERIOD {
+            self.previous_max = self.current_max.max(entry_count);
+            self.current_max = 0;
+            self.period_began = now;
+        }
+        self.current_max = self.current_max.max(entry_count);
+    }
+
+    pub fn entry_count(&self) -> u32 {
+        self.previous_max.max(self.current_max).max(1)
+    }
+}
+
+/// How the entries share a cold server of one service; unlimited by default.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct ColdPacing {
+    /// Requests per second that all entries are expected to send together; 0 for no limit.
+    expected_rate: f64,
+    entry_count: u32,
+}
+
+impl ColdPacing {
+    /// Shares `rate` requests per second, which any second may exceed by `limits`, among `entry_count`
+    /// entries. A rate of 0 means no limit.
+    pub fn new(rate: f64, limits: WarmupLimits, entry_count: u32) -> Self {
+        if rate <= 0.0 {
+            return Self::default();
+        }
+        let bound = rate * limits.overshoot + limits.tolerance;
+        let wanted = (rate * EXPECTED_FRACTION).max(bound * MIN_BOUND_FRACTION);
+        // Largest mean that lies the safe deviations below the bound.
+        let root = (SAFE_DEVIATIONS.powi(2) + 4.0 * bound).sqrt() - SAFE_DEVIATIONS;
+        let expected_rate = wanted.min((root / 2.0).powi(2));
+        Self { expected_rate, entry_count: entry_count.max(1) }
+    }
+
+    pub fn expected_rate(&self) -> f64 {
+        self.expected_rate
+    }
+
+    fn is_limited(&self) -> bool {
+        self.expected_rate > 0.0
+    }
+
+    /// Part of the entries that send to a cold server.
+    fn share(&self) -> f64 {
+        self.expected_rate / f64::from(self.entry_count)
+    }
+
+    /// Interval between two requests of a participating entry. Few entries all take part, each with its
+    /// part of the rate.
+    fn interval(&self) -> Duration {
+        SEND_INTERVAL.mul_f64((1.0 / self.share()).min(1.0))
+    }
+}
+
+/// What an entry knows of the warm-up of one server.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WarmupState {
+    ends_at: Instant,
+    /// Hash of both names, from 0 to 1.
+    score: f64,
+    /// Earliest time of the next request while the server is cold.
+    next_send_at: Instant,
+    /// Time of the last health answer.
+    confirmed_at: Option<Instant>,
+}
+
+impl WarmupState {
+    pub(super) fn new(now: Instant, entry: &str, server: &ServerId, left: Duration) -> Self {
+        let score = rendezvous_score(server, entry);
+        Self { ends_at: now + left.min(MAX_WARMUP), score, next_send_at: now, confirmed_at: None }
+    }
+
+    /// Whether the server is slow because it warms up.
+    pub(super) fn is_slow(&self, now: Instant) -> bool {
+        now < self.ends_at
+    }
+
+    /// Whether the limit holds. The entries leave it at different times: a server that could not bear
+    /// the usual load would otherwise get it from all of them at once.
+    fn is_cold(&self, now: Instant) -> bool {
+        now < self.ends_at + RETURN_SPREAD.mul_f64(self.score)
+    }
+
+    pub(super) fn admits(&self, now: Instant, pacing: &ColdPacing) -> bool {
+        let is_limited = pacing.is_limited() && self.is_cold(now);
+        !is_limited || (self.score < pacing.share() && now >= self.next_send_at)
+    }
+
+    /// Time of this entry's first request to a server that is cold; `None` if it does not take part or
+    /// the limit does not hold.
+    pub(super) fn first_send(&self, now: Instant, pacing: &ColdPacing) -> Option<Instant> {
+        let takes_part = self.score < pacing.share();
+        takes_part.then(|| now + FIRST_SEND_SPREAD.mul_f64((self.score / pacing.share()).min(1.0)))
+    }
+
+    pub(super) fn is_limited(&self, now: Instant, pacing: &ColdPacing) -> bool {
+        pacing.is_limited() && self.is_cold(now)
+    }
+}
+
+impl ServiceBalancer {
+    pub fn install_pacing(&mut self, pacing: ColdPacing) {
+        self.pacing = pacing;
+    }
+
+    /// Replaces the number of entries that share a cold server.
+    pub fn set_entry_count(&mut self, entry_count: u32) {
+        self.pacing.entry_count = entry_count.max(1);
+    }
+
+    /// Records a health answer of an incarnation of `server`, and the rest of the warm-up if it states
+    /// one.
+    ///
+    /// Returns whether the server is cold from now on and was not before.
+    pub fn record_health(
+        &mut self,
+        now: Instant,
+        (server, started): (&ServerId, IncarnationStart),
+        left: Option<Duration>,
+    ) -> bool {
+        let pacing = self.pacing;
+        let stats = self.servers.get_mut(server).filter(|stats| stats.started == started);
+        let Some(state) = stats.map(|stats| &mut stats.warmup) else { return false };
+        state.confirmed_at = Some(now);
+        let Some(left) = left.filter(|_| pacing.is_limited()) else { return false };
+        let was_cold = state.is_cold(now);
+        if left.is_zero() {
+            state.ends_at = state.ends_at.min(now);
+            return false;
+        }
+        state.ends_at = now + left.min(MAX_WARMUP);
+        !was_cold
+    }
+
+    /// Whether `server` can get a request now as far as evacuations and its warm-up say.
+    pub fn is_open(&self, now: Instant, server: &ServerId) -> bool {
+        let stats = self.servers.get(server);
+        stats.is_none_or(|stats| !stats.is_evacuated && stats.warmup.admits(now, &self.pacing))
+    }
+
+    /// Takes the permission for one request that is sent to `server` at once; `false` if there is none.
+    pub fn take_cold_send(&mut self, now: Instant, server: &ServerId) -> bool {
+        let pacing = self.pacing;
+        let Some(state) = self.servers.get_mut(server).map(|stats| &mut stats.warmup) else {
+            return true;
+        };
+        let is_admitted = state.admits(now, &pacing);
+        if is_admitted && state.is_limited(now, &pacing) {
+            state.next_send_at = now + pacing.interval();
+        }
+        is_admitted
+    }
+
+    /// Whether a health answer shows that `server` was not restarted in the last second. Without a limit
+    /// for cold servers none is needed.
+    pub fn is_confirmed(&self, now: Instant, server: &ServerId) -> bool {
+        let confirmed_at = self.servers.get(server).and_then(|stats| stats.warmup.confirmed_at);
+        !self.pacing.is_limited()
+            || confirmed_at
+                .is_some_and(|at| now.saturating_duration_since(at) < CONFIRMATION_LIFETIME)
+    }
+
+    /// Number of servers to which the limit for cold servers applies.
+    pub fn cold_count(&self, now: Instant) -> usize {
+        let states = self.servers.values().map(|stats| &stats.warmup);
+        states.filter(|state| state.is_limited(now, &self.pacing)).count()
+    }
+}
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -1,6 +1,7 @@
 //! State of a control member: the Raft node, the replicated state, pending calls and the heartbeats
 //! of servers.
 
+mod apply;
 mod quarantine;
 mod snapshot;
 mod upkeep;
@@ -18,7 +19,7 @@
 use super::heard::HeartbeatTracker;
 use super::metrics::MemberMetrics;
 use super::peers::PeerLinks;
-use crate::consensus::message::{EntryBody, LogEntry, RaftMessage};
+use crate::consensus::message::RaftMessage;
 use crate::consensus::node::Proposal;
 use crate::consensus::{RaftAction, RaftEvent, RaftNode, Role};
 use crate::fleet::announcement::IncarnationStart;
@@ -28,8 +29,8 @@
 use crate::fleet::state::{FleetCommand, FleetState};
 use crate::fleet::update::CompactUpdate;
 use crate::ids::{LogIndex, MemberId, ProcessName, ServerId, TermNumber, ZoneName};
+use crate::log_info;
 use crate::storage::{FormedIdentity, StoredIdentity};
-use crate::{log_info, log_warn};
 
 /// Time after which a forwarded call without a reply is abandoned.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(3);
@@ -229,6 +230,7 @@
             entries: self.entries,
             suspects: self.quarantine.ledger().suspects().count(),
             quarantined: self.state.quarantine().len(),
+            evacuated_zones: self.state.evacuated().len(),
             quarantine_counts: self.quarantine.counts(),
         }
     }
@@ -469,27 +471,6 @@
         }
     }
 
-    fn apply(&mut self, entries: Vec<LogEntry>) {
-        for entry in entries {
-            self.applied = entry.index;
-            self.unsaved_bytes += entry.size_bytes();
-            self.state.advance(entry.index);
-            if let EntryBody::Payload(payload) = &entry.body {
-                match FleetCommand::decode(payload) {
-                    Ok(command) => self.state.apply(entry.index, command),
-                    Err(error) => {
-                        log_warn!("command_skipped", "index={} error=\"{error}\"", entry.index)
-                    }
-                }
-            }
-            let Some((term, waiter)) = self.uncommitted.remove(&entry.index) else { continue };
-            let done = CallOutcome::Done { index: entry.index };
-            self.send_reply(waiter, if term == entry.term { done } else { CallOutcome::Unknown });
-        }
-        self.publish_revision();
-        self.save_due_snapshot();
-    }
-
     fn address_of(&self, member: MemberId) -> Option<SocketAddr> {
         let record = self.node.members().members.get(&member);
         if let Some(record) = record {
--- a/src/fleet/control/metrics.rs
+++ b/src/fleet/control/metrics.rs
@@ -26,6 +26,7 @@
     /// Requests under suspicion, known to the leader only.
     pub suspects: usize,
     pub quarantined: usize,
+    pub evacuated_zones: usize,
     pub quarantine_counts: QuarantineCounts,
 }
 
@@ -50,6 +51,7 @@
                 self.suspects as u64,
             ),
             ("quarantined", "Requests in quarantine", self.quarantined as u64),
+            ("evacuated_zones", "Evacuated availability zones", self.evacuated_zones as u64),
         ];
         for (name, help, value) in gauges {
             let gauge: Gauge = Gauge::default();
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -18,7 +18,7 @@
 use crate::fleet::state::FleetCommand;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
-use crate::ids::{ServerId, ZoneName};
+use crate::ids::{LogIndex, ServerId, ZoneName};
 use crate::{log_info, log_routine, log_warn};
 
 /// Maximum size of a request body.
@@ -335,7 +335,34 @@
             return self.failure(400, message);
         }
         log_info!("evacuation_requested", "zone={zone}");
-        self.commit(&FleetCommand::Evacuate(zone)).await
+        let deadline = tokio::time::Instant::now() + CALL_TIMEOUT;
+        let outcome = self.core.borrow_mut().propose(Instant::now(), &FleetCommand::Evacuate(zone));
+        let index = match timeout_at(deadline, outcome).await {
+            Ok(Ok(CallOutcome::Done { index })) => index,
+            Ok(Ok(CallOutcome::Refused)) => {
+                return self.failure(503, "no leader; nothing was changed");
+            }
+            _ => return self.failure(503, "the outcome is not known"),
+        };
+        if !self.wait_until_applied(index, deadline).await {
+            return self.failure(503, "the outcome is not known");
+        }
+        if self.core.borrow().state().has_refused_evacuation(index) {
+            log_warn!("evacuation_refused", "error=\"too many zones are evacuated\"");
+            return self.failure(409, "too many availability zones are evacuated");
+        }
+        self.success()
+    }
+
+    /// Waits until the local state includes the log entry `index`; `false` at the deadline.
+    async fn wait_until_applied(&self, index: LogIndex, deadline: tokio::time::Instant) -> bool {
+        while self.core.borrow().applied() < index {
+            if tokio::time::Instant::now() >= deadline {
+                return false;
+            }
+            sleep(APPLY_POLL_INTERVAL).await;
+        }
+        true
     }
 
     async fn end_evacuation(&self, zone: ZoneName) -> CallResponse {
@@ -355,11 +382,8 @@
             log_routine!("read_refused", "reason=no_majority");
             return self.failure(503, "no majority confirms the newest document");
         };
-        while self.core.borrow().applied() < index {
-            if tokio::time::Instant::now() >= deadline {
-                return self.failure(503, "this member is behind");
-            }
-            sleep(APPLY_POLL_INTERVAL).await;
+        if !self.wait_until_applied(index, deadline).await {
+            return self.failure(503, "this member is behind");
         }
         match self.core.borrow().state().text() {
             Some(text) => CallResponse { status: 200, body: text.to_vec() },
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -14,9 +14,10 @@
 use super::metrics::EntryMetrics;
 use super::request::CallerRequest;
 use super::suspect_runs::SuspectRuns;
+use crate::fleet::balance::warmup::FleetSize;
 use crate::fleet::balance::{ChosenServer, SendOutcome, ServiceBalancer};
 use crate::fleet::budget::RetryBudget;
-use crate::fleet::config::{EntryConfig, FleetConfig};
+use crate::fleet::config::{EntryConfig, FleetConfig, WarmupLimits};
 use crate::fleet::dialect::{ReportedLoad, WireDialect};
 use crate::fleet::document::{CallerLimits, RouteRule};
 use crate::fleet::follow_plan::FOLLOWED_MEMBERS;
@@ -26,7 +27,7 @@
 use crate::fleet::relay_times::RelayTimes;
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
-use crate::fleet::update::{FleetReplica, FleetUpdate};
+use crate::fleet::update::{FleetReplica, FleetUpdate, ServerView};
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
 use crate::suspension::{SuspensionWatch, suspended_time};
@@ -74,9 +75,12 @@
     pub server_pacer: RefCell<LinePacer>,
     pub caller_pacer: RefCell<LinePacer>,
     route_table: watch::Sender<Option<Rc<RouteTable>>>,
-    balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
+    pub(super) balancers: RefCell<BTreeMap<ServiceName, ServiceBalancer>>,
     budgets: RefCell<BTreeMap<ServiceName, RetryBudget>>,
     entry_count: Cell<u32>,
+    /// Limits and number of entries for cold servers.
+    pub(super) warmup_limits: WarmupLimits,
+    pub(super) fleet_size: Cell<FleetSize>,
     /// Time at which the entry exits, once it is stopping.
     stop_end: Cell<Option<Instant>>,
     pub relay_times: RefCell<RelayTimes>,
@@ -113,6 +117,8 @@
             budgets: RefCell::default(),
             // A large fleet is assumed until a member reports the number of entries.
             entry_count: Cell::new(64),
+            warmup_limits: config.warmup,
+            fleet_size: Cell::new(FleetSize::new(Instant::now())),
             stop_end: Cell::default(),
             relay_times: RefCell::new(RelayTimes::new(entry.line_mbps)),
             suspension_watch: Cell::new(SuspensionWatch::new(suspended_time())),
@@ -250,6 +256,7 @@
         let members = notice.members.len().max(1) as u32;
         let followed_count = members.min(FOLLOWED_MEMBERS as u32);
         self.entry_count.set((notice.entries * members).div_ceil(followed_count).max(1));
+        self.share_cold_servers(self.entry_count());
     }
 
     /// Calls `operation` with the load balancer of a service.
@@ -346,7 +353,7 @@
         }
     }
 
-    /// Whether the chosen server still wants requests, as far as its answers say.
+    /// Whether the chosen server still wants requests, as far as evacuations and its answers say.
     pub fn accepts(&self, service: &ServiceName, chosen: &ChosenServer) -> bool {
         let now = Instant::now();
         let accepts =
@@ -390,6 +397,7 @@
             !update.servers.is_empty() || !update.left.is_empty() || update.complete;
         let quarantined = update.quarantined.clone();
         let mut state = self.state.borrow_mut();
+        let evacuated_before = state.evacuated().clone();
         if !state.apply(update) {
             return;
         }
@@ -407,7 +415,14 @@
             self.relay_times.borrow_mut().retain(document.routes.values());
             self.route_table.send_replace(Some(Rc::new(RouteTable::new(document))));
         }
-        if servers_changed {
+        let evacuation_changed = *state.evacuated() != evacuated_before;
+        if evacuation_changed {
+            self.record_evacuation(&evacuated_before, state.evacuated());
+        }
+        if document_changed {
+            self.install_pacing(&state);
+        }
+        if servers_changed || evacuation_changed {
             self.install_servers(now, &state);
             drop(state);
             self.confirm_pending_crashes(now);
@@ -422,12 +437,16 @@
                 balancers.insert(name.clone(), ServiceBalancer::default());
             }
         }
+        let evacuated = Rc::new(state.evacuated().clone());
         for (name, balancer) in balancers.iter_mut() {
+            balancer.install_evacuation(&evacuated);
+            balancer.install_pacing(self.pacing_of(state, name));
             let views = state.servers().iter();
             let own_views = views.filter(|(_, view)| view.announcement.service == *name);
             let (name, zone) = (&self.name, &self.availability_zone);
             balancer.update_servers(now, name, zone, self.entry_count(), own_views);
         }
-        self.connections.retain(|server| state.servers().contains_key(server));
+        let is_used = |view: &ServerView| !evacuated.contains(&view.announcement.availability_zone);
+        self.connections.retain(|server| state.servers().get(server).is_some_and(is_used));
     }
 }
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -108,7 +108,8 @@
         find_server_with_room(context, service, &mut excluded, MAX_FULL_SECOND_PASS, &mut counts)
             .await;
     let found = found
-        .or_else(|| context.choose_by_cost(service, tried).filter(|chosen| chosen.has_free_slot));
+        .or_else(|| context.choose_by_cost(service, tried).filter(|chosen| chosen.has_free_slot))
+        .filter(|chosen| context.is_confirmed(service, chosen));
     found.ok_or(counts)
 }
 
@@ -227,6 +228,9 @@
             }
             ProbeEvent::Answered(_) => {
                 self.plan.record_result(number, false);
+                if !self.context.is_open(self.service, &self.probed[number]) {
+                    return None;
+                }
                 return Some(ChosenServer::clone(&self.probed[number]));
             }
             ProbeEvent::Rejected => {
@@ -298,9 +302,10 @@
         let now = Instant::now();
         let report = context.record_load(now, &self.service, &chosen.server, &head);
         context.record_statement(now, &self.service, chosen, &head);
+        context.record_health(now, &self.service, chosen, &head);
         // A second copy of a rejection bears no id that would tell it from the next answer.
         let is_rejected = head.headers.get(context.dialect.headers().not_run).is_some();
-        if complete && !is_rejected {
+        if complete && !is_rejected && !context.is_evacuated(&self.service, chosen) {
             context.connections.put(now, &chosen.server, chosen.address, stream, &head);
         }
         match report {
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::fleet::balance::metrics::ReserveMetrics;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::statement::TargetStatement;
 
@@ -75,6 +76,7 @@
     pub document_version: Gauge,
     pub revision: Gauge,
     pub fresh_members: Gauge,
+    pub reserves: ReserveMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -111,6 +113,7 @@
             document_version: Gauge::default(),
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
+            reserves: ReserveMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -123,6 +126,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         PROCESS_METRICS.register(registry);
+        self.reserves.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -462,6 +462,9 @@
     fn refuse_without_server(&self, now: Instant) -> LocalResponse {
         let resumes_at =
             self.context.with_balancer(&self.request.service, |balancer| balancer.resumes_at(now));
+        if self.context.is_wholly_evacuated(&self.request.service) {
+            return self.context.refuse_evacuated(self.request.deadline);
+        }
         let Some(resumes_at) = resumes_at else { return self.refuse("no server has room") };
         let pause = resumes_at.saturating_duration_since(now);
         let spread = self.context.random.borrow_mut().f64() * RESUME_SPREAD_FRACTION;
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -60,8 +60,8 @@
     /// No server has room.
     #[error("not sent: {0}")]
     NoServer(ProbeCounts),
-    /// The server has said meanwhile that it leaves or wants a pause.
-    #[error("not sent: the server leaves or is paused")]
+    /// The server leaves, wants a pause, is cold or was evacuated meanwhile.
+    #[error("not sent: the server leaves, is paused, is cold or was evacuated")]
     Withdrawn,
     /// The deadline passed before anything was sent.
     #[error("not sent: the deadline has passed")]
@@ -286,7 +286,7 @@
     if time_left.is_zero() {
         return Err(SendError::Expired);
     }
-    if !context.accepts(&request.service, chosen) {
+    if !context.admits_send(&request.service, chosen) {
         return Err(SendError::Withdrawn);
     }
     match context.decide_send(request) {
@@ -343,7 +343,8 @@
         return Ok(ServerResponse { head, body, share, server, rule, deadline });
     }
     // Without a request id, a late copy of this response would look like the next one.
-    if fully_written && framing.is_some() && request.request_id.is_some() {
+    let is_evacuated = context.is_evacuated(&request.service, chosen);
+    if fully_written && framing.is_some() && request.request_id.is_some() && !is_evacuated {
         context.connections.put(Instant::now(), &chosen.server, chosen.address, stream, &head);
     }
     let body = ServerBody::Complete(buffered);
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -22,6 +22,9 @@
 /// Maximum number of evacuated availability zones.
 pub const MAX_EVACUATED: usize = 256;
 
+/// Number of newest refused evacuations that are remembered until their callers have been answered.
+const MAX_REFUSED_EVACUATIONS: usize = 64;
+
 /// Command that changes the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -100,6 +103,9 @@
     /// Log index at which an evacuation last began or ended.
     #[serde(default)]
     evacuated_changed: LogIndex,
+    /// Log indexes of the newest evacuations that found no room below the maximum.
+    #[serde(default)]
+    refused_evacuations: BTreeSet<LogIndex>,
 }
 
 impl FleetCommand {
@@ -162,6 +168,11 @@
         &self.evacuated
     }
 
+    /// Whether the evacuation at `index` was refused because too many availability zones are evacuated.
+    pub fn has_refused_evacuation(&self, index: LogIndex) -> bool {
+        self.refused_evacuations.contains(&index)
+    }
+
     /// Whether this incarnation of `server` has left.
     pub fn has_left(&self, server: &ServerId, started: IncarnationStart) -> bool {
         self.left.get(server).is_some_and(|(left, _)| started <= *left)
@@ -229,9 +240,18 @@
     }
 
     fn evacuate(&mut self, index: LogIndex, zone: ZoneName) {
-        if self.evacuated.len() < MAX_EVACUATED && self.evacuated.insert(zone) {
-            self.evacuated_changed = index;
+        if self.evacuated.contains(&zone) {
+            return;
+        }
+        if self.evacuated.len() >= MAX_EVACUATED {
+            self.refused_evacuations.insert(index);
+            if self.refused_evacuations.len() > MAX_REFUSED_EVACUATIONS {
+                self.refused_evacuations.pop_first();
+            }
+            return;
         }
+        self.evacuated.insert(zone);
+        self.evacuated_changed = index;
     }
 
     fn end_evacuation(&mut self, index: LogIndex, zone: &ZoneName) {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod budget;
 mod caller;
+mod cold_servers;
 mod config_file;
 mod control_regained;
 mod crash_evidence;
@@ -17,6 +18,7 @@
 mod document_change;
 mod entry;
 mod entry_ledger;
+mod evacuation;
 mod freshness;
 mod harness;
 mod held_bytes;
