--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -460,12 +460,10 @@
     /// Refuses a request for which no server has room. While all are paused, the caller comes back after the
     /// first pause, at a random time, so that not all callers come at once.
     fn refuse_without_server(&self, now: Instant) -> LocalResponse {
-        let resumes_at =
-            self.context.with_balancer(&self.request.service, |balancer| balancer.resumes_at(now));
-        if self.context.is_wholly_evacuated(&self.request.service) {
-            return self.context.refuse_evacuated(self.request.deadline);
-        }
-        let Some(resumes_at) = resumes_at else { return self.refuse("no server has room") };
+        let resumes_at = self.context.resumes_at(&self.request.service, now);
+        let evacuated = || self.context.refuse_evacuated(&self.request);
+        let crowded = || self.refuse("no server has room");
+        let Some(resumes_at) = resumes_at else { return evacuated().unwrap_or_else(crowded) };
         let pause = resumes_at.saturating_duration_since(now);
         let spread = self.context.random.borrow_mut().f64() * RESUME_SPREAD_FRACTION;
         let time_left = self.request.deadline.saturating_duration_since(now);
--- a/src/fleet/entry/reserves.rs
+++ b/src/fleet/entry/reserves.rs
@@ -5,6 +5,7 @@
 
 use super::context::EntryContext;
 use super::local_response::LocalResponse;
+use super::outgoing::OutgoingRequest;
 use crate::fleet::balance::ChosenServer;
 use crate::fleet::balance::warmup::ColdPacing;
 use crate::fleet::update::FleetReplica;
@@ -116,18 +117,21 @@
         self.with_balancer(service, |balancer| balancer.is_evacuated(&chosen.server))
     }
 
-    /// Whether all ready servers of a service are in evacuated availability zones.
-    pub fn is_wholly_evacuated(&self, service: &ServiceName) -> bool {
-        self.with_balancer(service, |balancer| balancer.is_wholly_evacuated())
+    /// End of the first pause if all servers of a service that are not evacuated leave or are paused.
+    pub fn resumes_at(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
+        self.with_balancer(service, |balancer| balancer.resumes_at(now))
     }
 
-    /// Refuses a request whose service has servers in evacuated availability zones only.
-    pub fn refuse_evacuated(&self, deadline: Instant) -> LocalResponse {
+    /// Refuses a request if its service has ready servers in evacuated availability zones only.
+    pub fn refuse_evacuated(&self, request: &OutgoingRequest) -> Option<LocalResponse> {
+        if !self.with_balancer(&request.service, |balancer| balancer.is_wholly_evacuated()) {
+            return None;
+        }
         self.metrics.reserves.evacuated_refusals.inc();
         let spread = self.random.borrow_mut().f64() * EVACUATED_RETRY_SPREAD;
         let delay = EVACUATED_RETRY_AFTER.mul_f64(1.0 + spread);
-        let time_left = deadline.saturating_duration_since(Instant::now());
-        LocalResponse::not_run("all servers are in evacuated zones", delay, time_left)
+        let reason = "all servers are in evacuated zones";
+        Some(LocalResponse::not_run(reason, delay, request.time_left()))
     }
 
     /// Number of servers to which the limit for cold servers applies.
