--- a/src/fleet/control/core/status.rs
+++ b/src/fleet/control/core/status.rs
@@ -21,6 +21,7 @@
             entries: self.entries,
             suspects: self.quarantine.ledger().suspects().count(),
             quarantined: self.state.quarantine().len(),
+            evacuated_zones: self.state.evacuated().len(),
             quarantine_counts: self.quarantine.counts(),
             quota_counts: self.quota_counts(),
         }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::fleet::balance::metrics::ReserveMetrics;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::quota::metrics::QuotaMetrics;
 use crate::fleet::room::RoomMetrics;
@@ -80,6 +81,7 @@
     pub revision: Gauge,
     pub fresh_members: Gauge,
     pub room: RoomMetrics,
+    pub reserves: ReserveMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -118,6 +120,7 @@
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
             room: RoomMetrics::default(),
+            reserves: ReserveMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -139,6 +142,7 @@
         PROCESS_METRICS.register(registry);
         self.room.register(registry);
         self.keys.register(registry);
+        self.reserves.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
