Build the table of tenants only when a tenant has changed

Cause: a change of a route rebuilt the table of all keys at each entry.

Measured: tenant_entry and tenant_keys pass; the cost of the table is measured by examples/key_cost.rs.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -392,7 +392,8 @@
     pub fn install_update(&self, now: Instant, update: FleetUpdate) {
         let document_changed = update.head.is_some() || update.complete;
         let routes_changed = !update.routes.is_empty() || !update.removed_routes.is_empty();
-        let tenants_changed = !update.tenants.is_empty() || !update.removed_tenants.is_empty();
+        let tenants_changed =
+            update.complete || !update.tenants.is_empty() || !update.removed_tenants.is_empty();
         let servers_changed =
             !update.servers.is_empty() || !update.left.is_empty() || update.complete;
         let quarantined = update.quarantined.clone();
@@ -412,9 +413,13 @@
             );
             self.metrics.document_version.set(document.version as i64);
             self.relay_times.borrow_mut().retain(document.routes.values());
-            let table = Rc::new(RouteTable::new(document));
+            let known = self.route_table().filter(|_| !tenants_changed);
+            let table = match known {
+                Some(known) => RouteTable::with_tenants(document, Rc::clone(&known.tenants)),
+                None => RouteTable::new(document),
+            };
             self.metrics.keys.record_table(&table.tenants);
-            self.route_table.send_replace(Some(table));
+            self.route_table.send_replace(Some(Rc::new(table)));
         }
         if servers_changed {
             self.install_servers(now, &state);
--- a/src/fleet/routes.rs
+++ b/src/fleet/routes.rs
@@ -19,6 +19,11 @@
 
 impl RouteTable {
     pub fn new(document: &RouteDocument) -> Self {
+        Self::with_tenants(document, Rc::new(TenantTable::new(&document.tenants)))
+    }
+
+    /// Creates the routes of a document with its table of tenants, which is large and changes less often.
+    pub fn with_tenants(document: &RouteDocument, tenants: Rc<TenantTable>) -> Self {
         let mut hosts: BTreeMap<Box<str>, BTreeMap<Box<str>, Rc<RouteRule>>> = BTreeMap::new();
         for ((host, prefix), rule) in &document.routes {
             let host = host.to_ascii_lowercase().into_boxed_str();
@@ -28,7 +33,7 @@
             version: document.version,
             limits: document.limits,
             services: document.services.clone(),
-            tenants: Rc::new(TenantTable::new(&document.tenants)),
+            tenants,
             hosts,
         }
     }
