Shorten what a new holder must count as lent

Change: leases end after 3 s and hold at most 0.65 of a limit; tenants with a limit below 10 requests per second have none, so a new holder lends their whole rate at once.

--- a/src/fleet/quota/account.rs
+++ b/src/fleet/quota/account.rs
@@ -12,9 +12,13 @@
 use crate::fleet::config::QuotaLimits;
 use crate::fleet::tenant::TenantRule;
 
-/// Part of the rate that leases may hold. The rest serves entries without a lease also after a crowd has
-/// left: the leases of entries that have ended bind their part until they run out.
-const STANDING_FRACTION: f64 = 0.75;
+/// Part of the rate that leases may hold. A new holder lends the rest at once, and counts this part as lent until
+/// the leases of its predecessor have ended.
+const STANDING_FRACTION: f64 = 0.65;
+
+/// Minimum limit in requests per second of a tenant with leases. The asks of a smaller one cost little, and
+/// without leases a new holder lends the whole rate at once.
+const MIN_LEASED_LIMIT: f64 = 10.0;
 
 /// Part of the window's margin that may be unspent at entries. What this and the opening balance leave covers
 /// the time between the admission of a request and its arrival, and hedged sends.
@@ -192,6 +196,11 @@
         self.burst.max(1.0)
     }
 
+    /// Sum of the standing rates that leases may have.
+    fn max_standing_rate(&self) -> f64 {
+        if self.rate < MIN_LEASED_LIMIT { 0.0 } else { self.rate * STANDING_FRACTION }
+    }
+
     /// Tokens that all entries together may hold unspent.
     fn lent_margin(&self) -> f64 {
         self.margin() * LENT_MARGIN_FRACTION
@@ -211,7 +220,7 @@
         }
         let lent_rate: f64 = self.loans.values().map(|loan| loan.rate).sum();
         let rest = (self.rate - lent_rate).max(0.0);
-        let early_rest = rest.min(self.rate * (1.0 - STANDING_FRACTION));
+        let early_rest = rest.min(self.rate - self.max_standing_rate());
         let border = self.earlier.end_at.clamp(from, now);
         let accrued =
             early_rest * (border - from).as_secs_f64() + rest * (now - border).as_secs_f64();
@@ -239,10 +248,10 @@
 
     /// Rate and depth of an entry's next lease.
     fn lease_for(&self, now: BootTime, others: &LoanTotals, demand: f64) -> (f64, f64) {
-        if demand < MIN_LEASED_DEMAND {
+        if demand < MIN_LEASED_DEMAND || self.max_standing_rate() <= 0.0 {
             return (0.0, 0.0);
         }
-        let mut all_rates = self.rate * STANDING_FRACTION;
+        let mut all_rates = self.max_standing_rate();
         let mut all_depths = self.lent_margin() * DEPTH_FRACTION;
         let total_demand = demand + others.demand;
         let wanted = (demand * DEMAND_HEADROOM).min(all_rates * demand / total_demand);
--- a/src/fleet/quota/mod.rs
+++ b/src/fleet/quota/mod.rs
@@ -18,9 +18,10 @@
 /// Time since the machine started, including the time for which it was suspended.
 pub type BootTime = Duration;
 
-/// Duration of a lease, counted by the entry from the moment it sent its ask. It outlasts the election of a
-/// leader and the redialling of links, some 2 s, with room for a second election.
-pub const LEASE_TIME: Duration = Duration::from_secs(5);
+/// Duration of a lease, counted by the entry from the moment it sent its ask. One that was due for renewal
+/// outlasts the election of a leader and the redialling of links, some 2 s. A new holder counts for as long
+/// what its predecessor may have lent.
+pub const LEASE_TIME: Duration = Duration::from_secs(3);
 
 /// Time for which the holder counts a lease longer than the entry, for clocks that differ in speed.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(100);
