--- a/tests/fleet/quota_parts.rs
+++ b/tests/fleet/quota_parts.rs
@@ -29,7 +29,7 @@
 /// Entry with requests that wait.
 pub struct PartEntry {
     name: Box<str>,
-    purse: QuotaPurse,
+    pub purse: QuotaPurse,
     pub rule: TenantRule,
     waiting: Vec<BootTime>,
     pub cut_until: BootTime,
--- a/tests/fleet/quota_schedule.rs
+++ b/tests/fleet/quota_schedule.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use curranthollow::fleet::quota::purse::{QuotaPurse, TakeOutcome};
 use curranthollow::fleet::quota::{BootTime, LEASE_TIME, RENEWAL_INTERVAL};
 use yare::parameterized;
 
@@ -188,3 +189,30 @@
     let outcomes = parts.take_outcomes();
     assert!(outcomes.sent as f64 > 0.95 * 5.0 * 270.0, "{outcomes:?}");
 }
+
+/// Guards against requests that are counted although they were not sent, and against a purse that grows by
+/// more of them than the holder has counted.
+#[test]
+fn a_request_that_was_not_sent_is_given_back() {
+    let mut parts = QuotaParts::new(1, &rule(40.0, 40.0), 1);
+    parts.run(seconds(8), |_| 15.0);
+    parts.run(seconds(1), |_| 0.0);
+    let (now, tenant) = (parts.now, TENANT.into());
+    let purse = &mut parts.entries[0].purse;
+    let take_all = |purse: &mut QuotaPurse| {
+        let mut count = 0;
+        while purse.take(now, &tenant, 40.0) == TakeOutcome::Taken {
+            count += 1;
+        }
+        purse.stop_waiting(&tenant);
+        count
+    };
+    let depth = take_all(purse);
+    assert!(depth > 0);
+    purse.give_back(now, &tenant, 40.0);
+    assert_eq!(take_all(purse), 1);
+    for _ in 0..100 {
+        purse.give_back(now, &tenant, 40.0);
+    }
+    assert_eq!(take_all(purse), depth);
+}
