--- a/src/fleet/quota/account.rs
+++ b/src/fleet/quota/account.rs
@@ -16,9 +16,9 @@
 /// the leases of its predecessor have ended.
 const STANDING_FRACTION: f64 = 0.65;
 
-/// Minimum limit in requests per second of a tenant with leases. The asks of a smaller one cost little, and
-/// without leases a new holder lends the whole rate at once.
-const MIN_LEASED_LIMIT: f64 = 10.0;
+/// Minimum limit in requests per second of a tenant with leases. A smaller one reaches a hundred entries with less
+/// than the demand for a lease each, its asks cost little, and a new holder lends its whole rate at once.
+const MIN_LEASED_LIMIT: f64 = 100.0;
 
 /// Part of the window's margin that may be unspent at entries. What this and the opening balance leave covers
 /// the time between the admission of a request and its arrival, and hedged sends.
