Replicate that a server's warm-up begins or ends

Change: an announcement is replicated, too, if the warm-up becomes zero or is no longer zero; an entry takes a changed warm-up of the same incarnation over. Ruled out: each heartbeat, because of its messages; the time since the announcement, which a restarted member does not know.

--- a/src/fleet/announcement.rs
+++ b/src/fleet/announcement.rs
@@ -74,7 +74,9 @@
         Ok(())
     }
 
-    /// Whether `self` differs from `known` in more than the sequence number and the remaining warm-up.
+    /// Whether `self` differs from `known` in more than the sequence number and the length of the remaining
+    /// warm-up. That a warm-up begins or ends matters: an entry that starts later must not take a server
+    /// for cold because of its first announcement.
     pub fn differs(&self, known: &Self) -> bool {
         let (new, old) = (self, known);
         new.started != old.started
@@ -82,6 +84,7 @@
             || new.address != old.address
             || new.slots != old.slots
             || new.state != old.state
+            || new.warmup.is_zero() != old.warmup.is_zero()
             || new.availability_zone != old.availability_zone
     }
 
--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -200,6 +200,7 @@
             stats.slots = announcement.slots.max(1);
             stats.state = announcement.state;
             stats.silent = view.silent;
+            stats.warmup.update_announced(now, announcement.warmup);
             stats.availability_zone.clone_from(&announcement.availability_zone);
             stats.is_evacuated = self.evacuated_zones.contains(&stats.availability_zone);
             if is_new {
--- a/src/fleet/balance/warmup.rs
+++ b/src/fleet/balance/warmup.rs
@@ -121,6 +121,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WarmupState {
     ends_at: Instant,
+    /// Remaining warm-up in the newest announcement.
+    announced: Duration,
     /// Hash of both names, from 0 to 1.
     score: f64,
     /// Earliest time of the next request while the server is cold.
@@ -132,7 +134,23 @@
 impl WarmupState {
     pub(super) fn new(now: Instant, entry: &str, server: &ServerId, left: Duration) -> Self {
         let score = rendezvous_score(server, entry);
-        Self { ends_at: now + left.min(MAX_WARMUP), score, next_send_at: now, confirmed_at: None }
+        Self {
+            ends_at: now + left.min(MAX_WARMUP),
+            announced: left,
+            score,
+            next_send_at: now,
+            confirmed_at: None,
+        }
+    }
+
+    /// Takes note of another announcement of the same incarnation.
+    pub(super) fn update_announced(&mut self, now: Instant, left: Duration) {
+        if left == self.announced {
+            return;
+        }
+        self.announced = left;
+        self.ends_at =
+            if left.is_zero() { self.ends_at.min(now) } else { now + left.min(MAX_WARMUP) };
     }
 
     /// Whether the server is slow because it warms up.
--- a/tests/fleet/cold_servers.rs
+++ b/tests/fleet/cold_servers.rs
@@ -7,6 +7,7 @@
 use curranthollow::fleet::balance::ServiceBalancer;
 use curranthollow::fleet::balance::warmup::{ColdPacing, FleetSize};
 use curranthollow::fleet::config::WarmupLimits;
+use curranthollow::fleet::state::{FleetCommand, FleetState};
 use curranthollow::ids::ServerId;
 use yare::parameterized;
 
@@ -251,3 +252,41 @@
     }
     assert_eq!(counts, [256, 256, 95, 95, 95, 95, 4]);
 }
+
+/// Guards against an entry that starts long after a server and takes it for cold because of its first
+/// announcement, and against a new cold period that no entry learns of.
+#[test]
+fn the_begin_and_the_end_of_a_warmup_are_replicated() {
+    let server: ServerId = "cold".into();
+    let announced = |sequence, warmup| {
+        let mut announcement = server_view("a", ServerState::Ready, 9).announcement;
+        (announcement.sequence, announcement.warmup) = (sequence, Duration::from_millis(warmup));
+        (server.clone(), announcement)
+    };
+    let mut state = FleetState::default();
+    let mut index = 0;
+    let mut replicated = Vec::new();
+    for (sequence, warmup) in [(1, 5000), (2, 3500), (3, 0), (4, 0), (5, 4000), (6, 2500), (7, 0)] {
+        let announcement = announced(sequence, warmup);
+        if state.needs_replication(&announcement) {
+            index += 1;
+            replicated.push(sequence);
+            state.apply(index, FleetCommand::Announce(announcement.0, announcement.1));
+        }
+    }
+    assert_eq!(replicated, [1, 3, 5, 7]);
+    let now = Instant::now();
+    let mut balancer = ServiceBalancer::default();
+    balancer.install_pacing(ColdPacing::new(RATE, WarmupLimits::default(), 95));
+    let mut views = ServerViews::new();
+    let mut counts = Vec::new();
+    for (after, warmup) in [(0, 5000), (2000, 0), (4000, 4000)] {
+        let now = now + Duration::from_millis(after);
+        let mut view = server_view("a", ServerState::Ready, 9);
+        view.announcement.warmup = Duration::from_millis(warmup);
+        views.insert(server.clone(), view);
+        balancer.update_servers(now, "e", "a", 95, views.iter());
+        counts.push(balancer.cold_count(now + Duration::from_secs(1)));
+    }
+    assert_eq!(counts, [1, 0, 1]);
+}
