Choose only confirmed servers without a probe, and test refusals of evacuations

Cause: in a crowded service the last choice is made without a probe; it took the cheapest server and gave up if that had not answered within the last second, although others had.

Change: servers without such an answer are left out of that choice.

--- a/src/fleet/balance/warmup.rs
+++ b/src/fleet/balance/warmup.rs
@@ -234,13 +234,16 @@
         is_admitted
     }
 
-    /// Whether a health answer shows that `server` was not restarted in the last second. Without a limit
-    /// for cold servers none is needed.
-    pub fn is_confirmed(&self, now: Instant, server: &ServerId) -> bool {
-        let confirmed_at = self.servers.get(server).and_then(|stats| stats.warmup.confirmed_at);
-        !self.pacing.is_limited()
-            || confirmed_at
-                .is_some_and(|at| now.saturating_duration_since(at) < CONFIRMATION_LIFETIME)
+    /// Servers of which no health answer shows that they were not restarted in the last second; none
+    /// without a limit for cold servers.
+    pub fn unconfirmed(&self, now: Instant) -> Vec<ServerId> {
+        if !self.pacing.is_limited() {
+            return Vec::new();
+        }
+        let is_old = |at| now.saturating_duration_since(at) >= CONFIRMATION_LIFETIME;
+        let unconfirmed =
+            self.servers.iter().filter(|(_, stats)| stats.warmup.confirmed_at.is_none_or(is_old));
+        unconfirmed.map(|(server, _)| server.clone()).collect()
     }
 
     /// Number of servers to which the limit for cold servers applies.
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -108,8 +108,7 @@
         find_server_with_room(context, service, &mut excluded, MAX_FULL_SECOND_PASS, &mut counts)
             .await;
     let found = found
-        .or_else(|| context.choose_by_cost(service, tried).filter(|chosen| chosen.has_free_slot))
-        .filter(|chosen| context.is_confirmed(service, chosen));
+        .or_else(|| context.choose_unprobed(service, tried).filter(|chosen| chosen.has_free_slot));
     found.ok_or(counts)
 }
 
--- a/src/fleet/entry/reserves.rs
+++ b/src/fleet/entry/reserves.rs
@@ -10,7 +10,7 @@
 use crate::fleet::balance::warmup::ColdPacing;
 use crate::fleet::update::FleetReplica;
 use crate::http::ResponseHead;
-use crate::ids::{ServiceName, ZoneName};
+use crate::ids::{ServerId, ServiceName, ZoneName};
 use crate::{log_info, log_routine};
 
 /// `retry-after` while all servers of a service are evacuated; only an operator ends that.
@@ -106,11 +106,19 @@
         self.with_balancer(service, |balancer| balancer.is_open(now, &chosen.server))
     }
 
-    /// Whether it is known that the chosen server was not restarted meanwhile, if that matters.
-    pub fn is_confirmed(&self, service: &ServiceName, chosen: &ChosenServer) -> bool {
+    /// Chooses a server without a probe. With a limit for cold servers, it is one that was not restarted
+    /// since its last health answer, as far as that is known.
+    pub fn choose_unprobed(
+        &self,
+        service: &ServiceName,
+        tried: &[ServerId],
+    ) -> Option<ChosenServer> {
         let now = Instant::now();
-        self.health_path(service).is_none()
-            || self.with_balancer(service, |balancer| balancer.is_confirmed(now, &chosen.server))
+        let mut excluded = tried.to_vec();
+        if self.health_path(service).is_some() {
+            excluded.extend(self.with_balancer(service, |balancer| balancer.unconfirmed(now)));
+        }
+        self.choose_by_cost(service, &excluded)
     }
 
     pub fn is_evacuated(&self, service: &ServiceName, chosen: &ChosenServer) -> bool {
--- a/tests/fleet/cold_servers.rs
+++ b/tests/fleet/cold_servers.rs
@@ -1,6 +1,10 @@
 //! Tests of the limit for cold servers, over the balancers of many entries with one clock.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use curranthollow::fleet::announcement::ServerState;
@@ -12,6 +16,10 @@
 use yare::parameterized;
 
 use super::balance::{ServerViews, server_view};
+use super::harness::{
+    TestEntry, TestFleet, VALID_RESPONSE, announce, announcement, call, document, read_request,
+    wait_for,
+};
 
 /// Requests per second that a cold server bears.
 const RATE: f64 = 8.8;
@@ -192,9 +200,12 @@
     let is_open = |balancer: &ServiceBalancer, at| balancer.is_open(at, &server);
     let later = now + Duration::from_secs(2);
     assert_eq!(entries.balancers.iter().filter(|balancer| is_open(balancer, later)).count(), 95);
+    assert_eq!(entries.balancers[0].unconfirmed(later).len(), 1);
     for balancer in &mut entries.balancers {
         let is_news = balancer.record_health(later, (&server, started), Some(WARMUP));
         assert!(is_news, "the warm-up is noticed");
+        assert!(balancer.unconfirmed(later + Duration::from_millis(900)).is_empty());
+        assert!(!balancer.unconfirmed(later + Duration::from_secs(1)).is_empty());
         assert!(!balancer.record_health(later, (&server, started), Some(WARMUP)));
     }
     assert!(
@@ -236,7 +247,7 @@
     for _ in 0..50 {
         assert!(balancer.take_cold_send(now, &"cold".into()));
     }
-    assert!(balancer.is_confirmed(now, &"cold".into()));
+    assert!(balancer.unconfirmed(now).is_empty());
     assert_eq!(balancer.cold_count(now), 0);
 }
 
@@ -290,3 +301,58 @@
     }
     assert_eq!(counts, [1, 0, 1]);
 }
+
+/// Starts a server whose health page states the warm-up in `left_ms`; returns its address and the number of
+/// its requests.
+fn start_cold_server(left_ms: Arc<AtomicU64>) -> (SocketAddr, Arc<AtomicU64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = listener.local_addr().expect("a listener has an address");
+    let count = Arc::new(AtomicU64::new(0));
+    let requests = Arc::clone(&count);
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let (left_ms, requests) = (Arc::clone(&left_ms), Arc::clone(&requests));
+            std::thread::spawn(move || {
+                let mut input = Vec::new();
+                while let Some(request) = read_request(&mut stream, &mut input) {
+                    let left = left_ms.load(Ordering::Relaxed);
+                    let response = if request.starts_with("GET /health") {
+                        format!(
+                            "HTTP/1.1 200 OK\r\nx-server-warmup: {left}\r\ncontent-length: 0\r\n\r\n"
+                        )
+                    } else {
+                        requests.fetch_add(1, Ordering::Relaxed);
+                        VALID_RESPONSE.replace("ID", "r")
+                    };
+                    if stream.write_all(response.as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, count)
+}
+
+/// Guards against a warm-up on the health page that an entry does not read, or reads after its send. The
+/// entry assumes a large fleet, so it takes no part in the use of the server.
+#[test]
+fn a_warmup_on_the_health_page_holds_the_next_request_back() {
+    let fleet = TestFleet::with_members(3);
+    let limits = "\"max_connections\":100,\"warmup_per_second\":8.8";
+    fleet.put_document(&document(1).replace("\"max_connections\":100", limits));
+    let left_ms = Arc::new(AtomicU64::new(60_000));
+    let (address, requests) = start_cold_server(Arc::clone(&left_ms));
+    announce(&fleet, "s1", &announcement(address, false, 1, 1));
+    let entry = TestEntry::start(&fleet.seeds);
+    wait_for("the entry to be ready", || entry.is_ready());
+    for _ in 0..5 {
+        assert_eq!(call(entry.traffic, "POST", "/book/1", "").0, 503);
+    }
+    assert_eq!(requests.load(Ordering::Relaxed), 0);
+    assert_eq!(entry.metric("entry_cold_servers"), 1);
+    // A new incarnation, which is not cold.
+    left_ms.store(0, Ordering::Relaxed);
+    announce(&fleet, "s1", &announcement(address, false, 2, 2));
+    wait_for("the warm server to be used", || call(entry.traffic, "POST", "/book/1", "").0 == 200);
+}
--- a/tests/fleet/evacuation.rs
+++ b/tests/fleet/evacuation.rs
@@ -157,3 +157,19 @@
     wait_for("requests to be served again", || call(traffic, "POST", "/book/3", "").0 == 200);
     assert!(servers[0].requests().len() > count);
 }
+
+/// Guards against a 200 for an order that is not in force because too many zones are evacuated.
+#[test]
+fn a_member_refuses_an_evacuation_beyond_the_maximum() {
+    let fleet = TestFleet::with_members(3);
+    for number in 0..MAX_EVACUATED {
+        order(&fleet, "POST", &format!("z{number}"));
+    }
+    let evacuate = |zone: &str| {
+        let path = format!("/.curranthollow/evacuations/{zone}");
+        let members = fleet.members.iter();
+        members.map(|member| call(member.operator, "POST", &path, "").0).collect::<Vec<_>>()
+    };
+    assert_eq!(evacuate("one-too-many"), [409; 3]);
+    assert_eq!(evacuate("z0"), [200; 3], "an order in force is acknowledged again");
+}
