--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -334,12 +334,12 @@
 
     /// Starts a server with this answer to health probes.
     pub fn start_with_health(steps: &[ServerStep], health_page: &'static str) -> Self {
-        Self::run(&Arc::new(Mutex::new(steps.iter().cloned().collect())), health_page)
+        Self::run(&Arc::new(Mutex::new(steps.to_vec().into())), health_page)
     }
 
     /// Starts two servers with one script: each step is taken by the server that is asked next.
     pub fn start_pair(steps: &[ServerStep]) -> [Self; 2] {
-        let steps = Arc::new(Mutex::new(steps.iter().cloned().collect()));
+        let steps = Arc::new(Mutex::new(steps.to_vec().into()));
         [(); 2].map(|()| Self::run(&steps, HEALTH_PAGE))
     }
 
@@ -347,11 +347,11 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
         let address = listener.local_addr().expect("a listener has an address");
         let requests = Arc::new(Mutex::new(Vec::new()));
-        let (steps, request_log) = (Arc::clone(steps), Arc::clone(&requests));
+        let shared = (Arc::clone(steps), Arc::clone(&requests));
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (steps, request_log) = (Arc::clone(&steps), Arc::clone(&request_log));
-                std::thread::spawn(move || serve_script(stream, &steps, &request_log, health_page));
+                let (steps, log) = shared.clone();
+                std::thread::spawn(move || serve_script(stream, &steps, &log, health_page));
             }
         });
         Self { address, requests }
@@ -381,9 +381,7 @@
         request_log.lock().expect("no thread panics with the lock").push(request);
         if is_probe {
             // Not part of the script: an entry on a busy machine may probe more than once.
-            if stream.write_all(health_page.as_bytes()).is_err() {
-                return;
-            }
+            let Ok(()) = stream.write_all(health_page.as_bytes()) else { return };
             continue;
         }
         let step = steps.lock().expect("no thread panics with the lock").pop_front();
