--- a/src/fleet/room/arrivals.rs
+++ b/src/fleet/room/arrivals.rs
@@ -24,6 +24,10 @@
 /// Arrivals of a priority within [`RECENT_TIME`] from which on it counts as present.
 const PRESENT_ARRIVALS: f64 = 0.3;
 
+/// Share of the arrivals that are more urgent from which on less urgent ones make room in full. A few find
+/// room by their own probes, and many would be turned away for them in vain.
+const MATERIAL_SHARE: f64 = 0.25;
+
 /// Lowest standing. A requirement is that nobody is served less than a quarter as often as others; the
 /// margin is for chance.
 const MIN_STANDING: f64 = 0.3;
@@ -141,14 +145,21 @@
         let is_present = |count: &DecayingCount| count.value(now, RECENT_TIME) > PRESENT_ARRIVALS;
         let present = self.priorities.iter().filter(|(_, count)| is_present(count));
         let (mut more_urgent, mut less_urgent) = (0.0, 0.0);
-        for (other, _) in present {
-            more_urgent += f64::from(u8::from(*other < priority));
+        let (mut urgent_arrivals, mut arrivals) = (0.0, 0.0);
+        for (other, count) in present {
+            let value = count.value(now, RECENT_TIME);
+            arrivals += value;
+            if *other < priority {
+                more_urgent += 1.0;
+                urgent_arrivals += value;
+            }
             less_urgent += f64::from(u8::from(*other > priority));
         }
         if more_urgent == 0.0 {
             return 1.0;
         }
-        1.0 - (1.0 - MIN_STANDING) * more_urgent / (more_urgent + less_urgent)
+        let weight = (urgent_arrivals / arrivals / MATERIAL_SHARE).min(1.0);
+        1.0 - (1.0 - MIN_STANDING) * weight * more_urgent / (more_urgent + less_urgent)
     }
 
     /// Below 1 for a tenant that asks for more than usual, and more so than the others. Three standard
--- a/src/fleet/room/service.rs
+++ b/src/fleet/room/service.rs
@@ -17,13 +17,14 @@
 /// connection.
 const MAX_SHORT_PROBES_IN_FLIGHT: usize = 6;
 
-/// Probes a second that a server without room gets from all entries together.
-const SCOUTS_PER_SERVER: f64 = 10.0;
+/// Probes a second that a server without room gets from all entries together. Each takes a slot for some
+/// milliseconds.
+const SCOUTS_PER_SERVER: f64 = 20.0;
 
 /// Limits of the interval between two requests that may look for room while it is exhausted. The upper one
 /// bounds the time in which an entry notices that room is back.
 const SCOUT_INTERVALS: (Duration, Duration) =
-    (Duration::from_millis(20), Duration::from_millis(250));
+    (Duration::from_millis(20), Duration::from_millis(125));
 
 /// Part of the service's mean latency that the time left must cover.
 const MIN_TIME_FRACTION: f64 = 0.5;
