--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -1,6 +1,8 @@
 //! Server selection from an entry's own measurements and the load that servers report.
 
+mod cost;
 mod stated;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,11 +12,8 @@
 use super::dialect::ReportedLoad;
 use super::statement::StatedCondition;
 use super::update::ServerView;
-use crate::ids::ServerId;
-
-/// Time constant of a reported slowness. It is short because disturbances by neighbours change
-/// quickly.
-const SLOWNESS_TIME_CONSTANT: Duration = Duration::from_millis(150);
+use super::zone_balance::{CallerTerms, ZonePlan};
+use crate::ids::{ServerId, ZoneName};
 
 /// Time constant of a reported request count.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_millis(400);
@@ -52,12 +51,6 @@
 /// A server without heartbeats is used only if it served a request successfully within this time.
 const SILENT_SERVER_USE_TIME: Duration = Duration::from_secs(8);
 
-/// Factor by which a server that is warming up is assumed to be slower.
-const WARMUP_FACTOR: f64 = 1.8;
-
-/// Cost of a server in another availability zone, in units of the usual request duration.
-const CROSS_ZONE_COST: f64 = 0.5;
-
 /// Number of servers among which an entry chooses first. It returns to them often enough to reuse its
 /// connections, and some are free while a quarter of all servers is disturbed.
 const SUBSET_SIZE: usize = 8;
@@ -105,6 +98,7 @@
     address: SocketAddr,
     slots: u32,
     same_zone: bool,
+    availability_zone: ZoneName,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
@@ -156,6 +150,9 @@
     ranking: Vec<ServerId>,
     /// Servers that joined later than the first ones and get a request of this entry at the given time.
     introductions: BTreeMap<ServerId, Instant>,
+    zone_plan: ZonePlan,
+    /// The part of the ranking that belongs to each other zone.
+    zone_rankings: BTreeMap<ZoneName, Vec<ServerId>>,
     /// Moving average of the latency in milliseconds.
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
@@ -190,6 +187,7 @@
                 address: announcement.address,
                 slots: announcement.slots,
                 same_zone: *announcement.availability_zone == *zone,
+                availability_zone: announcement.availability_zone.clone(),
                 state: announcement.state,
                 silent: view.silent,
                 started: announcement.started,
@@ -206,10 +204,12 @@
             stats.slots = announcement.slots.max(1);
             stats.state = announcement.state;
             stats.silent = view.silent;
+            stats.availability_zone.clone_from(&announcement.availability_zone);
             self.servers.insert(server.clone(), stats);
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
         self.rank_servers(entry);
+        self.rank_zones(zone);
     }
 
     /// Decides by a hash whether this entry introduces a new server, and when, so that all entries
@@ -285,9 +285,25 @@
         connected: &[ServerId],
         random: &mut fastrand::Rng,
     ) -> Option<ChosenServer> {
+        self.choose_for(now, tried, connected, &CallerTerms::default(), random)
+    }
+
+    /// [`Self::choose`] for a request with the given terms.
+    pub fn choose_for(
+        &self,
+        now: Instant,
+        tried: &[ServerId],
+        connected: &[ServerId],
+        terms: &CallerTerms,
+        random: &mut fastrand::Rng,
+    ) -> Option<ChosenServer> {
+        let preferred = self.choose_zone(now, tried, terms, random);
+        let remote_ranking = preferred.and_then(|zone| self.zone_rankings.get(zone));
         let mut best_available: Option<(f64, &ServerId, &ServerStats)> = None;
         let mut best_ejected: Option<(f64, &ServerId, &ServerStats)> = None;
-        let subsets = self.ranking.chunks(SUBSET_SIZE);
+        let remote_subsets =
+            remote_ranking.into_iter().flat_map(|ranking| ranking.chunks(SUBSET_SIZE));
+        let subsets = remote_subsets.chain(self.ranking.chunks(SUBSET_SIZE));
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
@@ -298,7 +314,7 @@
                 let best =
                     if stats.is_available(now) { &mut best_available } else { &mut best_ejected };
                 let connection_cost = if number == 0 { 0.0 } else { NEW_CONNECTION_COST };
-                let cost = self.cost(now, stats) + connection_cost + noise;
+                let cost = self.cost(now, stats, preferred) + connection_cost + noise;
                 if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                     *best = Some((cost, server, stats));
                 }
@@ -311,7 +327,8 @@
             }
         }
         let introduced = self.due_introduction(now, tried);
-        let introduced = introduced.map(|(server, stats)| (self.cost(now, stats), server, stats));
+        let introduced =
+            introduced.map(|(server, stats)| (self.cost(now, stats, preferred), server, stats));
         let (cost, server, stats) = introduced.or(best_available).or(best_ejected)?;
         Some(ChosenServer {
             server: server.clone(),
@@ -330,39 +347,6 @@
         })
     }
 
-    /// Expected duration of one more request on the server, relative to the usual duration.
-    fn expected_factor(&self, now: Instant, stats: &ServerStats) -> f64 {
-        let usual_slowness = self.mean_slowness.unwrap_or(1.0);
-        let mut slowness = usual_slowness;
-        let mut other_requests = 0.0;
-        if let Some((report, at, own_requests)) = stats.load_report {
-            let age = now.duration_since(at);
-            slowness += (f64::from(report.slowdown_percent) / 100.0 - usual_slowness)
-                * decay_factor(age, SLOWNESS_TIME_CONSTANT);
-            let other_count = report.occupied().saturating_sub(own_requests);
-            other_requests = f64::from(other_count) * decay_factor(age, LOAD_TIME_CONSTANT);
-        }
-        let latency_factor = match (stats.latency, self.mean_latency_ms) {
-            (Some((latency, at)), Some(mean)) if mean > 0.0 => {
-                let age = now.duration_since(at);
-                1.0 + (latency / mean - 1.0).max(-0.3) * decay_factor(age, LATENCY_TIME_CONSTANT)
-            }
-            _ => 1.0,
-        };
-        let warmup_factor = if now < stats.warmup_until { WARMUP_FACTOR } else { 1.0 };
-        let slots = f64::from(stats.slots);
-        let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
-        let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
-        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor
-    }
-
-    /// Expected duration of one more request on the server, relative to the usual duration, and the cost of
-    /// the way to it.
-    fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
-        let zone_cost = if stats.same_zone { 0.0 } else { CROSS_ZONE_COST };
-        self.expected_factor(now, stats) + zone_cost
-    }
-
     /// Counts the start of a send to `server`.
     pub fn begin_send(&mut self, server: &ServerId) {
         self.introductions.remove(server);
@@ -398,10 +382,12 @@
                 true
             }
             SendOutcome::Shed => {
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.ejected_until = Some(now + INITIAL_EJECTION / 2);
                 true
             }
             SendOutcome::Unanswered => {
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.unanswered_probes += 1;
                 let doublings = stats.unanswered_probes.min(5) - 1;
                 stats.ejected_until = Some(now + INITIAL_UNANSWERED_EJECTION * (1 << doublings));
@@ -447,6 +433,8 @@
         if let Some(stats) = self.servers.get_mut(server) {
             stats.unanswered_probes = 0;
             stats.load_report = Some((report, now, stats.in_flight));
+            let zone = &stats.availability_zone;
+            self.zone_plan.record_load(now, zone, report.occupied(), stats.slots);
         }
     }
 }
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::context::EntryContext;
+use super::outgoing::OutgoingRequest;
 use super::room_gate::ProbeGuard;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ReportedLoad;
@@ -24,6 +25,7 @@
 };
 use crate::fleet::room::FindAllowance;
 use crate::fleet::stream::HttpStream;
+use crate::fleet::zone_balance::CallerTerms;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 
@@ -84,40 +86,48 @@
     GiveUp,
 }
 
-/// Chooses a server for `service` that is not in `tried`.
+/// Chooses a server for the request that is not in `tried`.
 ///
 /// A server without a free slot is not chosen. Servers slow down when they are nearly full, so
 /// further requests to a crowded service would delay all its requests. A refused caller can retry.
 pub async fn choose_server(
     context: &Rc<EntryContext>,
-    service: &ServiceName,
+    request: &OutgoingRequest,
     tried: &[ServerId],
     crowded_policy: CrowdedPolicy,
 ) -> Result<ChosenServer, ProbeCounts> {
-    let result = find_server(context, service, tried, crowded_policy).await;
+    let result = find_server(context, request, tried, crowded_policy).await;
     if crowded_policy == CrowdedPolicy::ProbeAgain {
-        context.record_choice(service, result.is_ok());
+        context.record_choice(&request.service, result.is_ok());
     }
     result
 }
 
 async fn find_server(
     context: &Rc<EntryContext>,
-    service: &ServiceName,
+    request: &OutgoingRequest,
     tried: &[ServerId],
     crowded_policy: CrowdedPolicy,
 ) -> Result<ChosenServer, ProbeCounts> {
+    let service = &request.service;
+    let terms = request.caller_terms(context, !tried.is_empty());
     let mut counts = ProbeCounts::default();
     let mut excluded = tried.to_vec();
-    let found =
-        find_server_with_room(context, service, &mut excluded, MAX_FULL_FIRST_PASS, &mut counts)
-            .await;
+    let found = find_server_with_room(
+        context,
+        (service, terms),
+        &mut excluded,
+        MAX_FULL_FIRST_PASS,
+        &mut counts,
+    )
+    .await;
     if let Some(found) = found {
         return Ok(found);
     }
     if context.is_room_short(service) {
         // A server that may be full would refuse the request, or never answer it.
-        let known = context.choose_by_cost(service, tried).filter(ChosenServer::is_known_free);
+        let known =
+            context.choose_by_cost(service, tried, &terms).filter(ChosenServer::is_known_free);
         return known.ok_or(counts);
     }
     let is_withdrawn =
@@ -127,11 +137,17 @@
     }
     sleep(CROWDED_DELAY).await;
     let mut excluded = tried.to_vec();
-    let found =
-        find_server_with_room(context, service, &mut excluded, MAX_FULL_SECOND_PASS, &mut counts)
-            .await;
-    let found = found
-        .or_else(|| context.choose_by_cost(service, tried).filter(|chosen| chosen.has_free_slot));
+    let found = find_server_with_room(
+        context,
+        (service, terms),
+        &mut excluded,
+        MAX_FULL_SECOND_PASS,
+        &mut counts,
+    )
+    .await;
+    let found = found.or_else(|| {
+        context.choose_by_cost(service, tried, &terms).filter(|chosen| chosen.has_free_slot)
+    });
     found.ok_or(counts)
 }
 
@@ -142,13 +158,13 @@
 /// and further probes would only occupy more of its slots.
 async fn find_server_with_room(
     context: &Rc<EntryContext>,
-    service: &ServiceName,
+    (service, terms): (&ServiceName, CallerTerms),
     excluded: &mut Vec<ServerId>,
     max_full: usize,
     counts: &mut ProbeCounts,
 ) -> Option<ChosenServer> {
     let allowance = context.find_allowance(service);
-    let mut race = ProbeRace::new(context, service, max_full, allowance);
+    let mut race = ProbeRace::new(context, (service, terms), max_full, allowance);
     let found = race.run(excluded, counts).await;
     race.record_overdue(counts);
     found
@@ -167,6 +183,7 @@
 struct ProbeRace<'a> {
     context: &'a Rc<EntryContext>,
     service: &'a ServiceName,
+    terms: CallerTerms,
     plan: ProbePlan,
     /// New connections that may be opened.
     dials_left: usize,
@@ -182,7 +199,7 @@
 impl<'a> ProbeRace<'a> {
     fn new(
         context: &'a Rc<EntryContext>,
-        service: &'a ServiceName,
+        (service, terms): (&'a ServiceName, CallerTerms),
         max_full: usize,
         allowance: FindAllowance,
     ) -> Self {
@@ -196,6 +213,7 @@
         Self {
             context,
             service,
+            terms,
             plan,
             dials_left,
             skipped_count: 0,
@@ -214,7 +232,9 @@
         loop {
             match self.plan.next(Instant::now()) {
                 ProbeStep::Start => {
-                    let Some(chosen) = self.context.choose_by_cost(self.service, excluded) else {
+                    let Some(chosen) =
+                        self.context.choose_by_cost(self.service, excluded, &self.terms)
+                    else {
                         self.plan.no_more_servers();
                         continue;
                     };
@@ -467,10 +487,13 @@
     service: &ServiceName,
     chosen: &ChosenServer,
 ) -> Result<HttpStream, ProbeError> {
+    let started_at = Instant::now();
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
     let connected = connected.map_err(|_| ProbeError::ConnectTimeout)?;
     let stream = connected.map_err(ProbeError::Connect)?;
     link::prepare_socket(&stream, link::USER_TIMEOUT).map_err(ProbeError::Connect)?;
     context.metrics.record_opened_connection(service);
+    let elapsed = started_at.elapsed();
+    context.with_balancer(service, |balancer| balancer.record_connect(&chosen.server, elapsed));
     Ok(HttpStream::new(stream))
 }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -15,6 +15,8 @@
 use crate::fleet::room::RoomMetrics;
 use crate::fleet::statement::TargetStatement;
 use crate::fleet::tenant::KeyMetrics;
+use crate::fleet::zone_balance::{ZoneChange, ZoneMetrics};
+use crate::log_routine;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
 const MAX_SERVICES: usize = 32;
@@ -80,6 +82,7 @@
     pub revision: Gauge,
     pub fresh_members: Gauge,
     pub room: RoomMetrics,
+    zones: ZoneMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -118,6 +121,7 @@
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
             room: RoomMetrics::default(),
+            zones: ZoneMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -139,6 +143,7 @@
         PROCESS_METRICS.register(registry);
         self.room.register(registry);
         self.keys.register(registry);
+        self.zones.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
@@ -228,6 +233,14 @@
         self.opened_connections.get_or_create(&self.service_label(service)).inc();
     }
 
+    /// Records a change of the share that leaves the zone. Only its begin and its end are logged.
+    pub fn record_zone_change(&self, service: &str, change: &ZoneChange) {
+        self.zones.record(&self.service_name(Some(service)), change);
+        if change.is_turn {
+            log_routine!("zone_share_changed", "service={service} {change}");
+        }
+    }
+
     /// Records what a server said of itself.
     pub fn record_statement(&self, service: &str, statement: TargetStatement) {
         let TargetStatement { is_leaving, pause, is_invalid } = statement;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -38,3 +38,4 @@
 pub mod stream;
 pub mod tenant;
 pub mod update;
+pub mod zone_balance;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -46,3 +46,4 @@
 mod suspect_hold;
 mod tenant_entry;
 mod tenant_keys;
+mod zone_balance;
