--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -1,11 +1,16 @@
 //! Server selection from an entry's own measurements and the load that servers report.
 
 mod cost;
+mod evacuation;
+mod introduction;
+pub mod metrics;
 mod stated;
+pub mod warmup;
 mod zones;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use super::announcement::{IncarnationStart, ServerState};
@@ -14,6 +19,7 @@
 use super::update::ServerView;
 use super::zone_balance::{CallerTerms, ZonePlan};
 use crate::ids::{ServerId, ZoneName};
+use warmup::{ColdPacing, WarmupState};
 
 /// Time constant of a reported request count.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_millis(400);
@@ -66,13 +72,6 @@
 /// Upper limit of the random cost that spreads the choices of entries with the same view.
 const MAX_RANDOM_COST: f64 = 0.08;
 
-/// Requests that a new server gets from all entries together as its introduction, as a multiple of its
-/// slots. Without them a cold server of a service with little load would get none.
-const INTRODUCTION_FACTOR: f64 = 2.0;
-
-/// Time over which these requests are spread.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
-
 /// Outcome of a send to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendOutcome {
@@ -99,10 +98,11 @@
     slots: u32,
     same_zone: bool,
     availability_zone: ZoneName,
+    is_evacuated: bool,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
-    warmup_until: Instant,
+    warmup: WarmupState,
     in_flight: u32,
     /// Last load report, its time, and the requests of this entry in flight at that time.
     load_report: Option<(ReportedLoad, Instant, u32)>,
@@ -157,6 +157,8 @@
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
     mean_slowness: Option<f64>,
+    evacuated_zones: Rc<BTreeSet<ZoneName>>,
+    pacing: ColdPacing,
 }
 
 impl ServiceBalancer {
@@ -180,18 +182,17 @@
                 previous.remove(server).filter(|known| known.started == announcement.started);
             let stated = same_incarnation.as_ref().map(|known| known.stated).unwrap_or_default();
             let known = same_incarnation.filter(|known| known.address == announcement.address);
-            if known.is_none() && had_servers {
-                self.schedule_introduction(now, entry, entry_count, server, announcement.slots);
-            }
+            let is_new = known.is_none() && had_servers;
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
                 same_zone: *announcement.availability_zone == *zone,
                 availability_zone: announcement.availability_zone.clone(),
+                is_evacuated: false,
                 state: announcement.state,
                 silent: view.silent,
                 started: announcement.started,
-                warmup_until: now + announcement.warmup,
+                warmup: WarmupState::new(now, entry, server, announcement.warmup),
                 in_flight: 0,
                 load_report: None,
                 latency: None,
@@ -205,6 +206,10 @@
             stats.state = announcement.state;
             stats.silent = view.silent;
             stats.availability_zone.clone_from(&announcement.availability_zone);
+            stats.is_evacuated = self.evacuated_zones.contains(&stats.availability_zone);
+            if is_new {
+                self.schedule_introduction(now, entry, entry_count, server, &stats);
+            }
             self.servers.insert(server.clone(), stats);
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
@@ -212,45 +217,6 @@
         self.rank_zones(zone);
     }
 
-    /// Decides by a hash whether this entry introduces a new server, and when, so that all entries
-    /// together send a few requests and not all at the same moment.
-    fn schedule_introduction(
-        &mut self,
-        now: Instant,
-        entry: &str,
-        entry_count: u32,
-        server: &ServerId,
-        slots: u32,
-    ) {
-        let share = INTRODUCTION_FACTOR * f64::from(slots) / f64::from(entry_count.max(1));
-        // Another hash than that of the ranking: mostly entries that do not prefer the server.
-        let score = rendezvous_score(server, entry);
-        if score < share {
-            let delay = INTRODUCTION_TIME.mul_f64((score / share).clamp(0.0, 1.0));
-            self.introductions.insert(server.clone(), now + delay);
-        }
-    }
-
-    /// Returns a new server whose introduction is due.
-    fn due_introduction(
-        &self,
-        now: Instant,
-        tried: &[ServerId],
-    ) -> Option<(&ServerId, &ServerStats)> {
-        for (server, due_at) in &self.introductions {
-            if *due_at > now || tried.contains(server) {
-                continue;
-            }
-            let known = self.servers.get_key_value(server);
-            let usable =
-                known.filter(|(_, stats)| stats.may_get_requests(now) && stats.is_available(now));
-            if usable.is_some() {
-                return usable;
-            }
-        }
-        None
-    }
-
     fn rank_servers(&mut self, entry: &str) {
         let rank_of = |server: &ServerId, stats: &ServerStats| {
             (!stats.same_zone, rendezvous_score(entry, server))
@@ -307,7 +273,7 @@
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
-                if !stats.may_get_requests(now) || tried.contains(server) {
+                if !self.may_get(now, stats) || tried.contains(server) {
                     continue;
                 }
                 let noise = random.f64() * MAX_RANDOM_COST;
@@ -347,6 +313,10 @@
         })
     }
 
+    fn may_get(&self, now: Instant, stats: &ServerStats) -> bool {
+        stats.may_get_requests(now) && stats.warmup.admits(now, &self.pacing)
+    }
+
     /// Counts the start of a send to `server`.
     pub fn begin_send(&mut self, server: &ServerId) {
         self.introductions.remove(server);
@@ -440,9 +410,10 @@
 }
 
 impl ServerStats {
-    /// Whether the server wants requests, by its announcement and by its answers.
+    /// Whether the server wants requests, by its announcement and by its answers, and its availability
+    /// zone is not evacuated.
     fn may_get_requests(&self, now: Instant) -> bool {
-        self.state == ServerState::Ready && self.stated.accepts(now)
+        self.state == ServerState::Ready && !self.is_evacuated && self.stated.accepts(now)
     }
 
     /// Whether a recent load report leaves no room for another request at the usual speed.
--- a/src/fleet/balance/cost.rs
+++ b/src/fleet/balance/cost.rs
@@ -38,7 +38,7 @@
             }
             _ => 1.0,
         };
-        let warmup_factor = if now < stats.warmup_until { WARMUP_FACTOR } else { 1.0 };
+        let warmup_factor = if stats.warmup.is_slow(now) { WARMUP_FACTOR } else { 1.0 };
         let slots = f64::from(stats.slots);
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
--- a/src/fleet/balance/zones.rs
+++ b/src/fleet/balance/zones.rs
@@ -25,7 +25,7 @@
         let mut capacities: BTreeMap<&str, ZoneCapacity> = BTreeMap::new();
         for stats in self.servers.values() {
             let has_room = stats.may_get_requests(now) && stats.is_available(now);
-            if !has_room || now < stats.warmup_until {
+            if !has_room || stats.warmup.is_slow(now) {
                 continue;
             }
             let capacity = capacities.entry(&*stats.availability_zone).or_default();
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -111,16 +111,12 @@
 ) -> Result<ChosenServer, ProbeCounts> {
     let service = &request.service;
     let terms = request.caller_terms(context, !tried.is_empty());
+    let target = (service, terms);
     let mut counts = ProbeCounts::default();
     let mut excluded = tried.to_vec();
-    let found = find_server_with_room(
-        context,
-        (service, terms),
-        &mut excluded,
-        MAX_FULL_FIRST_PASS,
-        &mut counts,
-    )
-    .await;
+    let found =
+        find_server_with_room(context, target, &mut excluded, MAX_FULL_FIRST_PASS, &mut counts)
+            .await;
     if let Some(found) = found {
         return Ok(found);
     }
@@ -137,17 +133,13 @@
     }
     sleep(CROWDED_DELAY).await;
     let mut excluded = tried.to_vec();
-    let found = find_server_with_room(
-        context,
-        (service, terms),
-        &mut excluded,
-        MAX_FULL_SECOND_PASS,
-        &mut counts,
-    )
-    .await;
-    let found = found.or_else(|| {
-        context.choose_by_cost(service, tried, &terms).filter(|chosen| chosen.has_free_slot)
-    });
+    let found =
+        find_server_with_room(context, target, &mut excluded, MAX_FULL_SECOND_PASS, &mut counts)
+            .await;
+    let known = || context.choose_by_cost(service, tried, &terms);
+    let found = found
+        .or_else(|| known().filter(|chosen| chosen.has_free_slot))
+        .filter(|chosen| context.is_confirmed(service, chosen));
     found.ok_or(counts)
 }
 
@@ -323,6 +315,9 @@
             }
             ProbeEvent::Answered(_) => {
                 self.plan.record_result(number, false);
+                if !self.context.is_open(self.service, &self.probed[number]) {
+                    return None;
+                }
                 return Some(ChosenServer::clone(&self.probed[number]));
             }
             ProbeEvent::Rejected => {
@@ -399,9 +394,10 @@
         let now = Instant::now();
         let report = context.record_load(now, &self.service, &chosen.server, &head);
         context.record_statement(now, &self.service, chosen, &head);
+        context.record_health(now, &self.service, chosen, &head);
         // A second copy of a rejection bears no id that would tell it from the next answer.
         let is_rejected = head.headers.get(context.dialect.headers().not_run).is_some();
-        if complete && !is_rejected {
+        if complete && !is_rejected && !context.is_evacuated(&self.service, chosen) {
             context.connections.put(now, &chosen.server, chosen.address, stream, &head);
         }
         match report {
