Decide how much of a service's traffic leaves the zone

Cause: a server of another zone cost a constant 0.5 of a request's usual duration. A zone whose servers were too few left only once single servers were over-full, whatever the way costs and whatever room the other zones had.

Change: src/fleet/zone_balance keeps, per service and entry, the mean utilisation of each zone from load reports and unanswered probes, the connect time to each zone, and the bytes that requests move. Each 250 ms it moves the share of each other zone by a damped step towards the point at which one more request gains as much as its way costs. Requests draw their zone by the share; urgent and repeated ones leave sooner. The constant remains as the cost of a server outside the drawn zone and as the cost of a way that was never measured.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -1,6 +1,7 @@
 //! Server selection from an entry's own measurements and the load that servers report.
 
 mod stated;
+mod zones;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -10,7 +11,8 @@
 use super::dialect::ReportedLoad;
 use super::statement::StatedCondition;
 use super::update::ServerView;
-use crate::ids::ServerId;
+use super::zone_balance::{CallerTerms, ZonePlan};
+use crate::ids::{ServerId, ZoneName};
 
 /// Time constant of a reported slowness. It is short because disturbances by neighbours change
 /// quickly.
@@ -51,8 +53,9 @@
 /// Factor by which a server that is warming up is assumed to be slower.
 const WARMUP_FACTOR: f64 = 1.8;
 
-/// Cost of a server in another availability zone, in units of the usual request duration.
-const CROSS_ZONE_COST: f64 = 0.5;
+/// Cost of a server outside the availability zone that a request prefers, in units of the usual request
+/// duration. Such a server is used if those of the preferred zone turn out to be full.
+const OTHER_ZONE_COST: f64 = 0.5;
 
 /// Number of servers among which an entry chooses first. It returns to them often enough to reuse its
 /// connections, and some are free while a quarter of all servers is disturbed.
@@ -98,6 +101,7 @@
 struct ServerStats {
     address: SocketAddr,
     slots: u32,
+    zone: ZoneName,
     same_zone: bool,
     state: ServerState,
     silent: bool,
@@ -141,6 +145,9 @@
     ranking: Vec<ServerId>,
     /// Servers that joined later than the first ones and get a request of this entry at the given time.
     introductions: BTreeMap<ServerId, Instant>,
+    zone_plan: ZonePlan,
+    /// The part of the ranking that belongs to each other zone.
+    zone_rankings: BTreeMap<ZoneName, Vec<ServerId>>,
     /// Moving average of the latency in milliseconds.
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
@@ -174,6 +181,7 @@
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
+                zone: announcement.availability_zone.clone(),
                 same_zone: *announcement.availability_zone == *zone,
                 state: announcement.state,
                 silent: view.silent,
@@ -189,12 +197,15 @@
                 last_success_at: None,
             });
             stats.slots = announcement.slots.max(1);
+            stats.zone.clone_from(&announcement.availability_zone);
+            stats.same_zone = *stats.zone == *zone;
             stats.state = announcement.state;
             stats.silent = view.silent;
             self.servers.insert(server.clone(), stats);
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
         self.rank_servers(entry);
+        self.rank_zones(zone);
     }
 
     /// Decides by a hash whether this entry introduces a new server, and when, so that all entries
@@ -265,9 +276,25 @@
         connected: &[ServerId],
         random: &mut fastrand::Rng,
     ) -> Option<ChosenServer> {
+        self.choose_for(now, tried, connected, &CallerTerms::default(), random)
+    }
+
+    /// [`Self::choose`] for a request with the given terms.
+    pub fn choose_for(
+        &self,
+        now: Instant,
+        tried: &[ServerId],
+        connected: &[ServerId],
+        terms: &CallerTerms,
+        random: &mut fastrand::Rng,
+    ) -> Option<ChosenServer> {
+        let preferred = self.choose_zone(now, tried, terms, random);
+        let remote_ranking = preferred.and_then(|zone| self.zone_rankings.get(zone));
         let mut best_available: Option<(f64, &ServerId, &ServerStats)> = None;
         let mut best_ejected: Option<(f64, &ServerId, &ServerStats)> = None;
-        let subsets = self.ranking.chunks(SUBSET_SIZE);
+        let remote_subsets =
+            remote_ranking.into_iter().flat_map(|ranking| ranking.chunks(SUBSET_SIZE));
+        let subsets = remote_subsets.chain(self.ranking.chunks(SUBSET_SIZE));
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
@@ -278,7 +305,7 @@
                 let best =
                     if stats.is_available(now) { &mut best_available } else { &mut best_ejected };
                 let connection_cost = if number == 0 { 0.0 } else { NEW_CONNECTION_COST };
-                let cost = self.cost(now, stats) + connection_cost + noise;
+                let cost = self.cost(now, stats, preferred) + connection_cost + noise;
                 if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                     *best = Some((cost, server, stats));
                 }
@@ -291,7 +318,8 @@
             }
         }
         let introduced = self.due_introduction(now, tried);
-        let introduced = introduced.map(|(server, stats)| (self.cost(now, stats), server, stats));
+        let introduced =
+            introduced.map(|(server, stats)| (self.cost(now, stats, preferred), server, stats));
         let (cost, server, stats) = introduced.or(best_available).or(best_ejected)?;
         Some(ChosenServer {
             server: server.clone(),
@@ -310,7 +338,7 @@
     }
 
     /// Expected duration of one more request on the server, relative to the usual duration.
-    fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
+    fn cost(&self, now: Instant, stats: &ServerStats, preferred: Option<&ZoneName>) -> f64 {
         let usual_slowness = self.mean_slowness.unwrap_or(1.0);
         let mut slowness = usual_slowness;
         let mut other_requests = 0.0;
@@ -332,7 +360,8 @@
         let slots = f64::from(stats.slots);
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
-        let zone_cost = if stats.same_zone { 0.0 } else { CROSS_ZONE_COST };
+        let is_preferred = preferred.map_or(stats.same_zone, |zone| stats.zone == *zone);
+        let zone_cost = if is_preferred { 0.0 } else { OTHER_ZONE_COST };
         slowness / usual_slowness * latency_factor * warmup_factor * queue_factor + zone_cost
     }
 
@@ -367,10 +396,12 @@
             }
             SendOutcome::Abandoned => false,
             SendOutcome::Shed => {
+                self.zone_plan.record_full(now, &stats.zone);
                 stats.ejected_until = Some(now + INITIAL_EJECTION / 2);
                 true
             }
             SendOutcome::Unanswered => {
+                self.zone_plan.record_full(now, &stats.zone);
                 stats.unanswered_probes += 1;
                 let doublings = stats.unanswered_probes.min(5) - 1;
                 stats.ejected_until = Some(now + INITIAL_UNANSWERED_EJECTION * (1 << doublings));
@@ -416,6 +447,7 @@
         if let Some(stats) = self.servers.get_mut(server) {
             stats.unanswered_probes = 0;
             stats.load_report = Some((report, now, stats.in_flight));
+            self.zone_plan.record_load(now, &stats.zone, report.occupied(), stats.slots);
         }
     }
 }
--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use super::zone_balance::WayPrices;
+
 /// Limits of the retry budget, shared by all entries.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryLimits {
@@ -79,6 +81,7 @@
     pub retry: RetryLimits,
     /// Speed of the machine's line in Mbit/s, if known. Long bodies use only a part of a slow line.
     pub line_mbps: Option<f64>,
+    pub way_prices: WayPrices,
 }
 
 /// Config of a control member.
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -27,6 +27,7 @@
 use crate::fleet::routes::RouteTable;
 use crate::fleet::statement::{ConditionChange, TargetStatement};
 use crate::fleet::update::{FleetReplica, FleetUpdate};
+use crate::fleet::zone_balance::CallerTerms;
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName};
 use crate::suspension::{SuspensionWatch, suspended_time};
@@ -270,11 +271,19 @@
         &self,
         service: &ServiceName,
         tried: &[ServerId],
+        terms: &CallerTerms,
     ) -> Option<ChosenServer> {
         let random = &mut self.random.borrow_mut();
         let now = Instant::now();
         let connected = self.connections.idle_servers(now);
-        self.with_balancer(service, |balancer| balancer.choose(now, tried, &connected, random))
+        let (chosen, change) = self.with_balancer(service, |balancer| {
+            let change = balancer.update_zones(now, terms);
+            (balancer.choose_for(now, tried, &connected, terms, random), change)
+        });
+        if let Some(change) = change {
+            self.metrics.record_zone_change(service, &change);
+        }
+        chosen
     }
 
     /// Records the end of a send; returns whether the server is ejected from now on.
@@ -426,6 +435,7 @@
             let views = state.servers().iter();
             let own_views = views.filter(|(_, view)| view.announcement.service == *name);
             let (name, zone) = (&self.name, &self.availability_zone);
+            balancer.set_way_prices(self.config.way_prices);
             balancer.update_servers(now, name, zone, self.entry_count(), own_views);
         }
         self.connections.retain(|server| state.servers().contains_key(server));
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::context::EntryContext;
+use super::outgoing::OutgoingRequest;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ReportedLoad;
 use crate::fleet::link;
@@ -22,6 +23,7 @@
     CONNECT_TIMEOUT, PROBE_PATIENCE, PROBE_TIMEOUT, ProbeNumber, ProbePlan, ProbeStep,
 };
 use crate::fleet::stream::HttpStream;
+use crate::fleet::zone_balance::CallerTerms;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
 use crate::ids::{ServerId, ServiceName};
 
@@ -79,21 +81,28 @@
     GiveUp,
 }
 
-/// Chooses a server for `service` that is not in `tried`.
+/// Chooses a server for the request that is not in `tried`.
 ///
 /// A server without a free slot is not chosen. Servers slow down when they are nearly full, so
 /// further requests to a crowded service would delay all its requests. A refused caller can retry.
 pub async fn choose_server(
     context: &Rc<EntryContext>,
-    service: &ServiceName,
+    request: &OutgoingRequest,
     tried: &[ServerId],
     crowded_policy: CrowdedPolicy,
 ) -> Result<ChosenServer, ProbeCounts> {
+    let service = &request.service;
+    let terms = request.caller_terms(context, !tried.is_empty());
     let mut counts = ProbeCounts::default();
     let mut excluded = tried.to_vec();
-    let found =
-        find_server_with_room(context, service, &mut excluded, MAX_FULL_FIRST_PASS, &mut counts)
-            .await;
+    let found = find_server_with_room(
+        context,
+        (service, terms),
+        &mut excluded,
+        MAX_FULL_FIRST_PASS,
+        &mut counts,
+    )
+    .await;
     if let Some(found) = found {
         return Ok(found);
     }
@@ -104,11 +113,17 @@
     }
     sleep(CROWDED_DELAY).await;
     let mut excluded = tried.to_vec();
-    let found =
-        find_server_with_room(context, service, &mut excluded, MAX_FULL_SECOND_PASS, &mut counts)
-            .await;
-    let found = found
-        .or_else(|| context.choose_by_cost(service, tried).filter(|chosen| chosen.has_free_slot));
+    let found = find_server_with_room(
+        context,
+        (service, terms),
+        &mut excluded,
+        MAX_FULL_SECOND_PASS,
+        &mut counts,
+    )
+    .await;
+    let found = found.or_else(|| {
+        context.choose_by_cost(service, tried, &terms).filter(|chosen| chosen.has_free_slot)
+    });
     found.ok_or(counts)
 }
 
@@ -119,12 +134,12 @@
 /// and further probes would only occupy more of its slots.
 async fn find_server_with_room(
     context: &Rc<EntryContext>,
-    service: &ServiceName,
+    (service, terms): (&ServiceName, CallerTerms),
     excluded: &mut Vec<ServerId>,
     max_full: usize,
     counts: &mut ProbeCounts,
 ) -> Option<ChosenServer> {
-    let mut race = ProbeRace::new(context, service, max_full);
+    let mut race = ProbeRace::new(context, service, terms, max_full);
     let found = race.run(excluded, counts).await;
     race.record_overdue(counts);
     found
@@ -143,6 +158,7 @@
 struct ProbeRace<'a> {
     context: &'a Rc<EntryContext>,
     service: &'a ServiceName,
+    terms: CallerTerms,
     plan: ProbePlan,
     /// Probed servers by number.
     probed: Vec<Rc<ChosenServer>>,
@@ -151,10 +167,15 @@
 }
 
 impl<'a> ProbeRace<'a> {
-    fn new(context: &'a Rc<EntryContext>, service: &'a ServiceName, max_full: usize) -> Self {
+    fn new(
+        context: &'a Rc<EntryContext>,
+        service: &'a ServiceName,
+        terms: CallerTerms,
+        max_full: usize,
+    ) -> Self {
         let plan = ProbePlan::new(max_full);
         let (sender, events) = mpsc::unbounded_channel();
-        Self { context, service, plan, probed: Vec::new(), sender, events }
+        Self { context, service, terms, plan, probed: Vec::new(), sender, events }
     }
 
     async fn run(
@@ -165,7 +186,9 @@
         loop {
             match self.plan.next(Instant::now()) {
                 ProbeStep::Start => {
-                    let Some(chosen) = self.context.choose_by_cost(self.service, excluded) else {
+                    let Some(chosen) =
+                        self.context.choose_by_cost(self.service, excluded, &self.terms)
+                    else {
                         self.plan.no_more_servers();
                         continue;
                     };
@@ -375,10 +398,13 @@
     service: &ServiceName,
     chosen: &ChosenServer,
 ) -> Result<HttpStream, ProbeError> {
+    let started_at = Instant::now();
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(chosen.address)).await;
     let connected = connected.map_err(|_| ProbeError::ConnectTimeout)?;
     let stream = connected.map_err(ProbeError::Connect)?;
     link::prepare_socket(&stream, link::USER_TIMEOUT).map_err(ProbeError::Connect)?;
     context.metrics.record_opened_connection(service);
+    let elapsed = started_at.elapsed();
+    context.with_balancer(service, |balancer| balancer.record_connect(&chosen.server, elapsed));
     Ok(HttpStream::new(stream))
 }
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -12,6 +12,8 @@
 
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::statement::TargetStatement;
+use crate::fleet::zone_balance::{ZoneChange, ZoneMetrics};
+use crate::log_routine;
 
 /// Maximum number of services with series of their own; the others share the label `other`.
 const MAX_SERVICES: usize = 32;
@@ -75,6 +77,7 @@
     pub document_version: Gauge,
     pub revision: Gauge,
     pub fresh_members: Gauge,
+    zones: ZoneMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -111,6 +114,7 @@
             document_version: Gauge::default(),
             revision: Gauge::default(),
             fresh_members: Gauge::default(),
+            zones: ZoneMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -123,6 +127,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         PROCESS_METRICS.register(registry);
+        self.zones.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
@@ -212,6 +217,14 @@
         self.opened_connections.get_or_create(&self.service_label(service)).inc();
     }
 
+    /// Records a change of the share that leaves the zone. Only its begin and its end are logged.
+    pub fn record_zone_change(&self, service: &str, change: &ZoneChange) {
+        self.zones.record(&self.service_name(Some(service)), change);
+        if change.is_turn {
+            log_routine!("zone_share_changed", "service={service} {change}");
+        }
+    }
+
     /// Records what a server said of itself.
     pub fn record_statement(&self, service: &str, statement: TargetStatement) {
         let TargetStatement { is_leaving, pause, is_invalid } = statement;
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -10,6 +10,7 @@
 use crate::fleet::crash::{DIGEST_PIECE_BYTES, request_digest, request_digest_in_pieces};
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::zone_balance::CallerTerms;
 use crate::http::{BodyFraming, RequestHead};
 use crate::ids::{RequestDigest, ServerId, ServiceName};
 use crate::suspension::{SuspensionDeadline, suspended_time};
@@ -34,6 +35,8 @@
     pub rule: Rc<RouteRule>,
     pub idempotent: bool,
     pub deadline: Instant,
+    /// Time until which the response is worth most.
+    target_at: Instant,
     /// Sends that may have reached a server, less those that the server refused without a run.
     pub possible_runs: Cell<u32>,
     /// The deadline, counting the time for which the machine is suspended.
@@ -83,6 +86,7 @@
             digest: OnceCell::new(),
             is_trial: Cell::new(false),
             request_id,
+            target_at: Instant::now() + rule.target_latency,
             idempotent: rule.repetition == Repetition::Idempotent,
             rule,
             deadline,
@@ -111,6 +115,13 @@
         }
     }
 
+    /// What the caller needs of the choice of a server.
+    pub fn caller_terms(&self, context: &EntryContext, is_repeated: bool) -> CallerTerms {
+        let response_bytes = context.relay_times.borrow().known_bytes(&self.rule);
+        let bytes = response_bytes + self.body.bytes.len() as u64;
+        CallerTerms { target_at: Some(self.target_at), bytes, is_repeated }
+    }
+
     /// Time left, less the time for which the machine was suspended.
     pub fn time_left(&self) -> Duration {
         self.real_deadline.time_left(Instant::now(), suspended_time())
--- a/src/fleet/entry/suspect_runs.rs
+++ b/src/fleet/entry/suspect_runs.rs
@@ -82,7 +82,7 @@
             return Ok((chosen, Some(run)));
         }
     }
-    let chosen = measure::choose_server(context, &request.service, tried, crowded_policy).await?;
+    let chosen = measure::choose_server(context, request, tried, crowded_policy).await?;
     Ok((chosen, None))
 }
 
@@ -100,7 +100,7 @@
         }
         let excluded: Vec<_> = ranked.iter().filter(|other| *other != preferred).cloned().collect();
         let policy = CrowdedPolicy::GiveUp;
-        let chosen = measure::choose_server(context, &request.service, &excluded, policy).await;
+        let chosen = measure::choose_server(context, request, &excluded, policy).await;
         let Ok(chosen) = chosen else { continue };
         // Another suspect can have taken the server while it was probed.
         let Some(run) = SuspectRun::begin(context, &chosen.server, digest) else { continue };
--- a/src/fleet/file.rs
+++ b/src/fleet/file.rs
@@ -10,6 +10,7 @@
 use super::config::{
     ControlConfig, EntryConfig, FleetConfig, FleetRole, QuotaLimits, RetryLimits, WarmupLimits,
 };
+use super::zone_balance::WayPrices;
 use crate::units::parse_duration;
 
 /// Errors in a config file.
@@ -67,6 +68,14 @@
     retry_slack: u32,
     retry_window: Box<str>,
     line_mbps: Option<f64>,
+    zone_traffic: Option<ZoneTrafficSection>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ZoneTrafficSection {
+    request_price: f64,
+    mib_price: f64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -137,8 +146,19 @@
         if self.line_mbps.is_some_and(|mbps| !mbps.is_finite() || mbps <= 0.0) {
             return Err(FileError::LineSpeed);
         }
+        let way_prices = self.zone_traffic.map(ZoneTrafficSection::into_prices).transpose()?;
+        let way_prices = way_prices.unwrap_or_default();
         let Self { traffic, readiness, line_mbps, .. } = self;
-        Ok(EntryConfig { traffic, readiness, retry, line_mbps })
+        Ok(EntryConfig { traffic, readiness, retry, line_mbps, way_prices })
+    }
+}
+
+impl ZoneTrafficSection {
+    fn into_prices(self) -> Result<WayPrices, FileError> {
+        Ok(WayPrices {
+            request: non_negative("entry.zone_traffic.request_price", self.request_price)?,
+            mib: non_negative("entry.zone_traffic.mib_price", self.mib_price)?,
+        })
     }
 }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -36,3 +36,4 @@
 pub mod stream;
 pub mod tenant;
 pub mod update;
+pub mod zone_balance;
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -17,6 +17,7 @@
 use curranthollow::fleet::entry::EntryProcess;
 use curranthollow::fleet::link::{self, FollowMode, LinkMessage};
 use curranthollow::fleet::native::NativeDialect;
+use curranthollow::fleet::zone_balance::WayPrices;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -238,7 +239,8 @@
     pub fn start_on_line(seeds: &[SocketAddr], line_mbps: Option<f64>) -> Self {
         let (traffic, readiness) = (free_address(), free_address());
         let retry = RetryLimits { ratio: 0.2, slack: 50, window: Duration::from_secs(10) };
-        let entry = EntryConfig { traffic, readiness, retry, line_mbps };
+        let way_prices = WayPrices::default();
+        let entry = EntryConfig { traffic, readiness, retry, line_mbps, way_prices };
         let process = TestProcess::start(config(seeds, FleetRole::Entry(entry)));
         let entry = Self { traffic, readiness, process: Some(process) };
         wait_for("the entry to listen", || TcpStream::connect(entry.readiness).is_ok());
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -37,3 +37,4 @@
 mod statements;
 mod stop;
 mod suspect_hold;
+mod zone_balance;
