Bound what leaves a zone under a burst, and describe the decision

Cause: in the first form urgent requests, and those that had found a full server, left regardless of the share.

Change: only retries leave regardless of the share; the others draw with twice the share. Another zone is filled to 0.65 instead of 0.8, because reports come from the servers that looked best. Zone names are escaped in the log line.

--- a/src/fleet/zone_balance/plan.rs
+++ b/src/fleet/zone_balance/plan.rs
@@ -29,8 +29,9 @@
 /// Share below which nothing leaves while the share falls.
 const MIN_SHARE: f64 = 0.01;
 
-/// Utilisation up to which another zone takes requests. Its own callers need the rest for their swings.
-const REMOTE_LIMIT: f64 = 0.8;
+/// Utilisation up to which another zone takes requests. Its own callers need the rest for their swings, and
+/// the reports come from the servers that looked best.
+const REMOTE_LIMIT: f64 = 0.65;
 
 /// Part of the requests that leave anyway that go to a zone of unknown room, as a first look.
 const EXPLORED_PART: f64 = 0.1;
@@ -38,12 +39,18 @@
 /// The same of all requests while the own zone is crowded and no other zone is known.
 const FIRST_LOOK_PART: f64 = 0.03;
 
+/// Factor on the share for a request that has little time or has found a full server at home.
+const URGENT_PART: f64 = 2.0;
+
 /// Factor on the share for a request that has much time.
 const PATIENT_PART: f64 = 0.7;
 
 /// Zones of one service that are told apart. Servers name their zones themselves.
 const MAX_ZONES: usize = 64;
 
+/// Zones that a log line names.
+const MAX_LOGGED_ZONES: usize = 3;
+
 /// Steps of the bisection for the aim; they leave an error under a thousandth.
 const BISECTION_STEPS: u32 = 12;
 
@@ -64,8 +71,9 @@
         if let Some(utilization) = self.own_utilization {
             write!(f, " own_utilization={utilization:.2}")?;
         }
-        for (zone, part) in &self.parts {
-            write!(f, " to_{zone}={part:.2}")?;
+        // Servers name their zones themselves.
+        for (zone, part) in self.parts.iter().take(MAX_LOGGED_ZONES) {
+            write!(f, " zone=\"{}\" part={part:.2}", zone.escape_debug())?;
         }
         Ok(())
     }
@@ -369,17 +377,7 @@
             let is_look = looks && (has_tried || random.f64() < FIRST_LOOK_PART);
             return if is_look { self.draw_unknown(random) } else { None };
         }
-        let needs_start =
-            has_tried || terms.is_repeated || terms.urgency(now, self.expected) == Urgency::Urgent;
-        let leaves = if needs_start && self.is_own_crowded && self.has_remote_room {
-            true
-        } else if self.share > 0.0 {
-            let is_patient = terms.urgency(now, self.expected) == Urgency::Patient;
-            random.f64() < if is_patient { self.share * PATIENT_PART } else { self.share }
-        } else {
-            false
-        };
-        if !leaves {
+        if random.f64() >= self.leave_probability(now, terms, has_tried) {
             return None;
         }
         if !self.unknown.is_empty() && random.f64() < EXPLORED_PART {
@@ -388,6 +386,20 @@
         self.draw_part(random)
     }
 
+    /// Probability with which a request leaves. Only retries, which a budget limits, leave regardless of the
+    /// share: under a burst nearly every request is urgent and finds full servers.
+    fn leave_probability(&self, now: Instant, terms: &CallerTerms, has_tried: bool) -> f64 {
+        if terms.is_repeated && self.is_own_crowded && self.has_remote_room {
+            return 1.0;
+        }
+        match terms.urgency(now, self.expected) {
+            _ if has_tried => (self.share * URGENT_PART).min(1.0),
+            Urgency::Urgent => (self.share * URGENT_PART).min(1.0),
+            Urgency::Usual => self.share,
+            Urgency::Patient => self.share * PATIENT_PART,
+        }
+    }
+
     fn draw_part(&self, random: &mut fastrand::Rng) -> Option<&ZoneName> {
         let mut drawn = random.f64();
         for (zone, part) in &self.parts {
