--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -101,8 +101,8 @@
 struct ServerStats {
     address: SocketAddr,
     slots: u32,
-    zone: ZoneName,
     same_zone: bool,
+    availability_zone: ZoneName,
     state: ServerState,
     silent: bool,
     started: IncarnationStart,
@@ -181,8 +181,8 @@
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
-                zone: announcement.availability_zone.clone(),
                 same_zone: *announcement.availability_zone == *zone,
+                availability_zone: announcement.availability_zone.clone(),
                 state: announcement.state,
                 silent: view.silent,
                 started: announcement.started,
@@ -197,10 +197,9 @@
                 last_success_at: None,
             });
             stats.slots = announcement.slots.max(1);
-            stats.zone.clone_from(&announcement.availability_zone);
-            stats.same_zone = *stats.zone == *zone;
             stats.state = announcement.state;
             stats.silent = view.silent;
+            stats.availability_zone.clone_from(&announcement.availability_zone);
             self.servers.insert(server.clone(), stats);
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
@@ -360,7 +359,8 @@
         let slots = f64::from(stats.slots);
         let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
         let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
-        let is_preferred = preferred.map_or(stats.same_zone, |zone| stats.zone == *zone);
+        let is_preferred =
+            preferred.map_or(stats.same_zone, |zone| stats.availability_zone == *zone);
         let zone_cost = if is_preferred { 0.0 } else { OTHER_ZONE_COST };
         slowness / usual_slowness * latency_factor * warmup_factor * queue_factor + zone_cost
     }
@@ -396,12 +396,12 @@
             }
             SendOutcome::Abandoned => false,
             SendOutcome::Shed => {
-                self.zone_plan.record_full(now, &stats.zone);
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.ejected_until = Some(now + INITIAL_EJECTION / 2);
                 true
             }
             SendOutcome::Unanswered => {
-                self.zone_plan.record_full(now, &stats.zone);
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.unanswered_probes += 1;
                 let doublings = stats.unanswered_probes.min(5) - 1;
                 stats.ejected_until = Some(now + INITIAL_UNANSWERED_EJECTION * (1 << doublings));
@@ -447,7 +447,8 @@
         if let Some(stats) = self.servers.get_mut(server) {
             stats.unanswered_probes = 0;
             stats.load_report = Some((report, now, stats.in_flight));
-            self.zone_plan.record_load(now, &stats.zone, report.occupied(), stats.slots);
+            let zone = &stats.availability_zone;
+            self.zone_plan.record_load(now, zone, report.occupied(), stats.slots);
         }
     }
 }
--- a/src/fleet/balance/zones.rs
+++ b/src/fleet/balance/zones.rs
@@ -28,7 +28,7 @@
             if !has_room || now < stats.warmup_until {
                 continue;
             }
-            let capacity = capacities.entry(&*stats.zone).or_default();
+            let capacity = capacities.entry(&*stats.availability_zone).or_default();
             capacity.slots += f64::from(stats.slots);
             capacity.in_flight += f64::from(stats.in_flight);
         }
@@ -44,7 +44,7 @@
     /// Records the time that opening a connection to `server` took.
     pub fn record_connect(&mut self, server: &ServerId, elapsed: Duration) {
         if let Some(stats) = self.servers.get(server) {
-            self.zone_plan.record_connect(&stats.zone, elapsed);
+            self.zone_plan.record_connect(&stats.availability_zone, elapsed);
         }
     }
 
@@ -62,13 +62,14 @@
 
     /// Divides the ranking by zone, for the choice among the servers of another zone.
     pub(super) fn rank_zones(&mut self, own_zone: &str) {
-        let zones = self.servers.values().map(|stats| &stats.zone);
+        let zones = self.servers.values().map(|stats| &stats.availability_zone);
         self.zone_plan.set_zones(own_zone, zones);
         self.zone_rankings.clear();
         for server in &self.ranking {
             let Some(stats) = self.servers.get(server) else { continue };
             if !stats.same_zone {
-                let ranking = self.zone_rankings.entry(stats.zone.clone()).or_default();
+                let ranking =
+                    self.zone_rankings.entry(stats.availability_zone.clone()).or_default();
                 ranking.push(server.clone());
             }
         }
--- a/tests/fleet/config_file.rs
+++ b/tests/fleet/config_file.rs
@@ -47,3 +47,21 @@
     let error = read_with(&format!("\"line_mbps\": {speed},")).err();
     assert_eq!(error.as_deref(), Some("entry.line_mbps must be above 0"));
 }
+
+/// Guards against prices of traffic between zones that are ignored, or below 0: such a price would send
+/// away what its own zone could serve.
+#[test]
+fn the_prices_of_zone_traffic_are_read() {
+    let read = |request_price: &str| {
+        let prices = format!("{{\"request_price\": {request_price}, \"mib_price\": 2}}");
+        read_with(&format!("\"zone_traffic\": {prices},"))
+    };
+    let prices = |config: FleetConfig| match config.role {
+        FleetRole::Entry(entry) => Some((entry.way_prices.request, entry.way_prices.mib)),
+        FleetRole::Control(_) => None,
+    };
+    assert_eq!(read("0.5").map(prices), Ok(Some((0.5, 2.0))));
+    let error = read("-1").err();
+    let expected = "entry.zone_traffic.request_price is no number from 0 on";
+    assert_eq!(error.as_deref(), Some(expected));
+}
