--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -1,9 +1,12 @@
 //! Server selection from an entry's own measurements and the load that servers report.
 
+mod cost;
 mod evacuation;
+mod introduction;
 pub mod metrics;
 mod stated;
 pub mod warmup;
+mod zones;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -14,13 +17,10 @@
 use super::dialect::ReportedLoad;
 use super::statement::StatedCondition;
 use super::update::ServerView;
+use super::zone_balance::{CallerTerms, ZonePlan};
 use crate::ids::{ServerId, ZoneName};
 use warmup::{ColdPacing, WarmupState};
 
-/// Time constant of a reported slowness. It is short because disturbances by neighbours change
-/// quickly.
-const SLOWNESS_TIME_CONSTANT: Duration = Duration::from_millis(150);
-
 /// Time constant of a reported request count.
 const LOAD_TIME_CONSTANT: Duration = Duration::from_millis(400);
 
@@ -57,12 +57,6 @@
 /// A server without heartbeats is used only if it served a request successfully within this time.
 const SILENT_SERVER_USE_TIME: Duration = Duration::from_secs(8);
 
-/// Factor by which a server that is warming up is assumed to be slower.
-const WARMUP_FACTOR: f64 = 1.8;
-
-/// Cost of a server in another availability zone, in units of the usual request duration.
-const CROSS_ZONE_COST: f64 = 0.5;
-
 /// Number of servers among which an entry chooses first. It returns to them often enough to reuse its
 /// connections, and some are free while a quarter of all servers is disturbed.
 const SUBSET_SIZE: usize = 8;
@@ -78,13 +72,6 @@
 /// Upper limit of the random cost that spreads the choices of entries with the same view.
 const MAX_RANDOM_COST: f64 = 0.08;
 
-/// Requests that a new server gets from all entries together as its introduction, as a multiple of its
-/// slots. Without them a cold server of a service with little load would get none.
-const INTRODUCTION_FACTOR: f64 = 2.0;
-
-/// Time over which these requests are spread.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(2);
-
 /// Outcome of a send to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendOutcome {
@@ -163,6 +150,9 @@
     ranking: Vec<ServerId>,
     /// Servers that joined later than the first ones and get a request of this entry at the given time.
     introductions: BTreeMap<ServerId, Instant>,
+    zone_plan: ZonePlan,
+    /// The part of the ranking that belongs to each other zone.
+    zone_rankings: BTreeMap<ZoneName, Vec<ServerId>>,
     /// Moving average of the latency in milliseconds.
     mean_latency_ms: Option<f64>,
     /// Moving average of the reported slowness; 1 is the usual duration of a request.
@@ -225,52 +215,7 @@
         }
         self.introductions.retain(|server, _| self.servers.contains_key(server));
         self.rank_servers(entry);
-    }
-
-    /// Decides by a hash whether this entry introduces a new server, and when, so that all entries
-    /// together send a few requests and not all at the same moment.
-    fn schedule_introduction(
-        &mut self,
-        now: Instant,
-        entry: &str,
-        entry_count: u32,
-        server: &ServerId,
-        stats: &ServerStats,
-    ) {
-        if stats.warmup.is_limited(now, &self.pacing) {
-            if let Some(due_at) = stats.warmup.first_send(now, &self.pacing) {
-                self.introductions.insert(server.clone(), due_at);
-            }
-            return;
-        }
-        let slots = stats.slots;
-        let share = INTRODUCTION_FACTOR * f64::from(slots) / f64::from(entry_count.max(1));
-        // Another hash than that of the ranking: mostly entries that do not prefer the server.
-        let score = rendezvous_score(server, entry);
-        if score < share {
-            let delay = INTRODUCTION_TIME.mul_f64((score / share).clamp(0.0, 1.0));
-            self.introductions.insert(server.clone(), now + delay);
-        }
-    }
-
-    /// Returns a new server whose introduction is due.
-    fn due_introduction(
-        &self,
-        now: Instant,
-        tried: &[ServerId],
-    ) -> Option<(&ServerId, &ServerStats)> {
-        for (server, due_at) in &self.introductions {
-            if *due_at > now || tried.contains(server) {
-                continue;
-            }
-            let known = self.servers.get_key_value(server);
-            let usable =
-                known.filter(|(_, stats)| self.may_get(now, stats) && stats.is_available(now));
-            if usable.is_some() {
-                return usable;
-            }
-        }
-        None
+        self.rank_zones(zone);
     }
 
     fn rank_servers(&mut self, entry: &str) {
@@ -307,9 +252,25 @@
         connected: &[ServerId],
         random: &mut fastrand::Rng,
     ) -> Option<ChosenServer> {
+        self.choose_for(now, tried, connected, &CallerTerms::default(), random)
+    }
+
+    /// [`Self::choose`] for a request with the given terms.
+    pub fn choose_for(
+        &self,
+        now: Instant,
+        tried: &[ServerId],
+        connected: &[ServerId],
+        terms: &CallerTerms,
+        random: &mut fastrand::Rng,
+    ) -> Option<ChosenServer> {
+        let preferred = self.choose_zone(now, tried, terms, random);
+        let remote_ranking = preferred.and_then(|zone| self.zone_rankings.get(zone));
         let mut best_available: Option<(f64, &ServerId, &ServerStats)> = None;
         let mut best_ejected: Option<(f64, &ServerId, &ServerStats)> = None;
-        let subsets = self.ranking.chunks(SUBSET_SIZE);
+        let remote_subsets =
+            remote_ranking.into_iter().flat_map(|ranking| ranking.chunks(SUBSET_SIZE));
+        let subsets = remote_subsets.chain(self.ranking.chunks(SUBSET_SIZE));
         for (number, subset) in std::iter::once(connected).chain(subsets).enumerate() {
             for server in subset {
                 let Some((server, stats)) = self.servers.get_key_value(server) else { continue };
@@ -320,7 +281,7 @@
                 let best =
                     if stats.is_available(now) { &mut best_available } else { &mut best_ejected };
                 let connection_cost = if number == 0 { 0.0 } else { NEW_CONNECTION_COST };
-                let cost = self.cost(now, stats) + connection_cost + noise;
+                let cost = self.cost(now, stats, preferred) + connection_cost + noise;
                 if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
                     *best = Some((cost, server, stats));
                 }
@@ -333,7 +294,8 @@
             }
         }
         let introduced = self.due_introduction(now, tried);
-        let introduced = introduced.map(|(server, stats)| (self.cost(now, stats), server, stats));
+        let introduced =
+            introduced.map(|(server, stats)| (self.cost(now, stats, preferred), server, stats));
         let (cost, server, stats) = introduced.or(best_available).or(best_ejected)?;
         Some(ChosenServer {
             server: server.clone(),
@@ -356,39 +318,6 @@
         stats.may_get_requests(now) && stats.warmup.admits(now, &self.pacing)
     }
 
-    /// Expected duration of one more request on the server, relative to the usual duration.
-    fn expected_factor(&self, now: Instant, stats: &ServerStats) -> f64 {
-        let usual_slowness = self.mean_slowness.unwrap_or(1.0);
-        let mut slowness = usual_slowness;
-        let mut other_requests = 0.0;
-        if let Some((report, at, own_requests)) = stats.load_report {
-            let age = now.duration_since(at);
-            slowness += (f64::from(report.slowdown_percent) / 100.0 - usual_slowness)
-                * decay_factor(age, SLOWNESS_TIME_CONSTANT);
-            let other_count = report.occupied().saturating_sub(own_requests);
-            other_requests = f64::from(other_count) * decay_factor(age, LOAD_TIME_CONSTANT);
-        }
-        let latency_factor = match (stats.latency, self.mean_latency_ms) {
-            (Some((latency, at)), Some(mean)) if mean > 0.0 => {
-                let age = now.duration_since(at);
-                1.0 + (latency / mean - 1.0).max(-0.3) * decay_factor(age, LATENCY_TIME_CONSTANT)
-            }
-            _ => 1.0,
-        };
-        let warmup_factor = if stats.warmup.is_slow(now) { WARMUP_FACTOR } else { 1.0 };
-        let slots = f64::from(stats.slots);
-        let utilization = (f64::from(stats.in_flight) + other_requests + 1.0) / slots;
-        let queue_factor = 1.0 + 0.4 * utilization + 3.0 * (utilization - 0.9).max(0.0);
-        slowness / usual_slowness * latency_factor * warmup_factor * queue_factor
-    }
-
-    /// Expected duration of one more request on the server, relative to the usual duration, and the cost of
-    /// the way to it.
-    fn cost(&self, now: Instant, stats: &ServerStats) -> f64 {
-        let zone_cost = if stats.same_zone { 0.0 } else { CROSS_ZONE_COST };
-        self.expected_factor(now, stats) + zone_cost
-    }
-
     /// Counts the start of a send to `server`.
     pub fn begin_send(&mut self, server: &ServerId) {
         self.introductions.remove(server);
@@ -424,10 +353,12 @@
                 true
             }
             SendOutcome::Shed => {
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.ejected_until = Some(now + INITIAL_EJECTION / 2);
                 true
             }
             SendOutcome::Unanswered => {
+                self.zone_plan.record_full(now, &stats.availability_zone);
                 stats.unanswered_probes += 1;
                 let doublings = stats.unanswered_probes.min(5) - 1;
                 stats.ejected_until = Some(now + INITIAL_UNANSWERED_EJECTION * (1 << doublings));
@@ -473,6 +404,8 @@
         if let Some(stats) = self.servers.get_mut(server) {
             stats.unanswered_probes = 0;
             stats.load_report = Some((report, now, stats.in_flight));
+            let zone = &stats.availability_zone;
+            self.zone_plan.record_load(now, zone, report.occupied(), stats.slots);
         }
     }
 }
--- a/src/fleet/entry/reserves.rs
+++ b/src/fleet/entry/reserves.rs
@@ -9,6 +9,7 @@
 use crate::fleet::balance::ChosenServer;
 use crate::fleet::balance::warmup::ColdPacing;
 use crate::fleet::update::FleetReplica;
+use crate::fleet::zone_balance::CallerTerms;
 use crate::http::ResponseHead;
 use crate::ids::{ServerId, ServiceName, ZoneName};
 use crate::{log_info, log_routine};
@@ -112,13 +113,14 @@
         &self,
         service: &ServiceName,
         tried: &[ServerId],
+        terms: &CallerTerms,
     ) -> Option<ChosenServer> {
         let now = Instant::now();
         let mut excluded = tried.to_vec();
         if self.health_path(service).is_some() {
             excluded.extend(self.with_balancer(service, |balancer| balancer.unconfirmed(now)));
         }
-        self.choose_by_cost(service, &excluded)
+        self.choose_by_cost(service, &excluded, terms)
     }
 
     pub fn is_evacuated(&self, service: &ServiceName, chosen: &ChosenServer) -> bool {
