--- a/src/fleet/room/service.rs
+++ b/src/fleet/room/service.rs
@@ -6,9 +6,9 @@
 use super::finds::FindWindow;
 use super::pressure::AdmissionPressure;
 
-/// Servers probed for one request while room is short. One more than once would mostly find nothing and
-/// takes a slot for some milliseconds.
-const SHORT_PROBES: usize = 2;
+/// Servers probed for one request while room is short, of which at most one in four has any. Each probe takes a
+/// slot of a full server for some milliseconds.
+const SHORT_PROBES: usize = 3;
 
 /// New connections for one request while room is short.
 const SHORT_DIALS: usize = 1;
