Move modules of fleet mode into the folders of their parts

Pace, memory and time of long bodies get the folder relay; rows of updates, membership and the schedule of probes go to the parts that use them. Only paths change. Ruled out: moving document, state and announcement, which every part names.

--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -9,7 +9,9 @@
 mod metrics;
 mod operator;
 mod peers;
+pub mod placement;
 mod quarantine_list;
+pub mod rejoin;
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
--- a/src/fleet/entry/activity.rs
+++ b/src/fleet/entry/activity.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::document::RouteRule;
-use crate::fleet::line::DueResponse;
+use crate::fleet::relay::line::DueResponse;
 
 /// Stage of a request in progress.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -20,10 +20,10 @@
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::dialect::ReportedLoad;
 use crate::fleet::link;
-use crate::fleet::probe_plan::{
+use crate::fleet::room::FindAllowance;
+use crate::fleet::room::probe_plan::{
     CONNECT_TIMEOUT, PROBE_PATIENCE, PROBE_TIMEOUT, ProbeNumber, ProbePlan, ProbeStep,
 };
-use crate::fleet::room::FindAllowance;
 use crate::fleet::stream::HttpStream;
 use crate::fleet::zone_balance::CallerTerms;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, ResponseHead};
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -9,7 +9,7 @@
 use super::context::EntryContext;
 use crate::fleet::crash::{DIGEST_PIECE_BYTES, request_digest, request_digest_in_pieces};
 use crate::fleet::document::{Repetition, RouteRule};
-use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::relay::held_bytes::HeldShare;
 use crate::fleet::tenant::{CallerIdentity, KnownTenant};
 use crate::fleet::zone_balance::CallerTerms;
 use crate::http::{BodyFraming, RequestHead};
--- a/src/fleet/entry/reader.rs
+++ b/src/fleet/entry/reader.rs
@@ -10,8 +10,8 @@
 use super::context::EntryContext;
 use super::request::CallerRequest;
 use crate::fleet::document::CallerLimits;
-use crate::fleet::held_bytes::HeldShare;
-use crate::fleet::relay_times::CallerPace;
+use crate::fleet::relay::held_bytes::HeldShare;
+use crate::fleet::relay::times::CallerPace;
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead};
 
--- a/src/fleet/entry/send.rs
+++ b/src/fleet/entry/send.rs
@@ -16,7 +16,7 @@
 use super::watched_send::WatchedSend;
 use crate::fleet::balance::{ChosenServer, SendOutcome};
 use crate::fleet::document::RouteRule;
-use crate::fleet::held_bytes::HeldShare;
+use crate::fleet::relay::held_bytes::HeldShare;
 use crate::fleet::room::silence_time;
 use crate::fleet::stream::HttpStream;
 use crate::fleet::tenant::IdentityError;
--- a/src/fleet/relay_times.rs
+++ b/src/fleet/relay/times.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::document::RouteRule;
+use crate::fleet::document::RouteRule;
 
 /// Factor by which the longest relay of a route shrinks with each response. Half of it is left after 34
 /// responses, so that it outlives the short ones between two long ones.
--- a/src/fleet/room/mod.rs
+++ b/src/fleet/room/mod.rs
@@ -7,6 +7,7 @@
 mod hedge;
 mod metrics;
 mod pressure;
+pub mod probe_plan;
 mod service;
 mod silence;
 
--- a/src/fleet/stream.rs
+++ b/src/fleet/stream.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, timeout};
 
-use super::line::{LinePacer, PIECE_BYTES, SHORT_BODY_BYTES};
+use super::relay::line::{LinePacer, PIECE_BYTES, SHORT_BODY_BYTES};
 use crate::http::{
     BodyDecoder, BodyFraming, HttpError, HttpLimits, RequestHead, ResponseHead, encode_chunk,
     encode_last_chunk,
--- a/src/fleet/update.rs
+++ b/src/fleet/update.rs
@@ -1,5 +1,8 @@
 //! Incremental updates of the fleet state, and the replica of that state at an entry.
 
+mod route_rows;
+mod server_rows;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
@@ -10,7 +13,6 @@
 };
 use super::state::ServerRecord;
 use super::tenant::TenantRule;
-use super::{route_rows, server_rows};
 use crate::ids::{LogIndex, RequestDigest, ServerId, ServiceName, TenantName, ZoneName};
 
 /// The parts of a document other than its routes; they are sent together when the document changes.
--- a/src/fleet/route_rows.rs
+++ b/src/fleet/update/route_rows.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use super::document::{Repetition, RouteKey, RouteRule};
+use crate::fleet::document::{Repetition, RouteKey, RouteRule};
 use crate::ids::ServiceName;
 
 /// Whether the route is idempotent, timeout and target latency in microseconds, maximum number of
--- a/src/fleet/server_rows.rs
+++ b/src/fleet/update/server_rows.rs
@@ -10,8 +10,8 @@
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use super::announcement::{IncarnationStart, ServerAnnouncement, ServerState};
-use super::update::ServerView;
+use super::ServerView;
+use crate::fleet::announcement::{IncarnationStart, ServerAnnouncement, ServerState};
 use crate::ids::ServerId;
 
 /// Server, service, address, availability zone, slots, whether it is draining, whether it is
--- a/tests/consensus/harness.rs
+++ b/tests/consensus/harness.rs
@@ -8,7 +8,7 @@
 use curranthollow::consensus::message::{EntryBody, HardState, LogEntry, RaftMessage};
 use curranthollow::consensus::node::{Proposal, RestartState};
 use curranthollow::consensus::{RaftAction, RaftConfig, RaftEvent, RaftNode, Role, repair};
-use curranthollow::fleet::{placement, rejoin};
+use curranthollow::fleet::control::{placement, rejoin};
 
 /// Simulated time of one step.
 pub(crate) const STEP: Duration = Duration::from_millis(5);
--- a/tests/fleet/held_bytes.rs
+++ b/tests/fleet/held_bytes.rs
@@ -1,6 +1,6 @@
 //! Tests of the bound on request bodies in memory.
 
-use curranthollow::fleet::held_bytes::HeldBytes;
+use curranthollow::fleet::relay::held_bytes::HeldBytes;
 
 /// Memory that an entry may spend on bodies, on a machine with 160 MB.
 const MAX_TOTAL: usize = 80 << 20;
--- a/tests/fleet/line_due.rs
+++ b/tests/fleet/line_due.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use curranthollow::fleet::line::{DueResponse, LinePacer};
+use curranthollow::fleet::relay::line::{DueResponse, LinePacer};
 use yare::parameterized;
 
 /// Guards against a stopping entry that counts only the new response, or only the others, as the load of its
--- a/tests/fleet_loads/dark_servers.rs
+++ b/tests/fleet_loads/dark_servers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use curranthollow::fleet::probe_plan::{ProbePlan, ProbeStep};
+use curranthollow::fleet::room::probe_plan::{ProbePlan, ProbeStep};
 use yare::parameterized;
 
 /// Time in which a server that is up accepts a connection and answers a probe.
--- a/tests/fleet_loads/sheet_on_thin_line.rs
+++ b/tests/fleet_loads/sheet_on_thin_line.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use curranthollow::fleet::line::{LinePacer, PIECE_BYTES, SHORT_BODY_BYTES};
+use curranthollow::fleet::relay::line::{LinePacer, PIECE_BYTES, SHORT_BODY_BYTES};
 use yare::parameterized;
 
 const LINE_MBPS: f64 = 2.0;
