Don't count requests to a withdrawn service as a lack of room

Cause: a request that finds no server because all of them leave, are paused or are in evacuated zones raised the pressure, so that some requests were refused for a quarter of a second after the servers were back.

Ruled out: forgetting the pressure at the end of an evacuation; entries learn of the end at different times.

--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -147,8 +147,14 @@
         self.record_room_change(service, change);
     }
 
-    /// Records whether an admitted request found a server.
+    /// Records whether an admitted request found a server. Servers that take nothing, for example because their
+    /// zone is evacuated, say nothing about room.
     pub fn record_choice(&self, service: &ServiceName, has_found: bool) {
+        let is_withdrawn =
+            || self.with_balancer(service, |balancer| balancer.is_withdrawn(Instant::now()));
+        if !has_found && is_withdrawn() {
+            return;
+        }
         self.with_room(service, |room| room.record_choice(Instant::now(), has_found));
     }
 
