Rename what evacuations, cold servers and the room of a service use

Cause: two types had the name FleetSize, and the names reserves and scout say nothing to a reader. ServiceSize, withheld servers and look intervals replace them; the maximum warm-up has one constant. Only names change.

--- a/src/fleet/announcement.rs
+++ b/src/fleet/announcement.rs
@@ -21,7 +21,7 @@
 const MAX_NUMBER: u64 = (1 << 53) - 1;
 
 /// Maximum remaining warm-up. A longer one is taken for a mistake.
-const MAX_WARMUP: Duration = Duration::from_secs(3600);
+pub const MAX_WARMUP: Duration = Duration::from_secs(3600);
 
 /// Whether a server accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/fleet/balance/metrics.rs
+++ b/src/fleet/balance/metrics.rs
@@ -7,7 +7,7 @@
 
 /// Metrics of an entry about evacuated and cold servers.
 #[derive(Debug, Default)]
-pub struct ReserveMetrics {
+pub struct WithheldMetrics {
     pub evacuated_zones: Gauge,
     pub cold_servers: Gauge,
     /// Sends that were withdrawn at the last moment.
@@ -15,7 +15,7 @@
     pub evacuated_refusals: SharedCounter,
 }
 
-impl ReserveMetrics {
+impl WithheldMetrics {
     pub fn register(&self, registry: &mut Registry) {
         let zones = self.evacuated_zones.clone();
         registry.register("evacuated_zones", "Evacuated availability zones", zones);
--- a/src/fleet/balance/warmup.rs
+++ b/src/fleet/balance/warmup.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::{ServiceBalancer, rendezvous_score};
-use crate::fleet::announcement::IncarnationStart;
+use crate::fleet::announcement::{IncarnationStart, MAX_WARMUP};
 use crate::fleet::config::WarmupLimits;
 use crate::ids::ServerId;
 
@@ -35,9 +35,6 @@
 /// Age up to which a health answer shows that the server has not been restarted since.
 const CONFIRMATION_LIFETIME: Duration = Duration::from_secs(1);
 
-/// Longest warm-up that is believed.
-const MAX_WARMUP: Duration = Duration::from_secs(3600);
-
 /// Number of entries assumed until a full period has been observed. Too large a number only sends less
 /// to cold servers.
 const INITIAL_ENTRY_COUNT: u32 = 256;
--- a/src/fleet/entry/metrics.rs
+++ b/src/fleet/entry/metrics.rs
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-use crate::fleet::balance::metrics::ReserveMetrics;
+use crate::fleet::balance::metrics::WithheldMetrics;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS, SharedCounter};
 use crate::fleet::quota::metrics::QuotaMetrics;
 use crate::fleet::room::RoomMetrics;
@@ -84,7 +84,7 @@
     pub fresh_members: Gauge,
     pub room: RoomMetrics,
     zones: ZoneMetrics,
-    pub reserves: ReserveMetrics,
+    pub withheld: WithheldMetrics,
     services: Mutex<BTreeSet<Box<str>>>,
     registry: Registry,
 }
@@ -124,7 +124,7 @@
             fresh_members: Gauge::default(),
             room: RoomMetrics::default(),
             zones: ZoneMetrics::default(),
-            reserves: ReserveMetrics::default(),
+            withheld: WithheldMetrics::default(),
             services: Mutex::default(),
             registry: Registry::with_prefix("entry"),
         };
@@ -147,7 +147,7 @@
         self.room.register(registry);
         self.keys.register(registry);
         self.zones.register(registry);
-        self.reserves.register(registry);
+        self.withheld.register(registry);
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("sends", "Sends to servers by outcome", self.sends.clone());
         registry.register("latency_seconds", "Time from head to response", self.latency.clone());
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -21,7 +21,6 @@
 mod reader;
 mod relay;
 mod request;
-mod reserves;
 mod room_gate;
 mod send;
 pub mod served_digests;
@@ -29,6 +28,7 @@
 pub mod suspect_hold;
 pub mod suspect_runs;
 mod watched_send;
+mod withheld_servers;
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -120,7 +120,7 @@
         let (leaving, paused) = self.context.stated_counts(now);
         metrics.leaving_servers.set(leaving as i64);
         metrics.paused_servers.set(paused as i64);
-        metrics.reserves.cold_servers.set(self.context.cold_count(now) as i64);
+        metrics.withheld.cold_servers.set(self.context.cold_count(now) as i64);
         metrics.held_response_bytes.set(self.context.held_responses.total() as i64);
         metrics.suspect_requests.set(self.context.crash_watch.suspect_count() as i64);
         metrics.held_suspects.set(self.context.crash_watch.held_count() as i64);
--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -7,8 +7,8 @@
 use super::local_response::LocalResponse;
 use super::outgoing::OutgoingRequest;
 use crate::fleet::room::{
-    CallerTime, FindAllowance, FleetSize, HedgeConditions, RefusalCause, RequestClaim, RoomChange,
-    RoomDecision, ServiceRoom,
+    CallerTime, FindAllowance, HedgeConditions, RefusalCause, RequestClaim, RoomChange,
+    RoomDecision, ServiceRoom, ServiceSize,
 };
 use crate::ids::ServiceName;
 use crate::log_info;
@@ -54,7 +54,7 @@
     ) -> Option<LocalResponse> {
         let now = Instant::now();
         self.update_room(now, &request.service);
-        let size = self.with_balancer(&request.service, |balancer| FleetSize {
+        let size = self.with_balancer(&request.service, |balancer| ServiceSize {
             entries: self.entry_count(),
             servers: balancer.server_count(),
         });
--- a/src/fleet/entry/reserves.rs
+++ b/src/fleet/entry/withheld_servers.rs
@@ -62,7 +62,7 @@
         for zone in before.difference(evacuated) {
             log_info!("evacuation_ends", "zone={zone}");
         }
-        self.metrics.reserves.evacuated_zones.set(evacuated.len() as i64);
+        self.metrics.withheld.evacuated_zones.set(evacuated.len() as i64);
     }
 
     /// Records a health answer and the rest of the warm-up that it states.
@@ -96,7 +96,7 @@
                 && balancer.take_cold_send(now, &chosen.server)
         });
         if !admitted {
-            self.metrics.reserves.withdrawn_sends.inc();
+            self.metrics.withheld.withdrawn_sends.inc();
         }
         admitted
     }
@@ -137,7 +137,7 @@
         if !self.with_balancer(&request.service, |balancer| balancer.is_wholly_evacuated()) {
             return None;
         }
-        self.metrics.reserves.evacuated_refusals.inc();
+        self.metrics.withheld.evacuated_refusals.inc();
         let spread = self.random.borrow_mut().f64() * EVACUATED_RETRY_SPREAD;
         let delay = EVACUATED_RETRY_AFTER.mul_f64(1.0 + spread);
         let reason = "all servers are in evacuated zones";
--- a/src/fleet/room/mod.rs
+++ b/src/fleet/room/mod.rs
@@ -16,6 +16,6 @@
 pub use hedge::{HedgeConditions, HedgePlan};
 pub use metrics::RoomMetrics;
 pub use service::{
-    CallerTime, FindAllowance, FleetSize, RefusalCause, RoomChange, RoomDecision, ServiceRoom,
+    CallerTime, FindAllowance, RefusalCause, RoomChange, RoomDecision, ServiceRoom, ServiceSize,
 };
 pub use silence::silence_time;
--- a/src/fleet/room/service.rs
+++ b/src/fleet/room/service.rs
@@ -19,11 +19,11 @@
 
 /// Probes a second that a server without room gets from all entries together. Each takes a slot for some
 /// milliseconds.
-const SCOUTS_PER_SERVER: f64 = 20.0;
+const PROBES_PER_FULL_SERVER: f64 = 20.0;
 
 /// Limits of the interval between two requests that may look for room while it is exhausted. The upper one
 /// bounds the time in which an entry notices that room is back.
-const SCOUT_INTERVALS: (Duration, Duration) =
+const LOOK_INTERVALS: (Duration, Duration) =
     (Duration::from_millis(20), Duration::from_millis(125));
 
 /// Part of the service's mean latency that the time left must cover.
@@ -37,7 +37,7 @@
 
 /// Number of entries and of the service's servers, which share the cost of looking for room.
 #[derive(Debug, Clone, Copy)]
-pub struct FleetSize {
+pub struct ServiceSize {
     pub entries: u32,
     pub servers: usize,
 }
@@ -96,7 +96,7 @@
     pressure: AdmissionPressure,
     arrivals: ArrivalShares,
     probes_in_flight: usize,
-    last_scout_at: Option<Instant>,
+    last_look_at: Option<Instant>,
 }
 
 impl ServiceRoom {
@@ -111,7 +111,7 @@
         claim: RequestClaim<'_>,
         time: CallerTime,
         mean: Option<Duration>,
-        size: FleetSize,
+        size: ServiceSize,
         random: f64,
     ) -> RoomDecision {
         self.arrivals.record(now, claim);
@@ -133,16 +133,16 @@
     }
 
     /// Whether one more request may look for room while it is short.
-    fn may_look(&mut self, now: Instant, size: FleetSize) -> bool {
+    fn may_look(&mut self, now: Instant, size: ServiceSize) -> bool {
         if self.probes_in_flight >= MAX_SHORT_PROBES_IN_FLIGHT {
             return false;
         }
         if self.finds.is_exhausted() {
-            let interval = scout_interval(size);
-            if self.last_scout_at.is_some_and(|at| now.duration_since(at) < interval) {
+            let interval = look_interval(size);
+            if self.last_look_at.is_some_and(|at| now.duration_since(at) < interval) {
                 return false;
             }
-            self.last_scout_at = Some(now);
+            self.last_look_at = Some(now);
         }
         true
     }
@@ -224,9 +224,9 @@
 }
 
 /// Interval at which one entry lets a request look for room while there is none.
-fn scout_interval(size: FleetSize) -> Duration {
-    let rate = SCOUTS_PER_SERVER * size.servers.max(1) as f64;
+fn look_interval(size: ServiceSize) -> Duration {
+    let rate = PROBES_PER_FULL_SERVER * size.servers.max(1) as f64;
     let probes = f64::from(size.entries.max(1)) * SHORT_PROBES as f64;
-    let (min_interval, max_interval) = SCOUT_INTERVALS;
+    let (min_interval, max_interval) = LOOK_INTERVALS;
     Duration::from_secs_f64(probes / rate).clamp(min_interval, max_interval)
 }
--- a/tests/fleet/room_loads.rs
+++ b/tests/fleet/room_loads.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use curranthollow::fleet::room::{
-    CallerTime, FindAllowance, FleetSize, RequestClaim, RoomDecision, ServiceRoom,
+    CallerTime, FindAllowance, RequestClaim, RoomDecision, ServiceRoom, ServiceSize,
 };
 
 const SLOTS: usize = 6;
 const RUN_TIME: Duration = Duration::from_millis(200);
 const STEP: Duration = Duration::from_millis(1);
-const SIZE: FleetSize = FleetSize { entries: 10, servers: 20 };
+const SIZE: ServiceSize = ServiceSize { entries: 10, servers: 20 };
 const TIME: CallerTime = CallerTime {
     elapsed: Duration::ZERO,
     left: Duration::from_secs(2),
@@ -46,7 +46,7 @@
 /// Servers behind one entry, with the ends of the requests that run there.
 struct RoomLoad {
     room: ServiceRoom,
-    size: FleetSize,
+    size: ServiceSize,
     servers: Vec<Vec<Instant>>,
     now: Instant,
     random: fastrand::Rng,
@@ -60,7 +60,7 @@
     fn new(server_count: usize) -> Self {
         Self {
             room: ServiceRoom::default(),
-            size: FleetSize { entries: 1, servers: server_count },
+            size: ServiceSize { entries: 1, servers: server_count },
             servers: vec![Vec::new(); server_count],
             now: Instant::now(),
             random: fastrand::Rng::with_seed(36),
