Use one function for values that decay

Cause: the balancer had decay_factor, and five new places wrote the same expression again. WayMeter::is_known had no caller.

Change: decay_factor is a module of its own and all call it. Ruled out: one type for all decaying counts; they differ in their clocks and in what they keep. The results are the same numbers.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use super::announcement::{IncarnationStart, ServerState};
+use super::decay::decay_factor;
 use super::dialect::ReportedLoad;
 use super::statement::StatedCondition;
 use super::update::ServerView;
@@ -449,8 +450,3 @@
     hash ^= hash >> 33;
     (hash >> 32) as f64 / f64::from(u32::MAX)
 }
-
-/// Factor that remains of a value after `age`.
-fn decay_factor(age: Duration, time_constant: Duration) -> f64 {
-    (-age.as_secs_f64() / time_constant.as_secs_f64()).exp()
-}
--- a/src/fleet/balance/cost.rs
+++ b/src/fleet/balance/cost.rs
@@ -2,9 +2,8 @@
 
 use std::time::{Duration, Instant};
 
-use super::{
-    LATENCY_TIME_CONSTANT, LOAD_TIME_CONSTANT, ServerStats, ServiceBalancer, decay_factor,
-};
+use super::{LATENCY_TIME_CONSTANT, LOAD_TIME_CONSTANT, ServerStats, ServiceBalancer};
+use crate::fleet::decay::decay_factor;
 use crate::ids::ZoneName;
 
 /// Factor by which a server that is warming up is assumed to be slower.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod control;
 pub mod crash;
+pub mod decay;
 pub mod dialect;
 pub mod document;
 pub mod entry;
--- a/src/fleet/quota/demand.rs
+++ b/src/fleet/quota/demand.rs
@@ -1,9 +1,12 @@
 //! Measures how many requests per second callers send.
 
+use std::time::Duration;
+
 use super::BootTime;
+use crate::fleet::decay::decay_factor;
 
-/// Time in seconds over which requests are averaged. It follows a crowd within a few renewals.
-const AVERAGING_SECONDS: f64 = 2.0;
+/// Time over which requests are averaged. It follows a crowd within a few renewals.
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
 
 /// Exponentially weighted rate of requests.
 #[derive(Debug, Clone, Copy, Default)]
@@ -20,11 +23,10 @@
 
     /// Requests per second.
     pub fn rate(&self, now: BootTime) -> f64 {
-        self.weighted_count(now) / AVERAGING_SECONDS
+        self.weighted_count(now) / AVERAGING_TIME.as_secs_f64()
     }
 
     fn weighted_count(&self, now: BootTime) -> f64 {
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.weighted_count * (-elapsed / AVERAGING_SECONDS).exp()
+        self.weighted_count * decay_factor(now.saturating_sub(self.updated_at), AVERAGING_TIME)
     }
 }
--- a/src/fleet/room/arrivals.rs
+++ b/src/fleet/room/arrivals.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use crate::fleet::decay::decay_factor;
 use crate::ids::TenantName;
 
 /// Time over which recent arrivals are counted. A flood is noticed within it, and a small tenant has a
@@ -57,7 +58,7 @@
 
     fn value(&self, now: Instant, time: Duration) -> f64 {
         let age = now.saturating_duration_since(self.at);
-        self.value * (-age.as_secs_f64() / time.as_secs_f64()).exp()
+        self.value * decay_factor(age, time)
     }
 
     fn add(&mut self, now: Instant, time: Duration) {
@@ -88,7 +89,7 @@
 
     /// Arrivals within [`RECENT_TIME`] as usual, if arrivals have been counted for `known_time`.
     fn usual(&self, now: Instant, known_time: Duration) -> f64 {
-        let covered = 1.0 - (-known_time.as_secs_f64() / USUAL_TIME.as_secs_f64()).exp();
+        let covered = 1.0 - decay_factor(known_time, USUAL_TIME);
         let usual_time = USUAL_TIME.as_secs_f64() * covered.max(f64::EPSILON);
         self.usual.value(now, USUAL_TIME) / usual_time * RECENT_TIME.as_secs_f64()
     }
--- a/src/fleet/room/pressure.rs
+++ b/src/fleet/room/pressure.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fleet::decay::decay_factor;
+
 /// Share of the admitted requests that should find a server. The few others show that there is no room left
 /// that is not used.
 const TARGET_SHARE: f64 = 0.95;
@@ -44,7 +46,7 @@
     /// that found room.
     pub fn record(&mut self, now: Instant, has_found: bool, probe_share: f64) {
         let age = self.last_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let remaining = (-age.as_secs_f64() / COUNT_TIME.as_secs_f64()).exp();
+        let remaining = decay_factor(age, COUNT_TIME);
         self.admitted = self.admitted * remaining + 1.0;
         self.found = self.found * remaining + f64::from(u8::from(has_found));
         self.last_at = Some(now);
--- a/src/fleet/zone_balance/plan.rs
+++ b/src/fleet/zone_balance/plan.rs
@@ -8,6 +8,7 @@
 use super::terms::{CallerTerms, Urgency};
 use super::way::{BytesMean, WayMeter, WayPrices};
 use super::{CALM_UTILIZATION, CROWDED_UTILIZATION, congestion};
+use crate::fleet::decay::decay_factor;
 use crate::ids::ZoneName;
 
 /// Time between two updates of the share.
@@ -418,9 +419,8 @@
 
 /// Moves `share` towards `aim` by a damped step.
 fn approach(share: f64, aim: f64, elapsed: Duration) -> f64 {
-    let elapsed = elapsed.as_secs_f64();
-    let weight = 1.0 - (-elapsed / SHARE_TIME_CONSTANT.as_secs_f64()).exp();
-    let limit = MAX_SHARE_RATE * elapsed;
+    let weight = 1.0 - decay_factor(elapsed, SHARE_TIME_CONSTANT);
+    let limit = MAX_SHARE_RATE * elapsed.as_secs_f64();
     let next = share + ((aim - share) * weight).clamp(-limit, limit);
     if aim < share && next < MIN_SHARE { 0.0 } else { next.clamp(0.0, 1.0) }
 }
--- a/src/fleet/zone_balance/room.rs
+++ b/src/fleet/zone_balance/room.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::fleet::decay::decay_factor;
+
 /// Time constant of the mean utilisation. An entry sees a few reports a second; a shorter one would
 /// follow single servers.
 const UTILIZATION_TIME_CONSTANT: Duration = Duration::from_millis(1000);
@@ -55,8 +57,7 @@
             self.utilization = Some((sample, now));
             return;
         };
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        let kept = (-age / UTILIZATION_TIME_CONSTANT.as_secs_f64()).exp();
+        let kept = decay_factor(now.saturating_duration_since(at), UTILIZATION_TIME_CONSTANT);
         let weight = (1.0 - kept).max(MIN_SAMPLE_WEIGHT);
         self.utilization = Some((mean + (sample - mean) * weight, now));
     }
--- a/src/fleet/zone_balance/way.rs
+++ b/src/fleet/zone_balance/way.rs
@@ -58,10 +58,6 @@
         let delay = extra.as_secs_f64() / expected.as_secs_f64().max(0.001);
         (delay + price).min(MAX_WAY_COST)
     }
-
-    pub fn is_known(&self) -> bool {
-        self.connect.is_some()
-    }
 }
 
 /// Moving average of the bytes that a request of the service moves.
