Read the boot time in one place

Cause: quota/mod.rs read and converted CLOCK_BOOTTIME again, which suspension.rs does already.

Change: boot_time and BootTime move to suspension.rs, and suspended_time calls it. Behaviour is the same.

--- a/src/fleet/control/core/quota.rs
+++ b/src/fleet/control/core/quota.rs
@@ -8,9 +8,9 @@
 
 use super::ControlCore;
 use crate::fleet::link::{self, LinkFrame, LinkMessage};
-use crate::fleet::quota::boot_time;
 use crate::fleet::quota::holder::HolderCounts;
 use crate::fleet::quota::message::{QuotaAsk, QuotaGrant, RelayedAsk, RelayedGrant};
+use crate::suspension::boot_time;
 
 /// Maximum number of grants queued for one link. An entry has one ask under way at a time.
 const MAX_QUEUED_GRANTS: usize = 8;
--- a/src/fleet/entry/quota_gate.rs
+++ b/src/fleet/entry/quota_gate.rs
@@ -14,13 +14,13 @@
 use super::local_response::LocalResponse;
 use super::outgoing::OutgoingRequest;
 use crate::fleet::link::{self, FreshnessNotice, LinkFrame, LinkMessage};
-use crate::fleet::quota::boot_time;
 use crate::fleet::quota::message::QuotaGrant;
 use crate::fleet::quota::metrics::QuotaMetrics;
 use crate::fleet::quota::purse::{QuotaPurse, TakeOutcome};
 use crate::fleet::tenant::KnownTenant;
 use crate::ids::{ProcessName, ZoneName};
 use crate::log_info;
+use crate::suspension::boot_time;
 
 /// Maximum time for which a request waits for a token: two asks, of which the first may be lost.
 const MAX_WAIT: Duration = Duration::from_millis(400);
--- a/src/fleet/quota/mod.rs
+++ b/src/fleet/quota/mod.rs
@@ -13,10 +13,7 @@
 
 use std::time::Duration;
 
-use rustix::time::{ClockId, clock_gettime};
-
-/// Time since the machine started, including the time for which it was suspended.
-pub type BootTime = Duration;
+use crate::suspension::BootTime;
 
 /// Duration of a lease, counted by the entry from the moment it sent its ask. One that was due for renewal
 /// outlasts the election of a leader and the redialling of links, some 2 s. A new holder counts for as long
@@ -32,11 +29,3 @@
 
 /// Interval at which an entry renews the leases that it uses.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Reads the clock that goes on while the machine is suspended.
-pub fn boot_time() -> BootTime {
-    let time = clock_gettime(ClockId::Boottime);
-    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
-    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
-    Duration::new(seconds, nanoseconds)
-}
--- a/src/suspension.rs
+++ b/src/suspension.rs
@@ -12,11 +12,18 @@
 /// are not read at the same instant.
 const READING_TOLERANCE: Duration = Duration::from_millis(20);
 
+/// Time since the machine started, including the time for which it was suspended.
+pub type BootTime = Duration;
+
+/// Reads the clock that goes on while the machine is suspended.
+pub fn boot_time() -> BootTime {
+    duration_of(clock_gettime(ClockId::Boottime))
+}
+
 /// Time for which the machine has been suspended since it started.
 pub fn suspended_time() -> Duration {
     let steady = duration_of(clock_gettime(ClockId::Monotonic));
-    let with_suspension = duration_of(clock_gettime(ClockId::Boottime));
-    with_suspension.saturating_sub(steady)
+    boot_time().saturating_sub(steady)
 }
 
 fn duration_of(time: Timespec) -> Duration {
--- a/tests/fleet/quota_parts.rs
+++ b/tests/fleet/quota_parts.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use curranthollow::fleet::config::QuotaLimits;
-use curranthollow::fleet::quota::BootTime;
 use curranthollow::fleet::quota::holder::QuotaHolder;
 use curranthollow::fleet::quota::message::{QuotaAsk, QuotaGrant};
 use curranthollow::fleet::quota::purse::{QuotaPurse, TakeOutcome};
 use curranthollow::fleet::tenant::TenantRule;
 use curranthollow::ids::TenantName;
+use curranthollow::suspension::BootTime;
 
 pub const STEP: Duration = Duration::from_millis(5);
 
--- a/tests/fleet/quota_schedule.rs
+++ b/tests/fleet/quota_schedule.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use curranthollow::fleet::quota::purse::{QuotaPurse, TakeOutcome};
-use curranthollow::fleet::quota::{BootTime, LEASE_TIME, RENEWAL_INTERVAL};
+use curranthollow::fleet::quota::{LEASE_TIME, RENEWAL_INTERVAL};
+use curranthollow::suspension::BootTime;
 use yare::parameterized;
 
 use crate::quota_parts::{QuotaParts, TENANT, rule};
