Record changes and tombstones of a document by one function

Cause: tenants repeated the two loops of routes, and pruning had three equal loops.

Change: record_changes and prune serve routes, tenants and released requests. Servers that left keep a loop of their own, because their tombstones hold an incarnation as well.

--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -235,34 +235,10 @@
         if self.head_changed > 0 && document.version <= self.document.version {
             return;
         }
-        for (key, rule) in &document.routes {
-            if self.document.routes.get(key) == Some(rule) {
-                continue;
-            }
-            self.route_changes.insert(key.clone(), index);
-            self.removed_routes.remove(key);
-        }
-        for key in self.document.routes.keys() {
-            if document.routes.contains_key(key) {
-                continue;
-            }
-            self.route_changes.remove(key);
-            self.removed_routes.insert(key.clone(), index);
-        }
-        for (name, rule) in &document.tenants {
-            if self.document.tenants.get(name) == Some(rule) {
-                continue;
-            }
-            self.tenant_changes.insert(name.clone(), index);
-            self.removed_tenants.remove(name);
-        }
-        for name in self.document.tenants.keys() {
-            if document.tenants.contains_key(name) {
-                continue;
-            }
-            self.tenant_changes.remove(name);
-            self.removed_tenants.insert(name.clone(), index);
-        }
+        let routes = (&self.document.routes, &document.routes);
+        record_changes(index, routes, &mut self.route_changes, &mut self.removed_routes);
+        let tenants = (&self.document.tenants, &document.tenants);
+        record_changes(index, tenants, &mut self.tenant_changes, &mut self.removed_tenants);
         self.document = document;
         self.text = DocumentText(text);
         self.head_changed = index;
@@ -377,21 +353,9 @@
             self.left.remove(&server);
             self.complete_from = self.complete_from.max(index);
         }
-        while self.removed_routes.len() > MAX_TOMBSTONES {
-            let Some((key, index)) = oldest(self.removed_routes.iter()) else { return };
-            self.removed_routes.remove(&key);
-            self.complete_from = self.complete_from.max(index);
-        }
-        while self.removed_tenants.len() > MAX_TOMBSTONES {
-            let Some((name, index)) = oldest(self.removed_tenants.iter()) else { return };
-            self.removed_tenants.remove(&name);
-            self.complete_from = self.complete_from.max(index);
-        }
-        while self.released.len() > MAX_TOMBSTONES {
-            let Some((digest, index)) = oldest(self.released.iter()) else { return };
-            self.released.remove(&digest);
-            self.complete_from = self.complete_from.max(index);
-        }
+        prune(&mut self.removed_routes, &mut self.complete_from);
+        prune(&mut self.removed_tenants, &mut self.complete_from);
+        prune(&mut self.released, &mut self.complete_from);
     }
 
     /// Returns the update from revision `from` to the current revision.
@@ -460,6 +424,39 @@
     }
 }
 
+/// Records at which index entries of a document were last changed, and tombstones of those that are gone.
+fn record_changes<K: Clone + Ord, V: PartialEq>(
+    index: LogIndex,
+    (before, after): (&BTreeMap<K, V>, &BTreeMap<K, V>),
+    changes: &mut BTreeMap<K, LogIndex>,
+    tombstones: &mut BTreeMap<K, LogIndex>,
+) {
+    for (key, value) in after {
+        if before.get(key) == Some(value) {
+            continue;
+        }
+        changes.insert(key.clone(), index);
+        tombstones.remove(key);
+    }
+    for key in before.keys() {
+        if after.contains_key(key) {
+            continue;
+        }
+        changes.remove(key);
+        tombstones.insert(key.clone(), index);
+    }
+}
+
+/// Discards the oldest tombstones beyond the maximum. An entry at a lower revision than `complete_from` gets a
+/// complete update.
+fn prune<K: Clone + Ord>(tombstones: &mut BTreeMap<K, LogIndex>, complete_from: &mut LogIndex) {
+    while tombstones.len() > MAX_TOMBSTONES {
+        let Some((key, index)) = oldest(tombstones.iter()) else { return };
+        tombstones.remove(&key);
+        *complete_from = (*complete_from).max(index);
+    }
+}
+
 fn oldest<'a, K: Clone + 'a>(
     items: impl Iterator<Item = (&'a K, &'a LogIndex)>,
 ) -> Option<(K, LogIndex)> {
