Check printable names and commit commands in one way each

Cause: tenants and availability zones had a limit of 128 bytes and a check of their own beside that of announcements, and the order of an evacuation matched the outcomes of a commit again.

Change: is_printable_name serves both; commit_at returns the log index, and commit calls it.

--- a/src/fleet/announcement.rs
+++ b/src/fleet/announcement.rs
@@ -107,6 +107,12 @@
     Ok(())
 }
 
+/// Whether a name from outside is printable ASCII without spaces, not empty and not too long.
+pub fn is_printable_name(name: &str) -> bool {
+    let is_printable = name.bytes().all(|byte| byte.is_ascii_graphic());
+    !name.is_empty() && name.len() <= MAX_NAME_BYTES && is_printable
+}
+
 fn is_unicast(address: IpAddr) -> bool {
     let is_broadcast = matches!(address, IpAddr::V4(address) if address.is_broadcast());
     !address.is_unspecified() && !address.is_multicast() && !is_broadcast
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -34,9 +34,6 @@
 /// Interval at which a read checks whether the local state has reached the confirmed index.
 const APPLY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Maximum length of the name of an availability zone in bytes.
-const MAX_ZONE_BYTES: usize = 128;
-
 /// Response to one call.
 struct CallResponse {
     status: u16,
@@ -273,11 +270,16 @@
 
     /// Replicates a command. A success response means that a majority has it on disk.
     async fn commit(&self, command: &FleetCommand) -> CallResponse {
+        self.commit_at(command).await.map_or_else(|failure| failure, |_| self.success())
+    }
+
+    /// Replicates a command; returns the log index at which a majority has it on disk.
+    async fn commit_at(&self, command: &FleetCommand) -> Result<LogIndex, CallResponse> {
         let outcome = self.core.borrow_mut().propose(Instant::now(), command);
         match self.wait_for_outcome(outcome).await {
-            Some(CallOutcome::Done { .. }) => self.success(),
-            Some(CallOutcome::Refused) => self.failure(503, "no leader; nothing was changed"),
-            Some(CallOutcome::Unknown) | None => self.failure(503, "the outcome is not known"),
+            Some(CallOutcome::Done { index }) => Ok(index),
+            Some(CallOutcome::Refused) => Err(self.failure(503, "no leader; nothing was changed")),
+            Some(CallOutcome::Unknown) | None => Err(self.failure(503, "the outcome is not known")),
         }
     }
 
@@ -336,13 +338,9 @@
         }
         log_info!("evacuation_requested", "zone={zone}");
         let deadline = tokio::time::Instant::now() + CALL_TIMEOUT;
-        let outcome = self.core.borrow_mut().propose(Instant::now(), &FleetCommand::Evacuate(zone));
-        let index = match timeout_at(deadline, outcome).await {
-            Ok(Ok(CallOutcome::Done { index })) => index,
-            Ok(Ok(CallOutcome::Refused)) => {
-                return self.failure(503, "no leader; nothing was changed");
-            }
-            _ => return self.failure(503, "the outcome is not known"),
+        let index = match self.commit_at(&FleetCommand::Evacuate(zone)).await {
+            Ok(index) => index,
+            Err(failure) => return failure,
         };
         if !self.wait_until_applied(index, deadline).await {
             return self.failure(503, "the outcome is not known");
@@ -395,8 +393,7 @@
 /// Checks the name of an availability zone. Anyone who reaches a member can call it, and all members and
 /// entries hold the name.
 fn check_zone(zone: &ZoneName) -> Result<(), &'static str> {
-    let is_printable = zone.bytes().all(|byte| byte.is_ascii_graphic());
-    if zone.len() <= MAX_ZONE_BYTES && is_printable {
+    if announcement::is_printable_name(zone) {
         Ok(())
     } else {
         Err("the availability zone is too long or not printable ASCII")
--- a/src/fleet/tenant/rule.rs
+++ b/src/fleet/tenant/rule.rs
@@ -6,11 +6,9 @@
 use thiserror::Error;
 
 use super::{KeyDigest, MAX_KEY_BYTES};
+use crate::fleet::announcement::is_printable_name;
 use crate::ids::TenantName;
 
-/// Maximum length of a tenant's name in bytes. It is sent to servers in a header.
-const MAX_NAME_BYTES: usize = 128;
-
 /// Maximum length of a name in an error message.
 const MAX_SHOWN_CHARS: usize = 64;
 
@@ -83,8 +81,8 @@
     pub fn check_all(tenants: &BTreeMap<TenantName, Self>) -> Result<(), TenantError> {
         let mut holders: BTreeMap<&KeyDigest, &TenantName> = BTreeMap::new();
         for (name, rule) in tenants {
-            let is_printable = name.bytes().all(|byte| byte.is_ascii_graphic());
-            if name.is_empty() || name.len() > MAX_NAME_BYTES || !is_printable {
+            // It is sent to servers in a header.
+            if !is_printable_name(name) {
                 return Err(TenantError::InvalidName(shown(name)));
             }
             if [rule.rate, rule.burst].iter().any(|value| !value.is_finite() || *value < 0.0) {
