Look up the items of a service by one function

Cause: rooms repeated the look-up of balancers and budgets, which were alike already.

Change: with_service serves the three maps.

--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -283,11 +283,7 @@
         service: &ServiceName,
         operation: impl FnOnce(&mut ServiceBalancer) -> T,
     ) -> T {
-        let mut balancers = self.balancers.borrow_mut();
-        if let Some(balancer) = balancers.get_mut(service) {
-            return operation(balancer);
-        }
-        operation(balancers.entry(service.clone()).or_default())
+        with_service(&self.balancers, service, ServiceBalancer::default, operation)
     }
 
     /// Chooses the server with the lowest cost, without a health probe.
@@ -407,12 +403,7 @@
         service: &ServiceName,
         operation: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        if let Some(budget) = budgets.get_mut(service) {
-            return operation(budget);
-        }
-        let limits = self.config.retry;
-        operation(budgets.entry(service.clone()).or_insert_with(|| RetryBudget::new(limits)))
+        with_service(&self.budgets, service, || RetryBudget::new(self.config.retry), operation)
     }
 
     /// Installs an update from a control member.
@@ -488,3 +479,18 @@
         self.connections.retain(|server| state.servers().get(server).is_some_and(is_used));
     }
 }
+
+/// Calls `operation` with the item of a service, which is created if there is none.
+pub(super) fn with_service<I, T>(
+    items: &RefCell<BTreeMap<ServiceName, I>>,
+    service: &ServiceName,
+    create: impl FnOnce() -> I,
+    operation: impl FnOnce(&mut I) -> T,
+) -> T {
+    let mut items = items.borrow_mut();
+    // Most services have an item, and the name need not be copied.
+    if let Some(item) = items.get_mut(service) {
+        return operation(item);
+    }
+    operation(items.entry(service.clone()).or_insert_with(create))
+}
--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::context::EntryContext;
+use super::context::{EntryContext, with_service};
 use super::local_response::LocalResponse;
 use super::outgoing::OutgoingRequest;
 use crate::fleet::room::{
@@ -39,11 +39,7 @@
         service: &ServiceName,
         operation: impl FnOnce(&mut ServiceRoom) -> T,
     ) -> T {
-        let mut rooms = self.rooms.borrow_mut();
-        if let Some(room) = rooms.get_mut(service) {
-            return operation(room);
-        }
-        operation(rooms.entry(service.clone()).or_default())
+        with_service(&self.rooms, service, ServiceRoom::default, operation)
     }
 
     /// Decides whether a request is admitted; the response if it is refused.
