Keep the newest frames for members that are starting

Cause: a dial that is refused dropped the frame and everything queued behind it, and the next dial came 150 ms later.

Ruled out: keeping everything, because calls of operators are answered as open after 3 s and must not take effect much later.

Change: the newest 16 frames of the last 250 ms are kept. Dials are repeated after 10, 20, 40, 80 and then each 150 ms, and at once when the peer dials us. Delays and backlog are pure (control/peer_retry.rs).

Test: fleet::failover::a_message_reaches_a_member_that_listens_later. With frames dropped as before it fails ("not delivered" on each attempt).

--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -214,6 +214,11 @@
         self.started
     }
 
+    /// Opens the link to a member that can be reached again.
+    pub fn wake_link(&self, address: SocketAddr) {
+        self.peers.wake(address);
+    }
+
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
     }
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -43,6 +43,9 @@
     let Ok(Ok(hello)) = timeout(HELLO_TIMEOUT, reader.receive()).await else { return };
     match hello {
         LinkMessage::Member { name } => {
+            if let Ok(address) = name.parse() {
+                core.borrow().wake_link(address);
+            }
             let _ = serve_member(writer, reader, &core, &name).await;
         }
         LinkMessage::Follow { name, revision, mode } => {
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -6,9 +6,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::time::{sleep, timeout};
 
+use super::peer_retry::{FrameBacklog, QueuedFrame, RetryDelay};
 use crate::fleet::link::{self, LinkError, LinkFrame, LinkMessage};
 use crate::ids::ProcessName;
 use crate::{log_info, log_warn};
@@ -25,13 +27,17 @@
 /// Time after which a link without messages is closed. The next message opens a new one.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Delay after a link failed or could not be opened.
-const RECONNECT_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Outgoing links by address. A link is opened when there is a message to send.
 pub struct PeerLinks {
     hello: LinkFrame,
-    queues: RefCell<BTreeMap<SocketAddr, Sender<LinkFrame>>>,
+    queues: RefCell<BTreeMap<SocketAddr, PeerQueue>>,
+}
+
+/// Queue of one link.
+struct PeerQueue {
+    frames: Sender<QueuedFrame>,
+    /// Ends the delay before the next attempt to open the link.
+    wake: Rc<Notify>,
 }
 
 impl PeerLinks {
@@ -40,23 +46,44 @@
         Rc::new(Self { hello, queues: RefCell::default() })
     }
 
-    /// Queues a message. It is dropped if the queue is full or the peer cannot be reached.
+    /// Queues a message. It is dropped if the queue is full or the peer cannot be reached for a while.
     pub fn send(&self, to: SocketAddr, message: &LinkMessage) {
         let mut queues = self.queues.borrow_mut();
         let queue = queues.entry(to).or_insert_with(|| {
-            let (sender, receiver) = channel(MAX_QUEUED_FRAMES);
-            tokio::task::spawn_local(run_link(to, self.hello.clone(), receiver));
-            sender
+            let (frames, receiver) = channel(MAX_QUEUED_FRAMES);
+            let wake = Rc::new(Notify::new());
+            let link = run_link(to, self.hello.clone(), receiver, Rc::clone(&wake));
+            tokio::task::spawn_local(link);
+            PeerQueue { frames, wake }
         });
-        let _ = queue.try_send(link::encode(message));
+        let frame = QueuedFrame { frame: link::encode(message), queued_at: Instant::now() };
+        let _ = queue.frames.try_send(frame);
+    }
+
+    /// Opens the link to `peer` without further delay, because the peer can be reached again.
+    pub fn wake(&self, peer: SocketAddr) {
+        if let Some(queue) = self.queues.borrow().get(&peer) {
+            queue.wake.notify_waiters();
+        }
     }
 }
 
-async fn run_link(address: SocketAddr, hello: LinkFrame, mut queue: Receiver<LinkFrame>) {
+async fn run_link(
+    address: SocketAddr,
+    hello: LinkFrame,
+    mut queue: Receiver<QueuedFrame>,
+    wake: Rc<Notify>,
+) {
     let mut was_connected = true;
-    while let Some(first_frame) = queue.recv().await {
+    let mut backlog = FrameBacklog::default();
+    let mut retry = RetryDelay::default();
+    loop {
+        if backlog.is_empty() {
+            let Some(frame) = queue.recv().await else { return };
+            backlog.push(frame);
+        }
         let started = Instant::now();
-        let error = match serve_link(address, &hello, first_frame, &mut queue).await {
+        let error = match serve_link(address, &hello, &mut backlog, &mut queue).await {
             Ok(()) => continue,
             Err(error) => error,
         };
@@ -69,28 +96,34 @@
             );
         }
         was_connected = !connect_failed;
-        while queue.try_recv().is_ok() {}
-        sleep(RECONNECT_INTERVAL).await;
+        let delay = retry.after_failure(was_connected.then(|| started.elapsed()));
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = wake.notified() => {}
+        }
+        while let Ok(frame) = queue.try_recv() {
+            backlog.push(frame);
+        }
+        backlog.drop_old(Instant::now());
     }
 }
 
-/// Opens a link and sends frames from the queue; returns `Ok` when the link was idle or the queue was
-/// closed.
+/// Opens a link and sends frames from the backlog and the queue; returns `Ok` when the link was idle or
+/// the queue was closed.
 async fn serve_link(
     address: SocketAddr,
     hello: &LinkFrame,
-    first_frame: LinkFrame,
-    queue: &mut Receiver<LinkFrame>,
+    backlog: &mut FrameBacklog,
+    queue: &mut Receiver<QueuedFrame>,
 ) -> Result<(), LinkError> {
     let (mut writer, mut reader) = link::connect(address).await?;
     writer.send(hello.clone()).await?;
     log_info!("member_link_open", "peer={address}");
     let ping = link::encode(&LinkMessage::Ping);
-    let mut next_frame = Some(first_frame);
     let mut unanswered_ping_at: Option<Instant> = None;
     let mut last_ping_at: Option<Instant> = None;
     loop {
-        if let Some(frame) = next_frame.take() {
+        if let Some(frame) = backlog.pop() {
             let due = last_ping_at.is_none_or(|last| last.elapsed() >= PING_INTERVAL);
             if unanswered_ping_at.is_none() && due {
                 writer.send(ping.clone()).await?;
@@ -98,6 +131,9 @@
                 last_ping_at = unanswered_ping_at;
             }
             timeout(PONG_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)??;
+            if !backlog.is_empty() {
+                continue;
+            }
         }
         let wait = match unanswered_ping_at {
             Some(sent_at) => PONG_TIMEOUT.saturating_sub(sent_at.elapsed()),
@@ -105,7 +141,7 @@
         };
         tokio::select! {
             frame = queue.recv() => match frame {
-                Some(frame) => next_frame = Some(frame),
+                Some(frame) => backlog.push(frame),
                 None => return Ok(()),
             },
             message = reader.receive() => {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod entry_ledger;
 mod evacuation;
+mod failover;
 mod freshness;
 mod harness;
 mod held_bytes;
