Replace a control leader that has ended without an election timeout

Cause: followers wait 0.7 to 1.4 s for a silent leader also when its host says that no process listens on its address. Meanwhile no tokens of quotas are lent, convictions and changes wait.

Change: a follower whose last link from the leader is closed connects to the leader's address. If that is refused (ECONNREFUSED), RaftEvent::LeaderEnded lets it forget that it heard from this leader: it grants votes and starts a pre-vote in a slot of its own. A vote or pre-vote of the leader itself in a later term shows the same, also when it has restarted before anybody was refused. The decision is pure (control/leader_watch.rs, consensus/failover.rs). Members log leader_lost with the cause and count causes. The timer of a member wakes when an event makes a tick due earlier; it slept on for up to a second before, so that the election began 130 ms after the evidence.

Ruled out: a closed link alone (a live process may close one), a shorter election timeout, random instead of ranked slots.

tests/consensus/harness.rs: the new action is ignored like RoleChanged.

--- a/src/consensus/config.rs
+++ b/src/consensus/config.rs
@@ -11,6 +11,9 @@
     /// shorter, because a pre-vote does not disturb an existing leader and a split vote is then
     /// repeated sooner. It doubles after each election that timed out, up to `election_timeout`.
     pub first_election_timeout: Duration,
+    /// Time between the elections of two members after the end of a leader. It covers a pre-vote and a
+    /// vote, each with a sync, and the time between two members' evidence of that end.
+    pub failover_slot: Duration,
     /// Interval between heartbeats; must be well below the election timeout.
     pub heartbeat_interval: Duration,
     /// Sends a new commit index to followers at once instead of with the next heartbeat.
@@ -41,6 +44,7 @@
         Self {
             election_timeout: Duration::from_millis(500),
             first_election_timeout: Duration::from_millis(500),
+            failover_slot: Duration::from_millis(25),
             heartbeat_interval: Duration::from_millis(100),
             broadcast_commits: false,
             max_append_bytes: 256 << 10,
--- a/src/consensus/election.rs
+++ b/src/consensus/election.rs
@@ -1,5 +1,6 @@
 //! Elections: pre-vote, votes, role changes and leadership transfer.
 
+use super::failover::LeaderLoss;
 use super::message::{EntryBody, MessageBody, RaftMessage};
 use super::node::{RaftAction, RaftNode, Role};
 use crate::ids::{LogIndex, MemberId, TermNumber};
@@ -16,6 +17,7 @@
             self.failed_elections = self.failed_elections.saturating_add(1);
         }
         self.reset_election_deadline();
+        self.report_leader_loss(LeaderLoss::Silent);
         self.leader = None;
         if self.members().is_voter(self.member) {
             self.start_pre_vote();
@@ -98,6 +100,7 @@
     fn become_leader(&mut self) {
         self.role = Role::Leader;
         self.has_seen_leader = true;
+        self.failover = None;
         self.leader = Some(self.member);
         self.incoming_snapshot = None;
         self.transfer = None;
@@ -140,6 +143,9 @@
         if message.term > self.hard_state.term {
             let is_transfer = matches!(message.body, MessageBody::Vote { transfer: true, .. });
             let is_vote = matches!(message.body, MessageBody::Vote { .. });
+            if is_vote {
+                self.notice_resignation(message.from, message.term);
+            }
             if is_vote && !is_transfer && self.heard_leader_recently() {
                 return;
             }
@@ -210,6 +216,7 @@
         }
         self.last_leader_contact = Some(self.now);
         self.has_seen_leader = true;
+        self.failover = None;
         self.reset_election_deadline();
         match body {
             MessageBody::Append {
@@ -234,12 +241,17 @@
         last_index: LogIndex,
         last_term: TermNumber,
     ) {
+        self.notice_resignation(from, term);
         let granted = term > self.hard_state.term
             && !self.heard_leader_recently()
             && self.is_up_to_date(last_index, last_term);
         if granted {
             let message = self.build_message(from, term, MessageBody::PreVoteReply { granted });
             self.actions.push(RaftAction::Send(message));
+            if self.is_failing_over() {
+                // An election of this member at the same time would split the votes.
+                self.reset_election_deadline();
+            }
         } else if term <= self.hard_state.term {
             // The reply reveals this member's term, which must be durable first.
             self.send_durable(from, MessageBody::PreVoteReply { granted });
--- a/src/consensus/host_loop.rs
+++ b/src/consensus/host_loop.rs
@@ -325,6 +325,7 @@
                 }
             }
             RaftAction::InstallSnapshot(snapshot) => self.install_snapshot(group, snapshot)?,
+            RaftAction::LeaderLost { .. } => {}
             RaftAction::RoleChanged { role, term, leader } => {
                 runtime.on_role_changed(role, term, leader);
             }
--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod election;
+mod failover;
 pub mod formation;
 mod freshness;
 pub mod host;
@@ -18,4 +19,5 @@
 mod snapshot;
 
 pub use config::RaftConfig;
+pub use failover::LeaderLoss;
 pub use node::{RaftAction, RaftEvent, RaftNode, Role};
--- a/src/consensus/node.rs
+++ b/src/consensus/node.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::config::RaftConfig;
+use super::failover::{FailoverPhase, LeaderLoss};
 use super::log::RaftLog;
 use super::members::{MemberChange, MemberError, MemberSet};
 use super::message::{
@@ -52,6 +53,12 @@
     TransferLeadership {
         to: Option<MemberId>,
     },
+    /// The process that led in `term` has ended. The caller needs evidence for it: a leader that lives
+    /// on keeps its role until it hears of its successor.
+    LeaderEnded {
+        leader: MemberId,
+        term: TermNumber,
+    },
     /// All `Persist` actions up to and including `sequence` are synced.
     Persisted {
         sequence: u64,
@@ -113,6 +120,12 @@
         term: TermNumber,
         leader: Option<MemberId>,
     },
+    /// This follower no longer follows the leader of `term` and takes part in the election of another.
+    LeaderLost {
+        leader: MemberId,
+        term: TermNumber,
+        cause: LeaderLoss,
+    },
 }
 
 /// Raft state of one member in one group.
@@ -132,6 +145,8 @@
     pub(super) commit_index: LogIndex,
     pub(super) election_deadline: Instant,
     pub(super) last_leader_contact: Option<Instant>,
+    /// Phase after the end of a leader, until another one is known.
+    pub(super) failover: Option<FailoverPhase>,
     /// See [`Self::quorum_seen_at`]; as a leader, the value from before.
     pub(super) quorum_seen_at: Option<Instant>,
     /// Whether a leader has been known since the start.
@@ -231,6 +246,7 @@
             commit_index: index,
             election_deadline: now,
             last_leader_contact: None,
+            failover: None,
             quorum_seen_at: None,
             has_seen_leader: false,
             failed_elections: 0,
@@ -266,6 +282,7 @@
                 self.on_change_members(request, &change)
             }
             RaftEvent::TransferLeadership { to } => self.on_transfer_leadership(to),
+            RaftEvent::LeaderEnded { leader, term } => self.on_leader_ended(leader, term),
             RaftEvent::Persisted { sequence } => self.on_persisted(sequence),
             RaftEvent::SnapshotSaved(snapshot) => self.on_snapshot_saved(snapshot),
             RaftEvent::SnapshotInstalled(snapshot) => self.on_snapshot_installed(snapshot),
@@ -533,6 +550,7 @@
 
     pub(super) fn reset_election_deadline(&mut self) {
         let min_timeout = match self.has_seen_leader {
+            true if self.is_failing_over() => self.failover_timeout(),
             true => self.config.election_timeout,
             false => self.first_election_timeout(),
         };
@@ -542,7 +560,7 @@
 
     /// Minimum election timeout before a leader is known. It doubles with each election that timed out:
     /// two syncs on a busy disk may take longer than the short timeout.
-    fn first_election_timeout(&self) -> Duration {
+    pub(super) fn first_election_timeout(&self) -> Duration {
         let first = self.config.first_election_timeout;
         let longer = first.saturating_mul(1 << self.failed_elections.min(MAX_DOUBLINGS));
         longer.min(self.config.election_timeout.max(first))
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -2,6 +2,7 @@
 //! of servers.
 
 mod apply;
+pub(super) mod failover;
 mod quarantine;
 pub(super) mod quota;
 mod snapshot;
@@ -15,11 +16,13 @@
 use std::sync::mpsc::Sender;
 use std::time::{Duration, Instant};
 
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 
+use self::failover::LeaderLossCounts;
 use self::quota::GrantLinks;
 use super::disk::{self, DiskJob, DiskReport};
 use super::heard::HeartbeatTracker;
+use super::leader_watch::LeaderWatch;
 use super::peers::PeerLinks;
 use crate::consensus::message::RaftMessage;
 use crate::consensus::node::Proposal;
@@ -95,10 +98,15 @@
     heartbeat_tracker: HeartbeatTracker,
     quarantine: QuarantineController,
     leading_since: Option<Instant>,
+    leader_watch: LeaderWatch,
+    leader_losses: LeaderLossCounts,
     quota_holder: QuotaHolder,
     grant_links: GrantLinks,
     has_committed_leader: watch::Sender<bool>,
     next_report_at: Instant,
+    /// Time for which the next tick is scheduled.
+    tick_due: Instant,
+    tick_wake: Rc<Notify>,
     entries: u32,
     started: Instant,
 }
@@ -155,8 +163,12 @@
             heartbeat_tracker: HeartbeatTracker::default(),
             quarantine: QuarantineController::default(),
             leading_since: None,
+            leader_watch: LeaderWatch::default(),
+            leader_losses: LeaderLossCounts::default(),
             has_committed_leader: watch::Sender::new(false),
             next_report_at: now,
+            tick_due: now,
+            tick_wake: Rc::default(),
             entries: 0,
             started: now,
         }
@@ -214,11 +226,6 @@
         self.started
     }
 
-    /// Opens the link to a member that can be reached again.
-    pub fn wake_link(&self, address: SocketAddr) {
-        self.peers.wake(address);
-    }
-
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
     }
@@ -231,13 +238,19 @@
         self.entries -= 1;
     }
 
-    /// Time at which [`Self::tick`] is due next.
-    pub fn next_tick(&self, now: Instant) -> Instant {
+    /// Returns the time at which [`Self::tick`] is due next, if [`Self::tick_wake`] does not come before.
+    pub fn schedule_tick(&mut self, now: Instant) -> Instant {
         let mut due = self.node.next_deadline().min(self.next_report_at);
         if let Some(decision_at) = self.quarantine.next_decision() {
             due = due.min(decision_at);
         }
-        due.max(now + Duration::from_millis(5))
+        self.tick_due = due.max(now + Duration::from_millis(5));
+        self.tick_due
+    }
+
+    /// Wakes the timer when an event has made a tick due earlier than it was scheduled.
+    pub fn tick_wake(&self) -> Rc<Notify> {
+        Rc::clone(&self.tick_wake)
     }
 
     pub fn tick(&mut self, now: Instant) {
@@ -382,6 +395,9 @@
         for action in self.node.handle(now, event) {
             self.perform(now, action);
         }
+        if self.node.next_deadline() < self.tick_due {
+            self.tick_wake.notify_one();
+        }
         self.follow_leader(now);
         self.follow_holder();
         let has_leader = self.node.has_committed_leader();
@@ -422,6 +438,9 @@
             RaftAction::RoleChanged { role, term, leader } => {
                 self.on_role_changed(now, role, term, leader);
             }
+            RaftAction::LeaderLost { leader, term, cause } => {
+                self.on_leader_lost(leader, term, cause);
+            }
         }
     }
 
--- a/src/fleet/control/core/status.rs
+++ b/src/fleet/control/core/status.rs
@@ -22,6 +22,7 @@
             suspects: self.quarantine.ledger().suspects().count(),
             quarantined: self.state.quarantine().len(),
             evacuated_zones: self.state.evacuated().len(),
+            leader_losses: self.leader_losses,
             quarantine_counts: self.quarantine.counts(),
             quota_counts: self.quota_counts(),
         }
--- a/src/fleet/control/followers.rs
+++ b/src/fleet/control/followers.rs
@@ -1,15 +1,17 @@
 //! Server side of links: streams the replicated state to entries and receives messages from other
 //! members.
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::Receiver;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use super::core::SharedCore;
 use super::core::quota::EntryLinkNumber;
+use super::leader_watch::{LeaderProbe, ProbeOutcome, ProbeStep};
 use crate::fleet::crash::controller::ReportBatch;
 use crate::fleet::link::{
     self, FollowMode, LinkError, LinkFrame, LinkMessage, LinkReader, LinkWriter,
@@ -30,6 +32,9 @@
 /// Timeout for the first message on an accepted connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time for a connection to a leader whose link was closed; a round trip between zones takes 1 ms.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Accepts links until the process exits.
 pub async fn serve(listener: TcpListener, core: SharedCore) {
     let serve = |stream| {
@@ -43,10 +48,13 @@
     let Ok(Ok(hello)) = timeout(HELLO_TIMEOUT, reader.receive()).await else { return };
     match hello {
         LinkMessage::Member { name } => {
-            if let Ok(address) = name.parse() {
-                core.borrow().wake_link(address);
-            }
+            let Ok(address) = name.parse() else { return };
+            core.borrow_mut().on_member_link(address);
             let _ = serve_member(writer, reader, &core, &name).await;
+            let probe = core.borrow_mut().on_member_link_closed(address);
+            if let Some(probe) = probe {
+                probe_leader(&core, probe).await;
+            }
         }
         LinkMessage::Follow { name, revision, mode } => {
             core.borrow_mut().add_entry();
@@ -76,6 +84,20 @@
     }
 }
 
+/// Connects to a leader whose link was closed until it is known whether its process has ended.
+async fn probe_leader(core: &SharedCore, mut probe: LeaderProbe) {
+    loop {
+        let connecting = timeout(PROBE_TIMEOUT, TcpStream::connect(probe.leader.address)).await;
+        let outcome = match connecting {
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
+            _ => ProbeOutcome::Open,
+        };
+        let step = core.borrow_mut().on_probe_outcome(Instant::now(), &mut probe, outcome);
+        let ProbeStep::Again { after } = step else { return };
+        sleep(after).await;
+    }
+}
+
 /// Link to an entry.
 struct EntryLink<'a> {
     writer: LinkWriter,
--- a/src/fleet/control/metrics.rs
+++ b/src/fleet/control/metrics.rs
@@ -5,6 +5,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use super::core::failover::LeaderLossCounts;
 use crate::fleet::crash::controller::QuarantineCounts;
 use crate::fleet::document::DocumentVersion;
 use crate::fleet::process_metrics::{self, PROCESS_METRICS};
@@ -28,6 +29,7 @@
     pub suspects: usize,
     pub quarantined: usize,
     pub evacuated_zones: usize,
+    pub leader_losses: LeaderLossCounts,
     pub quarantine_counts: QuarantineCounts,
     pub quota_counts: HolderCounts,
 }
@@ -61,12 +63,16 @@
             registry.register(name, help, gauge);
         }
         let counts = &self.quarantine_counts;
+        let losses = &self.leader_losses;
         let counters = [
             ("crash_reports", "Crash reports received", counts.crash_reports),
             ("served_reports", "Reports received that a suspect was served", counts.served_reports),
             ("quarantine_convictions", "Requests put into quarantine", counts.convictions),
             ("quarantine_refusals", "Convictions refused by a full quarantine", counts.refusals),
             ("quarantine_releases", "Requests released from quarantine", counts.releases),
+            ("leaders_silent", "Leaders lost because nothing was heard", losses.silent),
+            ("leaders_ended", "Leaders lost because their process had ended", losses.ended),
+            ("leaders_resigned", "Leaders lost because they asked for votes", losses.resigned),
         ];
         for (name, help, value) in counters {
             let counter: Counter = Counter::default();
--- a/src/fleet/control/mod.rs
+++ b/src/fleet/control/mod.rs
@@ -6,6 +6,7 @@
 pub mod disk;
 mod followers;
 mod heard;
+pub mod leader_watch;
 mod metrics;
 mod operator;
 pub mod peer_retry;
@@ -270,11 +271,16 @@
 }
 
 async fn run_timers(core: SharedCore) {
+    let wake = core.borrow().tick_wake();
     loop {
         core.borrow_mut().tick(Instant::now());
-        let next = core.borrow().next_tick(Instant::now());
-        sleep_until(next.into()).await;
-        PROCESS_METRICS.record_timer_delay(next, Instant::now());
+        let next = core.borrow_mut().schedule_tick(Instant::now());
+        tokio::select! {
+            () = sleep_until(next.into()) => {
+                PROCESS_METRICS.record_timer_delay(next, Instant::now());
+            }
+            () = wake.notified() => {}
+        }
     }
 }
 
--- a/tests/consensus/harness.rs
+++ b/tests/consensus/harness.rs
@@ -275,7 +275,9 @@
                 let first = *self.leader_by_term.entry(term).or_insert(id);
                 assert_eq!(first, id, "two leaders in term {term}");
             }
-            RaftAction::Refused { .. } | RaftAction::RoleChanged { .. } => {}
+            RaftAction::Refused { .. }
+            | RaftAction::RoleChanged { .. }
+            | RaftAction::LeaderLost { .. } => {}
         }
     }
 
--- a/tests/consensus/main.rs
+++ b/tests/consensus/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the Raft consensus and cluster formation state machines.
 
 mod behaviour;
+mod failover;
 mod faults;
 mod fleet_members;
 mod fleet_schedule;
