Add a command that explains where a request would go

Operators asked where a given request would go now, and why, without sending it. Logs tell it only afterwards, and only of requests that came.

`curranthollow explain` asks one entry over its metrics address. The entry runs the decisions of the request path in their order on copies of their state: route, key, stop, quota, room, zone, order of the servers. The probability of admission and the reasons of refusals moved into the room's own code, so that request and explanation share them.

Ruled out: a dry run on the traffic port (callers could use it), an answer by control (it knows no measurements), and probes (they take slots).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -45,6 +45,8 @@
         /// Operator address of the process.
         address: SocketAddr,
     },
+    /// Explain where an entry of fleet mode would send a request now, and why, without sending it.
+    Explain(ExplainArguments),
 }
 
 /// Arguments of the commands that run a daemon.
@@ -79,6 +81,29 @@
     pub timeout: Duration,
 }
 
+/// Arguments of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArguments {
+    /// Metrics address of the entry.
+    pub address: SocketAddr,
+    /// Host of the request.
+    pub host: Box<str>,
+    /// Path of the request.
+    pub path: Box<str>,
+    /// Tenant of the caller. Keys are never asked for.
+    #[arg(long)]
+    pub tenant: Option<Box<str>>,
+    /// Time that the caller waits, for example `2s`.
+    #[arg(long, value_parser = parse_duration_argument)]
+    pub timeout: Option<Duration>,
+    /// Size of the request's body in bytes.
+    #[arg(long, default_value_t = 0)]
+    pub body_bytes: u64,
+    /// Print JSON instead of text.
+    #[arg(long)]
+    pub json: bool,
+}
+
 /// Arguments of `status`.
 #[derive(Debug, Args)]
 pub struct StatusArguments {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -15,11 +15,15 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::check::check_file;
-use crate::cli::{CliCommand, ControlArguments, SettingsCommand, StatusArguments, TokenArguments};
+use crate::cli::{
+    CliCommand, ControlArguments, ExplainArguments, SettingsCommand, StatusArguments,
+    TokenArguments,
+};
 use crate::config::{ConfigError, LogLevel, ProcessConfig, ProcessRole};
 use crate::control::{ControlListeners, ControlProcess};
 use crate::demo::DemoSystem;
 use crate::entry::{EntryListeners, EntryProcess};
+use crate::fleet::explain::{EXPLAIN_PATH, ExplainQuery, SendExplanation};
 use crate::fleet::{self, native::NativeDialect};
 use crate::generated::operator::{ChangeReply, ChangeRequest, ChangeVerb, OutcomeName};
 use crate::http::{HeaderList, send_request};
@@ -56,6 +60,7 @@
         CliCommand::Settings(command) => task::block_on(run_settings(command)),
         CliCommand::Status(arguments) => task::block_on(run_status(arguments)),
         CliCommand::Dump { address } => task::block_on(run_dump(address)),
+        CliCommand::Explain(arguments) => task::block_on(run_explain(arguments)),
     }
 }
 
@@ -374,6 +379,32 @@
     Ok(ExitCode::SUCCESS)
 }
 
+async fn run_explain(arguments: ExplainArguments) -> Result<ExitCode> {
+    let query = ExplainQuery {
+        host: arguments.host,
+        path: arguments.path,
+        tenant: arguments.tenant,
+        timeout_ms: arguments.timeout.map(|timeout| timeout.as_millis() as u64),
+        body_bytes: arguments.body_bytes,
+    };
+    let body = serde_json::to_vec(&query)?;
+    let headers = HeaderList::new();
+    let response =
+        send_request(arguments.address, "POST", EXPLAIN_PATH, headers, &body, DUMP_TIMEOUT).await?;
+    if response.head.status != 200 {
+        let message = String::from_utf8_lossy(&response.body).into();
+        return Err(OperatorError::Refused { status: response.head.status, message }.into());
+    }
+    let explanation: SendExplanation =
+        serde_json::from_slice(&response.body).context("the answer is no explanation")?;
+    if arguments.json {
+        println!("{}", serde_json::to_string_pretty(&explanation)?);
+    } else {
+        print!("{explanation}");
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn run_dump(address: SocketAddr) -> Result<ExitCode> {
     let response =
         send_request(address, "GET", "/dump", HeaderList::new(), &[], DUMP_TIMEOUT).await?;
--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -2,6 +2,7 @@
 
 mod cost;
 mod evacuation;
+mod explain;
 mod introduction;
 pub mod metrics;
 mod stated;
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -30,7 +30,7 @@
 use crate::ids::{ServerId, ServiceName};
 
 /// A load report younger than this makes a probe unnecessary.
-const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(25);
+pub(super) const LOAD_REPORT_LIFETIME: Duration = Duration::from_millis(25);
 
 /// Number of full servers in the first pass after which the service counts as crowded.
 const MAX_FULL_FIRST_PASS: usize = 3;
--- a/src/fleet/entry/mod.rs
+++ b/src/fleet/entry/mod.rs
@@ -10,6 +10,7 @@
 mod crash_gate;
 pub mod crash_outbox;
 mod crash_watch;
+mod explain;
 mod follow;
 pub mod local_quarantine;
 mod local_response;
@@ -44,6 +45,7 @@
 use self::follow::FleetFollower;
 use super::config::{EntryConfig, FleetConfig};
 use super::dialect::WireDialect;
+use super::explain::{ExplainQuery, QueryError, SendExplanation};
 use super::listener::{ListenError, accept_each, listen};
 use super::stream::HttpStream;
 use crate::http::{HttpLimits, RequestHead};
@@ -111,6 +113,15 @@
         self.follower.set_seeds(seeds);
     }
 
+    /// Explains what would become of a request that arrives now.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the document in force has no tenant of the given name.
+    pub fn explain(&self, query: &ExplainQuery) -> Result<SendExplanation, QueryError> {
+        self.context.explain(query)
+    }
+
     /// Returns the metrics in the OpenMetrics text format.
     pub fn metrics(&self) -> String {
         let metrics = &self.context.metrics;
--- a/src/fleet/entry/quota_gate.rs
+++ b/src/fleet/entry/quota_gate.rs
@@ -105,6 +105,11 @@
         })
     }
 
+    /// What was lent, as it is now.
+    pub(super) fn purse_copy(&self) -> QuotaPurse {
+        self.purse.borrow().clone()
+    }
+
     /// Takes a token for a request; the error is the response if there is none.
     pub async fn admit(
         self: &Rc<Self>,
--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -62,20 +62,14 @@
         let decision = self
             .with_room(&request.service, |room| room.decide(now, claim, time, mean, size, random));
         let RoomDecision::Refused(cause) = decision else { return None };
-        let (counter, reason) = match cause {
-            RefusalCause::Exhausted => {
-                (&self.metrics.room.exhausted_refusals, "no server has had room")
-            }
-            RefusalCause::Standing => {
-                (&self.metrics.room.standing_refusals, "room is short, others go first")
-            }
-            RefusalCause::TooLate => {
-                (&self.metrics.room.late_refusals, "room is short, and too little time is left")
-            }
+        let counter = match cause {
+            RefusalCause::Exhausted => &self.metrics.room.exhausted_refusals,
+            RefusalCause::Standing => &self.metrics.room.standing_refusals,
+            RefusalCause::TooLate => &self.metrics.room.late_refusals,
         };
         counter.inc();
         let delay = self.return_delay(now, request, received_at);
-        Some(LocalResponse::not_run(reason, delay, time.left))
+        Some(LocalResponse::not_run(cause.reason(), delay, time.left))
     }
 
     /// Time after which the caller of a request without a server comes back.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub mod document;
 pub mod entry;
 pub mod event_log;
+pub mod explain;
 pub mod file;
 pub mod follow_plan;
 pub mod link;
--- a/src/fleet/process.rs
+++ b/src/fleet/process.rs
@@ -16,9 +16,10 @@
 use super::dialect::WireDialect;
 use super::entry::EntryProcess;
 use super::event_log;
+use super::explain::{EXPLAIN_PATH, ExplainQuery, MAX_QUERY_BYTES, QueryError};
 use super::listener::{ListenError, accept_each};
 use super::stream::HttpStream;
-use crate::http::HttpLimits;
+use crate::http::{BodyDecoder, HttpLimits};
 use crate::{log_info, log_warn};
 
 /// Interval at which the config is reloaded, because it may change without a signal.
@@ -170,19 +171,60 @@
     let mut stream = HttpStream::new(stream);
     let limits = HttpLimits::default();
     let read = timeout(limits.head_timeout, stream.read_request(&limits)).await;
-    if !matches!(read, Ok(Ok(Some(_)))) {
-        return;
+    let Ok(Ok(Some(head))) = read else { return };
+    let page = if head.path() == EXPLAIN_PATH {
+        let mut body = Vec::new();
+        let mut decoder = BodyDecoder::new(head.framing);
+        let read = stream.read_body(&mut decoder, &mut body, MAX_QUERY_BYTES);
+        // A body that is too long or does not arrive is no query.
+        let is_complete = matches!(timeout(limits.head_timeout, read).await, Ok(Ok(true)));
+        explain_page(role, if is_complete { &body } else { &[] })
+    } else {
+        metrics_page(role)
+    };
+    let head = format!(
+        "HTTP/1.1 {}\r\ncontent-type: {}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        page.status,
+        page.content_type,
+        page.text.len()
+    );
+    if stream.write((head + &page.text).as_bytes()).await.is_ok() {
+        stream.close().await;
     }
+}
+
+/// Page of the metrics address.
+struct MetricsPage {
+    status: &'static str,
+    content_type: &'static str,
+    text: String,
+}
+
+fn metrics_page(role: &RunningRole) -> MetricsPage {
     let text = match role {
         RunningRole::Entry(entry) => entry.metrics(),
         RunningRole::Control(control) => control.metrics(),
     };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: application/openmetrics-text\r\n\
-         content-length: {}\r\nconnection: close\r\n\r\n",
-        text.len()
-    );
-    if stream.write((head + &text).as_bytes()).await.is_ok() {
-        stream.close().await;
+    MetricsPage { status: "200 OK", content_type: "application/openmetrics-text", text }
+}
+
+/// Answers a query about a request; only entries decide where one goes.
+fn explain_page(role: &RunningRole, body: &[u8]) -> MetricsPage {
+    let error = |status, message: String| {
+        let text = serde_json::json!({ "error": message }).to_string();
+        MetricsPage { status, content_type: "application/json", text }
+    };
+    let RunningRole::Entry(entry) = role else {
+        return error("404 Not Found", "only an entry explains where a request goes".to_owned());
+    };
+    let explained = ExplainQuery::parse(body).and_then(|query| entry.explain(&query));
+    match explained {
+        Ok(explanation) => MetricsPage {
+            status: "200 OK",
+            content_type: "application/json",
+            text: serde_json::to_string(&explanation).expect("writing to memory does not fail"),
+        },
+        Err(cause @ QueryError::Invalid(_)) => error("400 Bad Request", cause.to_string()),
+        Err(cause @ QueryError::UnknownTenant(_)) => error("404 Not Found", cause.to_string()),
     }
 }
--- a/src/fleet/quota/purse.rs
+++ b/src/fleet/quota/purse.rs
@@ -48,7 +48,7 @@
 }
 
 /// What an entry was lent.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct QuotaPurse {
     entry: EntryIncarnation,
     tenants: BTreeMap<TenantName, TenantPurse>,
--- a/src/fleet/quota/tenant_purse.rs
+++ b/src/fleet/quota/tenant_purse.rs
@@ -14,7 +14,7 @@
 const MIN_TOKEN_RATE: f64 = 0.05;
 
 /// What an entry was lent for one tenant.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct TenantPurse {
     /// Standing rate of the lease in tokens per second; it ends at `ends_at`.
     pub rate: f64,
--- a/src/fleet/room/arrivals.rs
+++ b/src/fleet/room/arrivals.rs
@@ -96,7 +96,7 @@
 }
 
 /// Arrivals at one service, as one entry sees them.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ArrivalShares {
     /// Time of the first arrival, and the counts of all.
     total: Option<(Instant, ArrivalCounts)>,
--- a/src/fleet/room/finds.rs
+++ b/src/fleet/room/finds.rs
@@ -24,7 +24,7 @@
 const ENOUGH_RATIO: usize = 4;
 
 /// Results of the latest looks.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct FindWindow {
     /// Oldest first.
     finds: VecDeque<(Instant, bool)>,
--- a/src/fleet/room/pressure.rs
+++ b/src/fleet/room/pressure.rs
@@ -31,7 +31,7 @@
 const MAX_STEP: Duration = Duration::from_millis(200);
 
 /// Part of the requests of the lowest standing that is turned away, from 0 to 1.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct AdmissionPressure {
     pressure: f64,
     admitted: f64,
--- a/src/fleet/room/service.rs
+++ b/src/fleet/room/service.rs
@@ -75,6 +75,17 @@
     TooLate,
 }
 
+impl RefusalCause {
+    /// Reason for the caller and for logs.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Self::Exhausted => "no server has had room",
+            Self::Standing => "room is short, others go first",
+            Self::TooLate => "room is short, and too little time is left",
+        }
+    }
+}
+
 /// What happens to a request that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RoomDecision {
@@ -90,7 +101,7 @@
 }
 
 /// What an entry knows of the room at one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct ServiceRoom {
     finds: FindWindow,
     pressure: AdmissionPressure,
@@ -115,8 +126,7 @@
         random: f64,
     ) -> RoomDecision {
         self.arrivals.record(now, claim);
-        let pressure = self.pressure.get(now);
-        if pressure > 0.0 && random > 1.0 - pressure * (1.0 - self.arrivals.standing(now, claim)) {
+        if random > self.admission(now, claim) {
             return RoomDecision::Refused(RefusalCause::Standing);
         }
         if !self.finds.is_short() {
@@ -132,6 +142,25 @@
         RoomDecision::Allowed
     }
 
+    /// Probability with which a request is admitted, as far as its standing decides.
+    pub fn admission(&self, now: Instant, claim: RequestClaim<'_>) -> f64 {
+        let pressure = self.pressure.get(now);
+        if pressure <= 0.0 {
+            return 1.0;
+        }
+        1.0 - pressure * (1.0 - self.arrivals.standing(now, claim))
+    }
+
+    /// Standing of a request among those that arrive; 1 for one that others do not go before.
+    pub fn standing(&self, now: Instant, claim: RequestClaim<'_>) -> f64 {
+        self.arrivals.standing(now, claim)
+    }
+
+    /// Part of the requests of the lowest standing that is turned away.
+    pub fn pressure(&self, now: Instant) -> f64 {
+        self.pressure.get(now)
+    }
+
     /// Whether one more request may look for room while it is short.
     fn may_look(&mut self, now: Instant, size: ServiceSize) -> bool {
         if self.probes_in_flight >= MAX_SHORT_PROBES_IN_FLIGHT {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod entry_ledger;
 mod evacuation;
+mod explain;
 mod freshness;
 mod harness;
 mod held_bytes;
