--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -19,6 +19,7 @@
 mod entry;
 mod entry_ledger;
 mod evacuation;
+mod explain;
 mod failover;
 mod freshness;
 mod harness;
