Update whether a server is of the own zone with its announcement

An announcement of the same incarnation may name another zone. The balancer took over the zone's name, but not whether it is the entry's own, so the server kept its former place in the ranking and its price. The new test fails before: s1 is still chosen after it has moved to another zone.

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -187,7 +187,7 @@
             let mut stats = known.unwrap_or_else(|| ServerStats {
                 address: announcement.address,
                 slots: announcement.slots,
-                same_zone: *announcement.availability_zone == *zone,
+                same_zone: false,
                 availability_zone: announcement.availability_zone.clone(),
                 is_evacuated: false,
                 state: announcement.state,
@@ -207,6 +207,7 @@
             stats.state = announcement.state;
             stats.silent = view.silent;
             stats.warmup.update_announced(now, announcement.warmup);
+            stats.same_zone = *announcement.availability_zone == *zone;
             stats.availability_zone.clone_from(&announcement.availability_zone);
             stats.is_evacuated = self.evacuated_zones.contains(&stats.availability_zone);
             if is_new {
--- a/tests/fleet/balance.rs
+++ b/tests/fleet/balance.rs
@@ -128,6 +128,22 @@
     assert_eq!(chosen_server(&balancer, now).as_deref(), Some("far"));
 }
 
+/// Guards against a server that counts as one of its former zone after it has announced another one.
+#[test]
+fn a_server_that_names_another_zone_belongs_to_it() {
+    let now = Instant::now();
+    let mut views = BTreeMap::from([
+        ("s1".into(), server_view("a", ServerState::Ready, 1)),
+        ("s2".into(), server_view("b", ServerState::Ready, 1)),
+    ]);
+    let mut balancer = new_balancer(now, &views);
+    assert_eq!(chosen_server(&balancer, now).as_deref(), Some("s1"));
+    views.insert("s1".into(), server_view("b", ServerState::Ready, 1));
+    views.insert("s2".into(), server_view("a", ServerState::Ready, 1));
+    balancer.update_servers(now, "e", "a", 1, views.iter());
+    assert_eq!(chosen_server(&balancer, now).as_deref(), Some("s2"));
+}
+
 /// Guards against statistics of an earlier incarnation: a restarted server starts afresh.
 #[test]
 fn a_new_incarnation_starts_without_statistics() {
