Take the header of a caller's key from the dialect for digests

The digest of a request replaced the caller's credentials under the fixed name authorization. Under a dialect with keys in another header it overwrote a header that is none of the credentials. Digests of both existing dialects are unchanged: their header is authorization.

The new test fails with the fixed names put back (two requests with different authorization headers share a digest). The calls in existing tests and the example pass the header's name; nothing else is changed in them.

--- a/examples/digest_cost.rs
+++ b/examples/digest_cost.rs
@@ -61,7 +61,7 @@
     runtime.expect("a runtime can be built").block_on(async {
         tokio::select! {
             biased;
-            digest = request_digest_in_pieces(head, black_box(body)) => black_box(digest),
+            digest = request_digest_in_pieces("authorization", head, black_box(body)) => black_box(digest),
             () = other_task => unreachable!("the other task does not end"),
         }
     });
@@ -77,7 +77,7 @@
     let started = Instant::now();
     let mut digest_count = 0_u32;
     while started.elapsed() < RUN_TIME {
-        black_box(request_digest(head, black_box(body)));
+        black_box(request_digest("authorization", head, black_box(body)));
         digest_count += 1;
     }
     started.elapsed().as_secs_f64() * 1e6 / f64::from(digest_count)
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -29,6 +29,8 @@
     head: Vec<u8>,
     /// Head for the digest.
     caller_head: RequestHead,
+    /// Header in which the dialect carries a caller's key.
+    credential_header: &'static str,
     body: HeldBody,
     digest: OnceCell<RequestDigest>,
     /// Whether this is the only attempt that is allowed after a hold.
@@ -91,6 +93,7 @@
             method: caller_head.method.clone(),
             head,
             caller_head,
+            credential_header: header_names.authorization,
             body,
             digest: OnceCell::new(),
             is_trial: Cell::new(false),
@@ -109,10 +112,10 @@
     }
 
     /// Sets the caller's identity, whose headers the request no longer contains.
-    pub fn with_identity(mut self, identity: CallerIdentity) -> Self {
+    pub fn with_identity(mut self, context: &EntryContext, identity: CallerIdentity) -> Self {
         let tenant = identity.tenant().cloned();
         // The head for servers is encoded already; the rest is for the digest.
-        identity.replace_credentials(&mut self.caller_head.headers);
+        identity.replace_credentials(&*context.dialect, &mut self.caller_head.headers);
         let tenant_priority = tenant.as_ref().and_then(|tenant| tenant.rule.priority);
         let priority = tenant_priority.unwrap_or(self.priority);
         Self { identity, tenant, priority, ..self }
@@ -124,7 +127,7 @@
         if let Some(digest) = self.digest.get() {
             return *digest;
         }
-        let digest = request_digest(&self.caller_head, &self.body.bytes);
+        let digest = request_digest(self.credential_header, &self.caller_head, &self.body.bytes);
         // Fails only while the same digest is being prepared.
         let _ = self.digest.set(digest);
         digest
@@ -133,7 +136,13 @@
     /// Computes the digest of a request with a long body without holding up other tasks.
     pub async fn prepare_digest(&self) {
         if self.body.bytes.len() > DIGEST_PIECE_BYTES {
-            let compute = || request_digest_in_pieces(&self.caller_head, &self.body.bytes);
+            let compute = || {
+                request_digest_in_pieces(
+                    self.credential_header,
+                    &self.caller_head,
+                    &self.body.bytes,
+                )
+            };
             self.digest.get_or_init(compute).await;
         }
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -208,7 +208,7 @@
         Rc::clone(&rule),
         deadline,
     )
-    .with_identity(identity);
+    .with_identity(context, identity);
     Ok(RequestDriver {
         context: Rc::clone(context),
         request: Rc::new(request),
--- a/src/fleet/tenant/identity.rs
+++ b/src/fleet/tenant/identity.rs
@@ -69,10 +69,10 @@
     /// Puts the tenant's name in place of the caller's credentials, for the digest of the request. It is logged
     /// and told to others, so a weak key could be guessed from a digest that depends on it; and a request
     /// that crashes servers is the same one under each key of a tenant.
-    pub fn replace_credentials(&self, headers: &mut HeaderList) {
+    pub fn replace_credentials(&self, dialect: &dyn WireDialect, headers: &mut HeaderList) {
         if let Some(tenant) = &self.tenant {
             // Cannot fail: names of tenants are printable.
-            let _ = headers.set("authorization", tenant.name.as_bytes());
+            let _ = headers.set(dialect.headers().authorization, tenant.name.as_bytes());
         }
     }
 
--- a/tests/fleet/crash_ledger.rs
+++ b/tests/fleet/crash_ledger.rs
@@ -157,7 +157,7 @@
 }
 
 fn digest_of(head: &str, body: &str) -> RequestDigest {
-    request_digest(&parse_head(head), body.as_bytes())
+    request_digest("authorization", &parse_head(head), body.as_bytes())
 }
 
 /// Guards against an entry whose only thread hashes a long body while all other requests wait.
@@ -177,11 +177,11 @@
     let digest = runtime.expect("a runtime can be built").block_on(async {
         tokio::select! {
             biased;
-            digest = request_digest_in_pieces(&head, &body) => digest,
+            digest = request_digest_in_pieces("authorization", &head, &body) => digest,
             () = other_task => unreachable!("the other task does not end"),
         }
     });
-    assert_eq!(digest, request_digest(&head, &body));
+    assert_eq!(digest, request_digest("authorization", &head, &body));
     assert_eq!(turns, PIECES - 1);
 }
 
--- a/tests/fleet/tenant_keys.rs
+++ b/tests/fleet/tenant_keys.rs
@@ -2,9 +2,10 @@
 
 use std::rc::Rc;
 
+use curranthollow::fleet::announcement::{AnnouncementError, IncarnationStart, ServerAnnouncement};
 use curranthollow::fleet::crash::request_digest;
-use curranthollow::fleet::dialect::WireDialect;
-use curranthollow::fleet::document::RouteDocument;
+use curranthollow::fleet::dialect::{CallPaths, HeaderNames, WireDialect};
+use curranthollow::fleet::document::{DocumentError, RouteDocument};
 use curranthollow::fleet::native::NativeDialect;
 use curranthollow::fleet::state::{FleetCommand, FleetState};
 use curranthollow::fleet::tenant::{
@@ -124,10 +125,10 @@
             format!("GET /read/1 HTTP/1.1\r\nhost: shop\r\nauthorization: Bearer {key}\r\n\r\n");
         let parsed = RequestHead::parse(text.as_bytes(), &HttpLimits::default());
         let (mut head, _) = parsed.expect("the head is valid").expect("the head is complete");
-        let plain = request_digest(&head, b"");
+        let plain = request_digest("authorization", &head, b"");
         let identity = check(&table(holders), key, false).expect("the key is in force");
-        identity.replace_credentials(&mut head.headers);
-        (plain, request_digest(&head, b""))
+        identity.replace_credentials(&NativeDialect, &mut head.headers);
+        (plain, request_digest("authorization", &head, b""))
     };
     let holders: Holders = &[("a", &["k1", "k2"]), ("b", &["k3"])];
     let digests = ["k1", "k2", "k3"].map(|key| digest(holders, key));
@@ -138,6 +139,62 @@
     assert_eq!(plain, kept);
 }
 
+/// [`NativeDialect`] with keys in a header of their own.
+struct KeyHeaderDialect(HeaderNames);
+
+impl WireDialect for KeyHeaderDialect {
+    fn headers(&self) -> &HeaderNames {
+        &self.0
+    }
+
+    fn paths(&self) -> &CallPaths {
+        NativeDialect.paths()
+    }
+
+    fn key_scheme(&self) -> &'static str {
+        NativeDialect.key_scheme()
+    }
+
+    fn parse_document(&self, body: &[u8]) -> Result<RouteDocument, DocumentError> {
+        NativeDialect.parse_document(body)
+    }
+
+    fn parse_announcement(&self, body: &[u8]) -> Result<ServerAnnouncement, AnnouncementError> {
+        NativeDialect.parse_announcement(body)
+    }
+
+    fn parse_leave(&self, body: &[u8]) -> Option<IncarnationStart> {
+        NativeDialect.parse_leave(body)
+    }
+
+    fn error_body(&self, message: &str) -> Vec<u8> {
+        NativeDialect.error_body(message)
+    }
+}
+
+/// Guards against a dialect with keys in another header, under which the digest shows the key, is the same for
+/// two tenants, or loses a header that is none of the credentials.
+#[test]
+fn digests_follow_the_header_of_the_dialect() {
+    let names = HeaderNames { authorization: "x-key", ..*NativeDialect.headers() };
+    let dialect = KeyHeaderDialect(names);
+    let table = table(&[("a", &["k1", "k2"]), ("b", &["k3"])]);
+    let digest = |key: &str, other: &str| {
+        let text = format!(
+            "GET / HTTP/1.1\r\nhost: shop\r\nauthorization: {other}\r\nx-key: Bearer {key}\r\n\r\n"
+        );
+        let parsed = RequestHead::parse(text.as_bytes(), &HttpLimits::default());
+        let (mut head, _) = parsed.expect("the head is valid").expect("the head is complete");
+        let identity = CallerIdentity::check(&table, &dialect, &head.headers, false);
+        let identity = identity.expect("the key is in force");
+        identity.replace_credentials(&dialect, &mut head.headers);
+        request_digest("x-key", &head, b"")
+    };
+    assert_eq!(digest("k1", "x"), digest("k2", "x"));
+    assert_ne!(digest("k1", "x"), digest("k3", "x"));
+    assert_ne!(digest("k1", "x"), digest("k1", "y"));
+}
+
 /// Guards against a document whose keys lead to two tenants, or that no caller could use, and against errors
 /// and debug output that show a key.
 #[test]
