Count the bytes of a request once for the zone plan

update_zones is called for each server at which a request looks, and recorded the expected bytes each time: a request that looked at several servers weighed as much as several. The driver of a request records them once now, before its first choice; the terms of a caller no longer contain them.

--- a/src/fleet/balance/zones.rs
+++ b/src/fleet/balance/zones.rs
@@ -15,10 +15,13 @@
         self.zone_plan.set_prices(prices);
     }
 
-    /// Updates the decision if it is due, before a choice for a request with these terms; returns it if it
-    /// changed.
-    pub fn update_zones(&mut self, now: Instant, terms: &CallerTerms) -> Option<ZoneChange> {
-        self.zone_plan.record_request(terms);
+    /// Records a request before its first choice, with the expected size of request and response.
+    pub fn record_request(&mut self, bytes: u64) {
+        self.zone_plan.record_request(bytes);
+    }
+
+    /// Updates the decision if it is due, before a choice; returns it if it changed.
+    pub fn update_zones(&mut self, now: Instant) -> Option<ZoneChange> {
         if !self.zone_plan.is_due(now) {
             return None;
         }
--- a/src/fleet/entry/context.rs
+++ b/src/fleet/entry/context.rs
@@ -297,7 +297,7 @@
         let now = Instant::now();
         let connected = self.connections.idle_servers(now);
         let (chosen, change) = self.with_balancer(service, |balancer| {
-            let change = balancer.update_zones(now, terms);
+            let change = balancer.update_zones(now);
             (balancer.choose_for(now, tried, &connected, terms, random), change)
         });
         if let Some(change) = change {
--- a/src/fleet/entry/measure.rs
+++ b/src/fleet/entry/measure.rs
@@ -110,7 +110,7 @@
     crowded_policy: CrowdedPolicy,
 ) -> Result<ChosenServer, ProbeCounts> {
     let service = &request.service;
-    let terms = request.caller_terms(context, !tried.is_empty());
+    let terms = request.caller_terms(!tried.is_empty());
     let target = (service, terms);
     let mut counts = ProbeCounts::default();
     let mut excluded = tried.to_vec();
--- a/src/fleet/entry/outgoing.rs
+++ b/src/fleet/entry/outgoing.rs
@@ -148,10 +148,14 @@
     }
 
     /// What the caller needs of the choice of a server.
-    pub fn caller_terms(&self, context: &EntryContext, is_repeated: bool) -> CallerTerms {
+    pub fn caller_terms(&self, is_repeated: bool) -> CallerTerms {
+        CallerTerms { target_at: Some(self.target_at), is_repeated }
+    }
+
+    /// Expected size of request and response.
+    pub fn expected_bytes(&self, context: &EntryContext) -> u64 {
         let response_bytes = context.relay_times.borrow().known_bytes(&self.rule);
-        let bytes = response_bytes + self.body.bytes.len() as u64;
-        CallerTerms { target_at: Some(self.target_at), bytes, is_repeated }
+        response_bytes + self.body.bytes.len() as u64
     }
 
     /// Time left, less the time for which the machine was suspended.
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -236,6 +236,8 @@
         if let Some(response) = self.context.refuse_suspect(&self.request, self.may_have_run) {
             return CallerResponse::Local(response);
         }
+        let bytes = self.request.expected_bytes(&self.context);
+        self.context.with_balancer(&service, |balancer| balancer.record_request(bytes));
         self.start_send(CrowdedPolicy::ProbeAgain, None);
         self.hedges = self.hedge_plan(now);
         let context = Rc::clone(&self.context);
--- a/src/fleet/zone_balance/plan.rs
+++ b/src/fleet/zone_balance/plan.rs
@@ -194,8 +194,10 @@
         }
     }
 
-    pub fn record_request(&mut self, terms: &CallerTerms) {
-        self.bytes.record(terms.bytes);
+    /// Records the expected size of a request and its response. Once for each request, however many servers
+    /// are looked at for it.
+    pub fn record_request(&mut self, bytes: u64) {
+        self.bytes.record(bytes);
     }
 
     /// Whether an update is due.
--- a/src/fleet/zone_balance/terms.rs
+++ b/src/fleet/zone_balance/terms.rs
@@ -21,8 +21,6 @@
 pub struct CallerTerms {
     /// Time until which the response is worth most; unknown in a choice without a caller.
     pub target_at: Option<Instant>,
-    /// Expected size of request and response.
-    pub bytes: u64,
     /// Whether an earlier send of the request failed or is unanswered.
     pub is_repeated: bool,
 }
--- a/tests/fleet/zone_balance.rs
+++ b/tests/fleet/zone_balance.rs
@@ -181,7 +181,7 @@
     let (now, plan) = (fleet.now, &fleet.entries[0].2);
     let mut left = |target_ms, is_repeated, has_tried| {
         let target_at = Some(now + Duration::from_millis(target_ms));
-        let terms = CallerTerms { target_at, is_repeated, ..CallerTerms::default() };
+        let terms = CallerTerms { target_at, is_repeated };
         let random = &mut fleet.random;
         (0..1000).filter(|_| plan.choose_zone(now, &terms, has_tried, random).is_some()).count()
     };
@@ -219,7 +219,7 @@
             balancer.record_load(now, server, report);
             balancer.record_connect(server, Duration::from_millis(1));
         }
-        balancer.update_zones(now, &terms);
+        balancer.update_zones(now);
     }
     // Later, so that the load of single servers no longer decides.
     now += Duration::from_secs(3);
@@ -232,3 +232,31 @@
     assert!((part - share).abs() < 0.08, "{part} of the choices, share {share}");
     assert_eq!(share > 0.1, leaves);
 }
+
+/// Guards against a large request that keeps others at home because it counts once for each server at
+/// which it looks.
+#[test]
+fn a_request_counts_once_however_often_it_looks() {
+    let mut now = Instant::now();
+    let mut balancer = ServiceBalancer::default();
+    let views: ServerViews = [("a", "a1"), ("b", "b1")]
+        .map(|(zone, server)| (server.into(), server_view(zone, ServerState::Ready, 1)))
+        .into();
+    balancer.update_servers(now, "e", "a", 1, views.iter());
+    let mut run = |balancer: &mut ServiceBalancer| {
+        for _ in 0..40 {
+            now += STEP;
+            for (server, running) in [("a1", 5), ("b1", 1)] {
+                let report = ReportedLoad { running, waiting: 0, slots: 6, slowdown_percent: 100 };
+                balancer.record_load(now, &server.into(), report);
+                balancer.record_connect(&server.into(), Duration::from_millis(1));
+            }
+            balancer.update_zones(now);
+        }
+        balancer.leaving_share()
+    };
+    balancer.record_request(0);
+    assert!(run(&mut balancer) > 0.3);
+    balancer.record_request(2 << 20);
+    assert!(run(&mut balancer) > 0.3);
+}
