Convict suspects with crashes of their own first

An innocent request that ran beside two deadly ones in turn had more counted ends than each, and no single suspect had run on all of its servers.

A suspect whose ends are all shared with other suspects of three ends or more waits while one of these has ends of its own. With the fifth counted end somebody is convicted in any case, once the reports about it are complete: first those others, most own ends first. Weighed: an end that two suspects share explains nothing for the one with own ends. It leaves the wrong conviction, and would convict innocent requests that met one end of their own beside a deadly one. A comparison looks at all suspects, so it takes the eight rivals with most ends.

--- a/src/fleet/crash/ledger.rs
+++ b/src/fleet/crash/ledger.rs
@@ -1,5 +1,7 @@
 //! Evidence against requests: counts the crashes under each and decides on quarantine.
 
+mod rivals;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -52,6 +54,9 @@
 /// Maximum number of crashes that are remembered as explained; the oldest goes first.
 const MAX_EXPLAINED: usize = 256;
 
+/// Server and its start time.
+type Incarnation = (ServerId, IncarnationStart);
+
 /// What one report changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CrashFinding {
@@ -98,7 +103,7 @@
 /// Evidence against one request.
 #[derive(Debug, Clone)]
 pub struct SuspectRecord {
-    crashes: BTreeMap<(ServerId, IncarnationStart), CrashEvidence>,
+    crashes: BTreeMap<Incarnation, CrashEvidence>,
     /// Time of the last counted crash. It stays when a success clears the request.
     last_crash: Instant,
     /// Whether a success has cleared the request since the record began.
@@ -119,11 +124,18 @@
     }
 
     /// Whether the request ran on this incarnation when it crashed, and nothing else explains the crash.
-    fn is_open(&self, incarnation: &(ServerId, IncarnationStart)) -> bool {
+    fn is_open(&self, incarnation: &Incarnation) -> bool {
         let evidence = self.crashes.get(incarnation);
         evidence.is_some_and(|evidence| evidence.state == EvidenceState::Open)
     }
 
+    /// Incarnations on which the request ran when they crashed, if nothing else explains that.
+    fn open_incarnations(&self) -> impl Iterator<Item = &Incarnation> {
+        let open = self.crashes.iter();
+        let open = open.filter(|(_, evidence)| evidence.state == EvidenceState::Open);
+        open.map(|(incarnation, _)| incarnation)
+    }
+
     /// Whether the reports of others about all counted crashes have arrived.
     fn is_complete(&self, now: Instant) -> bool {
         self.crashes.values().all(|evidence| !evidence.counts || evidence.is_complete(now))
@@ -162,7 +174,7 @@
         }
     }
 
-    fn insert(&mut self, incarnation: (ServerId, IncarnationStart), evidence: CrashEvidence) {
+    fn insert(&mut self, incarnation: Incarnation, evidence: CrashEvidence) {
         if self.crashes.len() >= MAX_INCARNATIONS {
             let crashes = self.crashes.iter();
             let oldest = crashes.min_by_key(|(_, evidence)| (evidence.counts, evidence.crashed_at));
@@ -186,7 +198,7 @@
     /// Released requests, with the end of their probation.
     probations: BTreeMap<RequestDigest, Instant>,
     /// Incarnations that crashed under convicted requests: no evidence against others.
-    explained: VecDeque<(ServerId, IncarnationStart)>,
+    explained: VecDeque<Incarnation>,
     /// Whether all reports are about sends of this process, so that their times are exact.
     is_local: bool,
 }
@@ -266,12 +278,12 @@
     pub fn is_separated(&self, now: Instant, digest: RequestDigest) -> bool {
         let Some(record) = self.records.get(&digest) else { return false };
         let (limit, count) = (self.limit(now, digest, record), record.count());
-        let is_covered = self.is_covered(now, digest);
+        let is_explained = self.is_explained(now, digest);
         if count > limit + 1 {
-            return !is_covered || record.is_complete(now);
+            return !is_explained || record.is_complete(now);
         }
         let clear = self.clear_crashes(now, digest);
-        !is_covered && (clear >= limit || count > limit && clear + 1 >= limit)
+        !is_explained && (clear >= limit || count > limit && clear + 1 >= limit)
     }
 
     /// Whether the evidence convicts a request that no server has completed during its settling time.
@@ -280,7 +292,13 @@
         let limit = self.limit(now, digest, record);
         record.count() >= limit
             && self.clear_crashes(now, digest) + 1 >= limit
-            && !self.is_covered(now, digest)
+            && !self.is_explained(now, digest)
+    }
+
+    /// Whether the request has so many counted crashes that somebody is convicted in any case.
+    pub fn is_overdue(&self, now: Instant, digest: RequestDigest) -> bool {
+        let record = self.records.get(&digest);
+        record.is_some_and(|record| record.count() > self.limit(now, digest, record) + 1)
     }
 
     /// Whether another suspect ran on every server that counts against this one. It explains all of these
@@ -411,7 +429,7 @@
     }
 
     /// Incarnations that crashed under the request and count.
-    pub fn crashed_servers(&self, digest: RequestDigest) -> Vec<(ServerId, IncarnationStart)> {
+    pub fn crashed_servers(&self, digest: RequestDigest) -> Vec<Incarnation> {
         let Some(record) = self.records.get(&digest) else { return Vec::new() };
         record.incarnations().map(|(server, started)| (server.clone(), started)).collect()
     }
--- a/src/fleet/crash/settling.rs
+++ b/src/fleet/crash/settling.rs
@@ -75,6 +75,12 @@
         }
     }
 
+    /// Removes a suspect; returns the report that brought it here.
+    fn take_report(&mut self, digest: RequestDigest) -> Option<CrashReport> {
+        let settling = self.settling.remove(&digest).map(|suspect| suspect.report);
+        settling.or_else(|| self.waiting.remove(&digest))
+    }
+
     /// Time of the next decision.
     pub fn next_decision(&self) -> Option<Instant> {
         let times = self.settling.values().map(|suspect| suspect.complete_at.min(suspect.due_at));
@@ -108,6 +114,14 @@
             if is_due {
                 self.settling.remove(&digest);
             }
+            while is_complete
+                && ledger.is_overdue(now, digest)
+                && let Some(stronger) = ledger.stronger_suspect(now, digest)
+                && let Some(report) = self.take_report(stronger)
+            {
+                ledger.convict(stronger);
+                convicted.push(report);
+            }
             let is_ranked = weakest.is_some_and(|weakest| crashes >= weakest);
             if is_complete && ledger.is_separated(now, digest)
                 || is_ranked && ledger.is_settled(now, digest)
--- a/tests/fleet/crash_settling.rs
+++ b/tests/fleet/crash_settling.rs
@@ -175,6 +175,31 @@
     assert_eq!(convicted(&events, 1041), [DEADLY]);
 }
 
+/// Guards against the conviction of an innocent request that ran beside two crashing ones in turn, and reaches
+/// the number of crashes that convicts in any case first: its crashes would explain theirs.
+#[test]
+fn two_crashing_requests_explain_the_crashes_of_a_third() {
+    let (first, second) = (DEADLY, OTHER);
+    let events = [
+        (200, Crash(first, "a")),
+        (210, Crash(second, "b")),
+        (211, Crash(BESIDE, "b")),
+        (250, Crash(first, "d")),
+        (290, Crash(second, "e")),
+        (291, Crash(BESIDE, "e")),
+        // All servers are back.
+        (2200, Crash(BESIDE, "f")),
+        (2201, Crash(second, "f")),
+        (2240, Crash(BESIDE, "g")),
+        (2241, Crash(first, "g")),
+        (2290, Crash(BESIDE, "h")),
+        (2291, Crash(first, "h")),
+        (4300, Crash(second, "i")),
+    ];
+    assert_eq!(convicted(&events, 2400), [first]);
+    assert_eq!(convicted(&events, 4400), [first, second]);
+}
+
 /// Guards against a crashing request that waits for its next crash although another one has been convicted
 /// that explains why servers without the first one ended at the same moments.
 #[test]
