Give a late call for an evacuation no effect

A member that was frozen carried out a call for an evacuation when it went on, although its caller had sent the order again at another member and a contrary order of another operator had been acknowledged since: an acknowledged evacuation was gone, or a withdrawn one was back, at all entries and after a restart of all processes.

An order now says up to which log index its member had applied the log when the call arrived. The member proposes it again while its caller waits, so a member that lags does not refuse. A call whose caller has closed the connection is dropped. Old commands in logs keep their effect. Weighed: only dropping calls of callers that have left; a call that was read before the freeze, or waits on a link, would still be carried out.

In tests/fleet/evacuation.rs one accessor is replaced (has_refused_evacuation by order_outcome); its checks are the same.

--- a/src/fleet/control/core/apply.rs
+++ b/src/fleet/control/core/apply.rs
@@ -33,6 +33,7 @@
     fn apply_command(&mut self, index: LogIndex, command: FleetCommand) {
         let zone = match &command {
             FleetCommand::Evacuate(zone) | FleetCommand::EndEvacuation(zone) => Some(zone.clone()),
+            FleetCommand::OrderZone(order) => Some(order.zone.clone()),
             _ => None,
         };
         let Some(zone) = zone else { return self.state.apply(index, command) };
--- a/src/fleet/control/operator.rs
+++ b/src/fleet/control/operator.rs
@@ -15,7 +15,7 @@
 use crate::fleet::document::RouteDocument;
 use crate::fleet::link::{self, CallOutcome};
 use crate::fleet::listener::accept_until;
-use crate::fleet::state::FleetCommand;
+use crate::fleet::state::{FleetCommand, OrderOutcome, ZoneOrder};
 use crate::fleet::stream::HttpStream;
 use crate::http::{BodyDecoder, HttpError, HttpLimits, RequestHead, ResponseHead};
 use crate::ids::{LogIndex, ServerId, ZoneName};
@@ -123,7 +123,17 @@
             Ok(Ok(None)) => return Ok(false),
             Err(_) => return Err(HttpError::Timeout("reading a call")),
         };
-        let response = self.answer_before_exit(&head, &body).await;
+        let is_order = matches!(
+            self.dialect.operator_call(&head.method, head.path()),
+            OperatorCall::Evacuate(_) | OperatorCall::EndEvacuation(_)
+        );
+        let response = tokio::select! {
+            biased;
+            // After this member was frozen the call may be an old one, which its caller has sent to another
+            // member since.
+            () = stream.closed(MAX_BODY_BYTES), if is_order => return Ok(false),
+            response = self.answer_before_exit(&head, &body) => response,
+        };
         // The next call on this connection goes to another member.
         let keep_alive = head.keep_alive() && self.calls.phase() == StopPhase::Serving;
         stream.write(&self.encode(&response, keep_alive)).await?;
@@ -201,8 +211,8 @@
             OperatorCall::GetDocument => self.get_document().await,
             OperatorCall::GetQuarantine => self.get_quarantine(),
             OperatorCall::Release(digest) => self.release(&digest).await,
-            OperatorCall::Evacuate(zone) => self.evacuate(zone).await,
-            OperatorCall::EndEvacuation(zone) => self.end_evacuation(zone).await,
+            OperatorCall::Evacuate(zone) => self.order_zone(zone, true).await,
+            OperatorCall::EndEvacuation(zone) => self.order_zone(zone, false).await,
             OperatorCall::Unknown => self.failure(404, "no such call"),
         }
     }
@@ -331,44 +341,45 @@
         self.commit(&FleetCommand::Release(vec![digest])).await
     }
 
-    async fn evacuate(&self, zone: ZoneName) -> CallResponse {
+    /// Evacuates an availability zone or ends that. An order that is outdated when it is applied is proposed
+    /// again: its caller still waits, so it comes after the contrary one.
+    async fn order_zone(&self, zone: ZoneName, evacuates: bool) -> CallResponse {
         if let Err(message) = check_zone(&zone) {
             log_warn!("evacuation_refused", "error=\"{message}\"");
             return self.failure(400, message);
         }
-        log_info!("evacuation_requested", "zone={zone}");
-        let deadline = tokio::time::Instant::now() + CALL_TIMEOUT;
-        let index = match self.commit_at(&FleetCommand::Evacuate(zone)).await {
-            Ok(index) => index,
-            Err(failure) => return failure,
-        };
-        if !self.wait_until_applied(index, deadline).await {
-            return self.failure(503, "the outcome is not known");
-        }
-        if self.core.borrow().state().has_refused_evacuation(index) {
-            log_warn!("evacuation_refused", "error=\"too many zones are evacuated\"");
-            return self.failure(409, "too many availability zones are evacuated");
-        }
-        self.success()
+        let event = if evacuates { "evacuation_requested" } else { "evacuation_end_requested" };
+        log_info!(event, "zone={zone}");
+        let placed = timeout(CALL_TIMEOUT, self.place_order(&zone, evacuates)).await;
+        placed.unwrap_or_else(|_| self.failure(503, "the outcome is not known"))
     }
 
-    /// Waits until the local state includes the log entry `index`; `false` at the deadline.
-    async fn wait_until_applied(&self, index: LogIndex, deadline: tokio::time::Instant) -> bool {
-        while self.core.borrow().applied() < index {
-            if tokio::time::Instant::now() >= deadline {
-                return false;
+    async fn place_order(&self, zone: &ZoneName, evacuates: bool) -> CallResponse {
+        loop {
+            let seen = self.core.borrow().applied();
+            let order = ZoneOrder { zone: zone.clone(), evacuates, seen };
+            let index = match self.commit_at(&FleetCommand::OrderZone(order)).await {
+                Ok(index) => index,
+                Err(failure) => return failure,
+            };
+            self.wait_until_applied(index).await;
+            let outcome = self.core.borrow().state().order_outcome(index);
+            match outcome {
+                OrderOutcome::InForce => return self.success(),
+                OrderOutcome::Outdated => log_info!("evacuation_outdated", "zone={zone}"),
+                OrderOutcome::Refused => {
+                    log_warn!("evacuation_refused", "error=\"too many zones are evacuated\"");
+                    return self.failure(409, "too many availability zones are evacuated");
+                }
             }
-            sleep(APPLY_POLL_INTERVAL).await;
         }
-        true
     }
 
-    async fn end_evacuation(&self, zone: ZoneName) -> CallResponse {
-        if let Err(message) = check_zone(&zone) {
-            return self.failure(400, message);
+    /// Waits until the local state includes the log entry `index`.
+    async fn wait_until_applied(&self, index: LogIndex) {
+        while self.core.borrow().applied() < index {
+            sleep(APPLY_POLL_INTERVAL).await;
         }
-        log_info!("evacuation_end_requested", "zone={zone}");
-        self.commit(&FleetCommand::EndEvacuation(zone)).await
     }
 
     /// Returns the current document. This is a linearizable read: it fails unless a majority confirms
@@ -380,7 +391,7 @@
             log_routine!("read_refused", "reason=no_majority");
             return self.failure(503, "no majority confirms the newest document");
         };
-        if !self.wait_until_applied(index, deadline).await {
+        if timeout_at(deadline, self.wait_until_applied(index)).await.is_err() {
             return self.failure(503, "this member is behind");
         }
         match self.core.borrow().state().text() {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,5 +1,7 @@
 //! Replicated state: the document in force and the announced servers.
 
+mod zone_orders;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 
@@ -11,6 +13,8 @@
 use super::tenant::TenantRule;
 use super::update::{DocumentHead, FleetUpdate, ServerView};
 use crate::ids::{LogIndex, RequestDigest, ServerId, TenantName, ZoneName};
+use zone_orders::OrderHistory;
+pub use zone_orders::{MAX_EVACUATED, OrderOutcome, ZoneOrder};
 
 /// Maximum number of tombstones of each kind. An entry whose revision is older than a discarded
 /// tombstone gets a complete update.
@@ -20,12 +24,6 @@
 /// push a request out with others.
 pub const MAX_QUARANTINED: usize = 1024;
 
-/// Maximum number of evacuated availability zones.
-pub const MAX_EVACUATED: usize = 256;
-
-/// Number of newest refused evacuations that are remembered until their callers have been answered.
-const MAX_REFUSED_EVACUATIONS: usize = 64;
-
 /// Command that changes the replicated state.
 #[derive(Clone, PartialEq, Serialize, Deserialize)]
 pub enum FleetCommand {
@@ -46,10 +44,12 @@
     Quarantine(Vec<RequestDigest>),
     /// Takes requests out of quarantine.
     Release(Vec<RequestDigest>),
-    /// Evacuates an availability zone: its servers get nothing more.
+    /// [`Self::OrderZone`] in logs of older versions, which is never outdated.
     Evacuate(ZoneName),
-    /// Ends the evacuation of an availability zone.
+    /// The same for the end of an evacuation.
     EndEvacuation(ZoneName),
+    /// Evacuates an availability zone, so that its servers get nothing more, or ends that.
+    OrderZone(ZoneOrder),
 }
 
 impl fmt::Debug for FleetCommand {
@@ -65,6 +65,7 @@
             Self::Release(digests) => ("Release", digests),
             Self::Evacuate(zone) => ("Evacuate", zone),
             Self::EndEvacuation(zone) => ("EndEvacuation", zone),
+            Self::OrderZone(order) => ("OrderZone", order),
         };
         formatter.debug_tuple(name).field(subject).finish()
     }
@@ -135,6 +136,8 @@
     /// Log indexes of the newest evacuations that found no room below the maximum.
     #[serde(default)]
     refused_evacuations: BTreeSet<LogIndex>,
+    #[serde(default)]
+    zone_orders: OrderHistory,
 }
 
 impl FleetCommand {
@@ -144,7 +147,7 @@
             Self::Silent(servers) | Self::Heard(servers) => servers.is_empty(),
             Self::Quarantine(digests) | Self::Release(digests) => digests.is_empty(),
             Self::PutDocument { .. } | Self::Announce(..) | Self::Leave(..) => false,
-            Self::Evacuate(_) | Self::EndEvacuation(_) => false,
+            Self::Evacuate(_) | Self::EndEvacuation(_) | Self::OrderZone(_) => false,
         }
     }
 
@@ -192,16 +195,6 @@
         &self.quarantine
     }
 
-    /// Availability zones whose servers get nothing.
-    pub fn evacuated(&self) -> &BTreeSet<ZoneName> {
-        &self.evacuated
-    }
-
-    /// Whether the evacuation at `index` was refused because too many availability zones are evacuated.
-    pub fn has_refused_evacuation(&self, index: LogIndex) -> bool {
-        self.refused_evacuations.contains(&index)
-    }
-
     /// Whether this incarnation of `server` has left.
     pub fn has_left(&self, server: &ServerId, started: IncarnationStart) -> bool {
         self.left.get(server).is_some_and(|(left, _)| started <= *left)
@@ -225,8 +218,13 @@
             FleetCommand::Heard(servers) => self.set_silent(index, servers, false),
             FleetCommand::Quarantine(digests) => self.add_quarantined(index, digests),
             FleetCommand::Release(digests) => self.release(index, digests),
-            FleetCommand::Evacuate(zone) => self.evacuate(index, zone),
-            FleetCommand::EndEvacuation(zone) => self.end_evacuation(index, &zone),
+            FleetCommand::Evacuate(zone) => {
+                self.order_zone(index, ZoneOrder { zone, evacuates: true, seen: LogIndex::MAX });
+            }
+            FleetCommand::EndEvacuation(zone) => {
+                self.order_zone(index, ZoneOrder { zone, evacuates: false, seen: LogIndex::MAX });
+            }
+            FleetCommand::OrderZone(order) => self.order_zone(index, order),
         }
         self.prune_tombstones();
     }
@@ -244,27 +242,6 @@
         self.head_changed = index;
     }
 
-    fn evacuate(&mut self, index: LogIndex, zone: ZoneName) {
-        if self.evacuated.contains(&zone) {
-            return;
-        }
-        if self.evacuated.len() >= MAX_EVACUATED {
-            self.refused_evacuations.insert(index);
-            if self.refused_evacuations.len() > MAX_REFUSED_EVACUATIONS {
-                self.refused_evacuations.pop_first();
-            }
-            return;
-        }
-        self.evacuated.insert(zone);
-        self.evacuated_changed = index;
-    }
-
-    fn end_evacuation(&mut self, index: LogIndex, zone: &ZoneName) {
-        if self.evacuated.remove(zone) {
-            self.evacuated_changed = index;
-        }
-    }
-
     fn announce(
         &mut self,
         index: LogIndex,
--- a/tests/fleet/evacuation.rs
+++ b/tests/fleet/evacuation.rs
@@ -6,10 +6,14 @@
 
 use curranthollow::fleet::announcement::ServerState;
 use curranthollow::fleet::balance::ServiceBalancer;
-use curranthollow::fleet::state::{FleetCommand, FleetState, MAX_EVACUATED};
+use curranthollow::fleet::state::{
+    FleetCommand, FleetState, MAX_EVACUATED, OrderOutcome, ZoneOrder,
+};
 use curranthollow::fleet::update::FleetReplica;
 use curranthollow::ids::ZoneName;
 
+use yare::parameterized;
+
 use super::balance::server_view;
 use super::harness::{
     ScriptedServer, ServerStep, TestEntry, TestFleet, VALID_RESPONSE, announce, announcement, call,
@@ -58,16 +62,68 @@
     let mut state = FleetState::default();
     for index in 1..=MAX_EVACUATED as u64 {
         state.apply(index, evacuate(&format!("z{index}")));
-        assert!(!state.has_refused_evacuation(index));
+        assert_eq!(state.order_outcome(index), OrderOutcome::InForce);
     }
     state.apply(1000, evacuate("z1"));
     state.apply(1001, evacuate("one-too-many"));
     let state = FleetState::restore(&state.snapshot()).expect("the snapshot is restored");
-    assert!(!state.has_refused_evacuation(1000));
-    assert!(state.has_refused_evacuation(1001));
+    assert_eq!(state.order_outcome(1000), OrderOutcome::InForce);
+    assert_eq!(state.order_outcome(1001), OrderOutcome::Refused);
     assert!(!state.evacuated().contains("one-too-many"));
 }
 
+/// Guards against a call that is carried out late and undoes another operator's acknowledged order. Each order
+/// says up to which index its member knew the log; the first one has the index 1.
+#[parameterized(
+    late_order = { &[(true, 0), (false, 1), (true, 0)], "iio", false },
+    late_withdrawal = { &[(true, 0), (false, 1), (true, 2), (false, 1)], "iiio", true },
+    late_after_a_repeated_order = { &[(true, 0), (true, 1), (false, 1)], "iio", true },
+    late_and_equal = { &[(true, 0), (true, 0)], "ii", true },
+    late_and_sent_again = { &[(true, 0), (false, 1), (true, 0), (true, 3)], "iioi", true },
+    withdrawal_of_none = { &[(false, 0), (true, 0), (true, 1)], "ioi", true },
+)]
+fn a_late_order_changes_nothing(orders: &[(bool, u64)], expected: &str, evacuated: bool) {
+    let mut state = FleetState::default();
+    let mut outcomes = String::new();
+    for (number, (evacuates, seen)) in orders.iter().enumerate() {
+        let order = ZoneOrder { zone: "a".into(), evacuates: *evacuates, seen: *seen };
+        let command = FleetCommand::OrderZone(order);
+        let command = FleetCommand::decode(&command.encode()).expect("the command is decoded");
+        let index = number as u64 + 1;
+        state.apply(index, command);
+        state = FleetState::restore(&state.snapshot()).expect("the snapshot is restored");
+        outcomes.push(match state.order_outcome(index) {
+            OrderOutcome::InForce => 'i',
+            OrderOutcome::Outdated => 'o',
+            OrderOutcome::Refused => 'r',
+        });
+    }
+    assert_eq!(outcomes, expected);
+    assert_eq!(state.evacuated().contains("a"), evacuated);
+}
+
+/// Guards against a late order that has an effect because its zone is forgotten, and against a history that
+/// grows with the names that operators send.
+#[test]
+fn a_late_order_for_a_forgotten_zone_changes_nothing() {
+    let mut state = FleetState::default();
+    let order = |zone: &str, evacuates, seen| {
+        FleetCommand::OrderZone(ZoneOrder { zone: zone.into(), evacuates, seen })
+    };
+    let size_after = |state: &mut FleetState, range: std::ops::Range<u64>| {
+        for index in range {
+            state.apply(index, order(&format!("z{index:04}"), false, index - 1));
+        }
+        state.snapshot().len()
+    };
+    let full = size_after(&mut state, 1..1000);
+    assert!(size_after(&mut state, 1000..3000) < full + 1000);
+    state.apply(3000, order("z0001", true, 1));
+    assert_eq!(state.order_outcome(3000), OrderOutcome::Outdated);
+    state.apply(3001, order("z0001", true, 3000));
+    assert_eq!(state.order_outcome(3001), OrderOutcome::InForce);
+}
+
 /// Guards against a choice among evacuated servers, also when no others are left, when one was chosen
 /// before, and when one starts again meanwhile.
 #[test]
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -7,6 +7,7 @@
 mod blocked_log;
 mod control_stop;
 mod crashing_request;
+mod crossing_orders;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
 mod harness;
