Test two operators at once while disks of members are full

Writes fail by a limit on file sizes of the child, whose signal is ignored. The control process of the settings tree, which ends when its disk is full, is not covered.

--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -8,6 +8,7 @@
 mod control_stop;
 mod crashing_request;
 mod crossing_orders;
+mod full_disk;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
 mod harness;
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit};
 
 use crate::harness::{
     HEALTH_PAGE, announcement, call, free_address, header_value, read_request, unique_path,
@@ -49,14 +49,16 @@
     /// Config with the placeholders `SEEDS` and `FORM`.
     text: String,
     child: Option<Child>,
+    /// Data folder of a member.
+    folder: Option<PathBuf>,
     /// Operator address of a member, traffic address of an entry.
     pub address: SocketAddr,
 }
 
 impl FleetChild {
-    fn new(text: String, address: SocketAddr) -> Self {
+    fn new(text: String, address: SocketAddr, folder: Option<PathBuf>) -> Self {
         let config = unique_path().with_extension("jsonc");
-        Self { config, text, child: None, address }
+        Self { config, text, child: None, folder, address }
     }
 
     pub fn write_config(&self, seeds: &[SocketAddr], form: bool) {
@@ -68,9 +70,12 @@
         std::fs::rename(&written, &self.config).expect("the folder can be written");
     }
 
-    /// Starts the process with its config file.
+    /// Starts the process with its config file. The signal of a limit on files is ignored, as none comes
+    /// with an error of a disk.
     pub fn start(&mut self) {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_curranthollow"));
+        let mut command = Command::new("sh");
+        command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]);
+        command.arg(env!("CARGO_BIN_EXE_curranthollow"));
         let log = File::options().create(true).append(true).open(self.log_path());
         let log = log.expect("the folder can be written");
         command.arg("fleet").arg("--config").arg(&self.config).stdout(log);
@@ -83,6 +88,14 @@
         kill_process(pid, signal).expect("the process exists");
     }
 
+    /// Lets each write to a file fail beyond `bytes`, or none.
+    pub fn limit_files(&self, bytes: Option<u64>) {
+        let child = self.child.as_ref().expect("the process runs");
+        let pid = Pid::from_raw(child.id().cast_signed()).expect("the process id is valid");
+        let limit = Rlimit { current: bytes, maximum: getrlimit(Resource::Fsize).maximum };
+        prlimit(Some(pid), Resource::Fsize, limit).expect("the process exists");
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -109,6 +122,14 @@
         self.is_running() && TcpStream::connect(self.address).is_ok()
     }
 
+    /// Size of the largest file that the member writes.
+    pub fn largest_file(&self) -> u64 {
+        let folder = self.folder.as_ref().expect("a member has a data folder");
+        let files = std::fs::read_dir(folder).expect("the folder exists").flatten();
+        let files = files.filter_map(|file| file.metadata().ok()).map(|metadata| metadata.len());
+        files.max().unwrap_or_default()
+    }
+
     pub fn log_path(&self) -> PathBuf {
         self.config.with_extension("log")
     }
@@ -153,7 +174,7 @@
                 "link":"{link}","data_folder":{folder:?},"form":FORM,"survivable_losses":2,
                 "heartbeat":"60s"}}}}"#
             );
-            members.push(FleetChild::new(text, operator));
+            members.push(FleetChild::new(text, operator, Some(folder)));
         }
         let mut entries = Vec::new();
         for (number, mbps) in line_mbps.iter().enumerate() {
@@ -164,7 +185,7 @@
                 "readiness":"{readiness}","retry_ratio":0.2,"retry_slack":50,
                 "retry_window":"10s"{line}}}}}"#
             );
-            entries.push(FleetChild::new(text, traffic));
+            entries.push(FleetChild::new(text, traffic, None));
         }
         let mut fleet = Self { members, entries, links, member_metrics };
         fleet.write_configs(fleet.seeds(), true);
