Let entries take turns at cold servers

About one cold server in 200 had no participating entry and got nothing for its whole warm-up. The place of an entry, a hash of both names, moves on with time now, so that each entry takes part for 4 s and another one follows it; one that joins within 3 s sends a first request whatever its cost is. No message and no common clock is needed. Of the entries that may send in one second a quarter joins in it, and the limit of five standard deviations counts them.

Computed: no entry for 4 s 1.4e-5 (95 entries), 2.1e-5 (300) instead of 0.0044 and 0.0049; more than 21 entries in a second 4.6e-7 and 1.2e-6 instead of 9.5e-9 and 2.9e-8; with 64 of 95 entries assumed 2.2e-4 instead of 7.7e-6.

Weighed: the entry with the smallest hash (needs all names), a larger part after some seconds without a request (nobody who takes no part can know that), a second draw that stays (6 in 10,000 without an entry), and a smaller share that keeps the old figures (a fifth less for all cold servers, for one in 200).

--- a/src/fleet/balance.rs
+++ b/src/fleet/balance.rs
@@ -207,6 +207,7 @@
             stats.state = announcement.state;
             stats.silent = view.silent;
             stats.warmup.update_announced(now, announcement.warmup);
+            stats.warmup.begin_turns(now, &self.pacing);
             stats.same_zone = *announcement.availability_zone == *zone;
             stats.availability_zone.clone_from(&announcement.availability_zone);
             stats.is_evacuated = self.evacuated_zones.contains(&stats.availability_zone);
--- a/src/fleet/balance/warmup.rs
+++ b/src/fleet/balance/warmup.rs
@@ -1,7 +1,8 @@
 //! Limit on the requests that all entries together send to a server while it is cold.
 //!
 //! The entries share the limit without messages: a hash of both names makes each server known as usable
-//! to only a few of them, and each of those sends seldom. The others see the server as away.
+//! to only a few of them, and each of those sends seldom. The others see the server as away. The entries take
+//! turns, so that a server that the hash shows to nobody at first is known to some a few seconds later.
 
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,14 @@
 /// Time over which the entries return to a server at the end of its warm-up.
 const RETURN_SPREAD: Duration = Duration::from_secs(1);
 
+/// Time for which an entry takes part; another one follows it. In the four seconds in which a new server should
+/// get its first request, about twice as many entries take part as at one moment.
+const TURN_TIME: Duration = Duration::from_secs(4);
+
+/// Time in which an entry that joins sends a first request whatever its cost is. A second is left for a request
+/// to come.
+const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+
 /// Time over which the first requests of the participating entries are spread.
 const FIRST_SEND_SPREAD: Duration = Duration::from_secs(1);
 
@@ -88,9 +97,11 @@
         }
         let bound = rate * limits.overshoot + limits.tolerance;
         let wanted = (rate * EXPECTED_FRACTION).max(bound * MIN_BOUND_FRACTION);
-        // Largest mean that lies the safe deviations below the bound.
+        // Largest mean that lies the safe deviations below the bound. Of the entries that may send in one
+        // second some join in that second.
         let root = (SAFE_DEVIATIONS.powi(2) + 4.0 * bound).sqrt() - SAFE_DEVIATIONS;
-        let expected_rate = wanted.min((root / 2.0).powi(2));
+        let joining = 1.0 / TURN_TIME.as_secs_f64();
+        let expected_rate = wanted.min((root / 2.0).powi(2) / (1.0 + joining));
         Self { expected_rate, entry_count: entry_count.max(1) }
     }
 
@@ -102,7 +113,7 @@
         self.expected_rate > 0.0
     }
 
-    /// Part of the entries that send to a cold server.
+    /// Part of the entries that send to a cold server at one moment.
     fn share(&self) -> f64 {
         self.expected_rate / f64::from(self.entry_count)
     }
@@ -122,6 +133,9 @@
     announced: Duration,
     /// Hash of both names, from 0 to 1.
     score: f64,
+    /// Time from which the entries take turns, and the part of them that joins in a second. The part stays the
+    /// same when the number of entries changes; otherwise all turns would change in that second.
+    turns: Option<(Instant, f64)>,
     /// Earliest time of the next request while the server is cold.
     next_send_at: Instant,
     /// Time of the last health answer.
@@ -135,6 +149,7 @@
             ends_at: now + left.min(MAX_WARMUP),
             announced: left,
             score,
+            turns: None,
             next_send_at: now,
             confirmed_at: None,
         }
@@ -161,16 +176,39 @@
         now < self.ends_at + RETURN_SPREAD.mul_f64(self.score)
     }
 
+    /// Lets the entries take turns from now on if the server is cold.
+    pub(super) fn begin_turns(&mut self, now: Instant, pacing: &ColdPacing) {
+        if self.turns.is_none() && self.is_limited(now, pacing) {
+            self.turns = Some((now, pacing.share() / TURN_TIME.as_secs_f64()));
+        }
+    }
+
+    /// Place of this entry among all, from 0 to 1; those below the share take part. It moves on with time and
+    /// returns to 0. Clocks need not agree, because the hash is independent of them.
+    fn place(&self, now: Instant) -> f64 {
+        let moved = self.turns.map_or(0.0, |(since, joining)| {
+            now.saturating_duration_since(since).as_secs_f64() * joining
+        });
+        (self.score + moved).fract()
+    }
+
+    fn takes_part(&self, now: Instant, pacing: &ColdPacing) -> bool {
+        pacing.share() >= 1.0 || self.place(now) < pacing.share()
+    }
+
     pub(super) fn admits(&self, now: Instant, pacing: &ColdPacing) -> bool {
-        let is_limited = pacing.is_limited() && self.is_cold(now);
-        !is_limited || (self.score < pacing.share() && now >= self.next_send_at)
+        !self.is_limited(now, pacing) || (self.takes_part(now, pacing) && now >= self.next_send_at)
     }
 
-    /// Time of this entry's first request to a server that is cold; `None` if it does not take part or
-    /// the limit does not hold.
+    /// Time of this entry's first request to a server that is cold; `None` if it does not take part soon.
     pub(super) fn first_send(&self, now: Instant, pacing: &ColdPacing) -> Option<Instant> {
-        let takes_part = self.score < pacing.share();
-        takes_part.then(|| now + FIRST_SEND_SPREAD.mul_f64((self.score / pacing.share()).min(1.0)))
+        let place = self.place(now);
+        if self.takes_part(now, pacing) {
+            return Some(now + FIRST_SEND_SPREAD.mul_f64((place / pacing.share()).min(1.0)));
+        }
+        let (_, joining) = self.turns?;
+        let wait = (1.0 - place) / joining;
+        (wait <= INTRODUCTION_TIME.as_secs_f64()).then(|| now + Duration::from_secs_f64(wait))
     }
 
     pub(super) fn is_limited(&self, now: Instant, pacing: &ColdPacing) -> bool {
@@ -209,6 +247,7 @@
             return false;
         }
         state.ends_at = now + left.min(MAX_WARMUP);
+        state.begin_turns(now, &pacing);
         !was_cold
     }
 
