Drop the size of the body from explanations

A request's size counts for the mean that prices a way, once for each request, and no longer for the choice of one. So an explanation does not depend on it.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -96,9 +96,6 @@
     /// Time that the caller waits, for example `2s`.
     #[arg(long, value_parser = parse_duration_argument)]
     pub timeout: Option<Duration>,
-    /// Size of the request's body in bytes.
-    #[arg(long, default_value_t = 0)]
-    pub body_bytes: u64,
     /// Print JSON instead of text.
     #[arg(long)]
     pub json: bool,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -385,7 +385,6 @@
         path: arguments.path,
         tenant: arguments.tenant,
         timeout_ms: arguments.timeout.map(|timeout| timeout.as_millis() as u64),
-        body_bytes: arguments.body_bytes,
     };
     let body = serde_json::to_vec(&query)?;
     let headers = HeaderList::new();
--- a/src/fleet/entry/explain.rs
+++ b/src/fleet/entry/explain.rs
@@ -117,7 +117,7 @@
         let now = Instant::now();
         let room = self.explain_room(now, request, service);
         let connected = self.connections.idle_servers(now);
-        let terms = request.terms(now, self.relay_times.borrow().known_bytes(&request.rule));
+        let terms = request.terms(now);
         let probing = (self.health_path(service).is_some(), LOAD_REPORT_LIFETIME);
         // The next request draws the same random numbers.
         let mut random = self.random.borrow().clone();
@@ -216,12 +216,8 @@
         }
     }
 
-    fn terms(&self, now: Instant, response_bytes: u64) -> CallerTerms {
-        CallerTerms {
-            target_at: Some(now + self.rule.target_latency),
-            bytes: response_bytes + self.query.body_bytes,
-            is_repeated: false,
-        }
+    fn terms(&self, now: Instant) -> CallerTerms {
+        CallerTerms { target_at: Some(now + self.rule.target_latency), is_repeated: false }
     }
 }
 
--- a/src/fleet/explain/mod.rs
+++ b/src/fleet/explain/mod.rs
@@ -33,9 +33,6 @@
     /// Time that the caller waits, in milliseconds; that of the route if it is shorter or none is given.
     #[serde(default)]
     pub timeout_ms: Option<u64>,
-    /// Size of the request's body in bytes.
-    #[serde(default)]
-    pub body_bytes: u64,
 }
 
 /// Why a query cannot be answered.
