Stop lending when the links to a majority have failed

Cause: followers count a closed link and a refused connection as evidence that the leader's process has ended. Where a device resets the connections of a leader that lives and refuses new ones (a cut with resets), that is wrong: a successor could lend while the old holder lends on for up to 0.6 s.

Ruled out: a pause of the successor, which would take most of the gain; a step down of the leader, because a reset of its connections alone would then replace it; an older quorum age for entries, which would count control as lost.

Change: a leader knows which of its links to members have failed and are not open again, and lends nothing without links to a majority.

Test: fleet::failover::a_message_reaches_a_member_that_listens_later also checks that a lost link is known as lost until it is open. The case itself, a live leader behind such a device, has no test. Open: a device that resets only the followers' ends (docs/design/control-failover.md).

--- a/src/fleet/control/core/failover.rs
+++ b/src/fleet/control/core/failover.rs
@@ -44,6 +44,19 @@
         step
     }
 
+    /// Whether this member has not lost its links to a quorum, itself included.
+    ///
+    /// Where a device resets the connections of a leader that lives and refuses new ones, its followers
+    /// have evidence of its end. It notices that its own links were reset, and must not act alone then.
+    pub(super) fn has_linked_quorum(&self) -> bool {
+        let members = self.node.members();
+        let is_linked = |voter: &MemberId| {
+            let address = self.address_of(*voter);
+            *voter == self.member || address.is_some_and(|address| !self.peers.is_lost(address))
+        };
+        members.voters().filter(is_linked).count() >= members.quorum()
+    }
+
     /// Leader that this member follows.
     fn known_leader(&self) -> Option<KnownLeader> {
         let member = self.node.leader().filter(|leader| *leader != self.member)?;
--- a/src/fleet/control/core/quota.rs
+++ b/src/fleet/control/core/quota.rs
@@ -83,7 +83,7 @@
     }
 
     fn lend(&mut self, now: Instant, ask: &QuotaAsk) -> Option<QuotaGrant> {
-        let seen_at = self.node.quorum_seen_at();
+        let seen_at = self.node.quorum_seen_at().filter(|_| self.has_linked_quorum());
         let quorum_age = seen_at.map(|seen_at| now.saturating_duration_since(seen_at));
         let tenants = &self.state.document().tenants;
         self.quota_holder.on_ask(boot_time(), quorum_age, tenants, ask)
--- a/src/fleet/control/peers.rs
+++ b/src/fleet/control/peers.rs
@@ -1,6 +1,6 @@
 //! Outgoing links to other control members.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -38,6 +38,8 @@
     frames: Sender<QueuedFrame>,
     /// Ends the delay before the next attempt to open the link.
     wake: Rc<Notify>,
+    /// Whether the link failed and was not opened again.
+    is_lost: Rc<Cell<bool>>,
 }
 
 impl PeerLinks {
@@ -52,14 +54,25 @@
         let queue = queues.entry(to).or_insert_with(|| {
             let (frames, receiver) = channel(MAX_QUEUED_FRAMES);
             let wake = Rc::new(Notify::new());
-            let link = run_link(to, self.hello.clone(), receiver, Rc::clone(&wake));
-            tokio::task::spawn_local(link);
-            PeerQueue { frames, wake }
+            let is_lost = Rc::new(Cell::new(false));
+            let link = PeerLink {
+                address: to,
+                hello: self.hello.clone(),
+                wake: Rc::clone(&wake),
+                is_lost: Rc::clone(&is_lost),
+            };
+            tokio::task::spawn_local(link.run(receiver));
+            PeerQueue { frames, wake, is_lost }
         });
         let frame = QueuedFrame { frame: link::encode(message), queued_at: Instant::now() };
         let _ = queue.frames.try_send(frame);
     }
 
+    /// Whether the link to `peer` has failed and is not open again.
+    pub fn is_lost(&self, peer: SocketAddr) -> bool {
+        self.queues.borrow().get(&peer).is_some_and(|queue| queue.is_lost.get())
+    }
+
     /// Opens the link to `peer` without further delay, because the peer can be reached again.
     pub fn wake(&self, peer: SocketAddr) {
         if let Some(queue) = self.queues.borrow().get(&peer) {
@@ -68,90 +81,99 @@
     }
 }
 
-async fn run_link(
+/// Outgoing link to one member.
+struct PeerLink {
     address: SocketAddr,
     hello: LinkFrame,
-    mut queue: Receiver<QueuedFrame>,
     wake: Rc<Notify>,
-) {
-    let mut was_connected = true;
-    let mut backlog = FrameBacklog::default();
-    let mut retry = RetryDelay::default();
-    loop {
-        if backlog.is_empty() {
-            let Some(frame) = queue.recv().await else { return };
-            backlog.push(frame);
-        }
-        let started = Instant::now();
-        let error = match serve_link(address, &hello, &mut backlog, &mut queue).await {
-            Ok(()) => continue,
-            Err(error) => error,
-        };
-        let connect_failed = matches!(error, LinkError::ConnectTimeout | LinkError::Io(_));
-        if was_connected || !connect_failed {
-            log_warn!(
-                "member_link_lost",
-                "peer={address} after_ms={} error=\"{error}\"",
-                started.elapsed().as_millis()
-            );
-        }
-        was_connected = !connect_failed;
-        let delay = retry.after_failure(was_connected.then(|| started.elapsed()));
-        tokio::select! {
-            () = sleep(delay) => {}
-            () = wake.notified() => {}
-        }
-        while let Ok(frame) = queue.try_recv() {
-            backlog.push(frame);
-        }
-        backlog.drop_old(Instant::now());
-    }
+    is_lost: Rc<Cell<bool>>,
 }
 
-/// Opens a link and sends frames from the backlog and the queue; returns `Ok` when the link was idle or
-/// the queue was closed.
-async fn serve_link(
-    address: SocketAddr,
-    hello: &LinkFrame,
-    backlog: &mut FrameBacklog,
-    queue: &mut Receiver<QueuedFrame>,
-) -> Result<(), LinkError> {
-    let (mut writer, mut reader) = link::connect(address).await?;
-    writer.send(hello.clone()).await?;
-    log_info!("member_link_open", "peer={address}");
-    let ping = link::encode(&LinkMessage::Ping);
-    let mut unanswered_ping_at: Option<Instant> = None;
-    let mut last_ping_at: Option<Instant> = None;
-    loop {
-        if let Some(frame) = backlog.pop() {
-            let due = last_ping_at.is_none_or(|last| last.elapsed() >= PING_INTERVAL);
-            if unanswered_ping_at.is_none() && due {
-                writer.send(ping.clone()).await?;
-                unanswered_ping_at = Some(Instant::now());
-                last_ping_at = unanswered_ping_at;
+impl PeerLink {
+    async fn run(self, mut queue: Receiver<QueuedFrame>) {
+        let address = self.address;
+        let mut was_connected = true;
+        let mut backlog = FrameBacklog::default();
+        let mut retry = RetryDelay::default();
+        loop {
+            if backlog.is_empty() {
+                let Some(frame) = queue.recv().await else { return };
+                backlog.push(frame);
+            }
+            let started = Instant::now();
+            let error = match self.serve(&mut backlog, &mut queue).await {
+                Ok(()) => continue,
+                Err(error) => error,
+            };
+            self.is_lost.set(true);
+            let connect_failed = matches!(error, LinkError::ConnectTimeout | LinkError::Io(_));
+            if was_connected || !connect_failed {
+                log_warn!(
+                    "member_link_lost",
+                    "peer={address} after_ms={} error=\"{error}\"",
+                    started.elapsed().as_millis()
+                );
+            }
+            was_connected = !connect_failed;
+            let delay = retry.after_failure(was_connected.then(|| started.elapsed()));
+            tokio::select! {
+                () = sleep(delay) => {}
+                () = self.wake.notified() => {}
             }
-            timeout(PONG_TIMEOUT, writer.send(frame)).await.map_err(|_| LinkError::Silent)??;
-            if !backlog.is_empty() {
-                continue;
+            while let Ok(frame) = queue.try_recv() {
+                backlog.push(frame);
             }
+            backlog.drop_old(Instant::now());
         }
-        let wait = match unanswered_ping_at {
-            Some(sent_at) => PONG_TIMEOUT.saturating_sub(sent_at.elapsed()),
-            None => IDLE_TIMEOUT,
-        };
-        tokio::select! {
-            frame = queue.recv() => match frame {
-                Some(frame) => backlog.push(frame),
-                None => return Ok(()),
-            },
-            message = reader.receive() => {
-                message?;
-                unanswered_ping_at = None;
+    }
+
+    /// Opens a link and sends frames from the backlog and the queue; returns `Ok` when the link was idle or
+    /// the queue was closed.
+    async fn serve(
+        &self,
+        backlog: &mut FrameBacklog,
+        queue: &mut Receiver<QueuedFrame>,
+    ) -> Result<(), LinkError> {
+        let (mut writer, mut reader) = link::connect(self.address).await?;
+        writer.send(self.hello.clone()).await?;
+        self.is_lost.set(false);
+        log_info!("member_link_open", "peer={}", self.address);
+        let ping = link::encode(&LinkMessage::Ping);
+        let mut unanswered_ping_at: Option<Instant> = None;
+        let mut last_ping_at: Option<Instant> = None;
+        loop {
+            if let Some(frame) = backlog.pop() {
+                let due = last_ping_at.is_none_or(|last| last.elapsed() >= PING_INTERVAL);
+                if unanswered_ping_at.is_none() && due {
+                    writer.send(ping.clone()).await?;
+                    unanswered_ping_at = Some(Instant::now());
+                    last_ping_at = unanswered_ping_at;
+                }
+                timeout(PONG_TIMEOUT, writer.send(frame))
+                    .await
+                    .map_err(|_| LinkError::Silent)??;
+                if !backlog.is_empty() {
+                    continue;
+                }
+            }
+            let wait = match unanswered_ping_at {
+                Some(sent_at) => PONG_TIMEOUT.saturating_sub(sent_at.elapsed()),
+                None => IDLE_TIMEOUT,
+            };
+            tokio::select! {
+                frame = queue.recv() => match frame {
+                    Some(frame) => backlog.push(frame),
+                    None => return Ok(()),
+                },
+                message = reader.receive() => {
+                    message?;
+                    unanswered_ping_at = None;
+                }
+                () = sleep(wait) => match unanswered_ping_at {
+                    Some(_) => return Err(LinkError::Silent),
+                    None => return Ok(()),
+                },
             }
-            () = sleep(wait) => match unanswered_ping_at {
-                Some(_) => return Err(LinkError::Silent),
-                None => return Ok(()),
-            },
         }
     }
 }
--- a/tests/fleet/failover.rs
+++ b/tests/fleet/failover.rs
@@ -126,7 +126,8 @@
     assert_eq!([Some(1000), None, Some(5), None].map(&mut delay), [10, 20, 40, 80]);
 }
 
-/// Guards against a message to a starting member that is dropped because its first dial was refused.
+/// Guards against a message to a starting member that is dropped because its first dial was refused, and
+/// against a leader that does not notice the loss of its links, on which it stops lending.
 #[test]
 fn a_message_reaches_a_member_that_listens_later() {
     let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime is built");
@@ -150,12 +151,14 @@
     links.send(peer, &message);
     // The first dial is refused meanwhile.
     sleep(Duration::from_millis(30)).await;
+    assert!(links.is_lost(peer));
     let listener = TcpListener::bind(peer).await.expect("the port is free");
     let receive = async {
         let (stream, _) = listener.accept().await.expect("the link is opened");
         let (_writer, mut reader) = link::accept(stream).await.expect("it is a link");
         while let Ok(received) = reader.receive().await {
             if matches!(received, LinkMessage::Removed { member: 7 }) {
+                assert!(!links.is_lost(peer));
                 return true;
             }
         }
