--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -70,8 +70,7 @@
         std::fs::rename(&written, &self.config).expect("the folder can be written");
     }
 
-    /// Starts the process with its config file. The signal of a limit on files is ignored, as none comes
-    /// with an error of a disk.
+    /// Starts the process. It ignores the signal of [`Self::limit_files`]: a full disk sends none.
     pub fn start(&mut self) {
         let mut command = Command::new("sh");
         command.args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""]);
