--- a/tests/fleet_process/crashing_request.rs
+++ b/tests/fleet_process/crashing_request.rs
@@ -13,7 +13,8 @@
 use yare::parameterized;
 
 use crate::harness::{call, document, exchange, parse_response, wait_for};
-use crate::support::{DEADLY_BODY, DEADLY_PREFIX, FleetProcesses, WorkServer};
+use crate::support::FleetProcesses;
+use crate::work_server::{DEADLY_BODY, DEADLY_PREFIX, WorkServer};
 
 const MEMBERS: usize = 3;
 const ENTRIES: usize = 3;
--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -7,6 +7,7 @@
 mod blocked_log;
 mod control_stop;
 mod crashing_request;
+mod fault_series;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
 mod harness;
@@ -19,3 +20,4 @@
 mod soak;
 mod stop_log;
 mod support;
+mod work_server;
--- a/tests/fleet_process/planned_client.rs
+++ b/tests/fleet_process/planned_client.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::harness::header_value;
-use crate::support::response_body;
+use crate::work_server::response_body;
 
 /// Timeout of the routes in the document.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/tests/fleet_process/planned_signals.rs
+++ b/tests/fleet_process/planned_signals.rs
@@ -9,7 +9,8 @@
 use yare::parameterized;
 
 use crate::harness::{call, document, free_address, parse_response, wait_for};
-use crate::support::{FleetProcesses, response_body, start_lone_entry};
+use crate::support::{FleetProcesses, start_lone_entry};
+use crate::work_server::response_body;
 
 const GRACE: Duration = Duration::from_secs(4);
 
--- a/tests/fleet_process/planned_soak.rs
+++ b/tests/fleet_process/planned_soak.rs
@@ -18,7 +18,8 @@
 
 use crate::harness::{call, document, document_with_limits, wait_for};
 use crate::planned_client::{RequestEnd, SoakClient, SoakRequest};
-use crate::support::{FleetChild, FleetProcesses, WorkServer};
+use crate::support::{FleetChild, FleetProcesses};
+use crate::work_server::WorkServer;
 
 const MEMBERS: usize = 3;
 const ENTRIES: usize = 4;
--- a/tests/fleet_process/repeat_client.rs
+++ b/tests/fleet_process/repeat_client.rs
@@ -8,7 +8,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::planned_client::ClientConnection;
-use crate::support::{DEADLY_BODY, DEADLY_PREFIX, FleetChild, WorkServer, response_body};
+use crate::support::FleetChild;
+use crate::work_server::{DEADLY_BODY, DEADLY_PREFIX, WorkServer, response_body};
 
 /// Limits of the pause between two requests of a client.
 const PAUSE_MS: std::ops::Range<u64> = 50..250;
--- a/tests/fleet_process/slow_callers.rs
+++ b/tests/fleet_process/slow_callers.rs
@@ -15,7 +15,8 @@
 use yare::parameterized;
 
 use crate::harness::{call, document, header_value, wait_for};
-use crate::support::{FleetProcesses, response_body};
+use crate::support::FleetProcesses;
+use crate::work_server::response_body;
 
 /// Rates of the callers in bits per second.
 const CALLER_RATES: [f64; 2] = [2e6, 4e6];
