Add a soak test of tenants, evacuations and cold zones under faults

It is a second test beside the first one, with the same servers and the same series of faults (kill, freeze, stop and reload of entries and members, kill of all members). Change: two tenants send several times their limits at three entries, one has its key replaced again and again, others stay below their limits. Zones are evacuated one after the other and come back cold, the servers of a zone end together, and a full server answers nothing. The checks take what the servers ran as the truth: runs of a tenant in each window, names of tenants, keys at servers, in logs and on metrics pages, withdrawn keys, evacuated zones, the requests of each second to a cold server, responses against runs, and the quiet end. Withdrawn keys and evacuations bind an entry that by its log is in touch and was so for 2 s; runs of the others are counted and shown. The history of contact by the logs moves to a file of its own, since both soak tests use it.

--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -5,8 +5,12 @@
 //! found its port still in use.
 
 mod blocked_log;
+mod control_history;
 mod control_stop;
 mod crashing_request;
+mod demand_checks;
+mod demand_client;
+mod demand_soak;
 mod fault_series;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
--- a/tests/fleet_process/repeat_client.rs
+++ b/tests/fleet_process/repeat_client.rs
@@ -5,8 +5,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
+use crate::control_history::{ControlHistory, entry_of, since_epoch};
 use crate::planned_client::ClientConnection;
 use crate::support::FleetChild;
 use crate::work_server::{DEADLY_BODY, DEADLY_PREFIX, WorkServer, response_body};
@@ -155,34 +156,6 @@
     }
 }
 
-/// When an entry was in touch with control, by its log.
-struct ControlHistory {
-    /// Times since the epoch, and whether control is in touch from then on.
-    changes: Vec<(Duration, bool)>,
-}
-
-impl ControlHistory {
-    fn read(entry: &FleetChild) -> Self {
-        let mut changes = Vec::new();
-        for (event, in_touch) in
-            [("process_started", false), ("control_lost", false), ("control_regained", true)]
-        {
-            for line in entry.log_lines(event) {
-                let time = line.split(' ').find_map(|field| field.strip_prefix("time="));
-                let seconds = time.and_then(|time| time.parse().ok()).expect("a time in seconds");
-                changes.push((Duration::from_secs_f64(seconds), in_touch));
-            }
-        }
-        changes.sort();
-        Self { changes }
-    }
-
-    fn in_touch(&self, at: Duration) -> bool {
-        let before = self.changes.iter().rfind(|(changed_at, _)| *changed_at <= at);
-        before.is_some_and(|(_, in_touch)| *in_touch)
-    }
-}
-
 /// Verifies how often a deadly request is sent after three servers ended under it; returns a summary.
 pub fn check_deadly_sends(
     work: &str,
@@ -206,17 +179,14 @@
         broken.push(format!("{work}: only {} servers ended under it", ends.len()));
         return String::new();
     };
-    let (now, epoch) = (Instant::now(), SystemTime::now().duration_since(UNIX_EPOCH));
-    let epoch = epoch.expect("the clock is set");
-    let since_epoch = |at: Instant| epoch.saturating_sub(now - at);
     let (mut late, mut out_of_touch) = (Vec::new(), 0);
     for send in &sends {
         if send.at <= *third_end + STABLE_TIME {
             continue;
         }
-        let entry = send.id.rsplit("-e").next().and_then(|entry| entry.parse::<usize>().ok());
+        let entry = entry_of(&send.id);
         let sent_at = since_epoch(send.at);
-        if histories[entry.expect("the id names the entry")].in_touch(sent_at) {
+        if histories[entry].in_touch(sent_at) {
             late.push(format!("{} at {:.3}", send.id, sent_at.as_secs_f64()));
         } else {
             out_of_touch += 1;
--- a/tests/fleet_process/soak.rs
+++ b/tests/fleet_process/soak.rs
@@ -97,15 +97,15 @@
 }
 
 /// What clients were told, compared with what servers ran.
-struct RequestCheck {
-    run_counts: BTreeMap<String, usize>,
+pub struct RequestCheck {
+    pub run_counts: BTreeMap<String, usize>,
     /// Number of responses by status.
-    statuses: BTreeMap<u16, usize>,
-    broken: Vec<String>,
+    pub statuses: BTreeMap<u16, usize>,
+    pub broken: Vec<String>,
 }
 
 impl RequestCheck {
-    fn new(servers: &[WorkServer]) -> Self {
+    pub fn new(servers: &[WorkServer]) -> Self {
         let mut run_counts = BTreeMap::<String, usize>::new();
         for run in servers.iter().flat_map(WorkServer::runs) {
             *run_counts.entry(run.id).or_default() += 1;
@@ -114,7 +114,7 @@
     }
 
     /// Checks one request by the status of its response, 0 for none.
-    fn check(&mut self, id: &str, at_most_once: bool, may_be_deadly: bool, status: u16) {
+    pub fn check(&mut self, id: &str, at_most_once: bool, may_be_deadly: bool, status: u16) {
         *self.statuses.entry(status).or_default() += 1;
         let runs = self.run_counts.get(id).copied().unwrap_or_default();
         let is_sound = match status {
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -118,18 +118,34 @@
     pub links: Vec<SocketAddr>,
     /// Metrics addresses of the members.
     pub member_metrics: Vec<SocketAddr>,
+    /// Metrics addresses of the entries.
+    pub entry_metrics: Vec<SocketAddr>,
 }
 
 impl FleetProcesses {
     /// Starts a fleet whose first three members are seeds. `line_mbps` gives the line speed of each
     /// entry, `None` if it is not known.
     pub fn start(member_count: usize, line_mbps: &[Option<u32>], grace: Duration) -> Self {
+        Self::start_in_zones(member_count, line_mbps, grace, &["a"])
+    }
+
+    /// Starts a fleet whose processes are in these availability zones in turn.
+    pub fn start_in_zones(
+        member_count: usize,
+        line_mbps: &[Option<u32>],
+        grace: Duration,
+        zones: &[&str],
+    ) -> Self {
         let links: Vec<_> = (0..member_count).map(|_| free_address()).collect();
         let member_metrics: Vec<_> = links.iter().map(|_| free_address()).collect();
         let grace_ms = grace.as_millis();
-        let common = format!(r#""availability_zone":"a","seeds":SEEDS,"grace":"{grace_ms}ms""#);
+        let common = |number: usize| {
+            let zone = zones[number % zones.len()];
+            format!(r#""availability_zone":"{zone}","seeds":SEEDS,"grace":"{grace_ms}ms""#)
+        };
         let mut members = Vec::new();
-        for (link, metrics) in links.iter().zip(&member_metrics) {
+        for (number, (link, metrics)) in links.iter().zip(&member_metrics).enumerate() {
+            let common = common(number);
             let (operator, folder) = (free_address(), unique_path());
             let text = format!(
                 r#"{{"name":"m",{common},"metrics":"{metrics}","control":{{"operator":"{operator}",
@@ -138,18 +154,21 @@
             );
             members.push(FleetChild::new(text, operator));
         }
+        let entry_metrics: Vec<_> = line_mbps.iter().map(|_| free_address()).collect();
         let mut entries = Vec::new();
         for (number, mbps) in line_mbps.iter().enumerate() {
+            let (common, metrics) = (common(number), entry_metrics[number]);
             let (traffic, readiness) = (free_address(), free_address());
             let line = mbps.map_or(String::new(), |mbps| format!(r#","line_mbps":{mbps}"#));
             let text = format!(
-                r#"{{"name":"e{number}",{common},"entry":{{"traffic":"{traffic}",
+                r#"{{"name":"e{number}",{common},"metrics":"{metrics}","entry":{{
+                "traffic":"{traffic}",
                 "readiness":"{readiness}","retry_ratio":0.2,"retry_slack":50,
                 "retry_window":"10s"{line}}}}}"#
             );
             entries.push(FleetChild::new(text, traffic));
         }
-        let mut fleet = Self { members, entries, links, member_metrics };
+        let mut fleet = Self { members, entries, links, member_metrics, entry_metrics };
         fleet.write_configs(fleet.seeds(), true);
         for child in fleet.members.iter_mut().chain(&mut fleet.entries) {
             child.start();
@@ -202,9 +221,16 @@
 
     /// Starts servers and announces them.
     pub fn start_servers(&self, count: usize) -> Vec<WorkServer> {
+        self.start_servers_in_zones(count, &["a"])
+    }
+
+    /// Starts servers in these availability zones in turn and announces them.
+    pub fn start_servers_in_zones(&self, count: usize, zones: &[&'static str]) -> Vec<WorkServer> {
         let operators: Vec<_> = self.members.iter().map(|member| member.address).collect();
-        (0..count)
-            .map(|number| WorkServer::start(format!("s{number}"), operators.clone()))
-            .collect()
+        let start = |number: usize| {
+            let zone = zones[number % zones.len()];
+            WorkServer::start(format!("s{number}"), zone, operators.clone())
+        };
+        (0..count).map(start).collect()
     }
 }
--- a/tests/fleet_process/work_server.rs
+++ b/tests/fleet_process/work_server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,9 @@
 /// Time after which a server that ended is back.
 const SERVER_RESTART_TIME: Duration = Duration::from_secs(2);
 
+/// Number of requests that a server runs at once, as it announces.
+const SLOTS: usize = 4;
+
 /// Body that, sent to a path of a deadly request, ends the server that begins to run it.
 pub const DEADLY_BODY: &str = "deadly";
 
@@ -30,9 +33,16 @@
     pub deadly: bool,
     /// Work id in the path.
     pub work: String,
+    /// Value of the header that names the tenant.
+    pub tenant: Option<String>,
+    /// Whether the request contains the key of a tenant.
+    pub shows_key: bool,
     pub at: Instant,
 }
 
+/// Start of each key of a tenant in the tests.
+pub const KEY_PREFIX: &str = "soak-key-";
+
 /// Server that runs requests with the path `/ROUTE/WORK/MILLISECONDS/BYTES`: it responds after that
 /// time with `BYTES` bytes of `response_body`. It records what it ran, and ends at a deadly request.
 #[derive(Clone)]
@@ -63,6 +73,7 @@
 
 struct ServerState {
     name: String,
+    zone: &'static str,
     address: SocketAddr,
     operators: Vec<SocketAddr>,
     incarnation: AtomicU64,
@@ -72,13 +83,21 @@
     connections: Mutex<BTreeMap<u64, TcpStream>>,
     runs: Mutex<Vec<RunRecord>>,
     ends: Mutex<Vec<Instant>>,
+    /// Duration for which the server is cold after a start.
+    warmup: Mutex<Duration>,
+    /// Begins and ends of the times in which the server is cold.
+    cold_spans: Mutex<Vec<(Instant, Instant)>>,
+    /// Whether the server never answers a request beyond its slots, nor anything after it.
+    silent_when_full: AtomicBool,
+    running_count: AtomicUsize,
 }
 
 impl WorkServer {
-    pub fn start(name: String, operators: Vec<SocketAddr>) -> Self {
+    pub fn start(name: String, zone: &'static str, operators: Vec<SocketAddr>) -> Self {
         let address = free_address();
         let state = Arc::new(ServerState {
             name,
+            zone,
             address,
             operators,
             incarnation: AtomicU64::new(1),
@@ -88,6 +107,10 @@
             connections: Mutex::default(),
             runs: Mutex::default(),
             ends: Mutex::default(),
+            warmup: Mutex::default(),
+            cold_spans: Mutex::default(),
+            silent_when_full: AtomicBool::new(false),
+            running_count: AtomicUsize::new(0),
         });
         let listener = TcpListener::bind(address).expect("the address is free");
         let server_state = Arc::clone(&state);
@@ -123,6 +146,30 @@
         self.state.restart();
     }
 
+    pub fn zone(&self) -> &'static str {
+        self.state.zone
+    }
+
+    /// Makes the server cold for this time after each later start.
+    pub fn set_warmup(&self, warmup: Duration) {
+        *self.state.warmup.lock().expect("no thread panics with the lock") = warmup;
+    }
+
+    /// Makes the server cold from now on, as after a time without requests.
+    pub fn begin_warmup(&self) {
+        self.state.begin_warmup();
+    }
+
+    /// Begins and ends of the times in which the server was cold.
+    pub fn cold_spans(&self) -> Vec<(Instant, Instant)> {
+        self.state.cold_spans.lock().expect("no thread panics with the lock").clone()
+    }
+
+    /// From now on the server never answers a request beyond its slots, nor anything after it.
+    pub fn be_silent_when_full(&self) {
+        self.state.silent_when_full.store(true, Ordering::Relaxed);
+    }
+
     /// Times at which the server ended.
     pub fn ends(&self) -> Vec<Instant> {
         self.state.ends.lock().expect("no thread panics with the lock").clone()
@@ -133,12 +180,40 @@
     fn announce(&self) {
         let path = format!("/.curranthollow/servers/{}", self.name);
         let started = self.incarnation.load(Ordering::Relaxed);
-        let body = announcement(self.address, false, started, 1);
+        let text = announcement(self.address, false, started, 1);
+        let mut body: serde_json::Value = serde_json::from_str(&text).expect("it is JSON");
+        body["availability_zone"] = self.zone.into();
+        body["warmup_ms"] = self.warmup_left_ms().into();
+        let body = body.to_string();
         wait_for("an announcement to be accepted", || {
             self.operators.iter().any(|operator| call(*operator, "PUT", &path, &body).0 == 200)
         });
     }
 
+    fn begin_warmup(&self) {
+        let warmup = *self.warmup.lock().expect("no thread panics with the lock");
+        if warmup > Duration::ZERO {
+            let now = Instant::now();
+            let mut spans = self.cold_spans.lock().expect("no thread panics with the lock");
+            spans.push((now, now + warmup));
+        }
+    }
+
+    fn warmup_left_ms(&self) -> u64 {
+        let spans = self.cold_spans.lock().expect("no thread panics with the lock");
+        let end = spans.iter().map(|(_, end)| *end).max();
+        end.map_or(0, |end| end.saturating_duration_since(Instant::now()).as_millis() as u64)
+    }
+
+    fn health_page(&self) -> String {
+        match self.warmup_left_ms() {
+            0 => HEALTH_PAGE.to_owned(),
+            left => {
+                HEALTH_PAGE.replace("\r\n\r\n", &format!("\r\nx-server-warmup: {left}\r\n\r\n"))
+            }
+        }
+    }
+
     /// Ends the server under a deadly request.
     fn end(&self) {
         if self.restart() {
@@ -185,9 +260,17 @@
                 return;
             }
             let (text, ends) = if request.starts_with("GET /health") {
-                (HEALTH_PAGE.to_owned(), false)
+                (self.health_page(), false)
             } else {
-                self.run_request(&request)
+                let is_full = self.running_count.fetch_add(1, Ordering::Relaxed) >= SLOTS;
+                if is_full && self.silent_when_full.load(Ordering::Relaxed) {
+                    self.running_count.fetch_sub(1, Ordering::Relaxed);
+                    while read_request(&mut stream, &mut input).is_some() {}
+                    return;
+                }
+                let response = self.run_request(&request);
+                self.running_count.fetch_sub(1, Ordering::Relaxed);
+                response
             };
             let written =
                 !is_broken() && std::io::Write::write_all(&mut stream, text.as_bytes()).is_ok();
@@ -212,7 +295,14 @@
         let [work, millis, bytes] = parts[..] else { panic!("path {path}") };
         let deadly = work.starts_with(DEADLY_PREFIX) && request.ends_with(DEADLY_BODY);
         let id = header_value(request, "x-request-id").unwrap_or_default();
-        let record = RunRecord { id: id.clone(), deadly, work: work.into(), at: Instant::now() };
+        let record = RunRecord {
+            id: id.clone(),
+            deadly,
+            work: work.into(),
+            tenant: header_value(request, "x-tenant"),
+            shows_key: request.contains(KEY_PREFIX),
+            at: Instant::now(),
+        };
         self.runs.lock().expect("no thread panics with the lock").push(record);
         std::thread::sleep(Duration::from_millis(millis.parse().expect("a number")));
         let length = bytes.parse().expect("a number");
@@ -268,6 +358,7 @@
         std::thread::sleep(SERVER_RESTART_TIME);
         listener = TcpListener::bind(state.address).expect("the address is still free");
         state.incarnation.fetch_add(1, Ordering::Relaxed);
+        state.begin_warmup();
         state.ended.store(false, Ordering::Relaxed);
         let announcing = Arc::clone(state);
         std::thread::spawn(move || announcing.announce());
