Begin the quiet end of the tenant soak when servers that ended have warmed up

By the logs no server could be used from 309.0 to 313.0 s: zone a was evacuated from 305.3 to 313.4 s, and the servers of both other zones had ended in the last seconds of the faults, were away for 2 s and cold for 3 s after that. So the refusals were right; the settling time of 4 s was shorter than the 2 s + 3 s that the test itself imposes, and the second in which entries return to a warm server. Change: the settling time is the sum of the three.

--- a/tests/fleet_process/demand_soak.rs
+++ b/tests/fleet_process/demand_soak.rs
@@ -18,7 +18,7 @@
 use crate::fault_series::FaultSeries;
 use crate::harness::{call, wait_for};
 use crate::support::{FleetChild, FleetProcesses};
-use crate::work_server::WorkServer;
+use crate::work_server::{SERVER_RESTART_TIME, WorkServer};
 
 const MEMBERS: usize = 5;
 const ENTRIES: usize = 3;
@@ -31,8 +31,10 @@
 
 const FAULT_TIME: Duration = Duration::from_secs(11);
 
-/// Time after the last fault in which leases that were lent before it end and servers warm up.
-const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Time after the last fault in which leases that were lent before it end, and servers that ended come back,
+/// warm up and are used by all entries again, which takes another second.
+const SETTLING_TIME: Duration =
+    Duration::from_secs(1).saturating_add(SERVER_RESTART_TIME).saturating_add(WARMUP);
 
 /// Time in which tenants below their limits are served: some requests of the rarest one.
 const QUIET_TIME: Duration = Duration::from_secs(4);
--- a/tests/fleet_process/work_server.rs
+++ b/tests/fleet_process/work_server.rs
@@ -11,7 +11,7 @@
 };
 
 /// Time after which a server that ended is back.
-const SERVER_RESTART_TIME: Duration = Duration::from_secs(2);
+pub const SERVER_RESTART_TIME: Duration = Duration::from_secs(2);
 
 /// Number of requests that a server runs at once, as it announces.
 const SLOTS: usize = 4;
