--- a/tests/fleet_process/main.rs
+++ b/tests/fleet_process/main.rs
@@ -5,9 +5,14 @@
 //! found its port still in use.
 
 mod blocked_log;
+mod control_history;
 mod control_stop;
 mod crashing_request;
 mod crossing_orders;
+mod demand_checks;
+mod demand_client;
+mod demand_soak;
+mod fault_series;
 mod full_disk;
 #[allow(dead_code, reason = "shared with the tests that start no processes")]
 #[path = "../fleet/harness.rs"]
@@ -21,3 +26,4 @@
 mod soak;
 mod stop_log;
 mod support;
+mod work_server;
