--- a/tests/fleet_process/full_disk.rs
+++ b/tests/fleet_process/full_disk.rs
@@ -7,7 +7,8 @@
 use yare::parameterized;
 
 use crate::harness::{call, document, exchange, parse_response, wait_for};
-use crate::support::{FleetProcesses, WorkServer};
+use crate::support::FleetProcesses;
+use crate::work_server::WorkServer;
 
 const GRACE: Duration = Duration::from_secs(3);
 
