--- a/src/fleet/quota/lease.rs
+++ b/src/fleet/quota/lease.rs
@@ -4,7 +4,7 @@
 use super::{BootTime, LEASE_TIME};
 
 /// Lease with the tokens that have accrued and are not spent.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct LeaseBalance {
     /// Standing rate in tokens per second.
     pub rate: f64,
