Take back the queue of refused requests at a new holder

The test stocks_outlast_the_holder keeps its bound on the outage. Tests of the deputy alone cover older entries, tokens on their way and the end of a stock.

--- a/src/fleet/entry/quota_gate.rs
+++ b/src/fleet/entry/quota_gate.rs
@@ -201,15 +201,16 @@
         self.ask_needed.notify_one();
     }
 
-    /// After a grant of the holder the next ask goes to the leader, unless the grant was short. While deputies
-    /// answer, it goes to one that had enough, and to the leader last.
+    /// The next ask goes to the leader after a grant of the holder. While deputies answer, it goes to one that had
+    /// enough, and to the leader last.
     fn rate_links(&self, grant: &QuotaGrant) {
-        let is_short = grant.is_short();
+        let is_complete = grant.rows.iter().all(|row| row.next_ms == 0);
         for (address, link) in self.links.borrow().iter() {
-            let has_answered = self.asked_link.get() == Some(*address);
-            if link.leads && (grant.is_stock || is_short) {
+            if !grant.is_stock {
+                link.failed_at.set(0);
+            } else if link.leads {
                 link.failed_at.set(self.ask_count.get());
-            } else if !grant.is_stock || has_answered && !is_short {
+            } else if is_complete && self.asked_link.get() == Some(*address) {
                 link.failed_at.set(0);
             }
         }
--- a/src/fleet/quota/account.rs
+++ b/src/fleet/quota/account.rs
@@ -67,14 +67,6 @@
 /// small tenant's demand seems to exceed its limit by less when a few requests come together.
 const FLOOD_FACTOR: f64 = 1.5;
 
-/// Time after which an entry asks again while a new holder cannot lend yet, in milliseconds. Meanwhile it asks
-/// deputies.
-const OPENING_NEXT_MS: u32 = 100;
-
-/// Maximum time in milliseconds for which requests wait for what a new holder will have; it is below the time for which
-/// an entry lets them wait.
-const MAX_OPENING_WAIT_MS: u32 = 300;
-
 /// Minimum time after which an entry asks again, in milliseconds.
 const MIN_NEXT_MS: u32 = 20;
 
@@ -133,8 +125,6 @@
     burst: f64,
     balance: f64,
     accrued_until: BootTime,
-    /// Tokens that were missing, less what has accrued since: their requests are expected to come back first.
-    missing: f64,
     loans: BTreeMap<EntryIncarnation, EntryLoan>,
     earlier: EarlierLoans,
     /// Last ask of an entry, or the time since which the holder can know of one.
@@ -152,7 +142,6 @@
             burst: rule.burst,
             balance: 0.0,
             accrued_until: since + GRANT_TIME + LEASE_MARGIN,
-            missing: 0.0,
             loans: BTreeMap::new(),
             earlier: EarlierLoans { end_at, reported_rate: 0.0, reported_depth: 0.0 },
             asked_at: since,
@@ -198,7 +187,7 @@
         self.asked_at = now;
         let (mut loan, others) = self.prepare(now, rule, entry, row);
         let (rate, depth) = self.lease_for(now, &others, loan.demand);
-        let (tokens, missing) = self.tokens_for(now, &others, &loan, row.wanted);
+        let (tokens, missing) = self.tokens_for(&others, &loan, row.wanted);
         loan.rate = loan.rate.max(rate);
         loan.depth = loan.depth.max(depth);
         // Tokens of an earlier grant are spent or lost, because its time for acceptance has passed.
@@ -321,7 +310,6 @@
         let accrued =
             early_rest * (border - from).as_secs_f64() + rest * (now - border).as_secs_f64();
         self.balance = (self.balance + accrued).min(self.capacity());
-        self.missing = (self.missing - accrued).max(0.0);
         self.accrued_until = now;
     }
 
@@ -394,7 +382,6 @@
     /// can be expected and whether the limit is used up.
     fn tokens_for(
         &mut self,
-        now: BootTime,
         others: &LoanTotals,
         loan: &EntryLoan,
         wanted: u32,
@@ -425,18 +412,11 @@
         if !is_used_up {
             return (granted as u32, Some((MIN_NEXT_MS, false)));
         }
+        // Over the limit, each entry waits until its own part has accrued.
         let is_crowded = demand > self.rate;
-        if now < self.accrued_until && !is_crowded {
-            // Nothing accrues yet, so it is not known that the limit is used up.
-            return (granted as u32, Some((OPENING_NEXT_MS, false)));
-        }
-        // Over the limit, each entry waits until its own part has accrued, otherwise until those refused before
-        // are served.
-        let queued = (1.0 - self.balance).max(0.0) + self.missing;
-        self.missing += f64::from(wanted) - granted;
-        let missing = if is_crowded { 1.0 / own_part } else { queued };
-        let next_ms = ((missing / rest * 1_000.0) as u32).clamp(MIN_NEXT_MS, MAX_NEXT_MS);
-        let is_opening = now < self.earlier.end_at && next_ms <= MAX_OPENING_WAIT_MS;
-        (granted as u32, Some((next_ms, is_crowded || is_flooded || !is_opening)))
+        let missing = if is_crowded { 1.0 / own_part } else { (1.0 - self.balance).max(0.0) };
+        let missing = missing / rest;
+        let next_ms = (missing * 1_000.0) as u32;
+        (granted as u32, Some((next_ms.clamp(MIN_NEXT_MS, MAX_NEXT_MS), true)))
     }
 }
--- a/src/fleet/quota/message.rs
+++ b/src/fleet/quota/message.rs
@@ -15,7 +15,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct EntryIncarnation(pub ProcessName, pub u64);
 
-/// Who asks, and whether its last ask was answered in full.
+/// Who asks, and whether its last ask was answered.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum AskKind {
     /// An entry of an older version, which takes the grant of a deputy for one of the holder.
@@ -24,7 +24,7 @@
     Old,
     #[serde(rename = "f")]
     First,
-    /// The last ask was not answered in time, or not in full.
+    /// The last ask was not answered in time.
     #[serde(rename = "r")]
     Repeated,
     /// A deputy asks for its stock. The rows state what it holds; the grant names all tenants that ask.
@@ -91,13 +91,6 @@
     pub is_stock: bool,
 }
 
-impl QuotaGrant {
-    /// Whether requests still wait although the limit is not known to be used up. Another member may have tokens.
-    pub fn is_short(&self) -> bool {
-        self.rows.iter().any(|row| row.next_ms > 0 && !row.is_used_up)
-    }
-}
-
 /// Part of a grant for one tenant. It replaces the lease.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(from = "GrantTuple", into = "GrantTuple")]
--- a/src/fleet/quota/purse.rs
+++ b/src/fleet/quota/purse.rs
@@ -55,8 +55,6 @@
     last_number: AskNumber,
     pending: Option<PendingAsk>,
     last_ask_at: BootTime,
-    /// Whether the last answer left requests waiting although the limit is not known to be used up.
-    is_short: bool,
     /// When the first ask without an answer was sent.
     silent_since: Option<BootTime>,
     holder: ProcessName,
@@ -72,7 +70,6 @@
             last_number: 0,
             pending: None,
             last_ask_at: BootTime::ZERO,
-            is_short: false,
             silent_since: None,
             holder: "-".into(),
         }
@@ -151,7 +148,6 @@
             return;
         }
         self.silent_since = None;
-        self.is_short = grant.is_short();
         for row in &grant.rows {
             let Some(purse) = self.tenants.get_mut(&row.tenant) else { continue };
             purse.accrue(now, f64::INFINITY);
@@ -183,7 +179,7 @@
         if !self.has_asked_lately(now) {
             self.silent_since = None;
         }
-        let is_repeated = self.silent_since.is_some() || self.is_short;
+        let is_repeated = self.silent_since.is_some();
         let kind = if is_repeated { AskKind::Repeated } else { AskKind::First };
         self.last_number += 1;
         self.last_ask_at = now;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -35,6 +35,7 @@
 mod quarantine_operator;
 mod quarantine_proposals;
 mod quarantine_state;
+mod quota_deputy;
 mod quota_fleet;
 mod quota_parts;
 mod quota_schedule;
