--- a/src/fleet/quota/holder.rs
+++ b/src/fleet/quota/holder.rs
@@ -18,7 +18,8 @@
 use crate::ids::{ProcessName, TenantName, TermNumber};
 
 /// Age of the last contact with a quorum above which the holder lends nothing: another member may lead. It is
-/// below the shortest time after which one can be elected.
+/// below the shortest time after which one can be elected in place of a leader that lives and accepts
+/// connections (`docs/design/control-failover.md`).
 const MAX_QUORUM_AGE: Duration = Duration::from_millis(600);
 
 /// Gap between two calls that shows that the process was stopped. A leader has timers every 220 ms.
