--- a/src/consensus/mod.rs
+++ b/src/consensus/mod.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod election;
+mod event;
 mod failover;
 pub mod formation;
 mod freshness;
