--- a/src/commands.rs
+++ b/src/commands.rs
@@ -46,8 +46,8 @@
 /// Interval at which the stop-signal count is polled.
 const SIGNAL_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Timeout of the request that `dump` sends.
-const DUMP_TIMEOUT: Duration = Duration::from_secs(5);
+/// Timeout of the request that `dump` or `explain` sends to one process.
+const PROCESS_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs a subcommand.
 pub fn run(command: CliCommand) -> Result<ExitCode> {
@@ -389,7 +389,8 @@
     let body = serde_json::to_vec(&query)?;
     let headers = HeaderList::new();
     let response =
-        send_request(arguments.address, "POST", EXPLAIN_PATH, headers, &body, DUMP_TIMEOUT).await?;
+        send_request(arguments.address, "POST", EXPLAIN_PATH, headers, &body, PROCESS_TIMEOUT)
+            .await?;
     if response.head.status != 200 {
         let message = String::from_utf8_lossy(&response.body).into();
         return Err(OperatorError::Refused { status: response.head.status, message }.into());
@@ -406,6 +407,6 @@
 
 async fn run_dump(address: SocketAddr) -> Result<ExitCode> {
     let response =
-        send_request(address, "GET", "/dump", HeaderList::new(), &[], DUMP_TIMEOUT).await?;
+        send_request(address, "GET", "/dump", HeaderList::new(), &[], PROCESS_TIMEOUT).await?;
     write_stdout(&response.body)
 }
--- a/src/fleet/balance/warmup.rs
+++ b/src/fleet/balance/warmup.rs
@@ -36,7 +36,7 @@
 
 /// Time in which an entry that joins sends a first request whatever its cost is. A second is left for a request
 /// to come.
-const INTRODUCTION_TIME: Duration = Duration::from_secs(3);
+const JOINING_TIME: Duration = Duration::from_secs(3);
 
 /// Time over which the first requests of the participating entries are spread.
 const FIRST_SEND_SPREAD: Duration = Duration::from_secs(1);
@@ -208,7 +208,7 @@
         }
         let (_, joining) = self.turns?;
         let wait = (1.0 - place) / joining;
-        (wait <= INTRODUCTION_TIME.as_secs_f64()).then(|| now + Duration::from_secs_f64(wait))
+        (wait <= JOINING_TIME.as_secs_f64()).then(|| now + Duration::from_secs_f64(wait))
     }
 
     pub(super) fn is_limited(&self, now: Instant, pacing: &ColdPacing) -> bool {
--- a/src/fleet/control/core.rs
+++ b/src/fleet/control/core.rs
@@ -296,8 +296,7 @@
             self.start_call(now, request, call, CallWaiter::Local(reply));
             return outcome;
         }
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
-        let Some(leader) = leader else {
+        let Some(leader) = self.leader_address() else {
             let _ = reply.send(CallOutcome::Refused);
             return outcome;
         };
--- a/src/fleet/control/core/failover.rs
+++ b/src/fleet/control/core/failover.rs
@@ -57,6 +57,11 @@
         members.voters().filter(is_linked).count() >= members.quorum()
     }
 
+    /// Address of the leader that this member follows or is.
+    pub(super) fn leader_address(&self) -> Option<SocketAddr> {
+        self.node.leader().and_then(|leader| self.address_of(leader))
+    }
+
     /// Leader that this member follows.
     fn known_leader(&self) -> Option<KnownLeader> {
         let member = self.node.leader().filter(|leader| *leader != self.member)?;
--- a/src/fleet/control/core/quarantine.rs
+++ b/src/fleet/control/core/quarantine.rs
@@ -67,8 +67,7 @@
     }
 
     fn forward_batch(&self, batch: ReportBatch) {
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
-        let Some(leader) = leader else { return };
+        let Some(leader) = self.leader_address() else { return };
         let message = match batch {
             ReportBatch::Crashes(reports) => LinkMessage::Crashes(reports),
             ReportBatch::Served(digests) => LinkMessage::Served(digests),
--- a/src/fleet/control/core/quota.rs
+++ b/src/fleet/control/core/quota.rs
@@ -62,7 +62,7 @@
             }
             return;
         }
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
+        let leader = self.leader_address();
         let heard_at = self.leader_heard_at.filter(|_| leader.is_some());
         let is_silent = heard_at.is_none_or(|heard_at| now >= heard_at + LEADER_PATIENCE);
         if is_silent || ask.kind == AskKind::Repeated {
@@ -81,8 +81,7 @@
     /// Follows a message of the leader; its heartbeats also set the pace of this member's asks for its stocks.
     pub(super) fn on_leader_heard(&mut self, now: Instant) {
         self.leader_heard_at = Some(now);
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
-        let Some(leader) = leader else { return };
+        let Some(leader) = self.leader_address() else { return };
         let Some(ask) = self.deputy.next_ask(boot_time()) else { return };
         let relayed = RelayedAsk { link: DEPUTY_LINK, ask };
         self.peers.send(leader, &LinkMessage::RelayedAsk(relayed));
--- a/src/fleet/control/core/upkeep.rs
+++ b/src/fleet/control/core/upkeep.rs
@@ -104,8 +104,7 @@
         if let Some(since) = self.leading_since {
             return self.propose_liveness_changes(now, since);
         }
-        let leader = self.node.leader().and_then(|leader| self.address_of(leader));
-        if let Some(leader) = leader
+        if let Some(leader) = self.leader_address()
             && !unreported.is_empty()
         {
             self.peers.send(leader, &LinkMessage::Seen(unreported));
--- a/src/fleet/entry/explain.rs
+++ b/src/fleet/entry/explain.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::context::EntryContext;
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, reasons};
 use super::measure::LOAD_REPORT_LIFETIME;
 use crate::fleet::document::{Repetition, RouteRule};
 use crate::fleet::explain::{
@@ -12,8 +12,8 @@
     RouteOutlook, SendExplanation, ServiceOutlook, TargetOutlook, TargetStep,
 };
 use crate::fleet::quota::purse::TakeOutcome;
-use crate::fleet::room::{CallerTime, FindAllowance, RequestClaim, RoomDecision, ServiceSize};
-use crate::fleet::tenant::TenantRule;
+use crate::fleet::room::{CallerTime, FindAllowance, RequestClaim, RoomDecision};
+use crate::fleet::tenant::{CredentialError, TenantRule};
 use crate::fleet::zone_balance::CallerTerms;
 use crate::ids::{ServiceName, TenantName};
 use crate::suspension::boot_time;
@@ -54,11 +54,11 @@
             refusal: None,
         };
         let Some(table) = self.route_table() else {
-            explanation.refusal = Some(RefusalOutlook::new(503, "no settings document yet"));
+            explanation.refusal = Some(RefusalOutlook::new(503, reasons::NO_DOCUMENT));
             return Ok(explanation);
         };
         let Some(rule) = table.find(&query.route_host(), query.route_path()) else {
-            explanation.refusal = Some(RefusalOutlook::new(404, "no route"));
+            explanation.refusal = Some(RefusalOutlook::new(404, reasons::NO_ROUTE));
             return Ok(explanation);
         };
         let time_left = query.time_left(rule.timeout);
@@ -66,7 +66,7 @@
         let request = QueriedRequest { query, rule, priority, time_left };
         explanation.route = Some(request.route());
         if tenant.is_none() && table.tenants.has_tenants() && !request.rule.is_public {
-            explanation.refusal = Some(RefusalOutlook::new(401, "a key is needed"));
+            explanation.refusal = Some(RefusalOutlook::new(401, CredentialError::Missing.reason()));
             return Ok(explanation);
         }
         if !self.can_finish(&request.rule, Instant::now() + time_left) {
@@ -115,7 +115,7 @@
         probability: f64,
     ) -> ServiceOutlook {
         let now = Instant::now();
-        let room = self.explain_room(now, request, service);
+        let (room, room_refusal) = self.explain_room(now, request, service);
         let connected = self.connections.idle_servers(now);
         let terms = request.terms(now);
         let probing = (self.health_path(service).is_some(), LOAD_REPORT_LIFETIME);
@@ -131,14 +131,14 @@
                     balancer.is_wholly_evacuated(),
                 )
             });
-        let refusal = if let Some(reason) = room.1 {
+        let refusal = if let Some(reason) = room_refusal {
             Some(RefusalOutlook::new(503, reason))
         } else if resumes_at.is_some() {
-            Some(RefusalOutlook::new(503, "all servers are paused"))
+            Some(RefusalOutlook::new(503, reasons::ALL_PAUSED))
         } else if is_wholly_evacuated {
-            Some(RefusalOutlook::new(503, "all servers are in evacuated zones"))
+            Some(RefusalOutlook::new(503, reasons::ALL_EVACUATED))
         } else if !targets.iter().any(TargetOutlook::is_asked) {
-            Some(RefusalOutlook::new(503, "no server has room"))
+            Some(RefusalOutlook::new(503, reasons::NO_ROOM))
         } else {
             None
         };
@@ -146,7 +146,7 @@
         ServiceOutlook {
             service: service.clone(),
             probability,
-            room: room.0,
+            room,
             zones,
             second_sends: self
                 .with_budget(service, |budget| budget.remaining(now, entry_count))
@@ -166,11 +166,7 @@
         service: &ServiceName,
     ) -> (RoomOutlook, Option<&'static str>) {
         let mut room = self.rooms.borrow().get(service).cloned().unwrap_or_default();
-        let (size, mean) = self.with_balancer(service, |balancer| {
-            let size =
-                ServiceSize { entries: self.entry_count(), servers: balancer.server_count() };
-            (size, balancer.mean_latency())
-        });
+        let (size, mean) = (self.service_size(service), self.mean_latency(service));
         room.update(now);
         let claim =
             RequestClaim { tenant: request.query.tenant.as_deref(), priority: request.priority };
@@ -231,8 +227,8 @@
     fn refusal(self) -> Option<RefusalOutlook> {
         match self {
             Self::Unlimited | Self::TokenAtHand | Self::AsksHolder => None,
-            Self::UsedUp => Some(RefusalOutlook::new(429, "the tenant's limit is used up")),
-            Self::HolderSilent => Some(RefusalOutlook::new(503, "the tenant's quota is not known")),
+            Self::UsedUp => Some(RefusalOutlook::from(&LocalResponse::over_limit(Duration::ZERO))),
+            Self::HolderSilent => Some(RefusalOutlook::new(503, reasons::UNKNOWN_QUOTA)),
         }
     }
 }
--- a/src/fleet/entry/local_response.rs
+++ b/src/fleet/entry/local_response.rs
@@ -11,6 +11,16 @@
 /// Upper limit of `retry-after`, as a fraction of the remaining time.
 const MAX_RETRY_AFTER_FRACTION: f64 = 0.3;
 
+/// Reasons of refusals that an explanation names as well.
+pub mod reasons {
+    pub const NO_DOCUMENT: &str = "no settings document yet";
+    pub const NO_ROUTE: &str = "no route";
+    pub const UNKNOWN_QUOTA: &str = "the tenant's quota is not known";
+    pub const ALL_PAUSED: &str = "all servers are paused";
+    pub const ALL_EVACUATED: &str = "all servers are in evacuated zones";
+    pub const NO_ROOM: &str = "no server has room";
+}
+
 /// Response that the entry generates itself.
 #[derive(Debug)]
 pub struct LocalResponse {
--- a/src/fleet/entry/quota_gate.rs
+++ b/src/fleet/entry/quota_gate.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{sleep, timeout_at};
 
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, reasons};
 use super::outgoing::OutgoingRequest;
 use crate::fleet::link::{self, FreshnessNotice, LinkFrame, LinkMessage};
 use crate::fleet::quota::message::QuotaGrant;
@@ -148,8 +148,8 @@
             TakeOutcome::Waits | TakeOutcome::Unknown => {
                 self.metrics.unknown.inc();
                 self.log_refusal("quota_unknown", id, tenant, UNKNOWN_RETRY_AFTER);
-                let reason = "the tenant's quota is not known";
-                Err(LocalResponse::not_run(reason, UNKNOWN_RETRY_AFTER, time_left))
+                let delay = UNKNOWN_RETRY_AFTER;
+                Err(LocalResponse::not_run(reasons::UNKNOWN_QUOTA, delay, time_left))
             }
         }
     }
--- a/src/fleet/entry/request.rs
+++ b/src/fleet/entry/request.rs
@@ -12,7 +12,7 @@
 use super::activity::RequestProgress;
 use super::context::EntryContext;
 use super::crash_gate::QUARANTINED_STATUS;
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, reasons};
 use super::measure::CrowdedPolicy;
 use super::metrics::GaugeGuard;
 use super::outgoing::{HeldBody, OutgoingRequest};
@@ -179,13 +179,13 @@
 ) -> Result<RequestDriver, LocalResponse> {
     let Some(table) = context.route_table() else {
         return Err(LocalResponse::not_run(
-            "no settings document yet",
+            reasons::NO_DOCUMENT,
             NO_DOCUMENT_RETRY_AFTER,
             Duration::from_secs(1),
         ));
     };
     let Some(rule) = table.find(&caller_request.head.host, caller_request.head.path()) else {
-        return Err(LocalResponse::new(404, "no route"));
+        return Err(LocalResponse::new(404, reasons::NO_ROUTE));
     };
     let identity = context.authenticate(&table, &rule, &mut caller_request.head)?;
     let requested_timeout = requested_timeout(context, &caller_request.head);
@@ -441,11 +441,11 @@
         let pause = resumes_at.saturating_duration_since(now);
         let spread = self.context.random.borrow_mut().f64() * RESUME_SPREAD_FRACTION;
         let time_left = self.request.deadline.saturating_duration_since(now);
-        LocalResponse::not_run("all servers are paused", pause.mul_f64(1.0 + spread), time_left)
+        LocalResponse::not_run(reasons::ALL_PAUSED, pause.mul_f64(1.0 + spread), time_left)
     }
 
     fn refuse_without_room(&self, now: Instant) -> LocalResponse {
-        let reason = "no server has room";
+        let reason = reasons::NO_ROOM;
         if !self.context.is_room_short(&self.request.service) {
             return self.refuse(reason);
         }
--- a/src/fleet/entry/room_gate.rs
+++ b/src/fleet/entry/room_gate.rs
@@ -50,10 +50,7 @@
     ) -> Option<LocalResponse> {
         let now = Instant::now();
         self.update_room(now, &request.service);
-        let size = self.with_balancer(&request.service, |balancer| ServiceSize {
-            entries: self.entry_count(),
-            servers: balancer.server_count(),
-        });
+        let size = self.service_size(&request.service);
         let tenant = request.tenant.as_ref().map(|tenant| &*tenant.name);
         let claim = RequestClaim { tenant, priority: request.priority };
         let time = caller_time(now, request, received_at);
@@ -85,7 +82,12 @@
         self.with_room(&request.service, |room| room.return_delay(now, time, mean, random))
     }
 
-    fn mean_latency(&self, service: &ServiceName) -> Option<Duration> {
+    pub(super) fn service_size(&self, service: &ServiceName) -> ServiceSize {
+        let servers = self.with_balancer(service, |balancer| balancer.server_count());
+        ServiceSize { entries: self.entry_count(), servers }
+    }
+
+    pub(super) fn mean_latency(&self, service: &ServiceName) -> Option<Duration> {
         self.with_balancer(service, |balancer| balancer.mean_latency())
     }
 
--- a/src/fleet/entry/withheld_servers.rs
+++ b/src/fleet/entry/withheld_servers.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::context::EntryContext;
-use super::local_response::LocalResponse;
+use super::local_response::{LocalResponse, reasons};
 use super::outgoing::OutgoingRequest;
 use crate::fleet::balance::ChosenServer;
 use crate::fleet::balance::warmup::ColdPacing;
@@ -140,8 +140,7 @@
         self.metrics.withheld.evacuated_refusals.inc();
         let spread = self.random.borrow_mut().f64() * EVACUATED_RETRY_SPREAD;
         let delay = EVACUATED_RETRY_AFTER.mul_f64(1.0 + spread);
-        let reason = "all servers are in evacuated zones";
-        Some(LocalResponse::not_run(reason, delay, request.time_left()))
+        Some(LocalResponse::not_run(reasons::ALL_EVACUATED, delay, request.time_left()))
     }
 
     /// Number of servers to which the limit for cold servers applies.
--- a/src/fleet/quota/account.rs
+++ b/src/fleet/quota/account.rs
@@ -282,6 +282,11 @@
         self.rate * if self.has_leases() { STANDING_FRACTION } else { STOCK_FRACTION }
     }
 
+    /// Sum of the depths that leases and stocks may have.
+    fn max_standing_depth(&self) -> f64 {
+        self.lent_margin() * DEPTH_FRACTION
+    }
+
     fn has_leases(&self) -> bool {
         self.rate >= MIN_LEASED_LIMIT
     }
@@ -347,7 +352,7 @@
 
     /// Sums of the rates and depths that leases and stocks may have now.
     fn standing_limits(&self, now: BootTime) -> (f64, f64) {
-        let (rates, depths) = (self.max_standing_rate(), self.lent_margin() * DEPTH_FRACTION);
+        let (rates, depths) = (self.max_standing_rate(), self.max_standing_depth());
         if now >= self.earlier.end_at {
             return (rates, depths);
         }
@@ -363,7 +368,7 @@
         let lease_rate = others.rate - others.stock_rate;
         let lease_depth = others.depth - others.stock_depth;
         let mut stock_rates = self.max_standing_rate() - lease_rate;
-        let mut stock_depths = self.lent_margin() * DEPTH_FRACTION - lease_depth;
+        let mut stock_depths = self.max_standing_depth() - lease_depth;
         if self.has_leases() {
             stock_rates *= LEFT_STOCK_FRACTION;
             stock_depths *= LEFT_STOCK_FRACTION;
--- a/src/fleet/quota/deputy.rs
+++ b/src/fleet/quota/deputy.rs
@@ -11,6 +11,7 @@
 use super::message::{
     AskKind, AskNumber, AskRow, EntryIncarnation, GrantRow, MAX_ROWS, QuotaAsk, QuotaGrant,
 };
+use super::pending_ask::PendingAsk;
 use super::{BootTime, GRANT_TIME};
 use crate::fleet::tenant::TenantRule;
 use crate::ids::{ProcessName, TenantName};
@@ -64,13 +65,6 @@
     }
 }
 
-/// Ask that is not answered yet.
-#[derive(Debug, Clone, Copy)]
-struct PendingAsk {
-    number: AskNumber,
-    sent_at: BootTime,
-}
-
 /// Stocks of all tenants at one member.
 #[derive(Debug)]
 pub struct QuotaDeputy {
@@ -127,10 +121,7 @@
 
     /// Installs the answer to the pending ask; all others are too old.
     pub fn on_grant(&mut self, now: BootTime, grant: &QuotaGrant) {
-        let Some(ask) = self.pending.take_if(|ask| ask.number == grant.number) else { return };
-        if now >= ask.sent_at + GRANT_TIME {
-            return;
-        }
+        let Some(ask) = PendingAsk::take_answered(&mut self.pending, now, grant) else { return };
         for row in grant.rows.iter().take(MAX_ROWS) {
             if row.depth <= 0.0 && !self.stocks.contains_key(&row.tenant) {
                 continue;
--- a/src/fleet/quota/mod.rs
+++ b/src/fleet/quota/mod.rs
@@ -11,6 +11,7 @@
 mod lease;
 pub mod message;
 pub mod metrics;
+mod pending_ask;
 pub mod purse;
 mod tenant_purse;
 
--- a/src/fleet/quota/purse.rs
+++ b/src/fleet/quota/purse.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use super::message::{AskKind, AskNumber, EntryIncarnation, MAX_ROWS, QuotaAsk, QuotaGrant};
+use super::pending_ask::PendingAsk;
 use super::tenant_purse::TenantPurse;
-use super::{BootTime, GRANT_TIME, RENEWAL_INTERVAL};
+use super::{BootTime, RENEWAL_INTERVAL};
 use crate::ids::{ProcessName, TenantName};
 
 /// Time without an answer after which requests do not wait for one any more: two asks.
@@ -40,13 +41,6 @@
     pub rate: f64,
 }
 
-/// Ask that is not answered yet.
-#[derive(Debug, Clone, Copy)]
-struct PendingAsk {
-    number: AskNumber,
-    sent_at: BootTime,
-}
-
 /// What an entry was lent.
 #[derive(Debug, Clone)]
 pub struct QuotaPurse {
@@ -142,11 +136,7 @@
 
     /// Installs the answer to the pending ask; all others are too old.
     pub fn on_grant(&mut self, now: BootTime, grant: QuotaGrant) {
-        let Some(ask) = self.pending.filter(|ask| ask.number == grant.number) else { return };
-        self.pending = None;
-        if now >= ask.sent_at + GRANT_TIME {
-            return;
-        }
+        let Some(ask) = PendingAsk::take_answered(&mut self.pending, now, &grant) else { return };
         self.silent_since = None;
         for row in &grant.rows {
             let Some(purse) = self.tenants.get_mut(&row.tenant) else { continue };
@@ -200,13 +190,13 @@
                 due = Some(due.map_or(at, |due| due.min(at)));
             }
         }
-        let free_at = self.pending.map_or(now, |ask| ask.sent_at + GRANT_TIME);
+        let free_at = self.pending.map_or(now, |ask| ask.ends_at());
         due.map(|due| due.max(free_at))
     }
 
     /// Whether the last ask was not answered in time.
     pub fn is_unanswered(&self, now: BootTime) -> bool {
-        self.pending.is_some_and(|ask| now >= ask.sent_at + GRANT_TIME)
+        self.pending.is_some_and(|ask| now >= ask.ends_at())
     }
 
     /// What is known about a tenant's account.
