Run given seeds and reload seeds by one function in the process tests

Four soaks read a range of seeds in the same way, and two fault series rewrote the seeds of all processes with the same draws. Both are functions of the support module now. The seeds select the same sequences, and no assertion changes.

--- a/tests/fleet_process/demand_soak.rs
+++ b/tests/fleet_process/demand_soak.rs
@@ -17,7 +17,7 @@
 use crate::demand_client::{KeyHistory, TenantClient, tenant_document};
 use crate::fault_series::FaultSeries;
 use crate::harness::{call, wait_for};
-use crate::support::{FleetChild, FleetProcesses};
+use crate::support::{FleetChild, FleetProcesses, run_given_seeds};
 use crate::work_server::{SERVER_RESTART_TIME, WorkServer};
 
 const MEMBERS: usize = 5;
@@ -179,14 +179,5 @@
 /// Runs the seeds of `SOAK_SEEDS`; without it, nothing beyond the test above.
 #[test]
 fn limits_and_orders_hold_under_faults_with_given_seeds() {
-    let Ok(range) = std::env::var("SOAK_SEEDS") else { return };
-    let (first, end) = range.split_once("..").expect("a range such as 10..60");
-    let number = |text: &str| text.parse::<u64>().expect("a range such as 10..60");
-    let mut failed = Vec::new();
-    for seed in number(first)..number(end) {
-        if std::thread::spawn(move || run_demand_soak(seed)).join().is_err() {
-            failed.push(seed);
-        }
-    }
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    run_given_seeds("SOAK_SEEDS", run_demand_soak);
 }
--- a/tests/fleet_process/fault_series.rs
+++ b/tests/fleet_process/fault_series.rs
@@ -107,7 +107,7 @@
                 self.faults.insert(process, ProcessFault::StoppingSince(now));
                 format!("stop {process}")
             }
-            7 => self.reload_seeds(),
+            7 => format!("reload {} seeds", self.fleet.reload_seeds(&mut self.random)),
             _ => {
                 let server = self.random.usize(0..self.servers.len());
                 self.servers[server].set_broken(true);
@@ -135,21 +135,6 @@
         format!("pause {process}")
     }
 
-    /// Rewrites all config files with other seeds and sends SIGHUP.
-    fn reload_seeds(&mut self) -> String {
-        let mut seeds = self.fleet.links.clone();
-        self.random.shuffle(&mut seeds);
-        seeds.truncate(self.random.usize(1..=seeds.len()));
-        self.fleet.write_configs(&seeds, false);
-        for process in 0..self.fleet.process_count() {
-            let child = self.fleet.child(process);
-            if child.is_listening() {
-                child.signal(Signal::HUP);
-            }
-        }
-        format!("reload {} seeds", seeds.len())
-    }
-
     /// Ends faults whose time is over.
     fn follow_faults(&mut self) {
         let now = Instant::now();
--- a/tests/fleet_process/planned_soak.rs
+++ b/tests/fleet_process/planned_soak.rs
@@ -18,7 +18,7 @@
 
 use crate::harness::{call, document, document_with_limits, wait_for};
 use crate::planned_client::{RequestEnd, SoakClient, SoakRequest};
-use crate::support::{FleetChild, FleetProcesses};
+use crate::support::{FleetChild, FleetProcesses, run_given_seeds};
 use crate::work_server::WorkServer;
 
 const MEMBERS: usize = 3;
@@ -70,7 +70,9 @@
             match self.random.u32(0..10) {
                 _ if Instant::now() > end => {}
                 0..5 => self.stop_processes(),
-                5..7 => self.change_seeds(),
+                5..7 => {
+                    self.fleet.reload_seeds(&mut self.random);
+                }
                 7 => self.put_documents(),
                 _ => {}
             }
@@ -122,20 +124,6 @@
         }
     }
 
-    /// Rewrites all config files with other seeds and sends SIGHUP.
-    fn change_seeds(&mut self) {
-        let mut seeds = self.fleet.links.clone();
-        self.random.shuffle(&mut seeds);
-        seeds.truncate(self.random.usize(1..=seeds.len()));
-        self.fleet.write_configs(&seeds, false);
-        for number in 0..self.fleet.process_count() {
-            let child = self.fleet.child(number);
-            if child.is_listening() {
-                child.signal(Signal::HUP);
-            }
-        }
-    }
-
     /// Puts documents in quick succession. In a thread: a member without a majority responds late.
     fn put_documents(&mut self) {
         let operators: Vec<_> = self.fleet.members.iter().map(|member| member.address).collect();
@@ -246,16 +234,8 @@
 /// Runs the seeds of `PLANNED_SEEDS`; without it, nothing beyond the test above.
 #[test]
 fn planned_work_loses_no_request_with_given_seeds() {
-    let Ok(range) = std::env::var("PLANNED_SEEDS") else { return };
     let entries = std::env::var("PLANNED_ENTRIES").ok().and_then(|text| text.parse().ok());
-    let (first, end) = range.split_once("..").expect("a range such as 10..60");
-    let number = |text: &str| text.parse::<u64>().expect("a range such as 10..60");
-    let mut failed = Vec::new();
-    for seed in number(first)..number(end) {
-        let run = move || run_planned_work(seed, entries.unwrap_or(ENTRIES));
-        if std::thread::spawn(run).join().is_err() {
-            failed.push(seed);
-        }
-    }
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    run_given_seeds("PLANNED_SEEDS", move |seed| {
+        run_planned_work(seed, entries.unwrap_or(ENTRIES))
+    });
 }
--- a/tests/fleet_process/slow_callers.rs
+++ b/tests/fleet_process/slow_callers.rs
@@ -15,7 +15,7 @@
 use yare::parameterized;
 
 use crate::harness::{call, document, header_value, wait_for};
-use crate::support::FleetProcesses;
+use crate::support::{FleetProcesses, run_given_seeds};
 use crate::work_server::response_body;
 
 /// Rates of the callers in bits per second.
@@ -297,16 +297,7 @@
 /// Runs the seeds of `SLOW_CALLER_SEEDS`; without it, nothing beyond the test above.
 #[test]
 fn a_stop_finishes_or_refuses_with_given_seeds() {
-    let Ok(range) = std::env::var("SLOW_CALLER_SEEDS") else { return };
-    let (first, end) = range.split_once("..").expect("a range such as 10..60");
-    let number = |text: &str| text.parse::<u64>().expect("a range such as 10..60");
-    let mut failed = Vec::new();
-    for seed in number(first)..number(end) {
-        if std::thread::spawn(move || run_stop(seed)).join().is_err() {
-            failed.push(seed);
-        }
-    }
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    run_given_seeds("SLOW_CALLER_SEEDS", run_stop);
 }
 
 /// Guards against a stop that takes a request of a slow caller and cuts its response off at the exit.
--- a/tests/fleet_process/soak.rs
+++ b/tests/fleet_process/soak.rs
@@ -23,7 +23,7 @@
 use crate::harness::{call, document, exchange, parse_response, wait_for};
 use crate::planned_client::{RequestEnd, SoakClient, SoakRequest};
 use crate::repeat_client::{RepeatedRequest, RepeatedTraffic, check_deadly_sends};
-use crate::support::{FleetChild, FleetProcesses};
+use crate::support::{FleetChild, FleetProcesses, run_given_seeds};
 use crate::work_server::{StatementKind, StatementSpan, WorkServer};
 
 const MEMBERS: usize = 5;
@@ -315,16 +315,6 @@
 /// Runs the seeds of `SOAK_SEEDS`; without it, nothing beyond the test above.
 #[test]
 fn promises_hold_under_faults_with_given_seeds() {
-    let Ok(range) = std::env::var("SOAK_SEEDS") else { return };
     let entries = std::env::var("SOAK_ENTRIES").ok().and_then(|text| text.parse().ok());
-    let (first, end) = range.split_once("..").expect("a range such as 10..60");
-    let number = |text: &str| text.parse::<u64>().expect("a range such as 10..60");
-    let mut failed = Vec::new();
-    for seed in number(first)..number(end) {
-        let run = move || run_soak(seed, entries.unwrap_or(ENTRIES));
-        if std::thread::spawn(run).join().is_err() {
-            failed.push(seed);
-        }
-    }
-    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+    run_given_seeds("SOAK_SEEDS", move |seed| run_soak(seed, entries.unwrap_or(ENTRIES)));
 }
--- a/tests/fleet_process/support.rs
+++ b/tests/fleet_process/support.rs
@@ -203,6 +203,21 @@
         }
     }
 
+    /// Rewrites all config files with other seeds and sends SIGHUP; returns the number of seeds.
+    pub fn reload_seeds(&mut self, random: &mut fastrand::Rng) -> usize {
+        let mut seeds = self.links.clone();
+        random.shuffle(&mut seeds);
+        seeds.truncate(random.usize(1..=seeds.len()));
+        self.write_configs(&seeds, false);
+        for process in 0..self.process_count() {
+            let child = self.child(process);
+            if child.is_listening() {
+                child.signal(Signal::HUP);
+            }
+        }
+        seeds.len()
+    }
+
     pub fn seeds(&self) -> &[SocketAddr] {
         &self.links[..self.links.len().min(3)]
     }
@@ -254,3 +269,18 @@
         (0..count).map(start).collect()
     }
 }
+
+/// Runs `run` with each seed of the range in the environment variable `variable`, such as `10..60`, each in a
+/// thread of its own; without the variable, none. Panics with the seeds that failed.
+pub fn run_given_seeds(variable: &str, run: impl Fn(u64) + Copy + Send + 'static) {
+    let Ok(range) = std::env::var(variable) else { return };
+    let (first, end) = range.split_once("..").expect("a range such as 10..60");
+    let number = |text: &str| text.parse::<u64>().expect("a range such as 10..60");
+    let mut failed = Vec::new();
+    for seed in number(first)..number(end) {
+        if std::thread::spawn(move || run(seed)).join().is_err() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "failed seeds: {failed:?}");
+}
